--- a/crates/foxtailhold-entry/src/lib.rs
+++ b/crates/foxtailhold-entry/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod instance;
 pub mod jobs;
 pub mod limits;
-pub mod logging;
+pub use foxtailhold_logs as logging;
 pub mod metered;
 pub mod metrics;
 pub mod online;
--- a/crates/foxtailhold-http/src/server.rs
+++ b/crates/foxtailhold-http/src/server.rs
@@ -3,6 +3,8 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use http::{HeaderValue, Request, Response, Version, header};
@@ -21,8 +23,8 @@
 /// Result of starting a server.
 pub type Result<T> = std::result::Result<T, ServerError>;
 
-/// A client has this long to send the head of a request.
-const HEADER_READ_TIMEOUT_MS: u64 = 10_000;
+/// A client has this long to send the head of a request where nothing else is set.
+pub const HEADER_READ_TIMEOUT_MS: u64 = 10_000;
 /// A closing server serves who connects until nobody has for this time, and gives the last ones as
 /// long to send.
 const DRAIN_MS: u64 = 100;
@@ -76,8 +78,21 @@
 impl Server {
     /// Serves on a bound listener.
     pub fn start<H: Handler>(listener: TcpListener, address: SocketAddr, handler: H) -> Self {
+        let head_timeout = Arc::new(AtomicU64::new(HEADER_READ_TIMEOUT_MS));
+        Server::start_patient(listener, address, handler, head_timeout)
+    }
+
+    /// Serves on a bound listener. A connection is closed when no head of a request came for
+    /// `head_timeout_ms`, be it idle or slow; a change counts for new connections.
+    pub fn start_patient<H: Handler>(
+        listener: TcpListener,
+        address: SocketAddr,
+        handler: H,
+        head_timeout_ms: Arc<AtomicU64>,
+    ) -> Self {
         let (leaving, stop) = (CancellationToken::new(), CancellationToken::new());
-        let accepting = accept_loop(listener, handler, leaving.clone(), stop.clone());
+        let tokens = (leaving.clone(), stop.clone());
+        let accepting = accept_loop(listener, handler, tokens, head_timeout_ms);
         let task = tokio::spawn(accepting);
         Server {
             address,
@@ -125,12 +140,12 @@
     http2: http2::Builder<TokioExecutor>,
 }
 
-impl Default for Builders {
-    fn default() -> Self {
+impl Builders {
+    fn new(head_timeout_ms: u64) -> Self {
         let mut http1 = http1::Builder::new();
         http1
             .timer(TokioTimer::new())
-            .header_read_timeout(Duration::from_millis(HEADER_READ_TIMEOUT_MS));
+            .header_read_timeout(Duration::from_millis(head_timeout_ms));
         let http2 = http2::Builder::new(TokioExecutor::new());
         Builders { http1, http2 }
     }
@@ -139,13 +154,13 @@
 async fn accept_loop<H: Handler>(
     listener: TcpListener,
     handler: H,
-    leaving: CancellationToken,
-    stop: CancellationToken,
+    (leaving, stop): (CancellationToken, CancellationToken),
+    head_timeout_ms: Arc<AtomicU64>,
 ) {
     let graceful = GracefulShutdown::new();
     let silent = CancellationToken::new();
-    let builders = Builders::default();
     let serve = |stream, remote| {
+        let builders = Builders::new(head_timeout_ms.load(Ordering::Relaxed));
         let connection = Connection {
             stream,
             remote,
@@ -153,7 +168,7 @@
             watcher: graceful.watcher(),
             silent: silent.clone(),
         };
-        tokio::spawn(connection.serve(builders.clone()));
+        tokio::spawn(connection.serve(builders));
     };
     loop {
         let (stream, remote) = tokio::select! {
--- a/crates/foxtailhold-platform/src/lib.rs
+++ b/crates/foxtailhold-platform/src/lib.rs
@@ -8,12 +8,14 @@
 pub mod fleet;
 pub mod http;
 pub mod objects;
+pub mod rows;
 pub mod table;
 
 pub use error::{PlatformError, Result};
 pub use fleet::{Fleet, FleetInstance, FleetList};
 pub use http::HttpPlatform;
 pub use objects::{ObjectStore, WeightStore};
+pub use rows::{Changes, Committed, Feed, RowKey, RowStore, Snapshot, VersionedRow};
 pub use table::{Expect, KeyedRow, Operation, Row, TableService, Transacted};
 
 /// A whole platform.
--- /dev/null
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -0,0 +1,413 @@
+//! Opaque requests: which backend server, how often, until when.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use foxtailhold::ids::{BackendId, TargetName};
+use foxtailhold::routes::{Route, RouteTable};
+use foxtailhold::slots::{Outcome, Urgency};
+use foxtailhold_http::body;
+use http::Response;
+use tokio::time::Instant;
+
+use crate::clock::Clock;
+use crate::connections::{Connections, InUse};
+use crate::dialect::Dialect;
+use crate::events::{EventReader, Step};
+use crate::exchange::{self, Exchange, Miss};
+use crate::fleet::{BackendServer, Backends};
+use crate::metrics::RelayMetrics;
+use crate::peers::{NoPlace, Peers, Place, PlaceQuery};
+use crate::plain::PlainLoads;
+use crate::request::{Answer, OpaqueRequest, Unserved};
+use crate::stream::Pump;
+
+/// The answer must be on its way this long before the caller gives up.
+const RETURN_MS: u64 = 15;
+/// Requests that did not run are sent again at other backend servers at most so often, beside the
+/// attempts that the route allows: a refusal costs a crossing, and more would come too late.
+const NOT_RUN_AGAIN: u32 = 3;
+/// Without word for this time an engine counts as silent for a stream that may be repeated: many
+/// times its time to a first event, and time is left to be on time late.
+pub const FIRST_EVENT_PATIENCE_MS: u64 = 650;
+/// A pause of this many times the route's longest good pause counts as silence.
+const PAUSE_FACTOR: u64 = 3;
+/// Shortest pause that counts as silence.
+const LEAST_PAUSE_MS: u64 = 600;
+/// An idempotent whole answer is tried elsewhere after so many objectives.
+const WHOLE_PATIENCE_OBJECTIVES: u64 = 2;
+/// Callers of a plain service without room come back after this time: some requests are done then.
+const PLAIN_RETRY_AFTER_MS: u64 = 120;
+/// Callers come back after this time where no backend server is known.
+const NO_BACKEND_RETRY_AFTER_MS: u64 = 400;
+
+/// What passes requests on.
+#[derive(Debug)]
+pub struct Relay<D> {
+    /// How backend servers are spoken to.
+    pub dialect: D,
+    /// Connections to them.
+    pub connections: Connections,
+    /// Other instances, and places.
+    pub peers: Peers,
+    /// Loads of plain services.
+    pub plain: PlainLoads,
+    /// Backend servers in use.
+    pub backends: Arc<ArcSwap<Backends>>,
+    /// Routes in force.
+    pub routes: Arc<ArcSwap<RouteTable>>,
+    /// Clocks.
+    pub clock: Clock,
+    /// Metrics.
+    pub metrics: RelayMetrics,
+}
+
+/// The way of one request so far.
+#[derive(Debug)]
+pub struct Progress {
+    /// Backend servers that it was sent to.
+    pub tried: Vec<BackendId>,
+    /// How many of them may have run it.
+    pub attempts: u32,
+    /// How many of them said that they did not.
+    pub not_run: u32,
+    /// Until when it must be answered.
+    pub until: Instant,
+}
+
+impl Progress {
+    fn new(request: &OpaqueRequest, route: &Route) -> Self {
+        let mut left_ms = u64::MAX >> 20;
+        if route.timeout_ms > 0 {
+            left_ms = route.timeout_ms;
+        }
+        if let Some(patience_ms) = request.patience_ms {
+            left_ms = left_ms.min(patience_ms.saturating_sub(RETURN_MS));
+        }
+        Progress {
+            tried: Vec::new(),
+            attempts: 0,
+            not_run: 0,
+            until: request.received + Duration::from_millis(left_ms),
+        }
+    }
+
+    /// Notes a miss; `true`: the request may be sent once more.
+    pub fn may_go_on(&mut self, miss: Miss, backend: &BackendId, route: &Route) -> bool {
+        self.tried.push(backend.clone());
+        if Instant::now() >= self.until {
+            self.attempts += u32::from(miss.may_have_run());
+            return false;
+        }
+        if !miss.may_have_run() {
+            self.not_run += 1;
+            return self.not_run <= NOT_RUN_AGAIN;
+        }
+        self.attempts += 1;
+        route.repeat.is_idempotent() && self.attempts < route.attempts.max(1)
+    }
+
+    fn unserved(&self, retry_after_ms: u64) -> Unserved {
+        if self.attempts == 0 {
+            return Unserved::NotRun { retry_after_ms };
+        }
+        if Instant::now() >= self.until {
+            return Unserved::TimedOut;
+        }
+        Unserved::MayHaveRun
+    }
+}
+
+/// The exchange of a request.
+pub fn exchange<'a>(request: &'a OpaqueRequest, route: &Route, after: Option<u64>) -> Exchange<'a> {
+    Exchange {
+        request_id: &request.id,
+        method: &request.method,
+        target: &request.target,
+        headers: &request.headers,
+        body: &request.body,
+        after_event: after,
+        is_idempotent: route.repeat.is_idempotent(),
+    }
+}
+
+impl<D: Dialect> Relay<D> {
+    /// Answers a request of a route.
+    pub async fn serve(self: &Arc<Self>, route: &Route, request: OpaqueRequest) -> Answer {
+        let mut progress = Progress::new(&request, route);
+        let service = route.service(rand::random()).clone();
+        let is_engine = self
+            .routes
+            .load()
+            .service(&service)
+            .is_some_and(|bounds| bounds.is_engine);
+        let (id, received) = (request.id.clone(), request.received);
+        let answer = if is_engine {
+            self.serve_engine(route, &service, request, &mut progress).await
+        } else {
+            self.serve_plain(route, &service, &request, &mut progress).await
+        };
+        self.note(route, &id, received, &progress, &answer);
+        answer
+    }
+
+    fn note(
+        &self,
+        route: &Route,
+        id: &str,
+        received: Instant,
+        progress: &Progress,
+        answer: &Answer,
+    ) {
+        let outcome = match answer {
+            Answer::Served(_) => "served",
+            Answer::Unserved(Unserved::NotRun { .. }) => "not_run",
+            Answer::Unserved(Unserved::MayHaveRun) => "may_have_run",
+            Answer::Unserved(Unserved::TimedOut) => "timed_out",
+        };
+        let took_ms = received.elapsed().as_millis() as u64;
+        self.metrics.answered(&route.name, outcome, took_ms);
+        log::info!(
+            request = id,
+            route = route.name.as_str(),
+            outcome = outcome,
+            took_ms = took_ms,
+            attempts = progress.attempts,
+            not_run = progress.not_run,
+            missed = progress.tried.iter().map(BackendId::as_str).collect::<Vec<_>>().join(","),
+            config = self.routes.load().version();
+            "answered"
+        );
+    }
+
+    async fn serve_plain(
+        &self,
+        route: &Route,
+        service: &TargetName,
+        request: &OpaqueRequest,
+        progress: &mut Progress,
+    ) -> Answer {
+        loop {
+            let now = self.clock.mono();
+            let chosen = {
+                let backends = self.backends.load();
+                let (all, zone) = (backends.of(service), self.peers.zone());
+                let tried = &progress.tried;
+                self.plain.choose(now, all, tried, zone, rand::random())
+            };
+            let Some(backend) = chosen else {
+                return Answer::Unserved(progress.unserved(NO_BACKEND_RETRY_AFTER_MS));
+            };
+            let mut counted = Counted {
+                loads: &self.plain,
+                clock: &self.clock,
+                backend: &backend.id,
+                outcome: Outcome::Abandoned,
+            };
+            let exchanged = self.whole(route, request, progress, &backend).await;
+            match exchanged {
+                Ok(response) => {
+                    let load = self.dialect.load(response.headers());
+                    if let Some(load) = load {
+                        self.plain.told(self.clock.mono(), &backend.id, load);
+                    }
+                    counted.outcome = Outcome::Done { held_ms: 0 };
+                    let is_final = !response.status().is_server_error()
+                        || !progress.may_go_on(Miss::Broken, &backend.id, route);
+                    if is_final {
+                        return self.passed_on(response.map(body::whole));
+                    }
+                }
+                Err(miss) => {
+                    counted.outcome = miss.outcome();
+                    if !progress.may_go_on(miss, &backend.id, route) {
+                        return Answer::Unserved(progress.unserved(PLAIN_RETRY_AFTER_MS));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn whole(
+        &self,
+        route: &Route,
+        request: &OpaqueRequest,
+        progress: &Progress,
+        backend: &BackendServer,
+    ) -> Result<Response<bytes::Bytes>, Miss> {
+        let may_repeat =
+            route.repeat.is_idempotent() && progress.attempts + 1 < route.attempts.max(1);
+        let patience_until = if may_repeat && route.objective_ms > 0 {
+            let patience_ms = route.objective_ms * WHOLE_PATIENCE_OBJECTIVES;
+            progress.until.min(Instant::now() + Duration::from_millis(patience_ms))
+        } else {
+            progress.until
+        };
+        let exchange = exchange(request, route, request.after_event);
+        let (response, in_use) = exchange
+            .send(&self.dialect, &self.connections, backend, progress.until, patience_until)
+            .await?;
+        exchange::read_whole(response, in_use, patience_until).await
+    }
+
+    /// Marks an answer as the backend server's own.
+    fn passed_on(&self, mut response: Response<body::AnswerBody>) -> Answer {
+        self.dialect.strip(response.headers_mut());
+        Answer::Served(response)
+    }
+
+    /// Asks for a place at an engine and finds the engine.
+    pub(crate) async fn place(
+        &self,
+        query: &PlaceQuery<'_>,
+    ) -> Result<(Place, Arc<BackendServer>), NoPlace> {
+        let place = self.peers.acquire(query).await?;
+        let backends = self.backends.load();
+        match backends.find(query.pool, place.backend()) {
+            Some(backend) => Ok((place, Arc::clone(backend))),
+            None => {
+                place.close(Outcome::Unreachable);
+                Err(NoPlace::Refused {
+                    retry_after_ms: PLAIN_RETRY_AFTER_MS,
+                })
+            }
+        }
+    }
+
+    async fn serve_engine(
+        self: &Arc<Self>,
+        route: &Route,
+        service: &TargetName,
+        request: OpaqueRequest,
+        progress: &mut Progress,
+    ) -> Answer {
+        loop {
+            let spent_ms = request.received.elapsed().as_millis() as u64;
+            let (place, backend) = {
+                let query = PlaceQuery {
+                    pool: service,
+                    urgency: Urgency::Online {
+                        priority: route.priority,
+                    },
+                    slack_ms: route.objective_ms.saturating_sub(spent_ms),
+                    avoid: &progress.tried,
+                    until: progress.until,
+                };
+                match self.place(&query).await {
+                    Ok(found) => found,
+                    Err(NoPlace::Refused { retry_after_ms }) => {
+                        return Answer::Unserved(progress.unserved(retry_after_ms));
+                    }
+                    Err(NoPlace::TimedOut) => {
+                        return Answer::Unserved(progress.unserved(PLAIN_RETRY_AFTER_MS));
+                    }
+                }
+            };
+            let begun = Instant::now();
+            let opened = self.open(route, &request, progress, &backend, &place).await;
+            match opened {
+                Ok(Opened::Whole(response)) => {
+                    place.close(Outcome::Done {
+                        held_ms: begun.elapsed().as_millis() as u64,
+                    });
+                    return self.passed_on(response.map(body::whole));
+                }
+                Ok(Opened::Stream(head, reader, first)) => {
+                    let (sender, stream) = body::streamed();
+                    let pump = Pump {
+                        relay: Arc::clone(self),
+                        route: route.clone(),
+                        service: service.clone(),
+                        request,
+                        tried: progress.tried.clone(),
+                        attempts: progress.attempts + 1,
+                        until: progress.until,
+                    };
+                    tokio::spawn(pump.run(sender, place, begun, reader, first));
+                    let response = Response::from_parts(head, stream);
+                    return self.passed_on(response);
+                }
+                Err(miss) => {
+                    place.close(miss.outcome());
+                    if !progress.may_go_on(miss, &backend.id, route) {
+                        return Answer::Unserved(progress.unserved(PLAIN_RETRY_AFTER_MS));
+                    }
+                }
+            }
+        }
+    }
+
+    async fn open(
+        &self,
+        route: &Route,
+        request: &OpaqueRequest,
+        progress: &Progress,
+        backend: &BackendServer,
+        place: &Place,
+    ) -> Result<Opened, Miss> {
+        let may_repeat =
+            route.repeat.is_idempotent() && progress.attempts + 1 < route.attempts.max(1);
+        let patience_until = if may_repeat {
+            let patience = Duration::from_millis(FIRST_EVENT_PATIENCE_MS);
+            progress.until.min(Instant::now() + patience)
+        } else {
+            progress.until
+        };
+        let exchange = exchange(request, route, request.after_event);
+        let (response, in_use) = exchange
+            .send(&self.dialect, &self.connections, backend, progress.until, patience_until)
+            .await?;
+        place.sign();
+        if !route.repeat.is_stream() || !response.status().is_success() {
+            let whole = exchange::read_whole(response, in_use, progress.until).await?;
+            return Ok(Opened::Whole(whole));
+        }
+        self.first_event(response, in_use, request.after_event, patience_until)
+            .await
+    }
+
+    async fn first_event(
+        &self,
+        response: Response<hyper::body::Incoming>,
+        in_use: InUse,
+        after: Option<u64>,
+        patience_until: Instant,
+    ) -> Result<Opened, Miss> {
+        let (head, body) = response.into_parts();
+        let mut reader = EventReader::new(body, in_use, after);
+        let patience_ms = patience_until
+            .saturating_duration_since(Instant::now())
+            .as_millis() as u64;
+        match reader.next(patience_ms, patience_until).await {
+            Step::Silent => Err(Miss::Silent),
+            Step::Broken => Err(Miss::Broken),
+            first => Ok(Opened::Stream(head, Box::new(reader), first)),
+        }
+    }
+}
+
+enum Opened {
+    Whole(Response<bytes::Bytes>),
+    Stream(http::response::Parts, Box<EventReader>, Step),
+}
+
+/// Time without an event after which a stream's backend server counts as silent.
+pub fn pause_patience_ms(route: &Route) -> u64 {
+    (route.pause_ms * PAUSE_FACTOR).max(LEAST_PAUSE_MS)
+}
+
+/// A request counted at a plain backend server until it ends, also where its caller leaves.
+struct Counted<'a> {
+    loads: &'a PlainLoads,
+    clock: &'a Clock,
+    backend: &'a BackendId,
+    outcome: Outcome,
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        let now = self.clock.mono();
+        self.loads.done(now, self.backend, self.outcome, rand::random());
+    }
+}
--- /dev/null
+++ b/crates/foxtailhold-relay/src/exchange.rs
@@ -0,0 +1,158 @@
+//! One request at one backend server.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use foxtailhold::ids::BackendId;
+use foxtailhold::slots::Outcome;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, Method, Request, Response, Uri};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use crate::connections::{Connections, InUse, SendFailure};
+use crate::dialect::{Dialect, Head, Outgoing};
+use crate::fleet::BackendServer;
+
+/// Largest whole answer that is kept until its end is known to be sound.
+pub const MAX_WHOLE_BYTES: usize = 32 << 20;
+
+/// Why an exchange gave no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Miss {
+    /// No byte was taken.
+    Unreachable,
+    /// The backend server said that it did not run the request.
+    NotRun,
+    /// The connection failed, or the answer was not one to this request.
+    Broken,
+    /// Nothing came in time.
+    Silent,
+}
+
+impl Miss {
+    /// Whether the request may have run.
+    pub fn may_have_run(self) -> bool {
+        matches!(self, Miss::Broken | Miss::Silent)
+    }
+
+    /// What it says of the backend server.
+    pub fn outcome(self) -> Outcome {
+        match self {
+            Miss::Unreachable => Outcome::Unreachable,
+            Miss::NotRun => Outcome::Full,
+            Miss::Broken => Outcome::Broken,
+            Miss::Silent => Outcome::Silent,
+        }
+    }
+}
+
+/// What is sent.
+#[derive(Debug, Clone, Copy)]
+pub struct Exchange<'a> {
+    /// Identity of the request.
+    pub request_id: &'a str,
+    /// Method.
+    pub method: &'a Method,
+    /// Path and query.
+    pub target: &'a PathAndQuery,
+    /// The caller's headers.
+    pub headers: &'a HeaderMap,
+    /// Body.
+    pub body: &'a Bytes,
+    /// The event after which a stream goes on.
+    pub after_event: Option<u64>,
+    /// Whether it may run more than once.
+    pub is_idempotent: bool,
+}
+
+impl Exchange<'_> {
+    fn request(&self, dialect: &impl Dialect, backend: &BackendId, left_ms: u64) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = Uri::from(self.target.clone());
+        *request.headers_mut() = self.headers.clone();
+        let outgoing = Outgoing {
+            request_id: self.request_id,
+            backend,
+            left_ms,
+            after_event: self.after_event,
+        };
+        dialect.write(&outgoing, request.headers_mut());
+        request
+    }
+
+    /// Sends and waits for the head of the answer until `patience_until`; the backend server is
+    /// given the time until `until`.
+    pub async fn send<D: Dialect>(
+        &self,
+        dialect: &D,
+        connections: &Connections,
+        backend: &BackendServer,
+        until: Instant,
+        patience_until: Instant,
+    ) -> Result<(Response<Incoming>, InUse), Miss> {
+        let left = until.saturating_duration_since(Instant::now());
+        let request = self.request(dialect, &backend.id, left.as_millis() as u64);
+        let sending = connections.send(&backend.id, backend.address, request, self.is_idempotent);
+        let sent = match tokio::time::timeout_at(patience_until, sending).await {
+            Err(_) => return Err(Miss::Silent),
+            Ok(sent) => sent,
+        };
+        let (response, in_use) = match sent {
+            Ok(sent) => sent,
+            Err(failure @ SendFailure::NotSent { .. }) => {
+                log::debug!("{failure}");
+                return Err(Miss::Unreachable);
+            }
+            Err(failure @ SendFailure::MayHaveRun { .. }) => {
+                log::debug!("{failure}");
+                return Err(Miss::Broken);
+            }
+        };
+        match dialect.read(self.request_id, &response) {
+            Head::Own => Ok((response, in_use)),
+            Head::NotRun => {
+                put_back_after(response.into_body(), in_use);
+                Err(Miss::NotRun)
+            }
+            Head::OtherBackend => Err(Miss::Unreachable),
+            Head::Foreign => Err(Miss::Broken),
+        }
+    }
+}
+
+/// Time for the body of a refusal.
+const REFUSAL_BODY_MS: u64 = 200;
+
+/// Keeps a connection whose answer nobody needs, once its body is over.
+fn put_back_after(body: Incoming, in_use: InUse) {
+    tokio::spawn(async move {
+        let limit = Duration::from_millis(REFUSAL_BODY_MS);
+        if let Ok(Ok(_)) = tokio::time::timeout(limit, body.collect()).await {
+            in_use.put_back();
+        }
+    });
+}
+
+/// Reads a whole answer; the connection is kept only where the body is sound.
+pub async fn read_whole(
+    response: Response<Incoming>,
+    in_use: InUse,
+    until: Instant,
+) -> Result<Response<Bytes>, Miss> {
+    let (head, body) = response.into_parts();
+    let reading = foxtailhold_http::body::read_whole(body, MAX_WHOLE_BYTES);
+    match tokio::time::timeout_at(until, reading).await {
+        Err(_) => Err(Miss::Silent),
+        Ok(Err(error)) => {
+            log::debug!("an answer ended early: {error}");
+            Err(Miss::Broken)
+        }
+        Ok(Ok(bytes)) => {
+            in_use.put_back();
+            Ok(Response::from_parts(head, bytes))
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtailhold-relay/src/fleet.rs
@@ -0,0 +1,160 @@
+//! Backend servers as the platform lists them, and how long a missing entry is still used.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use foxtailhold::ids::{AvailabilityZone, BackendId, TargetName};
+use foxtailhold::slots::Places;
+use foxtailhold::time::MonoMs;
+
+/// Entries that lapse while the platform's store is away are back within about this time after its
+/// return, if the backend server lives.
+pub const LAPSED_ENTRY_MS: u64 = 2_000;
+/// The store counts as sound after it has answered for this time without a fault.
+pub const STORE_SOUND_MS: u64 = 3_000;
+
+/// One backend server.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BackendServer {
+    /// Its identifier, new at each start.
+    pub id: BackendId,
+    /// The service that it serves.
+    pub service: TargetName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: AvailabilityZone,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it has said that it is leaving.
+    pub is_leaving: bool,
+}
+
+/// The backend servers that may be used, as one moment's snapshot.
+#[derive(Debug, Clone, Default)]
+pub struct Backends {
+    services: HashMap<TargetName, Vec<Arc<BackendServer>>>,
+}
+
+impl Backends {
+    /// The backend servers of a service that take new work.
+    pub fn of(&self, service: &TargetName) -> &[Arc<BackendServer>] {
+        self.services.get(service).map_or(&[], Vec::as_slice)
+    }
+
+    /// One of them.
+    pub fn find(&self, service: &TargetName, id: &BackendId) -> Option<&Arc<BackendServer>> {
+        self.of(service).iter().find(|backend| backend.id == *id)
+    }
+
+    /// Whether none is known.
+    pub fn is_empty(&self) -> bool {
+        self.services.is_empty()
+    }
+
+    /// The places of a service.
+    pub fn places(&self, service: &TargetName) -> Vec<Places> {
+        let places = self.of(service).iter().map(|backend| Places {
+            backend: backend.id.clone(),
+            zone: backend.zone.clone(),
+            slots: backend.slots,
+        });
+        places.collect()
+    }
+}
+
+#[derive(Debug)]
+struct Entry {
+    backend: Arc<BackendServer>,
+    /// When its entry went missing.
+    missing_since: Option<MonoMs>,
+}
+
+/// The list of backend servers with the entries that have gone missing.
+#[derive(Debug, Default)]
+pub struct FleetBook {
+    entries: BTreeMap<BackendId, Entry>,
+    sound_since: Option<MonoMs>,
+}
+
+impl FleetBook {
+    /// Notes that the store does not answer.
+    pub fn store_failed(&mut self) {
+        self.sound_since = None;
+    }
+
+    /// Notes that the store answers.
+    pub fn store_answered(&mut self, now: MonoMs) {
+        self.sound_since.get_or_insert(now);
+    }
+
+    fn is_store_sound(&self, now: MonoMs) -> bool {
+        self.sound_since
+            .is_some_and(|since| now.since_ms(since) >= STORE_SOUND_MS)
+    }
+
+    /// Takes a new or changed entry.
+    pub fn put(&mut self, backend: BackendServer) {
+        let entry = Entry {
+            backend: Arc::new(backend),
+            missing_since: None,
+        };
+        self.entries.insert(entry.backend.id.clone(), entry);
+    }
+
+    /// Takes a deleted entry: gone at once while the store is sound, else after a while.
+    pub fn remove(&mut self, now: MonoMs, id: &BackendId) {
+        if self.is_store_sound(now) {
+            self.entries.remove(id);
+            return;
+        }
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.missing_since.get_or_insert(now);
+        }
+    }
+
+    /// Takes the whole list.
+    pub fn replace(&mut self, now: MonoMs, all: Vec<BackendServer>) {
+        let missing: Vec<BackendId> = self
+            .entries
+            .keys()
+            .filter(|id| all.iter().all(|backend| backend.id != **id))
+            .cloned()
+            .collect();
+        for id in missing {
+            self.remove(now, &id);
+        }
+        for backend in all {
+            self.put(backend);
+        }
+    }
+
+    /// Drops entries that have been missing for too long while the store answers; returns whether
+    /// any was dropped.
+    pub fn expire(&mut self, now: MonoMs) -> bool {
+        let Some(sound_since) = self.sound_since else {
+            return false;
+        };
+        let before = self.entries.len();
+        self.entries.retain(|_, entry| {
+            let since = entry.missing_since.map(|missing| missing.max(sound_since));
+            since.is_none_or(|since| now.since_ms(since) < LAPSED_ENTRY_MS)
+        });
+        self.entries.len() != before
+    }
+
+    /// A snapshot of those that take new work.
+    pub fn snapshot(&self) -> Backends {
+        let mut backends = Backends::default();
+        for entry in self.entries.values() {
+            if entry.backend.is_leaving {
+                continue;
+            }
+            let service = entry.backend.service.clone();
+            let all = backends.services.entry(service).or_default();
+            all.push(Arc::clone(&entry.backend));
+        }
+        backends
+    }
+}
--- /dev/null
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -0,0 +1,481 @@
+//! One instance: what it follows, when it is ready, how it stops.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use foxtailhold::ids::{AvailabilityZone, BackendId, InstanceId};
+use foxtailhold::routes::RouteTable;
+use foxtailhold_platform::{
+    Changes, Committed, ObjectStore, RowKey, RowStore, Snapshot, VersionedRow,
+};
+use thiserror::Error;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::Clock;
+use crate::connections::Connections;
+use crate::dialect::Dialect;
+use crate::dispatch::Relay;
+use crate::fleet::{BackendServer, Backends, FleetBook};
+use crate::follow::{Sink, follow};
+use crate::jobs::{BookSink, JOBS_TABLE, JobBook, JobStore, Jobs, own_jobs};
+use crate::metrics::RelayMetrics;
+use crate::peers::{Member, Peers};
+use crate::plain::PlainLoads;
+
+/// Result of starting an instance.
+pub type Result<T> = std::result::Result<T, InstanceError>;
+
+/// Table of the instances.
+pub const INSTANCES_TABLE: &str = "instances";
+/// Pause between two looks at entries that time alone changes.
+const LOOK_MS: u64 = 200;
+/// Rows of instances that are down for this time are deleted.
+const LAPSED_MS: u64 = 15_000;
+/// Pause before a failed write of the own row is tried again.
+const PAUSE_MS: u64 = 250;
+/// Changes of jobs that come within this time are read with one call.
+const JOBS_REST_MS: u64 = 60;
+
+/// Why an instance could not start.
+#[derive(Debug, Error)]
+pub enum InstanceError {
+    /// The address for other instances cannot be used.
+    #[error("cannot take datagrams at {address}: {source}")]
+    Bind {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        source: std::io::Error,
+    },
+}
+
+/// Why a row of the platform cannot be used.
+#[derive(Debug, Clone, PartialEq, Eq, Error)]
+#[error("row {key} cannot be used: {detail}")]
+pub struct RowError {
+    /// Its key.
+    pub key: String,
+    /// What is wrong.
+    pub detail: String,
+}
+
+/// Where the platform keeps routes and backend servers, and how they are read.
+pub trait Sources: Clone + Send + Sync + 'static {
+    /// Table and key of the routes.
+    fn routes_at(&self) -> (&'static str, &'static str);
+
+    /// Table of backend servers, one row each.
+    fn backends_at(&self) -> &'static str;
+
+    /// Reads the routes.
+    fn read_routes(&self, value: &[u8]) -> std::result::Result<RouteTable, RowError>;
+
+    /// Reads a backend server; `key` is its identifier.
+    fn read_backend(
+        &self,
+        key: &str,
+        value: &[u8],
+    ) -> std::result::Result<BackendServer, RowError>;
+}
+
+/// Who this instance is.
+#[derive(Debug, Clone)]
+pub struct Identity {
+    /// Its identity, new at each start.
+    pub instance: InstanceId,
+    /// Its availability zone.
+    pub zone: AvailabilityZone,
+    /// Where it takes datagrams of other instances.
+    pub peer_address: SocketAddr,
+    /// Where it takes requests of callers.
+    pub caller_address: SocketAddr,
+}
+
+/// A running instance.
+#[derive(Debug)]
+pub struct Instance<S, D> {
+    /// Passes requests on.
+    pub relay: Arc<Relay<D>>,
+    /// Batch jobs.
+    pub jobs: Arc<Jobs<S, D>>,
+    identity: Identity,
+    store: S,
+    backends_known: watch::Receiver<bool>,
+    leaving: CancellationToken,
+    jobs_leave: CancellationToken,
+}
+
+impl<S: RowStore + ObjectStore, D: Dialect> Instance<S, D> {
+    /// Starts following the platform and talking to other instances.
+    pub async fn start<R: Sources>(
+        identity: Identity,
+        store: S,
+        dialect: D,
+        sources: R,
+        metrics: RelayMetrics,
+    ) -> Result<Arc<Self>> {
+        let address = identity.peer_address;
+        let socket = UdpSocket::bind(address).await;
+        let socket = socket.map_err(|source| InstanceError::Bind { address, source })?;
+        let clock = Clock::default();
+        let (instance, zone) = (identity.instance.clone(), identity.zone.clone());
+        let peers = Peers::new(instance, zone, socket, clock);
+        let relay = Arc::new(Relay {
+            dialect,
+            connections: Connections::default(),
+            peers: peers.clone(),
+            plain: PlainLoads::default(),
+            backends: Arc::new(ArcSwap::from_pointee(Backends::default())),
+            routes: Arc::new(ArcSwap::from_pointee(RouteTable::default())),
+            clock,
+            metrics,
+        });
+        let book = Arc::new(JobBook::default());
+        let jobs = Arc::new(Jobs {
+            store: JobStore::new(store.clone()),
+            book: Arc::clone(&book),
+            relay: Arc::clone(&relay),
+        });
+        let (known, backends_known) = watch::channel(false);
+        let fleet = Fleet {
+            relay: Arc::clone(&relay),
+            book: Arc::new(Mutex::new(FleetBook::default())),
+            sources: sources.clone(),
+            known,
+        };
+        let routes = RoutesSink {
+            relay: Arc::clone(&relay),
+            fleet: fleet.clone(),
+            sources: sources.clone(),
+        };
+        tokio::spawn(follow(store.clone(), sources.routes_at().0, 0, routes));
+        let followed = follow(store.clone(), sources.backends_at(), 0, fleet.clone());
+        tokio::spawn(followed);
+        let members = MembersSink(peers.clone());
+        tokio::spawn(follow(store.clone(), INSTANCES_TABLE, 0, members));
+        let sink = BookSink(book);
+        tokio::spawn(follow(store.clone(), JOBS_TABLE, JOBS_REST_MS, sink));
+        tokio::spawn(peers.run());
+        tokio::spawn(fleet.expire());
+        let (leaving, jobs_leave) = (CancellationToken::new(), CancellationToken::new());
+        tokio::spawn(own_jobs(Arc::clone(&jobs), jobs_leave.clone()));
+        let instance = Arc::new(Instance {
+            relay,
+            jobs,
+            identity,
+            store,
+            backends_known,
+            leaving,
+            jobs_leave,
+        });
+        tokio::spawn(Arc::clone(&instance).announce());
+        tokio::spawn(Arc::clone(&instance).sweep_members());
+        Ok(instance)
+    }
+
+    /// Whether it should get requests.
+    pub fn is_ready(&self) -> bool {
+        let knows_routes = self.relay.routes.load().version() > 0;
+        knows_routes && *self.backends_known.borrow() && !self.leaving.is_cancelled()
+    }
+
+    /// Addresses that callers should use, this instance's own where nobody else is known.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        let now = self.relay.clock.mono();
+        let members = self.relay.peers.members();
+        let is_leaving = self.leaving.is_cancelled();
+        let live = members.live(now);
+        let others = live
+            .iter()
+            .filter(|member| !is_leaving || member.instance != self.identity.instance);
+        let mut addresses: Vec<SocketAddr> = others.map(|member| member.caller_address).collect();
+        if addresses.is_empty() {
+            addresses.push(self.identity.caller_address);
+        }
+        addresses
+    }
+
+    fn row(&self, is_leaving: bool) -> (RowKey, Bytes) {
+        let identity = &self.identity;
+        let member = Member {
+            instance: identity.instance.clone(),
+            peer_address: identity.peer_address,
+            caller_address: identity.caller_address,
+            zone: identity.zone.clone(),
+            is_leaving,
+        };
+        let key = RowKey::new(INSTANCES_TABLE, identity.instance.as_str());
+        let value = serde_json::to_vec(&member).unwrap_or_else(|error| {
+            log::error!("the own row cannot be written: {error}");
+            Vec::new()
+        });
+        (key, value.into())
+    }
+
+    async fn write_row(&self, is_leaving: bool) -> bool {
+        let changes = Changes {
+            puts: vec![self.row(is_leaving)],
+            ..Changes::default()
+        };
+        match self.store.commit(&changes).await {
+            Ok(_) => true,
+            Err(error) => {
+                log::warn!(leaving = is_leaving; "own row not written: {error}");
+                false
+            }
+        }
+    }
+
+    /// Writes the own row until that is known to be done.
+    async fn announce(self: Arc<Self>) {
+        while !self.leaving.is_cancelled() && !self.write_row(false).await {
+            tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+        }
+    }
+
+    /// Deletes rows of instances that are long gone; one instance does so.
+    async fn sweep_members(self: Arc<Self>) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(LAPSED_MS / 3)).await;
+            let now = self.relay.clock.mono();
+            let lapsed = {
+                let mut members = self.relay.peers.members();
+                let is_mine = members.allocator(now).is_none() && members.hears_others(now);
+                let lapsed = members.lapsed(now, LAPSED_MS);
+                if is_mine { lapsed } else { Vec::new() }
+            };
+            for (version, instance) in lapsed {
+                self.relay.peers.forget(&instance);
+                let key = RowKey::new(INSTANCES_TABLE, instance.as_str());
+                let changes = Changes {
+                    expected: vec![(key.clone(), version)],
+                    deletes: vec![key],
+                    ..Changes::default()
+                };
+                match self.store.commit(&changes).await {
+                    Ok(Committed::At(_)) => {
+                        log::info!(instance = instance.as_str(); "an instance is gone");
+                    }
+                    Ok(Committed::Conflict(_)) => {}
+                    Err(error) => log::debug!("row of {instance} not deleted: {error}"),
+                }
+            }
+        }
+    }
+
+    /// Begins a planned stop: no new callers are sent here, work goes on.
+    pub async fn leave(&self) {
+        self.leaving.cancel();
+        self.write_row(true).await;
+    }
+
+    /// Hands batch jobs over to other instances.
+    pub fn hand_over_jobs(&self) {
+        self.jobs_leave.cancel();
+    }
+
+    /// Places in use and requests that wait.
+    pub fn in_use(&self) -> (usize, usize) {
+        self.relay.peers.in_use()
+    }
+
+    /// Deletes the own row.
+    pub async fn close(self: Arc<Self>) {
+        let changes = Changes {
+            deletes: vec![self.row(true).0],
+            ..Changes::default()
+        };
+        if let Err(error) = self.store.commit(&changes).await {
+            log::info!("own row not deleted: {error}");
+        }
+    }
+}
+
+/// Feeds routes.
+struct RoutesSink<D, R> {
+    relay: Arc<Relay<D>>,
+    fleet: Fleet<D, R>,
+    sources: R,
+}
+
+impl<D: Dialect, R: Sources> RoutesSink<D, R> {
+    fn take(&self, rows: &[VersionedRow]) {
+        let key = self.sources.routes_at().1;
+        for row in rows {
+            if row.key.key != key {
+                continue;
+            }
+            let Some(value) = &row.value else {
+                log::warn!("the routes were deleted; the last ones stay in force");
+                continue;
+            };
+            match self.sources.read_routes(value) {
+                Ok(table) => self.apply(table),
+                Err(error) => log::error!(row = row.version; "routes refused: {error}"),
+            }
+        }
+    }
+
+    fn apply(&self, table: RouteTable) {
+        let known = self.relay.routes.load().version();
+        if table.version() <= known {
+            return;
+        }
+        log::info!(version = table.version(), before = known; "routes in force");
+        self.relay.routes.store(Arc::new(table));
+        self.fleet.publish();
+    }
+}
+
+impl<D: Dialect, R: Sources> Sink for RoutesSink<D, R> {
+    fn replace(&mut self, snapshot: Snapshot) {
+        self.take(&snapshot.rows);
+    }
+
+    fn change(&mut self, rows: Vec<VersionedRow>) {
+        self.take(&rows);
+    }
+
+    fn answered(&mut self, _is_sound: bool) {}
+}
+
+/// Feeds backend servers.
+struct Fleet<D, R> {
+    relay: Arc<Relay<D>>,
+    book: Arc<Mutex<FleetBook>>,
+    sources: R,
+    known: watch::Sender<bool>,
+}
+
+impl<D, R: Clone> Clone for Fleet<D, R> {
+    fn clone(&self) -> Self {
+        Fleet {
+            relay: Arc::clone(&self.relay),
+            book: Arc::clone(&self.book),
+            sources: self.sources.clone(),
+            known: self.known.clone(),
+        }
+    }
+}
+
+impl<D: Dialect, R: Sources> Fleet<D, R> {
+    fn book(&self) -> MutexGuard<'_, FleetBook> {
+        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn read(&self, row: &VersionedRow) -> Option<BackendServer> {
+        let value = row.value.as_ref()?;
+        match self.sources.read_backend(&row.key.key, value) {
+            Ok(backend) => Some(backend),
+            Err(error) => {
+                log::warn!("{error}");
+                None
+            }
+        }
+    }
+
+    /// Publishes who takes new work.
+    fn publish(&self) {
+        let snapshot = self.book().snapshot();
+        let routes = self.relay.routes.load();
+        for engine in routes.engines() {
+            let places = snapshot.places(engine);
+            self.relay.peers.set_backends(engine, &places);
+        }
+        self.relay.backends.store(Arc::new(snapshot));
+        self.known.send_replace(true);
+    }
+
+    /// Drops entries that have been missing for too long.
+    async fn expire(self) {
+        loop {
+            tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+            let now = self.relay.clock.mono();
+            if self.book().expire(now) {
+                self.publish();
+            }
+        }
+    }
+}
+
+impl<D: Dialect, R: Sources> Sink for Fleet<D, R> {
+    fn replace(&mut self, snapshot: Snapshot) {
+        let all = snapshot.rows.iter().filter_map(|row| self.read(row));
+        let all: Vec<BackendServer> = all.collect();
+        log::info!(backends = all.len(), version = snapshot.version; "backend servers read");
+        let now = self.relay.clock.mono();
+        self.book().replace(now, all);
+        self.publish();
+    }
+
+    fn change(&mut self, rows: Vec<VersionedRow>) {
+        let now = self.relay.clock.mono();
+        for row in &rows {
+            if let Some(backend) = self.read(row) {
+                log::info!(
+                    backend = backend.id.as_str(), leaving = backend.is_leaving,
+                    version = row.version; "backend server listed"
+                );
+                self.book().put(backend);
+                continue;
+            }
+            match BackendId::try_from(row.key.key.as_str()) {
+                Ok(id) => {
+                    log::info!(backend = id.as_str(), version = row.version; "backend server removed");
+                    self.book().remove(now, &id);
+                }
+                Err(error) => log::warn!("row {}: {error}", row.key.key),
+            }
+        }
+        self.publish();
+    }
+
+    fn answered(&mut self, is_sound: bool) {
+        let now = self.relay.clock.mono();
+        match is_sound {
+            true => self.book().store_answered(now),
+            false => self.book().store_failed(),
+        }
+    }
+}
+
+/// Feeds instances.
+struct MembersSink(Peers);
+
+impl MembersSink {
+    fn take(&self, rows: &[VersionedRow]) {
+        let mut members = self.0.members();
+        for row in rows {
+            let Ok(instance) = InstanceId::try_from(row.key.key.as_str()) else {
+                log::warn!("row {} is no instance", row.key.key);
+                continue;
+            };
+            let Some(value) = &row.value else {
+                members.remove(&instance);
+                continue;
+            };
+            match serde_json::from_slice::<Member>(value) {
+                Ok(member) => members.put(row.version, member),
+                Err(error) => log::warn!("instance {instance} cannot be read: {error}"),
+            }
+        }
+    }
+}
+
+impl Sink for MembersSink {
+    fn replace(&mut self, snapshot: Snapshot) {
+        self.0.members().clear();
+        self.take(&snapshot.rows);
+    }
+
+    fn change(&mut self, rows: Vec<VersionedRow>) {
+        self.take(&rows);
+    }
+
+    fn answered(&mut self, _is_sound: bool) {}
+}
--- /dev/null
+++ b/crates/foxtailhold-relay/src/jobs/accept.rs
@@ -0,0 +1,187 @@
+//! Taking in jobs, and ending them.
+
+use std::time::Duration;
+
+use foxtailhold::ids::JobId;
+use foxtailhold::routes::{BatchBounds, Route};
+use foxtailhold_platform::{Committed, ObjectStore, RowStore};
+use tokio::time::Instant;
+
+use crate::dialect::Dialect;
+use crate::jobs::book::{JOB_PREFIX, KnownJob};
+use crate::jobs::{Job, JobError, Jobs, NewJob, QuotaRow, Result};
+
+/// Tries against others that change the same rows.
+const TRIES: u32 = 8;
+/// Time for the feed to bring the change that won.
+const CATCH_UP_MS: u64 = 300;
+/// A commit without an answer is looked for so long; later it counts as not known.
+const SETTLE_MS: u64 = 1_500;
+/// Pause between two looks.
+const LOOK_MS: u64 = 150;
+/// Items are given up this much later than allowed, for clocks that differ between instances.
+const GIVE_UP_MARGIN_MS: u64 = 2_000;
+/// Results are due this much earlier inside, for the last commit and the caller's next read.
+const DUE_MARGIN_MS: u64 = 1_000;
+
+/// What became of a job that was handed in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Accepted {
+    /// It is kept from now on.
+    New,
+    /// It was kept before.
+    Before,
+}
+
+impl<S: RowStore + ObjectStore, D: Dialect> Jobs<S, D> {
+    /// Takes in a job, once, however often it is handed in.
+    pub async fn accept(&self, route: &Route, bounds: BatchBounds, new: &NewJob) -> Result<Accepted> {
+        if self.find(&new.id).await?.is_some() {
+            return Ok(Accepted::Before);
+        }
+        let new_tokens: u64 = new.items.iter().map(|item| item.tokens).sum();
+        self.check_quota(route, bounds, new_tokens)?;
+        self.store.put_bodies(new).await?;
+        let job = self.row(route, bounds, new);
+        for _ in 0..TRIES {
+            let quota = self.check_quota(route, bounds, new_tokens)?;
+            let accepted = self.store.accept(&new.id, &job, quota).await;
+            match accepted {
+                Ok(Committed::At(version)) => {
+                    self.book.put(&new.id, job, version);
+                    return Ok(Accepted::New);
+                }
+                Ok(Committed::Conflict(rows)) => {
+                    for row in &rows {
+                        self.book.put_row(row);
+                    }
+                    if self.book.get(&new.id).is_some() {
+                        return Ok(Accepted::Before);
+                    }
+                    self.catch_up().await;
+                }
+                Err(JobError::Unknown(error)) => {
+                    return match self.look_for(&new.id).await {
+                        true => Ok(Accepted::New),
+                        false => Err(JobError::Unknown(error)),
+                    };
+                }
+                Err(error) => return Err(error),
+            }
+        }
+        Err(JobError::Unavailable(foxtailhold_platform::PlatformError::Unavailable {
+            service: "row store",
+            detail: "other acceptances of the route came first each time".into(),
+        }))
+    }
+
+    fn row(&self, route: &Route, bounds: BatchBounds, new: &NewJob) -> Job {
+        let now = self.relay.clock.wall().0;
+        let items = new.items.iter();
+        Job {
+            route: route.name.clone(),
+            host: new.host.clone(),
+            path: route.prefix.clone(),
+            items: items.map(|item| (item.id.clone(), item.tokens)).collect(),
+            owner: self.me().clone(),
+            listed: Vec::new(),
+            is_ended: false,
+            due_unix_ms: now + bounds.due_ms.saturating_sub(DUE_MARGIN_MS),
+            give_up_unix_ms: now + bounds.give_up_ms + GIVE_UP_MARGIN_MS,
+        }
+    }
+
+    fn check_quota(
+        &self,
+        route: &Route,
+        bounds: BatchBounds,
+        new_tokens: u64,
+    ) -> Result<Option<(u64, QuotaRow)>> {
+        let quota_tokens = bounds.quota_tokens;
+        if quota_tokens == 0 {
+            return Ok(None);
+        }
+        let (version, waiting_tokens) = self.book.quota(&route.name);
+        if waiting_tokens + new_tokens > quota_tokens {
+            return Err(JobError::OverQuota {
+                waiting_tokens,
+                new_tokens,
+                quota_tokens,
+            });
+        }
+        let row = QuotaRow {
+            waiting_tokens: waiting_tokens + new_tokens,
+        };
+        Ok(Some((version, row)))
+    }
+
+    async fn catch_up(&self) {
+        let mut changes = self.book.changes();
+        let wait = Duration::from_millis(CATCH_UP_MS);
+        if tokio::time::timeout(wait, changes.changed()).await.is_err() {
+            log::debug!("no change of jobs came within {CATCH_UP_MS} ms");
+        }
+    }
+
+    /// Looks for a job whose commit had no answer.
+    async fn look_for(&self, id: &JobId) -> bool {
+        let until = Instant::now() + Duration::from_millis(SETTLE_MS);
+        while Instant::now() < until {
+            if self.book.get(id).is_some() {
+                return true;
+            }
+            if let Ok(Some(row)) = self.store.read_job(id).await {
+                self.book.put_row(&row);
+                return true;
+            }
+            tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
+        }
+        false
+    }
+
+    /// A job, read from the store where the feed has not brought it yet.
+    pub async fn find(&self, id: &JobId) -> Result<Option<KnownJob>> {
+        if let Some(known) = self.book.get(id) {
+            return Ok(Some(known));
+        }
+        if let Some(row) = self.store.read_job(id).await? {
+            debug_assert!(row.key.key.starts_with(JOB_PREFIX));
+            self.book.put_row(&row);
+        }
+        Ok(self.book.get(id))
+    }
+
+    /// Ends a job; what is listed stays.
+    pub async fn end(&self, id: &JobId) -> Result<()> {
+        for _ in 0..TRIES {
+            let Some(known) = self.find(id).await? else {
+                return Err(JobError::NotFound);
+            };
+            if known.job.is_ended {
+                return Ok(());
+            }
+            let ended = Job {
+                is_ended: true,
+                ..Job::clone(&known.job)
+            };
+            match self.store.update(id, &ended, known.version, 0, &[]).await {
+                Ok(Committed::At(version)) => {
+                    self.book.put(id, ended, version);
+                    log::info!(job = id.as_str(), listed = known.job.listed.len(); "job ended");
+                    return Ok(());
+                }
+                Ok(Committed::Conflict(rows)) => {
+                    for row in &rows {
+                        self.book.put_row(row);
+                    }
+                }
+                // Ending is idempotent: the next try, or the caller's, finds out.
+                Err(error) => return Err(error),
+            }
+        }
+        Err(JobError::Unavailable(foxtailhold_platform::PlatformError::Unavailable {
+            service: "row store",
+            detail: "other changes of the job came first each time".into(),
+        }))
+    }
+}
--- /dev/null
+++ b/crates/foxtailhold-relay/src/jobs/item.rs
@@ -0,0 +1,310 @@
+//! One batch item, from its first place to its result.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use foxtailhold::ids::JobId;
+use foxtailhold::routes::Route;
+use foxtailhold::slots::{Outcome, Urgency};
+use foxtailhold_engine::sse::RawEvent;
+use foxtailhold_platform::{ObjectStore, RowStore};
+use http::uri::PathAndQuery;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
+use tokio::time::Instant;
+
+use crate::connections::InUse;
+use crate::dialect::Dialect;
+use crate::events::{EventReader, Step, push_data};
+use crate::exchange::{self, Exchange, Miss};
+use crate::fleet::BackendServer;
+use crate::jobs::{Item, ItemState, Job, Jobs, ListedResult};
+use crate::peers::{NoPlace, Place, PlaceQuery};
+
+/// Without word for this time an engine counts as silent for an item, and the item goes on elsewhere.
+const PATIENCE_MS: u64 = 900;
+/// Time that an item runs, by which its slack is less than its time left.
+const USUAL_RUN_MS: u64 = 5_000;
+/// Pause after a failed run.
+const PAUSE_MS: u64 = 60;
+/// An item whose route is missing for this time, and so from the configuration, is given up.
+const NO_ROUTE_MS: u64 = 5_000;
+/// Longest wait for one place; then route, job and time are looked at again.
+const PLACE_WAIT_MS: u64 = 2_000;
+
+/// What one run of an item came to.
+enum Run {
+    Complete,
+    Impossible,
+    Failed,
+    /// Cut, lost, or not begun: it goes on after the last event.
+    Unfinished,
+    /// The backend servers had it but broke off.
+    Lost(Miss),
+}
+
+/// An item with what it has given so far.
+pub struct ItemRun<'a, S, D> {
+    jobs: &'a Jobs<S, D>,
+    id: &'a JobId,
+    item: &'a Item,
+    text: Vec<u8>,
+    has_text: bool,
+    last_event: Option<u64>,
+    failures: u32,
+    avoid: Vec<foxtailhold::ids::BackendId>,
+}
+
+impl<'a, S: RowStore + ObjectStore, D: Dialect> ItemRun<'a, S, D> {
+    /// An item that has not begun.
+    pub fn new(jobs: &'a Jobs<S, D>, id: &'a JobId, item: &'a Item) -> Self {
+        ItemRun {
+            jobs,
+            id,
+            item,
+            text: Vec::new(),
+            has_text: false,
+            last_event: None,
+            failures: 0,
+            avoid: Vec::new(),
+        }
+    }
+
+    /// Runs the item until it has a result. `None`: its job was ended or has another owner.
+    pub async fn run(mut self, job: &Job) -> Option<ListedResult> {
+        let Some(target) = self.target() else {
+            log::warn!(job = self.id.as_str(), item = self.item.id.as_str(); "no path, given up");
+            return Some(self.result(ItemState::GivenUp));
+        };
+        let headers = self.headers(job);
+        let mut no_route_since: Option<Instant> = None;
+        loop {
+            if self.jobs.relay.clock.wall().0 >= job.give_up_unix_ms {
+                return Some(self.result(ItemState::GivenUp));
+            }
+            if !self.is_wanted() {
+                return None;
+            }
+            let routes = self.jobs.relay.routes.load_full();
+            let Some(route) = routes.find(&job.host, &job.path) else {
+                let since = *no_route_since.get_or_insert_with(Instant::now);
+                if routes.version() > 0 && since.elapsed() > Duration::from_millis(NO_ROUTE_MS) {
+                    return Some(self.result(ItemState::GivenUp));
+                }
+                tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+                continue;
+            };
+            no_route_since = None;
+            let run = self.run_once(route, job, &target, &headers).await;
+            match run {
+                Run::Complete => return Some(self.result(ItemState::Done)),
+                Run::Impossible => return Some(self.result(ItemState::GivenUp)),
+                Run::Unfinished => {}
+                Run::Lost(miss) => {
+                    log::info!(
+                        job = self.id.as_str(), item = self.item.id.as_str(),
+                        after = self.last_event, cause:? = miss; "an item goes on elsewhere"
+                    );
+                }
+                Run::Failed => {
+                    self.failures += 1;
+                    if self.failures >= route.attempts.max(1) {
+                        return Some(self.result(ItemState::GivenUp));
+                    }
+                    tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+                }
+            }
+        }
+    }
+
+    fn is_wanted(&self) -> bool {
+        let known = self.jobs.book.get(self.id);
+        known.is_some_and(|known| known.job.is_open() && known.job.owner == *self.jobs.me())
+    }
+
+    fn target(&self) -> Option<PathAndQuery> {
+        PathAndQuery::try_from(self.item.target.as_str()).ok()
+    }
+
+    fn headers(&self, job: &Job) -> HeaderMap {
+        let mut headers = HeaderMap::new();
+        for (name, value) in &self.item.headers {
+            let pair = (HeaderName::try_from(name), HeaderValue::try_from(value));
+            let (Ok(name), Ok(value)) = pair else {
+                log::warn!(item = self.item.id.as_str(); "header {name:?} is not valid");
+                continue;
+            };
+            headers.insert(name, value);
+        }
+        if let Ok(host) = HeaderValue::try_from(&job.host) {
+            headers.insert(header::HOST, host);
+        }
+        headers
+    }
+
+    fn result(self, state: ItemState) -> ListedResult {
+        let outcome = match state {
+            ItemState::Done => "done",
+            ItemState::GivenUp => "given_up",
+        };
+        self.jobs.relay.metrics.item(outcome);
+        log::info!(
+            job = self.id.as_str(), item = self.item.id.as_str(), outcome = outcome,
+            failures = self.failures, last_event = self.last_event; "item finished"
+        );
+        let text = match state {
+            ItemState::Done => String::from_utf8_lossy(&self.text).into_owned(),
+            ItemState::GivenUp => String::new(),
+        };
+        ListedResult {
+            item: self.item.id.clone(),
+            state,
+            text,
+        }
+    }
+
+    async fn run_once(
+        &mut self,
+        route: &Route,
+        job: &Job,
+        target: &PathAndQuery,
+        headers: &HeaderMap,
+    ) -> Run {
+        let relay = &self.jobs.relay;
+        let service = route.service(rand::random()).clone();
+        let left_ms = job.due_unix_ms.saturating_sub(relay.clock.wall().0);
+        let query = PlaceQuery {
+            pool: &service,
+            urgency: Urgency::Batch,
+            slack_ms: left_ms.saturating_sub(USUAL_RUN_MS),
+            avoid: &self.avoid,
+            until: Instant::now() + Duration::from_millis(PLACE_WAIT_MS),
+        };
+        let (place, backend) = match relay.place(&query).await {
+            Ok(found) => found,
+            Err(NoPlace::TimedOut) => {
+                self.avoid.clear();
+                return Run::Unfinished;
+            }
+            Err(NoPlace::Refused { .. }) => {
+                tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
+                return Run::Unfinished;
+            }
+        };
+        if !self.is_wanted() {
+            return Run::Unfinished;
+        }
+        self.avoid.clear();
+        let begun = Instant::now();
+        let run = self.exchange(job, target, headers, &backend, &place).await;
+        let outcome = match &run {
+            Run::Complete => Outcome::Done {
+                held_ms: begun.elapsed().as_millis() as u64,
+            },
+            Run::Lost(miss) => {
+                self.avoid.push(backend.id.clone());
+                miss.outcome()
+            }
+            Run::Failed => {
+                self.avoid.push(backend.id.clone());
+                Outcome::Abandoned
+            }
+            Run::Impossible | Run::Unfinished => Outcome::Abandoned,
+        };
+        place.close(outcome);
+        run
+    }
+
+    async fn exchange(
+        &mut self,
+        job: &Job,
+        target: &PathAndQuery,
+        headers: &HeaderMap,
+        backend: &BackendServer,
+        place: &Place,
+    ) -> Run {
+        let relay = &self.jobs.relay;
+        let body = Bytes::copy_from_slice(&self.item.body);
+        let exchange = Exchange {
+            request_id: &self.item.id,
+            method: &Method::POST,
+            target,
+            headers,
+            body: &body,
+            after_event: self.last_event,
+            is_idempotent: true,
+        };
+        let left_ms = job.give_up_unix_ms.saturating_sub(relay.clock.wall().0);
+        let until = Instant::now() + Duration::from_millis(left_ms);
+        let patience_until = until.min(Instant::now() + Duration::from_millis(PATIENCE_MS));
+        let sending = exchange.send(
+            &relay.dialect,
+            &relay.connections,
+            backend,
+            until,
+            patience_until,
+        );
+        let sent = tokio::select! {
+            sent = sending => sent,
+            () = place.yielded() => return Run::Unfinished,
+        };
+        match sent {
+            Err(miss) => Run::Lost(miss),
+            Ok((response, _)) if relay.dialect.is_impossible(response.status()) => Run::Impossible,
+            Ok((response, in_use)) if response.status().is_success() => {
+                self.read(response.into_body(), in_use, place, until).await
+            }
+            Ok((response, in_use)) => {
+                let status = response.status();
+                log::info!(item = self.item.id.as_str(), status = status.as_u16(); "item failed");
+                if exchange::read_whole(response, in_use, until).await.is_err() {
+                    log::debug!("the answer to a failed item broke off");
+                }
+                match status {
+                    StatusCode::INTERNAL_SERVER_ERROR => Run::Failed,
+                    _ => Run::Lost(Miss::Broken),
+                }
+            }
+        }
+    }
+
+    async fn read(
+        &mut self,
+        body: hyper::body::Incoming,
+        in_use: InUse,
+        place: &Place,
+        until: Instant,
+    ) -> Run {
+        let mut reader = EventReader::new(body, in_use, self.last_event);
+        loop {
+            let step = tokio::select! {
+                step = reader.next(PATIENCE_MS, until) => step,
+                () = place.yielded() => {
+                    self.jobs.relay.metrics.item("cut");
+                    log::info!(
+                        job = self.id.as_str(), item = self.item.id.as_str(),
+                        after = self.last_event; "an item gives way"
+                    );
+                    return Run::Unfinished;
+                }
+            };
+            match step {
+                Step::Event(event) => {
+                    place.sign();
+                    self.take(&event);
+                    self.last_event = reader.last_id();
+                }
+                Step::End => {
+                    reader.close();
+                    return Run::Complete;
+                }
+                Step::Broken => return Run::Lost(Miss::Broken),
+                Step::Silent => return Run::Lost(Miss::Silent),
+            }
+        }
+    }
+
+    fn take(&mut self, event: &RawEvent) {
+        push_data(&mut self.text, event, !self.has_text);
+        self.has_text = true;
+    }
+}
--- /dev/null
+++ b/crates/foxtailhold-relay/src/jobs/owner.rs
@@ -0,0 +1,159 @@
+//! Which jobs this instance runs.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use foxtailhold::ids::{InstanceId, JobId};
+use foxtailhold::rendezvous;
+use foxtailhold_platform::{Committed, ObjectStore, RowStore};
+use tokio_util::sync::CancellationToken;
+
+use crate::dialect::Dialect;
+use crate::jobs::Jobs;
+use crate::jobs::book::KnownJob;
+use crate::jobs::run::run_job;
+use crate::jobs::{Job, JobError};
+
+/// Pause between two looks at owners without a change of a job.
+const LOOK_MS: u64 = 300;
+/// An owner that is down for this time loses its jobs: longer than a usual restart of the talk
+/// between instances, far shorter than the slack of an item.
+const OWNER_DOWN_MS: u64 = 1_200;
+
+/// Runs this instance's jobs and takes over those of instances that are down, until `leave` is
+/// cancelled; then hands over what is left and returns.
+pub async fn own_jobs<S: RowStore + ObjectStore, D: Dialect>(
+    jobs: Arc<Jobs<S, D>>,
+    leave: CancellationToken,
+) {
+    let mut running: HashMap<JobId, CancellationToken> = HashMap::new();
+    let mut changes = jobs.book.changes();
+    loop {
+        let open = jobs.book.open();
+        running.retain(|id, stop| {
+            let is_mine = open
+                .iter()
+                .any(|(known, job)| known == id && job.job.owner == *jobs.me());
+            if !is_mine {
+                stop.cancel();
+            }
+            is_mine
+        });
+        for (id, known) in open {
+            if known.job.owner == *jobs.me() {
+                start(&jobs, &mut running, id);
+                continue;
+            }
+            if is_heir(&jobs, &id, &known.job.owner) {
+                take_over(&jobs, &id, &known, jobs.me()).await;
+            }
+        }
+        let look = tokio::time::sleep(Duration::from_millis(LOOK_MS));
+        tokio::select! {
+            _ = changes.changed() => {}
+            () = look => {}
+            () = leave.cancelled() => break,
+        }
+    }
+    hand_over(&jobs, &mut running).await;
+}
+
+fn start<S: RowStore + ObjectStore, D: Dialect>(
+    jobs: &Arc<Jobs<S, D>>,
+    running: &mut HashMap<JobId, CancellationToken>,
+    id: JobId,
+) {
+    if running.contains_key(&id) {
+        return;
+    }
+    let stop = CancellationToken::new();
+    running.insert(id.clone(), stop.clone());
+    tokio::spawn(run_job(Arc::clone(jobs), id, stop));
+}
+
+/// Whether the owner is down and this instance is the one to take over.
+fn is_heir<S: RowStore + ObjectStore, D: Dialect>(
+    jobs: &Jobs<S, D>,
+    id: &JobId,
+    owner: &InstanceId,
+) -> bool {
+    let now = jobs.relay.clock.mono();
+    let mut members = jobs.relay.peers.members();
+    if !members.is_down(now, owner, OWNER_DOWN_MS) {
+        return false;
+    }
+    heir(jobs.me(), &members.live(now).iter().map(|m| &m.instance).collect::<Vec<_>>(), id)
+        .is_some_and(|heir| heir == jobs.me())
+}
+
+fn heir<'a>(me: &'a InstanceId, live: &[&'a InstanceId], id: &JobId) -> Option<&'a InstanceId> {
+    if live.is_empty() {
+        return Some(me);
+    }
+    rendezvous::home(live.iter().copied(), id.as_str().as_bytes())
+}
+
+/// Writes a new owner into a job's row.
+async fn take_over<S: RowStore + ObjectStore, D: Dialect>(
+    jobs: &Jobs<S, D>,
+    id: &JobId,
+    known: &KnownJob,
+    owner: &InstanceId,
+) {
+    let next = Job {
+        owner: owner.clone(),
+        ..Job::clone(&known.job)
+    };
+    match jobs.store.update(id, &next, known.version, 0, &[]).await {
+        Ok(Committed::At(version)) => {
+            log::info!(
+                job = id.as_str(), from = known.job.owner.as_str(), to = owner.as_str(),
+                version = version; "job has a new owner"
+            );
+            jobs.book.put(id, next, version);
+        }
+        Ok(Committed::Conflict(rows)) => {
+            for row in &rows {
+                jobs.book.put_row(row);
+            }
+        }
+        Err(error @ JobError::Unknown(_)) => {
+            log::warn!(job = id.as_str(); "new owner not known: {error}");
+        }
+        Err(error) => log::warn!(job = id.as_str(); "no new owner: {error}"),
+    }
+}
+
+/// Gives this instance's open jobs to others.
+async fn hand_over<S: RowStore + ObjectStore, D: Dialect>(
+    jobs: &Jobs<S, D>,
+    running: &mut HashMap<JobId, CancellationToken>,
+) {
+    for (id, known) in jobs.book.open() {
+        if known.job.owner != *jobs.me() {
+            continue;
+        }
+        let owner = {
+            let now = jobs.relay.clock.mono();
+            let members = jobs.relay.peers.members();
+            let live: Vec<&InstanceId> = members
+                .live(now)
+                .iter()
+                .map(|member| &member.instance)
+                .filter(|instance| *instance != jobs.me())
+                .collect();
+            rendezvous::home(live.iter().copied(), id.as_str().as_bytes()).cloned()
+        };
+        let Some(owner) = owner else {
+            continue;
+        };
+        if let Some(stop) = running.remove(&id) {
+            stop.cancel();
+        }
+        take_over(jobs, &id, &known, &owner).await;
+    }
+    for stop in running.values() {
+        stop.cancel();
+    }
+}
--- /dev/null
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -0,0 +1,18 @@
+//! Opaque requests and ordered batch jobs, passed on to backend servers by routes.
+#![warn(clippy::unwrap_used)]
+
+pub mod clock;
+pub mod connections;
+pub mod dialect;
+pub mod dispatch;
+pub mod events;
+pub mod exchange;
+pub mod fleet;
+pub mod follow;
+pub mod instance;
+pub mod jobs;
+pub mod metrics;
+pub mod peers;
+pub mod plain;
+pub mod request;
+pub mod stream;
--- /dev/null
+++ b/crates/foxtailhold-relay/src/peers/message.rs
@@ -0,0 +1,53 @@
+//! What instances say to each other, one datagram each.
+//!
+//! Datagrams fit: each is small, is repeated until it is answered or replaced by the next one, and
+//! a peer that vanishes leaves no connection that must time out.
+
+use foxtailhold::ids::{InstanceId, TargetName};
+use foxtailhold::slots::{Ask, AskId, Held, Outcome, Verdict};
+use serde::{Deserialize, Serialize};
+
+/// Largest datagram, below what one UDP packet carries.
+pub const MAX_DATAGRAM_BYTES: usize = 60_000;
+
+/// One message.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PeerMessage {
+    /// Asks for a place.
+    Ask(Ask),
+    /// Answers an ask, also later when a place has become free.
+    Answer {
+        /// The ask.
+        ask: AskId,
+        /// What was decided.
+        verdict: Verdict,
+    },
+    /// A batch item is to give way.
+    Yield {
+        /// The ask that was granted.
+        ask: AskId,
+    },
+    /// A place is free again, or who waited has left.
+    Release {
+        /// The ask.
+        ask: AskId,
+        /// Its service.
+        pool: TargetName,
+        /// How it ended.
+        outcome: Outcome,
+    },
+    /// What an instance holds; also says that it lives.
+    Report {
+        /// The instance.
+        instance: InstanceId,
+        /// All places that it holds.
+        held: Vec<Held>,
+    },
+    /// The answer to a report: who has reported lately.
+    Live {
+        /// Who says so.
+        instance: InstanceId,
+        /// The instances that live.
+        live: Vec<InstanceId>,
+    },
+}
--- /dev/null
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -0,0 +1,291 @@
+//! Between instances: places, and who lives.
+
+mod members;
+mod message;
+mod place;
+
+pub use members::{Member, Members};
+pub use message::PeerMessage;
+pub use place::{NoPlace, Place, PlaceQuery};
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use foxtailhold::ids::{AvailabilityZone, BackendId, InstanceId, TargetName};
+use foxtailhold::slots::{
+    Allocator, Ask, AskId, Decision, Held, Outcome, Places, Urgency, Verdict,
+};
+use foxtailhold::time::MonoMs;
+use foxtailhold_peer::codec;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
+
+use crate::clock::Clock;
+use members::REPORT_MS;
+use message::MAX_DATAGRAM_BYTES;
+
+/// A place in use by this instance.
+#[derive(Debug)]
+struct Holding {
+    pool: TargetName,
+    backend: BackendId,
+    urgency: Urgency,
+    last_sign: MonoMs,
+    yields: CancellationToken,
+}
+
+#[derive(Debug, Default)]
+struct OwnPlaces {
+    next: u64,
+    waiting: HashMap<u64, mpsc::UnboundedSender<Verdict>>,
+    held: HashMap<u64, Holding>,
+}
+
+#[derive(Debug)]
+struct Inner {
+    me: InstanceId,
+    zone: AvailabilityZone,
+    socket: UdpSocket,
+    clock: Clock,
+    members: Mutex<Members>,
+    places: Mutex<OwnPlaces>,
+    allocator: Mutex<Allocator>,
+}
+
+/// This instance's side of the talk with others.
+#[derive(Debug, Clone)]
+pub struct Peers {
+    inner: Arc<Inner>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Peers {
+    /// Starts on a bound socket.
+    pub fn new(me: InstanceId, zone: AvailabilityZone, socket: UdpSocket, clock: Clock) -> Self {
+        let inner = Inner {
+            members: Mutex::new(Members::new(me.clone())),
+            me,
+            zone,
+            socket,
+            clock,
+            places: Mutex::new(OwnPlaces::default()),
+            allocator: Mutex::new(Allocator::default()),
+        };
+        Peers {
+            inner: Arc::new(inner),
+        }
+    }
+
+    /// This instance.
+    pub fn me(&self) -> &InstanceId {
+        &self.inner.me
+    }
+
+    /// This instance's availability zone.
+    pub fn zone(&self) -> &AvailabilityZone {
+        &self.inner.zone
+    }
+
+    /// The view of all instances.
+    pub fn members(&self) -> MutexGuard<'_, Members> {
+        lock(&self.inner.members)
+    }
+
+    /// Sets the places of a service.
+    pub fn set_backends(&self, pool: &TargetName, places: &[Places]) {
+        lock(&self.inner.allocator).set_backends(pool, places);
+    }
+
+    /// Receives datagrams and reports, until the task is aborted.
+    pub async fn run(self) {
+        tokio::join!(self.receive(), self.report());
+    }
+
+    async fn receive(&self) {
+        let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+        loop {
+            let (length, from) = match self.inner.socket.recv_from(&mut buffer).await {
+                Ok(received) => received,
+                // A peer without a listener is told here; the next datagram may be fine.
+                Err(error) => {
+                    log::debug!("no datagram: {error}");
+                    tokio::time::sleep(Duration::from_millis(1)).await;
+                    continue;
+                }
+            };
+            match codec::decode(&buffer[..length]) {
+                Ok(message) => self.take(from, message),
+                Err(error) => log::warn!("a datagram of {from} cannot be read: {error}"),
+            }
+        }
+    }
+
+    async fn report(&self) {
+        loop {
+            let now = self.inner.clock.mono();
+            let held = self.holdings(now);
+            lock(&self.inner.allocator).report(now, &self.inner.me, &held);
+            let report = PeerMessage::Report {
+                instance: self.inner.me.clone(),
+                held,
+            };
+            let addresses = self.members().report_to(now);
+            for address in addresses {
+                self.send(address, &report);
+            }
+            tokio::time::sleep(Duration::from_millis(REPORT_MS)).await;
+        }
+    }
+
+    fn holdings(&self, now: MonoMs) -> Vec<Held> {
+        let places = lock(&self.inner.places);
+        let held = places.held.iter().map(|(number, holding)| Held {
+            number: *number,
+            pool: holding.pool.clone(),
+            backend: holding.backend.clone(),
+            urgency: holding.urgency,
+            quiet_ms: now.since_ms(holding.last_sign),
+        });
+        held.collect()
+    }
+
+    /// How many places this instance holds and how many requests wait.
+    pub fn in_use(&self) -> (usize, usize) {
+        let places = lock(&self.inner.places);
+        (places.held.len(), places.waiting.len())
+    }
+
+    /// Sends without waiting: a datagram that does not fit now is as good as lost on the way.
+    fn send(&self, to: SocketAddr, message: &PeerMessage) {
+        let bytes = match codec::encode(message) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!("a message cannot be written: {error}");
+                return;
+            }
+        };
+        if let Err(error) = self.inner.socket.try_send_to(&bytes, to) {
+            log::debug!("no datagram to {to}: {error}");
+        }
+    }
+
+    fn take(&self, from: SocketAddr, message: PeerMessage) {
+        let now = self.inner.clock.mono();
+        match message {
+            PeerMessage::Ask(ask) => {
+                self.members().heard(now, &ask.id.instance);
+                let id = ask.id.clone();
+                let verdict = self.decide(now, ask);
+                self.send(from, &PeerMessage::Answer { ask: id, verdict });
+            }
+            PeerMessage::Answer { ask, verdict } => self.deliver(&ask, verdict),
+            PeerMessage::Yield { ask } => self.yield_place(&ask),
+            PeerMessage::Release { ask, pool, outcome } => self.free(now, &pool, &ask, outcome),
+            PeerMessage::Report { instance, held } => {
+                lock(&self.inner.allocator).report(now, &instance, &held);
+                let live = {
+                    let mut members = self.members();
+                    members.heard(now, &instance);
+                    members.reporting(now)
+                };
+                let instance = self.inner.me.clone();
+                self.send(from, &PeerMessage::Live { instance, live });
+            }
+            PeerMessage::Live { instance, live } => {
+                let mut members = self.members();
+                members.heard(now, &instance);
+                members.told(now, &instance, live);
+            }
+        }
+    }
+
+    fn decide(&self, now: MonoMs, ask: Ask) -> Verdict {
+        let mut decisions = Vec::new();
+        let verdict = lock(&self.inner.allocator).ask(now, ask, &mut decisions);
+        self.spread(decisions);
+        verdict
+    }
+
+    fn free(&self, now: MonoMs, pool: &TargetName, ask: &AskId, outcome: Outcome) {
+        let mut decisions = Vec::new();
+        lock(&self.inner.allocator).release(now, pool, ask, outcome, &mut decisions);
+        self.spread(decisions);
+    }
+
+    /// Forgets what an instance held that is gone.
+    pub fn forget(&self, instance: &InstanceId) {
+        lock(&self.inner.allocator).forget(instance);
+    }
+
+    /// Brings decisions to the instances that asked.
+    fn spread(&self, decisions: Vec<Decision>) {
+        for Decision { ask, verdict } in decisions {
+            if ask.instance == self.inner.me {
+                match verdict {
+                    Some(verdict) => self.deliver(&ask, verdict),
+                    None => self.yield_place(&ask),
+                }
+                continue;
+            }
+            let Some(address) = self.members().address(&ask.instance) else {
+                continue;
+            };
+            let message = match verdict {
+                Some(verdict) => PeerMessage::Answer { ask, verdict },
+                None => PeerMessage::Yield { ask },
+            };
+            self.send(address, &message);
+        }
+    }
+
+    fn deliver(&self, ask: &AskId, verdict: Verdict) {
+        let now = self.inner.clock.mono();
+        if ask.instance != self.inner.me {
+            return;
+        }
+        let (is_wanted, is_held) = {
+            let places = lock(&self.inner.places);
+            let waiting = places.waiting.get(&ask.number);
+            let sent = waiting.is_some_and(|waiting| waiting.send(verdict.clone()).is_ok());
+            (sent, places.held.contains_key(&ask.number))
+        };
+        if let (false, false, Verdict::Granted(backend)) = (is_wanted, is_held, &verdict) {
+            log::debug!("a place at {backend} came too late");
+            self.release_at_allocator(now, None, ask);
+        }
+    }
+
+    fn release_at_allocator(&self, now: MonoMs, known: Option<(&TargetName, Outcome)>, ask: &AskId) {
+        let (pools, outcome) = match known {
+            Some((pool, outcome)) => (vec![pool.clone()], outcome),
+            None => {
+                let allocator = lock(&self.inner.allocator);
+                let pools = allocator.loads().map(|(name, ..)| name.clone());
+                (pools.collect(), Outcome::Abandoned)
+            }
+        };
+        let address = self.members().allocator(now).map(|m| m.peer_address);
+        for pool in pools {
+            match address {
+                None => self.free(now, &pool, ask, outcome),
+                Some(address) => {
+                    let ask = ask.clone();
+                    self.send(address, &PeerMessage::Release { ask, pool, outcome });
+                }
+            }
+        }
+    }
+
+    fn yield_place(&self, ask: &AskId) {
+        let places = lock(&self.inner.places);
+        if let Some(holding) = places.held.get(&ask.number) {
+            holding.yields.cancel();
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxtailhold-relay/src/request.rs
@@ -0,0 +1,54 @@
+//! Opaque requests and their answers.
+
+use bytes::Bytes;
+use foxtailhold_http::body::AnswerBody;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, Method, Response};
+use tokio::time::Instant;
+
+/// A request that is passed on byte for byte.
+#[derive(Debug, Clone)]
+pub struct OpaqueRequest {
+    /// Identity, one for each time that the caller sends it.
+    pub id: String,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: PathAndQuery,
+    /// Headers without those of the caller's connection.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// How long the caller waits.
+    pub patience_ms: Option<u64>,
+    /// The event after which a stream goes on.
+    pub after_event: Option<u64>,
+    /// When its head was read.
+    pub received: Instant,
+}
+
+/// Why a request has no answer of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unserved {
+    /// It has not run and will not: come back later.
+    NotRun {
+        /// When.
+        retry_after_ms: u64,
+    },
+    /// It may have run.
+    MayHaveRun,
+    /// Its time is over, and it may have run.
+    TimedOut,
+}
+
+/// The answer to an opaque request.
+#[derive(Debug)]
+pub enum Answer {
+    /// A backend server's answer.
+    Served(Response<AnswerBody>),
+    /// None.
+    Unserved(Unserved),
+}
+
+/// The backend server's head of an answer, with the body's bytes.
+pub type WholeAnswer = Response<Bytes>;
--- /dev/null
+++ b/crates/foxtailhold/src/slots/allocator.rs
@@ -0,0 +1,100 @@
+//! All pools of one allocator.
+
+use std::collections::HashMap;
+
+use crate::ids::{InstanceId, TargetName};
+use crate::slots::pool::Pool;
+use crate::slots::{Ask, AskId, Held, Outcome, Places, Verdict};
+use crate::time::MonoMs;
+
+/// A message to the instance of an ask.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Decision {
+    /// The ask.
+    pub ask: AskId,
+    /// What was decided; `None`: a granted batch item is to give way.
+    pub verdict: Option<Verdict>,
+}
+
+/// Grants the places of all pools.
+#[derive(Debug, Default)]
+pub struct Allocator {
+    pools: HashMap<TargetName, Pool>,
+}
+
+impl Allocator {
+    /// Replaces the backend servers of a pool.
+    pub fn set_backends(&mut self, pool: &TargetName, all: &[Places]) {
+        let pool = self.pools.entry(pool.clone()).or_default();
+        pool.set_backends(all);
+    }
+
+    /// Takes an ask. Whatever could be decided at once, also for others, is added to `decisions`.
+    pub fn ask(&mut self, now: MonoMs, ask: Ask, decisions: &mut Vec<Decision>) -> Verdict {
+        let id = ask.id.clone();
+        let pool = self.pools.entry(ask.pool.clone()).or_default();
+        let verdict = pool.ask(now, ask);
+        if verdict != Verdict::Queued {
+            return verdict;
+        }
+        pool.decide(now, decisions);
+        let own = decisions.iter().position(|decision| decision.ask == id);
+        match own.map(|index| decisions.swap_remove(index).verdict) {
+            Some(Some(verdict)) => verdict,
+            _ => Verdict::Queued,
+        }
+    }
+
+    /// Notes the end of a use or of a wait.
+    pub fn release(
+        &mut self,
+        now: MonoMs,
+        pool: &TargetName,
+        ask: &AskId,
+        outcome: Outcome,
+        decisions: &mut Vec<Decision>,
+    ) {
+        let Some(pool) = self.pools.get_mut(pool) else {
+            return;
+        };
+        pool.release(now, ask, outcome, ask.number);
+        pool.decide(now, decisions);
+    }
+
+    /// Takes an instance's own list of what it holds.
+    pub fn report(&mut self, now: MonoMs, instance: &InstanceId, held: &[Held]) {
+        for (name, pool) in &mut self.pools {
+            let ours = held.iter().filter(|held| held.pool == *name);
+            let asks: Vec<(AskId, &Held)> = ours
+                .map(|held| {
+                    let instance = instance.clone();
+                    let number = held.number;
+                    (AskId { instance, number }, held)
+                })
+                .collect();
+            pool.reconcile(now, &asks, |ask| ask.instance == *instance);
+        }
+    }
+
+    /// Forgets an instance that is gone.
+    pub fn forget(&mut self, instance: &InstanceId) {
+        for pool in self.pools.values_mut() {
+            pool.forget(|ask| ask.instance == *instance);
+        }
+    }
+
+    /// Decides what time alone has changed.
+    pub fn tick(&mut self, now: MonoMs, decisions: &mut Vec<Decision>) {
+        for pool in self.pools.values_mut() {
+            pool.decide(now, decisions);
+        }
+    }
+
+    /// Places in use and requests in wait of each pool.
+    pub fn loads(&self) -> impl Iterator<Item = (&TargetName, u64, u64)> {
+        self.pools.iter().map(|(name, pool)| {
+            let (used, waiting) = pool.load();
+            (name, used, waiting)
+        })
+    }
+}
--- /dev/null
+++ b/crates/foxtailhold/src/slots/pool.rs
@@ -0,0 +1,318 @@
+//! The places of one service and who waits for them.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use crate::ids::BackendId;
+use crate::slots::trouble::Trouble;
+use crate::slots::{Ask, AskId, Decision, Held, Outcome, Places, Urgency, Verdict};
+use crate::time::MonoMs;
+
+/// A grant that its instance does not report is taken back after this time: two reports, and the
+/// flight of the grant.
+pub const UNCONFIRMED_MS: u64 = 700;
+/// Who waits asks again every 100 ms; after four missed ones it is taken as gone.
+pub const FORGOTTEN_MS: u64 = 450;
+/// A request that hears nothing for this time speaks against its backend server: over the longest
+/// time to a first event and many times a step.
+pub const QUIET_MS: u64 = 700;
+/// Time that an engine needs for a first event once it begins: reading the prompt, and some steps.
+pub const FIRST_EVENT_MS: u64 = 110;
+/// Places kept free of batch work at rest, so that an arrival need not cut a batch item.
+const LEAST_HEADROOM: u64 = 2;
+/// Online arrivals a second for which one more place is kept free: those of the few milliseconds
+/// that a place needs to change hands, and as many again for chance.
+const ARRIVALS_PER_HEADROOM: u64 = 14;
+/// Span over which arrivals are counted.
+const ARRIVALS_MS: u64 = 1_000;
+/// First guess of the time that an online request holds a place, until some have ended.
+const FIRST_GUESS_HELD_MS: f64 = 800.0;
+/// Weight of the newest time in the running mean.
+const HELD_WEIGHT: f64 = 0.05;
+/// Least and most time after which a refused caller should come back.
+const RETRY_AFTER_MS: (u64, u64) = (150, 1_500);
+
+#[derive(Debug, Clone)]
+struct Grant {
+    urgency: Urgency,
+    slack_until: MonoMs,
+    granted_at: MonoMs,
+    yielding: bool,
+}
+
+#[derive(Debug)]
+struct Backend {
+    places: Places,
+    grants: HashMap<AskId, Grant>,
+    trouble: Trouble,
+}
+
+impl Backend {
+    fn free(&self, now: MonoMs) -> u32 {
+        let limit = self.trouble.limit(now, self.places.slots);
+        limit.saturating_sub(self.grants.len() as u32)
+    }
+}
+
+#[derive(Debug)]
+struct Waiting {
+    ask: Ask,
+    slack_until: MonoMs,
+    seen_at: MonoMs,
+}
+
+/// One service's places.
+#[derive(Debug)]
+pub struct Pool {
+    backends: BTreeMap<BackendId, Backend>,
+    /// Backend servers that are leaving, with what is still in use there.
+    waiting: Vec<Waiting>,
+    arrivals: VecDeque<MonoMs>,
+    held_ms: f64,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Pool {
+            backends: BTreeMap::new(),
+            waiting: Vec::new(),
+            arrivals: VecDeque::new(),
+            held_ms: FIRST_GUESS_HELD_MS,
+        }
+    }
+}
+
+impl Pool {
+    /// Replaces the backend servers; grants at those that stay are kept.
+    pub fn set_backends(&mut self, all: &[Places]) {
+        let mut old = std::mem::take(&mut self.backends);
+        for places in all {
+            let backend = match old.remove(&places.backend) {
+                Some(known) => Backend {
+                    places: places.clone(),
+                    ..known
+                },
+                None => Backend {
+                    places: places.clone(),
+                    grants: HashMap::new(),
+                    trouble: Trouble::default(),
+                },
+            };
+            self.backends.insert(places.backend.clone(), backend);
+        }
+    }
+
+    /// Takes an ask; the same one may come again.
+    pub fn ask(&mut self, now: MonoMs, ask: Ask) -> Verdict {
+        if let Some(backend) = self.holder(&ask.id) {
+            return Verdict::Granted(backend);
+        }
+        if let Some(known) = self.waiting.iter_mut().find(|w| w.ask.id == ask.id) {
+            known.seen_at = now;
+            return Verdict::Queued;
+        }
+        if matches!(ask.urgency, Urgency::Online { .. }) {
+            self.arrivals.push_back(now);
+            if let Some(retry_after_ms) = self.too_late(now, &ask) {
+                return Verdict::Refused { retry_after_ms };
+            }
+        }
+        self.waiting.push(Waiting {
+            slack_until: now + ask.slack_ms,
+            seen_at: now,
+            ask,
+        });
+        Verdict::Queued
+    }
+
+    fn holder(&self, id: &AskId) -> Option<BackendId> {
+        let held = self.backends.values().find(|b| b.grants.contains_key(id));
+        held.map(|backend| backend.places.backend.clone())
+    }
+
+    /// When to come back, where the ask would be served after its objective.
+    fn too_late(&self, now: MonoMs, ask: &Ask) -> Option<u64> {
+        let mut usable = 0_u64;
+        let mut ready = 0_u64;
+        for backend in self.backends.values() {
+            usable += u64::from(backend.trouble.limit(now, backend.places.slots));
+            ready += u64::from(backend.free(now));
+            ready += count(backend.grants.values(), |g| g.urgency == Urgency::Batch);
+        }
+        let Urgency::Online { priority } = ask.urgency else {
+            return None;
+        };
+        let ahead = count(self.waiting.iter(), |w| match w.ask.urgency {
+            Urgency::Online { priority: other } => other <= priority,
+            Urgency::Batch => false,
+        });
+        if ahead < ready {
+            return None;
+        }
+        if usable == 0 {
+            return Some(RETRY_AFTER_MS.1 / 2);
+        }
+        let wait_ms = ((ahead - ready + 1) as f64 * self.held_ms / usable as f64) as u64;
+        if wait_ms + FIRST_EVENT_MS <= ask.slack_ms {
+            return None;
+        }
+        Some(wait_ms.clamp(RETRY_AFTER_MS.0, RETRY_AFTER_MS.1))
+    }
+
+    /// Notes the end of a use, or that who waited has left.
+    pub fn release(&mut self, now: MonoMs, id: &AskId, outcome: Outcome, draw: u64) {
+        self.waiting.retain(|waiting| waiting.ask.id != *id);
+        for backend in self.backends.values_mut() {
+            let Some(grant) = backend.grants.remove(id) else {
+                continue;
+            };
+            backend.trouble.note(now, outcome, draw);
+            if let (Urgency::Online { .. }, Outcome::Done { held_ms }) = (grant.urgency, outcome) {
+                self.held_ms += HELD_WEIGHT * (held_ms as f64 - self.held_ms);
+            }
+        }
+    }
+
+    /// Sets what one instance holds straight from its own list.
+    pub fn reconcile(&mut self, now: MonoMs, asks: &[(AskId, &Held)], mine: impl Fn(&AskId) -> bool) {
+        for backend in self.backends.values_mut() {
+            let id = &backend.places.backend;
+            backend.grants.retain(|ask, grant| {
+                let told = asks.iter().any(|(a, held)| a == ask && held.backend == *id);
+                !mine(ask) || told || now.since_ms(grant.granted_at) < UNCONFIRMED_MS
+            });
+        }
+        for (ask, held) in asks {
+            let Some(backend) = self.backends.get_mut(&held.backend) else {
+                continue;
+            };
+            backend.grants.entry(ask.clone()).or_insert_with(|| Grant {
+                urgency: held.urgency,
+                slack_until: now,
+                granted_at: now,
+                yielding: false,
+            });
+            if held.quiet_ms > QUIET_MS {
+                backend.trouble.note(now, Outcome::Silent, held.number);
+            }
+        }
+    }
+
+    /// Forgets all of an instance that is gone.
+    pub fn forget(&mut self, mine: impl Fn(&AskId) -> bool) {
+        self.waiting.retain(|waiting| !mine(&waiting.ask.id));
+        for backend in self.backends.values_mut() {
+            backend.grants.retain(|ask, _| !mine(ask));
+        }
+    }
+
+    /// Hands out what is free, and asks batch items to give way.
+    pub fn decide(&mut self, now: MonoMs, decisions: &mut Vec<Decision>) {
+        self.waiting
+            .retain(|waiting| now.since_ms(waiting.seen_at) < FORGOTTEN_MS);
+        while let Some(first) = self.arrivals.front() {
+            if now.since_ms(*first) <= ARRIVALS_MS {
+                break;
+            }
+            self.arrivals.pop_front();
+        }
+        self.waiting.sort_by_key(|waiting| order(now, waiting));
+        let mut left = Vec::new();
+        for waiting in std::mem::take(&mut self.waiting) {
+            match self.place_for(now, &waiting) {
+                Some(backend) => self.grant(now, waiting, backend, decisions),
+                None => left.push(waiting),
+            }
+        }
+        self.waiting = left;
+        self.yield_batch(decisions);
+    }
+
+    fn place_for(&self, now: MonoMs, waiting: &Waiting) -> Option<BackendId> {
+        let ask = &waiting.ask;
+        if ask.urgency == Urgency::Batch && self.free(now) <= self.headroom() {
+            return None;
+        }
+        let mut best: Option<(u32, bool, &BackendId)> = None;
+        for (id, backend) in &self.backends {
+            let free = backend.free(now);
+            if free == 0 || ask.avoid.contains(id) {
+                continue;
+            }
+            let used = backend.grants.len() as u32;
+            let rank = (used, backend.places.zone != ask.zone, id);
+            if best.is_none_or(|known| rank < known) {
+                best = Some(rank);
+            }
+        }
+        best.map(|(_, _, id)| id.clone())
+    }
+
+    fn free(&self, now: MonoMs) -> u64 {
+        self.backends.values().map(|b| u64::from(b.free(now))).sum()
+    }
+
+    fn headroom(&self) -> u64 {
+        LEAST_HEADROOM + self.arrivals.len() as u64 / ARRIVALS_PER_HEADROOM
+    }
+
+    fn grant(
+        &mut self,
+        now: MonoMs,
+        waiting: Waiting,
+        id: BackendId,
+        decisions: &mut Vec<Decision>,
+    ) {
+        let grant = Grant {
+            urgency: waiting.ask.urgency,
+            slack_until: waiting.slack_until,
+            granted_at: now,
+            yielding: false,
+        };
+        if let Some(backend) = self.backends.get_mut(&id) {
+            backend.grants.insert(waiting.ask.id.clone(), grant);
+        }
+        decisions.push(Decision {
+            ask: waiting.ask.id,
+            verdict: Some(Verdict::Granted(id)),
+        });
+    }
+
+    /// Cuts as many batch items as online requests wait, those with the most slack first.
+    fn yield_batch(&mut self, decisions: &mut Vec<Decision>) {
+        let wanted = count(self.waiting.iter(), |w| w.ask.urgency != Urgency::Batch);
+        let grants = self.backends.values_mut().flat_map(|b| b.grants.iter_mut());
+        let mut batch: Vec<(&AskId, &mut Grant)> = grants
+            .filter(|(_, grant)| grant.urgency == Urgency::Batch)
+            .collect();
+        let on_the_way = count(batch.iter(), |(_, grant)| grant.yielding);
+        batch.retain(|(_, grant)| !grant.yielding);
+        batch.sort_by_key(|(_, grant)| std::cmp::Reverse(grant.slack_until));
+        let more = wanted.saturating_sub(on_the_way) as usize;
+        for (ask, grant) in batch.into_iter().take(more) {
+            grant.yielding = true;
+            decisions.push(Decision {
+                ask: ask.clone(),
+                verdict: None,
+            });
+        }
+    }
+
+    /// Online places in use and requests in wait, for logs.
+    pub fn load(&self) -> (u64, u64) {
+        let used = self.backends.values().map(|b| b.grants.len() as u64).sum();
+        (used, self.waiting.len() as u64)
+    }
+}
+
+/// People before batch; by rank; those that can still be on time first; then by what is due first.
+fn order(now: MonoMs, waiting: &Waiting) -> (bool, u8, bool, MonoMs) {
+    let until = waiting.slack_until;
+    match waiting.ask.urgency {
+        Urgency::Online { priority } => (false, priority, until < now + FIRST_EVENT_MS, until),
+        Urgency::Batch => (true, 0, false, until),
+    }
+}
+
+fn count<T>(items: impl Iterator<Item = T>, is_one: impl Fn(&T) -> bool) -> u64 {
+    items.filter(|item| is_one(item)).count() as u64
+}
