--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -250,7 +250,6 @@
                 if is_mine { lapsed } else { Vec::new() }
             };
             for (version, instance) in lapsed {
-                self.relay.peers.forget(&instance);
                 let key = RowKey::new(INSTANCES_TABLE, instance.as_str());
                 let changes = Changes {
                     expected: vec![(key.clone(), version)],
--- a/crates/foxtailhold-relay/src/peers/members.rs
+++ b/crates/foxtailhold-relay/src/peers/members.rs
@@ -186,6 +186,11 @@
         live
     }
 
+    /// Instances that are heard of, directly or through a senior instance.
+    pub fn heard_or_told(&self, now: MonoMs) -> HashSet<InstanceId> {
+        self.live_set(now).into_iter().cloned().collect()
+    }
+
     /// Instances that live and stay, this one included unless it is leaving; all that have a row
     /// where nobody is heard of at all.
     pub fn live(&self, now: MonoMs) -> Vec<&Member> {
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -135,6 +135,7 @@
                 instance: self.inner.me.clone(),
                 held,
             };
+            self.free_lapsed(now);
             let addresses = self.members().report_to(now);
             for address in addresses {
                 self.send(address, &report);
@@ -218,9 +219,14 @@
         self.spread(decisions);
     }
 
-    /// Forgets what an instance held that is gone.
-    pub fn forget(&self, instance: &InstanceId) {
-        lock(&self.inner.allocator).forget(instance);
+    /// Frees the places of instances that are not heard of, so that a killed one does not keep them
+    /// until it is replaced.
+    fn free_lapsed(&self, now: MonoMs) {
+        let live = self.members().heard_or_told(now);
+        let mut decisions = Vec::new();
+        let lives = |instance: &InstanceId| *instance == self.inner.me || live.contains(instance);
+        lock(&self.inner.allocator).keep_only(now, lives, &mut decisions);
+        self.spread(decisions);
     }
 
     /// Brings decisions to the instances that asked.
--- a/crates/foxtailhold/src/slots/allocator.rs
+++ b/crates/foxtailhold/src/slots/allocator.rs
@@ -76,10 +76,16 @@
         }
     }
 
-    /// Forgets an instance that is gone.
-    pub fn forget(&mut self, instance: &InstanceId) {
+    /// Frees the places of instances that are gone, for others that wait.
+    pub fn keep_only(
+        &mut self,
+        now: MonoMs,
+        lives: impl Fn(&InstanceId) -> bool,
+        decisions: &mut Vec<Decision>,
+    ) {
         for pool in self.pools.values_mut() {
-            pool.forget(|ask| ask.instance == *instance);
+            pool.forget(|ask| !lives(&ask.instance));
+            pool.decide(now, decisions);
         }
     }
 
--- a/crates/foxtailhold/src/slots/pool.rs
+++ b/crates/foxtailhold/src/slots/pool.rs
@@ -64,7 +64,6 @@
 #[derive(Debug)]
 pub struct Pool {
     backends: BTreeMap<BackendId, Backend>,
-    /// Backend servers that are leaving, with what is still in use there.
     waiting: Vec<Waiting>,
     arrivals: VecDeque<MonoMs>,
     held_ms: f64,
@@ -197,11 +196,10 @@
         }
     }
 
-    /// Forgets all of an instance that is gone.
-    pub fn forget(&mut self, mine: impl Fn(&AskId) -> bool) {
-        self.waiting.retain(|waiting| !mine(&waiting.ask.id));
+    /// Frees what instances hold that are gone. Who waits is forgotten by its own time.
+    pub fn forget(&mut self, is_gone: impl Fn(&AskId) -> bool) {
         for backend in self.backends.values_mut() {
-            backend.grants.retain(|ask, _| !mine(ask));
+            backend.grants.retain(|ask, _| !is_gone(ask));
         }
     }
 
