--- a/crates/foxtailhold-relay/src/shared_store/mod.rs
+++ b/crates/foxtailhold-relay/src/shared_store/mod.rs
@@ -38,8 +38,9 @@
 /// A commit without an answer for this time is also tried through another instance: a batch job must
 /// be accepted within some 400 ms, and a cut shows by silence only.
 const HEDGE_MS: u64 = 220;
-/// Pause between two tries to reach a lost store.
-const PROBE_MS: u64 = 700;
+/// Pause between two tries to reach a lost store, and the time for each: a store that is back is found
+/// within their sum, and even a slow one answers within it.
+const PROBE_MS: (u64, u64) = (250, 450);
 /// Instances asked for one call.
 const TRIES: usize = 2;
 
@@ -82,9 +83,10 @@
     pub async fn probe(self, table: &'static str) {
         loop {
             self.health.wait_lost().await;
-            tokio::time::sleep(Duration::from_millis(PROBE_MS)).await;
-            let found = self.direct.read(table, "", "~", "~~").await;
-            self.health.note(found.is_ok());
+            tokio::time::sleep(Duration::from_millis(PROBE_MS.0)).await;
+            let looking = self.direct.read(table, "", "~", "~~");
+            let found = tokio::time::timeout(Duration::from_millis(PROBE_MS.1), looking).await;
+            self.health.note(matches!(found, Ok(Ok(_))));
         }
     }
 
