Three faults that the adapter's own tests found: quota, small pools, the heir of two

A conflicting acceptance took the quota's new version before the job that was accepted with it (3 jobs of 3,360 tokens within 10,000); batch items never tried the engines of a small pool again after both were set aside, as headroom was larger than what was open; of two instances the one left named the dead one as heir.

--- a/crates/foxtailhold-relay/src/jobs/accept.rs
+++ b/crates/foxtailhold-relay/src/jobs/accept.rs
@@ -4,7 +4,7 @@
 
 use foxtailhold::ids::JobId;
 use foxtailhold::routes::{BatchBounds, Route};
-use foxtailhold_platform::{Committed, ObjectStore, RowStore};
+use foxtailhold_platform::{Committed, ObjectStore, RowStore, VersionedRow};
 use tokio::time::Instant;
 
 use crate::dialect::Dialect;
@@ -33,6 +33,10 @@
     Before,
 }
 
+fn is_job(row: &VersionedRow) -> bool {
+    row.key.key.starts_with(JOB_PREFIX)
+}
+
 impl<S: RowStore + ObjectStore, D: Dialect> Jobs<S, D> {
     /// Takes in a job, once, however often it is handed in.
     pub async fn accept(
@@ -57,7 +61,9 @@
                     return Ok(Accepted::New);
                 }
                 Ok(Committed::Conflict(rows)) => {
-                    for row in &rows {
+                    // The quota's row is taken from the feed only, together with the job that was
+                    // accepted with it: ahead of that job the count would be too low.
+                    for row in rows.iter().filter(|row| is_job(row)) {
                         self.book.put_row(row);
                     }
                     if self.book.get(&new.id).is_some() {
@@ -152,7 +158,6 @@
             return Ok(Some(known));
         }
         if let Some(row) = self.store.read_job(id).await? {
-            debug_assert!(row.key.key.starts_with(JOB_PREFIX));
             self.book.put_row(&row);
         }
         Ok(self.book.get(id))
--- a/crates/foxtailhold-relay/src/jobs/owner.rs
+++ b/crates/foxtailhold-relay/src/jobs/owner.rs
@@ -22,6 +22,9 @@
 /// between instances, far shorter than the slack of an item.
 const OWNER_DOWN_MS: u64 = 1_200;
 
+/// An instance that hears of nobody may be the one that is cut off, and waits longer.
+const OWNER_DOWN_ALONE_MS: u64 = 3_600;
+
 /// Runs this instance's jobs and takes over those of instances that are down, until `leave` is
 /// cancelled; then hands over what is left and returns.
 pub async fn own_jobs<S: RowStore + ObjectStore, D: Dialect>(
@@ -87,26 +90,16 @@
 ) -> bool {
     let now = jobs.relay.clock.mono();
     let mut members = jobs.relay.peers.members();
-    if !members.is_down(now, owner, OWNER_DOWN_MS) {
+    let down_ms = match members.hears_others(now) {
+        true => OWNER_DOWN_MS,
+        false => OWNER_DOWN_ALONE_MS,
+    };
+    if !members.is_down(now, owner, down_ms) {
         return false;
     }
-    heir(
-        jobs.me(),
-        &members
-            .live(now)
-            .iter()
-            .map(|m| &m.instance)
-            .collect::<Vec<_>>(),
-        id,
-    )
-    .is_some_and(|heir| heir == jobs.me())
-}
-
-fn heir<'a>(me: &'a InstanceId, live: &[&'a InstanceId], id: &JobId) -> Option<&'a InstanceId> {
-    if live.is_empty() {
-        return Some(me);
-    }
-    rendezvous::home(live.iter().copied(), id.as_str().as_bytes())
+    let heirs = members.not_down(now, down_ms);
+    let heir = rendezvous::home(&heirs, id.as_str().as_bytes());
+    heir.is_none_or(|heir| heir == jobs.me())
 }
 
 /// Writes a new owner into a job's row.
--- a/crates/foxtailhold-relay/src/peers/members.rs
+++ b/crates/foxtailhold-relay/src/peers/members.rs
@@ -210,6 +210,18 @@
         self.staying().filter(is_live).collect()
     }
 
+    /// Instances that stay and have not been down for `for_ms`, this one included.
+    pub fn not_down(&mut self, now: MonoMs, for_ms: u64) -> Vec<InstanceId> {
+        let staying: Vec<InstanceId> = self.staying().map(|m| m.instance.clone()).collect();
+        let mut left = Vec::new();
+        for instance in staying {
+            if !self.is_down(now, &instance, for_ms) {
+                left.push(instance);
+            }
+        }
+        left
+    }
+
     /// Whether this instance hears of others at all.
     pub fn hears_others(&self, now: MonoMs) -> bool {
         !self.live_set(now).is_empty()
--- a/crates/foxtailhold/src/slots/pool.rs
+++ b/crates/foxtailhold/src/slots/pool.rs
@@ -22,6 +22,8 @@
 /// Online arrivals a second for which one more place is kept free: those of the few milliseconds
 /// that a place needs to change hands, and as many again for chance.
 const ARRIVALS_PER_HEADROOM: u64 = 14;
+/// Headroom is at most one place of so many.
+const LEAST_PLACES_PER_HEADROOM: u64 = 4;
 /// Span over which arrivals are counted.
 const ARRIVALS_MS: u64 = 1_000;
 /// First guess of the time that an online request holds a place, until some have ended.
@@ -130,10 +132,9 @@
 
     /// When to come back, where the ask would be served after its objective.
     fn too_late(&self, now: MonoMs, ask: &Ask) -> Option<u64> {
-        let mut usable = 0_u64;
+        let usable = self.usable(now);
         let mut ready = 0_u64;
         for backend in self.backends.values() {
-            usable += u64::from(backend.trouble.limit(now, backend.places.slots));
             ready += u64::from(backend.free(now));
             ready += count(backend.grants.values(), |g| g.urgency == Urgency::Batch);
         }
@@ -232,7 +233,7 @@
 
     fn place_for(&self, now: MonoMs, waiting: &Waiting) -> Option<BackendId> {
         let ask = &waiting.ask;
-        if ask.urgency == Urgency::Batch && self.free(now) <= self.headroom() {
+        if ask.urgency == Urgency::Batch && self.free(now) <= self.headroom(now) {
             return None;
         }
         let mut best: Option<(u32, bool, &BackendId)> = None;
@@ -254,8 +255,19 @@
         self.backends.values().map(|b| u64::from(b.free(now))).sum()
     }
 
-    fn headroom(&self) -> u64 {
-        LEAST_HEADROOM + self.arrivals.len() as u64 / ARRIVALS_PER_HEADROOM
+    /// Places kept free of batch work. A small or troubled pool keeps none: where only single
+    /// requests may try its engines, batch items must be able to try them too.
+    fn headroom(&self, now: MonoMs) -> u64 {
+        let wanted = LEAST_HEADROOM + self.arrivals.len() as u64 / ARRIVALS_PER_HEADROOM;
+        wanted.min(self.usable(now) / LEAST_PLACES_PER_HEADROOM)
+    }
+
+    /// Places that may be in use.
+    fn usable(&self, now: MonoMs) -> u64 {
+        let limits = self.backends.values();
+        limits
+            .map(|b| u64::from(b.trouble.limit(now, b.places.slots)))
+            .sum()
     }
 
     fn grant(
--- a/crates/foxtailhold/tests/slots.rs
+++ b/crates/foxtailhold/tests/slots.rs
@@ -344,3 +344,18 @@
         assert_eq!(engine, backend("engine-1"));
     }
 }
+
+#[test]
+fn batch_items_try_engines_that_were_set_aside() {
+    let mut allocator = allocator(&[8, 8]);
+    for number in [1, 2] {
+        granted(&mut allocator, 0, ask(number, Urgency::Batch));
+    }
+    for number in [1, 2] {
+        release(&mut allocator, 900, number, Outcome::Silent);
+    }
+    let at_ms = 5_000;
+    granted(&mut allocator, at_ms, ask_of("entry-1", 3, Urgency::Batch, 9_000));
+    release(&mut allocator, at_ms + 500, 3, DONE);
+    granted(&mut allocator, at_ms + 501, ask_of("entry-1", 4, Urgency::Batch, 9_000));
+}
