--- a/crates/foxtailhold-entry/src/main.rs
+++ b/crates/foxtailhold-entry/src/main.rs
@@ -20,7 +20,8 @@
 
 fn start(cli: Cli) -> miette::Result<()> {
     let settings = Settings::try_from(cli)?;
-    logging::init(&settings.instance);
+    logging::init(&settings.instance, logging::Output::Stderr)
+        .map_err(foxtailhold_entry::EntryError::from)?;
     let runtime = runtime(settings.worker_threads);
     let runtime = runtime.map_err(foxtailhold_entry::EntryError::from)?;
     runtime.block_on(run(settings))
--- a/crates/foxtailhold-logs/src/lib.rs
+++ b/crates/foxtailhold-logs/src/lib.rs
@@ -1,4 +1,8 @@
-//! Logs as JSON lines on standard error.
+//! Logs as JSON lines.
+
+mod sink;
+
+pub use sink::{LeftOut, LineQueue, LineSink, Weight};
 
 use std::collections::BTreeMap;
 use std::io::Write;
@@ -6,8 +10,8 @@
 
 use env_logger::{Builder, Env};
 use foxtailhold::ids::InstanceId;
-use log::Record;
 use log::kv::{Key, Value, VisitSource};
+use log::{Level, Record};
 use serde::Serialize;
 
 #[derive(Serialize)]
@@ -42,25 +46,81 @@
     collect.0
 }
 
+/// Where lines go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Output {
+    /// Standard output, bounded in bytes a second; a reader that has stopped blocks nobody.
+    Stdout {
+        /// Bound; a second's bytes may come at once.
+        bytes_per_s: u64,
+    },
+    /// Standard error, as the lines come.
+    Stderr,
+}
+
+/// Keeps the logger's thread informed of the end of the process.
+#[derive(Debug, Default)]
+pub struct Logs(Option<LineSink>);
+
+impl Logs {
+    /// Writes what still waits.
+    pub fn close(self) {
+        if let Some(sink) = self.0 {
+            sink.close();
+        }
+    }
+}
+
+fn line(instance: &InstanceId, record: &Record<'_>) -> serde_json::Result<Vec<u8>> {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let line = Line {
+        at_ms: since.map_or(0, |duration| duration.as_millis()),
+        level: record.level().as_str(),
+        instance: instance.as_str(),
+        target: record.target(),
+        message: record.args().to_string(),
+        fields: fields(record),
+    };
+    let mut bytes = serde_json::to_vec(&line)?;
+    bytes.push(b'\n');
+    Ok(bytes)
+}
+
+fn summary(instance: &InstanceId, left_out: LeftOut) -> Vec<u8> {
+    let text = format!(
+        "{{\"level\":\"WARN\",\"instance\":\"{instance}\",\"message\":\"lines left out\",\
+         \"fields\":{{\"ordinary\":{},\"failures\":{}}}}}\n",
+        left_out.ordinary, left_out.failures
+    );
+    text.into_bytes()
+}
+
 /// Starts logging at the level in `RUST_LOG`, `info` where it is not set.
-pub fn init(instance: &InstanceId) {
-    let instance = instance.clone();
+pub fn init(instance: &InstanceId, output: Output) -> std::io::Result<Logs> {
+    let sink = match output {
+        Output::Stderr => None,
+        Output::Stdout { bytes_per_s } => {
+            let named = instance.clone();
+            let words = move |left_out| summary(&named, left_out);
+            Some(LineSink::start(std::io::stdout(), bytes_per_s, words)?)
+        }
+    };
+    let (instance, lines) = (instance.clone(), sink.clone());
     let mut builder = Builder::from_env(Env::default().default_filter_or("info"));
-    builder.target(env_logger::Target::Stdout);
     builder.format(move |buffer, record| {
-        let since = SystemTime::now().duration_since(UNIX_EPOCH);
-        let line = Line {
-            at_ms: since.map_or(0, |duration| duration.as_millis()),
-            level: record.level().as_str(),
-            instance: instance.as_str(),
-            target: record.target(),
-            message: record.args().to_string(),
-            fields: fields(record),
+        let line = line(&instance, record)?;
+        let Some(sink) = &lines else {
+            return buffer.write_all(&line);
+        };
+        let weight = match record.level() {
+            Level::Error | Level::Warn => Weight::Failure,
+            _ => Weight::Ordinary,
         };
-        serde_json::to_writer(&mut *buffer, &line)?;
-        buffer.write_all(b"\n")
+        sink.push(weight, line);
+        Ok(())
     });
     if builder.try_init().is_err() {
         log::debug!("logging was started before");
     }
+    Ok(Logs(sink))
 }
--- /dev/null
+++ b/crates/foxtailhold-logs/src/sink.rs
@@ -0,0 +1,154 @@
+//! Where lines go: a bounded queue that a thread empties, so that no request ever waits for a reader.
+
+use std::collections::VecDeque;
+use std::io::{self, Write};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Lines are written together so often: each write wakes a thread, and nobody reads logs faster.
+const FLUSH_MS: u64 = 50;
+/// A second's bytes may wait for a reader that has stopped, before lines are left out.
+const MOST_WAITING_S: u64 = 1;
+/// Share of the bytes a second that ordinary lines may use; the rest is for warnings and errors.
+const ORDINARY_SHARE: f64 = 0.8;
+
+/// How much a line matters when not all can be written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Weight {
+    /// Left out first.
+    Ordinary,
+    /// Warnings and errors.
+    Failure,
+}
+
+/// What was left out since the last summary.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct LeftOut {
+    /// Ordinary lines.
+    pub ordinary: u64,
+    /// Warnings and errors.
+    pub failures: u64,
+}
+
+/// A budget of bytes a second, with lines that wait to be written.
+#[derive(Debug)]
+pub struct LineQueue {
+    bytes_per_s: u64,
+    level_bytes: f64,
+    filled_at: Instant,
+    lines: VecDeque<Vec<u8>>,
+    waiting_bytes: u64,
+    left_out: LeftOut,
+}
+
+impl LineQueue {
+    /// An empty queue with a second's budget.
+    pub fn new(bytes_per_s: u64, now: Instant) -> Self {
+        LineQueue {
+            bytes_per_s,
+            level_bytes: bytes_per_s as f64,
+            filled_at: now,
+            lines: VecDeque::new(),
+            waiting_bytes: 0,
+            left_out: LeftOut::default(),
+        }
+    }
+
+    /// Takes a line, or leaves it out.
+    pub fn push(&mut self, now: Instant, weight: Weight, line: Vec<u8>) {
+        let rate = self.bytes_per_s as f64;
+        let elapsed_s = now.duration_since(self.filled_at).as_secs_f64();
+        self.level_bytes = (self.level_bytes + elapsed_s * rate).min(rate);
+        self.filled_at = now;
+        let length = line.len() as u64;
+        let reserved = match weight {
+            Weight::Ordinary => rate * (1.0 - ORDINARY_SHARE),
+            Weight::Failure => 0.0,
+        };
+        let has_budget = self.level_bytes - length as f64 >= reserved;
+        let has_room = self.waiting_bytes + length <= self.bytes_per_s * MOST_WAITING_S;
+        if !has_budget || !has_room {
+            match weight {
+                Weight::Ordinary => self.left_out.ordinary += 1,
+                Weight::Failure => self.left_out.failures += 1,
+            }
+            return;
+        }
+        self.level_bytes -= length as f64;
+        self.waiting_bytes += length;
+        self.lines.push_back(line);
+    }
+
+    /// All lines that wait, as one piece, and what was left out before them.
+    pub fn take(&mut self) -> (Vec<u8>, LeftOut) {
+        self.waiting_bytes = 0;
+        let lines = std::mem::take(&mut self.lines);
+        let bytes = lines.into_iter().flatten().collect();
+        (bytes, std::mem::take(&mut self.left_out))
+    }
+}
+
+/// Takes lines of the logger; cheap to clone.
+#[derive(Debug, Clone)]
+pub struct LineSink {
+    queue: Arc<Mutex<LineQueue>>,
+}
+
+impl LineSink {
+    /// Starts the thread that writes to `output`; `summary` words what was left out.
+    pub fn start<W: Write + Send + 'static>(
+        output: W,
+        bytes_per_s: u64,
+        summary: impl Fn(LeftOut) -> Vec<u8> + Send + 'static,
+    ) -> io::Result<Self> {
+        let sink = LineSink {
+            queue: Arc::new(Mutex::new(LineQueue::new(bytes_per_s, Instant::now()))),
+        };
+        let writer = sink.clone();
+        thread::Builder::new()
+            .name("logs".into())
+            .stack_size(64 << 10)
+            .spawn(move || writer.write_lines(output, &summary))?;
+        Ok(sink)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LineQueue> {
+        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes a line.
+    pub fn push(&self, weight: Weight, line: Vec<u8>) {
+        self.lock().push(Instant::now(), weight, line);
+    }
+
+    fn write_lines<W: Write>(&self, mut output: W, summary: &impl Fn(LeftOut) -> Vec<u8>) {
+        loop {
+            thread::sleep(Duration::from_millis(FLUSH_MS));
+            let (mut bytes, left_out) = self.lock().take();
+            if left_out != LeftOut::default() {
+                bytes.extend(summary(left_out));
+            }
+            if bytes.is_empty() {
+                continue;
+            }
+            // Without a reader there is nobody left to tell; the next lines may find one.
+            if output
+                .write_all(&bytes)
+                .and_then(|()| output.flush())
+                .is_err()
+            {
+                continue;
+            }
+        }
+    }
+
+    /// Waits until what was taken so far has been handed to the writer, at the end of a process.
+    pub fn close(self) {
+        let until = Instant::now() + Duration::from_millis(4 * FLUSH_MS);
+        while Instant::now() < until && !self.lock().lines.is_empty() {
+            thread::sleep(Duration::from_millis(FLUSH_MS / 5));
+        }
+        thread::sleep(Duration::from_millis(FLUSH_MS / 5));
+    }
+}
--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -108,6 +108,16 @@
         route.repeat.is_idempotent() && self.attempts < route.attempts.max(1)
     }
 
+    /// Until when the next backend server may be silent: shorter where another one can be tried.
+    fn patience_until(&self, route: &Route, patience_ms: u64) -> Instant {
+        let may_repeat = route.repeat.is_idempotent() && self.attempts + 1 < route.attempts.max(1);
+        if !may_repeat || patience_ms == 0 {
+            return self.until;
+        }
+        self.until
+            .min(Instant::now() + Duration::from_millis(patience_ms))
+    }
+
     fn unserved(&self, retry_after_ms: u64) -> Unserved {
         if self.attempts == 0 {
             return Unserved::NotRun { retry_after_ms };
@@ -238,16 +248,8 @@
         progress: &Progress,
         backend: &BackendServer,
     ) -> Result<Response<bytes::Bytes>, Miss> {
-        let may_repeat =
-            route.repeat.is_idempotent() && progress.attempts + 1 < route.attempts.max(1);
-        let patience_until = if may_repeat && route.objective_ms > 0 {
-            let patience_ms = route.objective_ms * WHOLE_PATIENCE_OBJECTIVES;
-            progress
-                .until
-                .min(Instant::now() + Duration::from_millis(patience_ms))
-        } else {
-            progress.until
-        };
+        let patience_ms = route.objective_ms * WHOLE_PATIENCE_OBJECTIVES;
+        let patience_until = progress.patience_until(route, patience_ms);
         let exchange = exchange(request, route, request.after_event);
         let (response, in_use) = exchange
             .send(
@@ -356,14 +358,7 @@
         backend: &BackendServer,
         place: &Place,
     ) -> Result<Opened, Miss> {
-        let may_repeat =
-            route.repeat.is_idempotent() && progress.attempts + 1 < route.attempts.max(1);
-        let patience_until = if may_repeat {
-            let patience = Duration::from_millis(FIRST_EVENT_PATIENCE_MS);
-            progress.until.min(Instant::now() + patience)
-        } else {
-            progress.until
-        };
+        let patience_until = progress.patience_until(route, FIRST_EVENT_PATIENCE_MS);
         let exchange = exchange(request, route, request.after_event);
         let (response, in_use) = exchange
             .send(
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -176,7 +176,7 @@
             jobs,
             identity,
             store,
-            peer_server: peer_server,
+            peer_server,
             backends_known,
             leaving,
             jobs_leave,
--- a/crates/foxtailhold-relay/src/plain.rs
+++ b/crates/foxtailhold-relay/src/plain.rs
@@ -15,6 +15,9 @@
 /// A told load counts for this time: load changes within a few requests' time.
 const TOLD_LOAD_MS: u64 = 200;
 
+/// Order of choice: not tried, has room, less busy, own availability zone.
+type Rank = (bool, bool, u32, bool);
+
 #[derive(Debug, Default)]
 struct Known {
     in_flight: u32,
@@ -44,7 +47,7 @@
     ) -> Option<Arc<BackendServer>> {
         let mut known = self.lock();
         let count = all.len();
-        let mut best: Option<((u32, bool, u32, bool), &Arc<BackendServer>)> = None;
+        let mut best: Option<(Rank, &Arc<BackendServer>)> = None;
         for step in 0..count {
             let backend = &all[(step + draw as usize % count) % count];
             let seen = known.entry(backend.id.clone()).or_default();
@@ -53,7 +56,7 @@
             let told_busy = told.map_or(0, |(_, load)| load.running + load.waiting);
             let busy = seen.in_flight.max(told_busy);
             let rank = (
-                u32::from(tried.contains(&backend.id)),
+                tried.contains(&backend.id),
                 busy >= limit.max(1) || limit == 0,
                 busy,
                 backend.zone != *own_zone,
--- a/crates/foxtailhold-standin/src/demo.rs
+++ b/crates/foxtailhold-standin/src/demo.rs
@@ -407,7 +407,7 @@
 /// Starts logging where `RUST_LOG` asks for it.
 fn init_logging() -> Result<()> {
     if std::env::var_os("RUST_LOG").is_some() {
-        logging::init(&InstanceId::try_from("demo")?);
+        logging::init(&InstanceId::try_from("demo")?, logging::Output::Stderr)?;
     }
     Ok(())
 }
--- a/crates/foxtailhold/tests/slots.rs
+++ b/crates/foxtailhold/tests/slots.rs
@@ -355,7 +355,15 @@
         release(&mut allocator, 900, number, Outcome::Silent);
     }
     let at_ms = 5_000;
-    granted(&mut allocator, at_ms, ask_of("entry-1", 3, Urgency::Batch, 9_000));
+    granted(
+        &mut allocator,
+        at_ms,
+        ask_of("entry-1", 3, Urgency::Batch, 9_000),
+    );
     release(&mut allocator, at_ms + 500, 3, DONE);
-    granted(&mut allocator, at_ms + 501, ask_of("entry-1", 4, Urgency::Batch, 9_000));
+    granted(
+        &mut allocator,
+        at_ms + 501,
+        ask_of("entry-1", 4, Urgency::Batch, 9_000),
+    );
 }
