--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -94,6 +94,8 @@
     pub peer_address: SocketAddr,
     /// Where it takes requests of callers.
     pub caller_address: SocketAddr,
+    /// Its share of a core, in thousandths.
+    pub core_permille: u32,
 }
 
 /// A running instance.
@@ -213,6 +215,7 @@
             peer_address: identity.peer_address,
             caller_address: identity.caller_address,
             zone: identity.zone.clone(),
+            core_permille: identity.core_permille,
             is_leaving,
         };
         let key = RowKey::new(INSTANCES_TABLE, identity.instance.as_str());
--- a/crates/foxtailhold-relay/src/jobs/accept.rs
+++ b/crates/foxtailhold-relay/src/jobs/accept.rs
@@ -8,13 +8,13 @@
 use tokio::time::Instant;
 
 use crate::dialect::Dialect;
-use crate::jobs::book::{JOB_PREFIX, KnownJob};
+use crate::jobs::book::{JOB_PREFIX, KnownJob, QuotaView, quota_view};
 use crate::jobs::{Job, JobError, Jobs, NewJob, QuotaRow, Result};
 
 /// Tries against others that change the same rows.
 const TRIES: u32 = 8;
 /// Time for the feed to bring the change that won.
-const CATCH_UP_MS: u64 = 300;
+const CATCH_UP_MS: u64 = 500;
 /// A commit without an answer is looked for so long; later it counts as not known.
 const SETTLE_MS: u64 = 1_500;
 /// Pause between two looks.
@@ -33,6 +33,29 @@
     Before,
 }
 
+fn check_quota(
+    view: &QuotaView,
+    bounds: BatchBounds,
+    new_tokens: u64,
+) -> Result<Option<(u64, QuotaRow)>> {
+    let quota_tokens = bounds.quota_tokens;
+    if quota_tokens == 0 {
+        return Ok(None);
+    }
+    let waiting_tokens = view.most_waiting_tokens();
+    if waiting_tokens + new_tokens > quota_tokens {
+        return Err(JobError::OverQuota {
+            waiting_tokens,
+            new_tokens,
+            quota_tokens,
+        });
+    }
+    let row = QuotaRow {
+        waiting_tokens: waiting_tokens + new_tokens,
+    };
+    Ok(Some((view.version, row)))
+}
+
 fn is_job(row: &VersionedRow) -> bool {
     row.key.key.starts_with(JOB_PREFIX)
 }
@@ -49,11 +72,12 @@
             return Ok(Accepted::Before);
         }
         let new_tokens: u64 = new.items.iter().map(|item| item.tokens).sum();
-        self.check_quota(route, bounds, new_tokens)?;
+        check_quota(&self.book.quota(&route.name), bounds, new_tokens)?;
         let bodies = self.store.put_bodies(new).await?;
         let job = self.row(route, bounds, new);
+        let mut newer: Option<QuotaView> = None;
         for _ in 0..TRIES {
-            let quota = self.check_quota(route, bounds, new_tokens)?;
+            let quota = self.quota_for(route, bounds, new_tokens, newer).await?;
             let accepted = self.store.accept(&new.id, &job, &bodies, quota).await;
             match accepted {
                 Ok(Committed::At(version)) => {
@@ -61,15 +85,15 @@
                     return Ok(Accepted::New);
                 }
                 Ok(Committed::Conflict(rows)) => {
-                    // The quota's row is taken from the feed only, together with the job that was
-                    // accepted with it: ahead of that job the count would be too low.
+                    // The quota's row goes into the book by the feed only, together with the job
+                    // that was accepted with it: ahead of that job the count would be too low.
                     for row in rows.iter().filter(|row| is_job(row)) {
                         self.book.put_row(row);
                     }
                     if self.book.get(&new.id).is_some() {
                         return Ok(Accepted::Before);
                     }
-                    self.catch_up().await;
+                    newer = rows.iter().find_map(quota_view);
                 }
                 Err(JobError::Unknown(error)) => {
                     return match self.look_for(&new.id).await {
@@ -104,28 +128,24 @@
         }
     }
 
-    fn check_quota(
+    /// The row that the commit replaces and the new one. Where another acceptance came first, its row
+    /// tells enough as long as the job fits by it; else the job that came with it must be known.
+    async fn quota_for(
         &self,
         route: &Route,
         bounds: BatchBounds,
         new_tokens: u64,
+        newer: Option<QuotaView>,
     ) -> Result<Option<(u64, QuotaRow)>> {
-        let quota_tokens = bounds.quota_tokens;
-        if quota_tokens == 0 {
-            return Ok(None);
-        }
-        let (version, waiting_tokens) = self.book.quota(&route.name);
-        if waiting_tokens + new_tokens > quota_tokens {
-            return Err(JobError::OverQuota {
-                waiting_tokens,
-                new_tokens,
-                quota_tokens,
-            });
+        let mut view = self.book.quota(&route.name);
+        if let Some(newer) = newer.filter(|newer| newer.version > view.version) {
+            if let Ok(quota) = check_quota(&newer, bounds, new_tokens) {
+                return Ok(quota);
+            }
+            self.catch_up().await;
+            view = self.book.quota(&route.name);
         }
-        let row = QuotaRow {
-            waiting_tokens: waiting_tokens + new_tokens,
-        };
-        Ok(Some((version, row)))
+        check_quota(&view, bounds, new_tokens)
     }
 
     async fn catch_up(&self) {
--- a/crates/foxtailhold-relay/src/jobs/book.rs
+++ b/crates/foxtailhold-relay/src/jobs/book.rs
@@ -70,6 +70,35 @@
     pub version: u64,
 }
 
+/// A route's quota as one instance knows it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct QuotaView {
+    /// Version of the row, 0 where there is none.
+    pub version: u64,
+    /// The row.
+    pub row: QuotaRow,
+    /// Tokens that wait now; `None` where the job accepted with the row is not known yet.
+    pub waiting_tokens: Option<u64>,
+}
+
+impl QuotaView {
+    /// Tokens that wait, never too few: after an acceptance they only become fewer until the next.
+    pub fn most_waiting_tokens(&self) -> u64 {
+        self.waiting_tokens.unwrap_or(self.row.waiting_tokens)
+    }
+}
+
+/// Reads a quota's row, from a conflict's answer.
+pub fn quota_view(row: &VersionedRow) -> Option<QuotaView> {
+    row.key.key.strip_prefix(QUOTA_PREFIX)?;
+    let value = row.value.as_deref()?;
+    Some(QuotaView {
+        version: row.version,
+        row: serde_json::from_slice(value).ok()?,
+        waiting_tokens: None,
+    })
+}
+
 #[derive(Debug, Default)]
 struct Known {
     jobs: HashMap<JobId, KnownJob>,
@@ -116,12 +145,16 @@
         self.lock().is_read
     }
 
-    /// Version of the quota's row of a route, 0 where there is none, and the tokens that wait.
-    pub fn quota(&self, route: &str) -> (u64, u64) {
+    /// The row that serializes acceptances of a route, and the tokens that wait as of that row.
+    pub fn quota(&self, route: &str) -> QuotaView {
         let known = self.lock();
-        let version = known.quotas.get(route).map_or(0, |(version, _)| *version);
+        let (version, row) = known.quotas.get(route).copied().unwrap_or_default();
         let jobs = known.jobs.values().filter(|known| known.job.route == route);
-        (version, jobs.map(|known| known.job.waiting_tokens()).sum())
+        QuotaView {
+            version,
+            row,
+            waiting_tokens: Some(jobs.map(|known| known.job.waiting_tokens()).sum()),
+        }
     }
 
     /// Wakes at each change.
--- a/crates/foxtailhold-relay/src/jobs/store.rs
+++ b/crates/foxtailhold-relay/src/jobs/store.rs
@@ -24,10 +24,10 @@
 /// Jobs whose bodies stay in memory: those that arrived last, most of which run now.
 const KEPT_BODIES: usize = 12;
 
-/// A quota's row: only its version matters, which serializes acceptances of a route.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+/// A quota's row. Its version serializes the acceptances of a route.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct QuotaRow {
-    /// Tokens that waited at the last acceptance.
+    /// Tokens that waited right after the last acceptance, or more.
     pub waiting_tokens: u64,
 }
 
--- a/crates/foxtailhold-relay/src/peers/members.rs
+++ b/crates/foxtailhold-relay/src/peers/members.rs
@@ -7,12 +7,17 @@
 use foxtailhold::time::MonoMs;
 use serde::{Deserialize, Serialize};
 
-/// Pause between two reports to the senior instances.
-pub const REPORT_MS: u64 = 250;
-/// An instance that is not heard of for this time, three reports and their flight, is down.
-pub const HEARD_MS: u64 = 900;
-/// A senior instance that does not answer for this time is passed over.
-const UNANSWERED_MS: u64 = 600;
+use crate::peers::message::ShortName;
+
+/// Shortest and longest pause between two reports to the senior instances.
+const REPORT_MS: (u64, u64) = (250, 500);
+/// Instances up to which reports come at the shortest pause: a senior instance then takes some 100
+/// of them a second, in a hundredth of a core.
+const REPORT_INSTANCES: u64 = 24;
+/// An instance that is not heard of for so many reports, in tenths, is down.
+const HEARD_TENTHS: u64 = 36;
+/// A senior instance that does not answer for so many reports, in tenths, is passed over.
+const UNANSWERED_TENTHS: u64 = 24;
 /// It is tried again after this time.
 const SILENT_MS: u64 = 1_500;
 /// Instances that keep the places in use: one grants, the others stand by.
@@ -29,6 +34,8 @@
     pub caller_address: SocketAddr,
     /// Its availability zone.
     pub zone: AvailabilityZone,
+    /// Its share of a core, in thousandths.
+    pub core_permille: u32,
     /// Whether it is being stopped.
     pub is_leaving: bool,
 }
@@ -42,7 +49,7 @@
     heard: HashMap<InstanceId, MonoMs>,
     unanswered_since: HashMap<InstanceId, MonoMs>,
     silent_until: HashMap<InstanceId, MonoMs>,
-    told_live: HashMap<InstanceId, (MonoMs, Vec<InstanceId>)>,
+    told_live: HashMap<InstanceId, (MonoMs, Vec<ShortName>)>,
     down_since: HashMap<InstanceId, MonoMs>,
     /// Instances whose address another one has.
     replaced: HashSet<InstanceId>,
@@ -117,7 +124,7 @@
     }
 
     /// Takes a senior's list of who lives.
-    pub fn told(&mut self, now: MonoMs, from: &InstanceId, live: Vec<InstanceId>) {
+    pub fn told(&mut self, now: MonoMs, from: &InstanceId, live: Vec<ShortName>) {
         self.told_live.insert(from.clone(), (now, live));
     }
 
@@ -127,9 +134,19 @@
         self.heard.remove(instance);
     }
 
+    /// Pause between two reports: the more instances, the longer.
+    pub fn report_ms(&self) -> u64 {
+        let instances = self.rows.len() as u64;
+        (REPORT_MS.0 * instances / REPORT_INSTANCES).clamp(REPORT_MS.0, REPORT_MS.1)
+    }
+
+    fn heard_ms(&self) -> u64 {
+        self.report_ms() * HEARD_TENTHS / 10
+    }
+
     fn is_heard(&self, now: MonoMs, instance: &InstanceId) -> bool {
         let heard = self.heard.get(instance);
-        heard.is_some_and(|at| now.since_ms(*at) < HEARD_MS)
+        heard.is_some_and(|at| now.since_ms(*at) < self.heard_ms())
     }
 
     fn is_silent(&self, now: MonoMs, instance: &InstanceId) -> bool {
@@ -140,7 +157,7 @@
 
     /// Who grants places, by this instance's view; `None`: this instance itself.
     pub fn allocator(&self, now: MonoMs) -> Option<&Member> {
-        for member in self.staying() {
+        for member in self.by_seniority() {
             if member.instance == self.me {
                 return None;
             }
@@ -151,6 +168,14 @@
         None
     }
 
+    /// Those with more of a core first, then the older ones: granting places takes time, and should
+    /// change hands rarely.
+    fn by_seniority(&self) -> Vec<&Member> {
+        let mut staying: Vec<&Member> = self.staying().collect();
+        staying.sort_by_key(|member| std::cmp::Reverse(member.core_permille));
+        staying
+    }
+
     fn staying(&self) -> impl Iterator<Item = &Member> {
         self.rows.values().filter(|member| !member.is_leaving)
     }
@@ -158,8 +183,9 @@
     /// To whom a report goes now; one that never answers is passed over for a while.
     pub fn report_to(&mut self, now: MonoMs) -> Vec<SocketAddr> {
         let mut chosen = Vec::new();
-        let staying: Vec<Member> = self.staying().cloned().collect();
-        for member in staying {
+        let senior: Vec<Member> = self.by_seniority().into_iter().cloned().collect();
+        let unanswered_ms = self.report_ms() * UNANSWERED_TENTHS / 10;
+        for member in senior {
             if chosen.len() >= SENIORS {
                 break;
             }
@@ -172,7 +198,7 @@
             }
             let since = self.unanswered_since.entry(member.instance.clone());
             let since = *since.or_insert(now);
-            if now.since_ms(since) > UNANSWERED_MS {
+            if now.since_ms(since) > unanswered_ms {
                 self.unanswered_since.remove(&member.instance);
                 self.silent_until
                     .insert(member.instance.clone(), now + SILENT_MS);
@@ -184,24 +210,25 @@
     }
 
     /// Those heard of lately, for the answer to a report.
-    pub fn reporting(&self, now: MonoMs) -> Vec<InstanceId> {
+    pub fn reporting(&self, now: MonoMs) -> Vec<ShortName> {
         let heard = self.heard.keys().filter(|id| self.is_heard(now, id));
-        let mut live: Vec<InstanceId> = heard.cloned().collect();
-        live.push(self.me.clone());
+        let mut live: Vec<ShortName> = heard.map(ShortName::from).collect();
+        live.push(ShortName::from(&self.me));
         live
     }
 
-    fn live_set(&self, now: MonoMs) -> HashSet<&InstanceId> {
+    fn live_set(&self, now: MonoMs) -> HashSet<ShortName> {
         let told = self.told_live.values();
-        let fresh = told.filter(|(at, _)| now.since_ms(*at) < HEARD_MS);
-        let mut live: HashSet<&InstanceId> = fresh.flat_map(|(_, live)| live).collect();
-        live.extend(self.heard.keys().filter(|id| self.is_heard(now, id)));
+        let fresh = told.filter(|(at, _)| now.since_ms(*at) < self.heard_ms());
+        let mut live: HashSet<ShortName> = fresh.flat_map(|(_, live)| live).copied().collect();
+        let heard = self.heard.keys().filter(|id| self.is_heard(now, id));
+        live.extend(heard.map(ShortName::from));
         live
     }
 
     /// Instances that are heard of, directly or through a senior instance.
-    pub fn heard_or_told(&self, now: MonoMs) -> HashSet<InstanceId> {
-        self.live_set(now).into_iter().cloned().collect()
+    pub fn heard_or_told(&self, now: MonoMs) -> HashSet<ShortName> {
+        self.live_set(now)
     }
 
     /// Instances that live and stay, this one included unless it is leaving; all that have a row
@@ -210,7 +237,9 @@
         let live = self.live_set(now);
         let knows_nobody = live.is_empty();
         let is_live = |member: &&Member| {
-            knows_nobody || member.instance == self.me || live.contains(&member.instance)
+            knows_nobody
+                || member.instance == self.me
+                || live.contains(&ShortName::from(&member.instance))
         };
         self.staying().filter(is_live).collect()
     }
@@ -238,7 +267,7 @@
         if self.replaced.contains(instance) {
             return true;
         }
-        if self.live_set(now).contains(instance) || *instance == self.me {
+        if self.live_set(now).contains(&ShortName::from(instance)) || *instance == self.me {
             self.down_since.remove(instance);
             return false;
         }
--- a/crates/foxtailhold-relay/src/peers/message.rs
+++ b/crates/foxtailhold-relay/src/peers/message.rs
@@ -6,10 +6,21 @@
 use foxtailhold::ids::{InstanceId, TargetName};
 use foxtailhold::slots::{Ask, AskId, Held, Outcome, Verdict};
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Largest datagram, below what one UDP packet carries.
 pub const MAX_DATAGRAM_BYTES: usize = 60_000;
 
+/// A hash of an instance's identity: lists of hundreds of instances are sent often.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct ShortName(u32);
+
+impl From<&InstanceId> for ShortName {
+    fn from(instance: &InstanceId) -> Self {
+        ShortName(xxh3_64(instance.as_str().as_bytes()) as u32)
+    }
+}
+
 /// One message.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -47,7 +58,7 @@
     Live {
         /// Who says so.
         instance: InstanceId,
-        /// The instances that live.
-        live: Vec<InstanceId>,
+        /// Short names of the instances that live.
+        live: Vec<ShortName>,
     },
 }
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -24,8 +24,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
-use members::REPORT_MS;
-use message::MAX_DATAGRAM_BYTES;
+use message::{MAX_DATAGRAM_BYTES, ShortName};
 
 /// A place in use by this instance.
 #[derive(Debug)]
@@ -141,11 +140,14 @@
                 held,
             };
             self.free_lapsed(now);
-            let addresses = self.members().report_to(now);
+            let (addresses, pause_ms) = {
+                let mut members = self.members();
+                (members.report_to(now), members.report_ms())
+            };
             for address in addresses {
                 self.send(address, &report);
             }
-            tokio::time::sleep(Duration::from_millis(REPORT_MS)).await;
+            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         }
     }
 
@@ -229,7 +231,9 @@
     fn free_lapsed(&self, now: MonoMs) {
         let live = self.members().heard_or_told(now);
         let mut decisions = Vec::new();
-        let lives = |instance: &InstanceId| *instance == self.inner.me || live.contains(instance);
+        let lives = |instance: &InstanceId| {
+            *instance == self.inner.me || live.contains(&ShortName::from(instance))
+        };
         lock(&self.inner.allocator).keep_only(now, lives, &mut decisions);
         self.spread(decisions);
     }
--- a/crates/foxtailhold-relay/src/peers/place.rs
+++ b/crates/foxtailhold-relay/src/peers/place.rs
@@ -19,8 +19,10 @@
 const ANSWER_MS: u64 = 40;
 /// Asks without an answer after which the next instance is asked.
 const TRIES: u32 = 2;
-/// Who waits asks again after this time, in case that the grant was lost.
+/// An online request that waits asks again after this time, in case that the grant was lost.
 const REPEAT_MS: u64 = 100;
+/// A batch item that waits does so more rarely: hundreds of them may wait, and have time.
+const REPEAT_BATCH_MS: u64 = 1_000;
 
 /// Why there is no place. The request has not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
@@ -194,6 +196,10 @@
         until: Instant,
         verdicts: &mut mpsc::UnboundedReceiver<Verdict>,
     ) -> Result<Verdict> {
+        let repeat_ms = match ask.urgency {
+            Urgency::Online { .. } => REPEAT_MS,
+            Urgency::Batch => REPEAT_BATCH_MS,
+        };
         let mut unanswered = 0;
         let mut asked: Option<SocketAddr> = None;
         loop {
@@ -211,13 +217,13 @@
                     verdict => return Ok(verdict),
                 },
             }
-            let wait_ms = if is_queued { REPEAT_MS } else { ANSWER_MS };
+            let wait_ms = if is_queued { repeat_ms } else { ANSWER_MS };
             let mut next = Instant::now() + Duration::from_millis(wait_ms);
             loop {
                 match tokio::time::timeout_at(next.min(until), verdicts.recv()).await {
                     Ok(Some(Verdict::Queued)) => {
                         is_queued = true;
-                        next = Instant::now() + Duration::from_millis(REPEAT_MS);
+                        next = Instant::now() + Duration::from_millis(repeat_ms);
                     }
                     Ok(Some(verdict)) => return Ok(verdict),
                     Ok(None) => return Err(NoPlace::TimedOut),
--- a/crates/foxtailhold/src/slots/pool.rs
+++ b/crates/foxtailhold/src/slots/pool.rs
@@ -7,11 +7,13 @@
 use crate::slots::{Ask, AskId, Decision, Held, Outcome, Places, Urgency, Verdict};
 use crate::time::MonoMs;
 
-/// A grant that its instance does not report is taken back after this time: two reports, and the
-/// flight of the grant.
-pub const UNCONFIRMED_MS: u64 = 700;
-/// Who waits asks again every 100 ms; after four missed ones it is taken as gone.
+/// A grant that its instance does not report is taken back after this time: two reports of many
+/// instances, and the flight of the grant.
+pub const UNCONFIRMED_MS: u64 = 1_200;
+/// An online request that waits asks again every 100 ms; after four missed ones it is taken as gone.
 pub const FORGOTTEN_MS: u64 = 450;
+/// The same for a batch item, which asks again every second.
+pub const FORGOTTEN_BATCH_MS: u64 = 2_600;
 /// A request that hears nothing for this time speaks against its backend server: over the longest
 /// time to a first event and many times a step.
 pub const QUIET_MS: u64 = 700;
@@ -213,8 +215,13 @@
 
     /// Hands out what is free, and asks batch items to give way.
     pub fn decide(&mut self, now: MonoMs, decisions: &mut Vec<Decision>) {
-        self.waiting
-            .retain(|waiting| now.since_ms(waiting.seen_at) < FORGOTTEN_MS);
+        self.waiting.retain(|waiting| {
+            let forgotten_ms = match waiting.ask.urgency {
+                Urgency::Online { .. } => FORGOTTEN_MS,
+                Urgency::Batch => FORGOTTEN_BATCH_MS,
+            };
+            now.since_ms(waiting.seen_at) < forgotten_ms
+        });
         while let Some(first) = self.arrivals.front() {
             if now.since_ms(*first) <= ARRIVALS_MS {
                 break;
