--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -74,6 +74,10 @@
     pub not_run: u32,
     /// Until when it must be answered.
     pub until: Instant,
+    /// Who answered.
+    pub served_by: Option<BackendId>,
+    /// Time spent waiting for places.
+    pub waited_ms: u64,
 }
 
 impl Progress {
@@ -90,6 +94,8 @@
             attempts: 0,
             not_run: 0,
             until: request.received + Duration::from_millis(left_ms),
+            served_by: None,
+            waited_ms: 0,
         }
     }
 
@@ -180,11 +186,25 @@
         };
         let took_ms = received.elapsed().as_millis() as u64;
         self.metrics.answered(&route.name, outcome, took_ms);
+        let retry_after_ms = match answer {
+            Answer::Unserved(Unserved::NotRun { retry_after_ms }) => Some(*retry_after_ms),
+            _ => None,
+        };
+        let now = self.clock.mono();
+        let allocator = self
+            .peers
+            .members()
+            .allocator(now)
+            .map(|m| m.instance.clone());
         log::info!(
             request = id,
             route = route.name.as_str(),
             outcome = outcome,
             took_ms = took_ms,
+            waited_ms = progress.waited_ms,
+            backend = progress.served_by.as_ref().map(BackendId::as_str),
+            retry_after_ms = retry_after_ms,
+            allocator = allocator.as_ref().map_or("self", |instance| instance.as_str()),
             attempts = progress.attempts,
             not_run = progress.not_run,
             missed = progress.tried.iter().map(BackendId::as_str).collect::<Vec<_>>().join(","),
@@ -228,6 +248,7 @@
                     let is_final = !response.status().is_server_error()
                         || !progress.may_go_on(Miss::Broken, &backend.id, route);
                     if is_final {
+                        progress.served_by = Some(backend.id.clone());
                         return self.passed_on(response.map(body::whole));
                     }
                 }
@@ -296,6 +317,7 @@
     ) -> Answer {
         loop {
             let spent_ms = request.received.elapsed().as_millis() as u64;
+            let asked = Instant::now();
             let (place, backend) = {
                 let query = PlaceQuery {
                     pool: service,
@@ -306,7 +328,9 @@
                     avoid: &progress.tried,
                     until: progress.until,
                 };
-                match self.place(&query).await {
+                let found = self.place(&query).await;
+                progress.waited_ms += asked.elapsed().as_millis() as u64;
+                match found {
                     Ok(found) => found,
                     Err(NoPlace::Refused { retry_after_ms }) => {
                         return Answer::Unserved(progress.unserved(retry_after_ms));
@@ -317,6 +341,7 @@
                 }
             };
             let begun = Instant::now();
+            progress.served_by = Some(backend.id.clone());
             let opened = self.open(route, &request, progress, &backend, &place).await;
             match opened {
                 Ok(Opened::Whole(response)) => {
@@ -342,6 +367,7 @@
                 }
                 Err(miss) => {
                     place.close(miss.outcome());
+                    progress.served_by = None;
                     if !progress.may_go_on(miss, &backend.id, route) {
                         return Answer::Unserved(progress.unserved(PLAIN_RETRY_AFTER_MS));
                     }
