--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -5,7 +5,7 @@
 mod place;
 
 pub use members::{Member, Members};
-pub use message::PeerMessage;
+pub use message::{PeerMessage, ShortName};
 pub use place::{NoPlace, Place, PlaceQuery};
 
 use std::collections::HashMap;
@@ -24,7 +24,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
-use message::{MAX_DATAGRAM_BYTES, ShortName};
+use message::MAX_DATAGRAM_BYTES;
 
 /// A place in use by this instance.
 #[derive(Debug)]
--- /dev/null
+++ b/crates/foxtailhold-relay/tests/members.rs
@@ -0,0 +1,171 @@
+//! Who exists, who lives, who grants places.
+
+use std::net::SocketAddr;
+
+use foxtailhold::ids::{AvailabilityZone, InstanceId};
+use foxtailhold::time::MonoMs;
+use foxtailhold_relay::peers::{Member, Members, ShortName};
+use test_case::test_case;
+
+fn id(name: &str) -> InstanceId {
+    InstanceId::try_from(name).unwrap()
+}
+
+fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], number))
+}
+
+fn member(name: &str, number: u16) -> Member {
+    Member {
+        instance: id(name),
+        peer_address: address(number),
+        caller_address: address(1_000 + number),
+        zone: AvailabilityZone::try_from("a").unwrap(),
+        core_permille: 500,
+        is_leaving: false,
+    }
+}
+
+/// Instances `i1` to `i5`, the oldest first, seen by `i3`.
+fn five() -> Members {
+    let mut members = Members::new(id("i3"));
+    for number in 1..=5 {
+        members.put(u64::from(number), member(&format!("i{number}"), number));
+    }
+    members
+}
+
+fn allocator(members: &Members, at_ms: u64) -> Option<String> {
+    let allocator = members.allocator(MonoMs(at_ms));
+    allocator.map(|member| member.instance.to_string())
+}
+
+fn live(members: &Members, at_ms: u64) -> Vec<String> {
+    let live = members.live(MonoMs(at_ms));
+    live.iter()
+        .map(|member| member.instance.to_string())
+        .collect()
+}
+
+#[test]
+fn who_hears_nobody_grants_for_itself_and_takes_all_rows_for_live() {
+    let members = five();
+    assert_eq!(allocator(&members, 0), None);
+    assert_eq!(live(&members, 0).len(), 5);
+}
+
+#[test]
+fn the_oldest_that_is_heard_grants() {
+    let mut members = five();
+    members.heard(MonoMs(0), &id("i2"));
+    assert_eq!(allocator(&members, 100).as_deref(), Some("i2"));
+    members.heard(MonoMs(100), &id("i1"));
+    assert_eq!(allocator(&members, 200).as_deref(), Some("i1"));
+    members.heard(MonoMs(200), &id("i5"));
+    assert_eq!(allocator(&members, 300).as_deref(), Some("i1"));
+}
+
+#[test]
+fn more_of_a_core_goes_before_age() {
+    let mut members = five();
+    let large = Member {
+        core_permille: 1_000,
+        ..member("i6", 6)
+    };
+    members.put(6, large);
+    members.heard(MonoMs(0), &id("i1"));
+    members.heard(MonoMs(0), &id("i6"));
+    assert_eq!(allocator(&members, 100).as_deref(), Some("i6"));
+}
+
+#[test]
+fn one_that_does_not_answer_is_passed_over_until_it_is_heard_again() {
+    let mut members = five();
+    members.heard(MonoMs(0), &id("i1"));
+    members.heard(MonoMs(0), &id("i2"));
+    members.missed(MonoMs(50), &id("i1"));
+    assert_eq!(allocator(&members, 60).as_deref(), Some("i2"));
+    members.heard(MonoMs(70), &id("i1"));
+    assert_eq!(allocator(&members, 80).as_deref(), Some("i1"));
+}
+
+#[test]
+fn a_silent_one_is_down_after_some_reports() {
+    let mut members = five();
+    members.heard(MonoMs(0), &id("i1"));
+    members.heard(MonoMs(0), &id("i4"));
+    members.heard(MonoMs(1_000), &id("i4"));
+    assert_eq!(live(&members, 1_100), ["i3", "i4"]);
+    assert!(!members.is_down(MonoMs(1_100), &id("i1"), 1_200));
+    members.heard(MonoMs(2_000), &id("i4"));
+    assert!(members.is_down(MonoMs(2_400), &id("i1"), 1_200));
+    members.heard(MonoMs(2_500), &id("i1"));
+    assert!(!members.is_down(MonoMs(2_600), &id("i1"), 1_200));
+}
+
+#[test]
+fn one_that_a_senior_hears_lives() {
+    let mut members = five();
+    members.heard(MonoMs(0), &id("i1"));
+    let told = ["i1", "i3", "i5"].map(|name| ShortName::from(&id(name)));
+    members.told(MonoMs(0), &id("i1"), told.to_vec());
+    assert_eq!(live(&members, 100), ["i1", "i3", "i5"]);
+}
+
+#[test]
+fn a_leaving_one_is_not_for_callers_and_grants_nothing() {
+    let mut members = five();
+    members.heard(MonoMs(0), &id("i1"));
+    members.heard(MonoMs(0), &id("i2"));
+    let leaving = Member {
+        is_leaving: true,
+        ..member("i1", 1)
+    };
+    members.put(9, leaving);
+    assert_eq!(allocator(&members, 10).as_deref(), Some("i2"));
+    assert!(!live(&members, 10).contains(&"i1".to_owned()));
+    assert!(!members.is_down(MonoMs(10), &id("i1"), 0), "it still works");
+}
+
+#[test_case(true ; "the old row comes first")]
+#[test_case(false ; "the old row comes last")]
+fn a_restarted_instance_replaces_its_earlier_start(in_order: bool) {
+    let mut members = Members::new(id("me"));
+    let rows = [(3, member("old", 1)), (8, member("new", 1))];
+    let (first, second) = if in_order { (0, 1) } else { (1, 0) };
+    for index in [first, second] {
+        let (version, member) = rows[index].clone();
+        members.put(version, member);
+    }
+    assert_eq!(members.count(), 1);
+    assert_eq!(members.address(&id("new")), Some(address(1)));
+    assert_eq!(members.address(&id("old")), None);
+}
+
+#[test]
+fn the_replaced_start_is_down_at_once() {
+    let mut members = five();
+    members.put(9, member("i1-again", 1));
+    assert!(members.is_down(MonoMs(0), &id("i1"), 60_000));
+}
+
+#[test]
+fn reports_go_to_three_and_pass_over_who_never_answers() {
+    let mut members = five();
+    assert_eq!(members.report_to(MonoMs(0)), [address(1), address(2)]);
+    members.heard(MonoMs(10), &id("i2"));
+    assert_eq!(members.report_to(MonoMs(700)), [address(2), address(4)]);
+    members.heard(MonoMs(710), &id("i2"));
+    members.heard(MonoMs(710), &id("i1"));
+    assert_eq!(members.report_to(MonoMs(720)), [address(1), address(2)]);
+}
+
+#[test]
+fn many_instances_report_more_rarely() {
+    let mut members = Members::new(id("me"));
+    assert_eq!(members.report_ms(), 250);
+    for number in 0..90 {
+        members.put(u64::from(number) + 1, member(&format!("i{number}"), number));
+    }
+    assert_eq!(members.report_ms(), 500);
+}
