--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -244,9 +244,13 @@
                     if let Some(load) = load {
                         self.plain.told(self.clock.mono(), &backend.id, load);
                     }
-                    counted.outcome = Outcome::Done { held_ms: 0 };
-                    let is_final = !response.status().is_server_error()
-                        || !progress.may_go_on(Miss::Broken, &backend.id, route);
+                    let has_failed = response.status().is_server_error();
+                    counted.outcome = match has_failed {
+                        true => Outcome::Broken,
+                        false => Outcome::Done { held_ms: 0 },
+                    };
+                    let is_final =
+                        !has_failed || !progress.may_go_on(Miss::Broken, &backend.id, route);
                     if is_final {
                         progress.served_by = Some(backend.id.clone());
                         return self.passed_on(response.map(body::whole));
@@ -345,9 +349,16 @@
             let opened = self.open(route, &request, progress, &backend, &place).await;
             match opened {
                 Ok(Opened::Whole(response)) => {
-                    place.close(Outcome::Done {
-                        held_ms: begun.elapsed().as_millis() as u64,
+                    let has_failed = response.status().is_server_error();
+                    place.close(match has_failed {
+                        true => Outcome::Broken,
+                        false => Outcome::Done {
+                            held_ms: begun.elapsed().as_millis() as u64,
+                        },
                     });
+                    if has_failed && progress.may_go_on(Miss::Broken, &backend.id, route) {
+                        continue;
+                    }
                     return self.passed_on(response.map(body::whole));
                 }
                 Ok(Opened::Stream(head, reader, first)) => {
--- a/crates/foxtailhold-relay/src/peers/members.rs
+++ b/crates/foxtailhold-relay/src/peers/members.rs
@@ -10,12 +10,12 @@
 use crate::peers::message::ShortName;
 
 /// Shortest and longest pause between two reports to the senior instances.
-const REPORT_MS: (u64, u64) = (250, 500);
+const REPORT_MS: (u64, u64) = (250, 400);
 /// Instances up to which reports come at the shortest pause: a senior instance then takes some 100
 /// of them a second, in a hundredth of a core.
 const REPORT_INSTANCES: u64 = 24;
 /// An instance that is not heard of for so many reports, in tenths, is down.
-const HEARD_TENTHS: u64 = 36;
+const HEARD_TENTHS: u64 = 28;
 /// A senior instance that does not answer for so many reports, in tenths, is passed over.
 const UNANSWERED_TENTHS: u64 = 24;
 /// It is tried again after this time.
@@ -226,9 +226,13 @@
         live
     }
 
-    /// Instances that are heard of, directly or through a senior instance.
+    /// Instances that are heard of, directly or through a senior instance, and not replaced.
     pub fn heard_or_told(&self, now: MonoMs) -> HashSet<ShortName> {
-        self.live_set(now)
+        let mut live = self.live_set(now);
+        for replaced in &self.replaced {
+            live.remove(&ShortName::from(replaced));
+        }
+        live
     }
 
     /// Instances that live and stay, this one included unless it is leaving; all that have a row
--- a/crates/foxtailhold-relay/tests/members.rs
+++ b/crates/foxtailhold-relay/tests/members.rs
@@ -167,5 +167,5 @@
     for number in 0..90 {
         members.put(u64::from(number) + 1, member(&format!("i{number}"), number));
     }
-    assert_eq!(members.report_ms(), 500);
+    assert_eq!(members.report_ms(), 400);
 }
--- a/crates/foxtailhold/src/slots/pool.rs
+++ b/crates/foxtailhold/src/slots/pool.rs
@@ -9,7 +9,7 @@
 
 /// A grant that its instance does not report is taken back after this time: two reports of many
 /// instances, and the flight of the grant.
-pub const UNCONFIRMED_MS: u64 = 1_200;
+pub const UNCONFIRMED_MS: u64 = 900;
 /// An online request that waits asks again every 100 ms; after four missed ones it is taken as gone.
 pub const FORGOTTEN_MS: u64 = 450;
 /// The same for a batch item, which asks again every second.
--- a/crates/foxtailhold/src/slots/trouble.rs
+++ b/crates/foxtailhold/src/slots/trouble.rs
@@ -7,6 +7,14 @@
 /// Broken answers in a row after which a backend server is set aside. One alone is usual on a
 /// fleet that loses a few answers in a hundred, and setting aside costs all its places.
 pub const BROKEN_IN_A_ROW: u32 = 3;
+/// Weight of the newest answer in the running share of broken ones.
+const SHARE_WEIGHT: f64 = 0.2;
+/// A backend server whose running share of broken answers is over this is set aside: two broken ones
+/// of a few reach it, one in forty does not.
+const MOST_BROKEN_SHARE: f64 = 0.35;
+/// A share of broken answers takes so many times that share of its places, until it has served well
+/// for a while: one that fails half of its requests must not get all of them back with its first success.
+const PLACES_PER_SHARE: f64 = 2.0;
 /// After saying that it is full a backend server gets nothing new for this time, about two requests
 /// of a step each.
 pub const FULL_MS: u64 = 40;
@@ -18,6 +26,7 @@
 pub struct Trouble {
     breaker: Breaker,
     broken: u32,
+    broken_share: f64,
     full_until: MonoMs,
 }
 
@@ -27,13 +36,15 @@
         match outcome {
             Outcome::Done { .. } => {
                 self.broken = 0;
+                self.broken_share *= 1.0 - SHARE_WEIGHT;
                 self.breaker.succeeded();
             }
             Outcome::Full => self.full_until = now + FULL_MS,
             Outcome::Unreachable | Outcome::Silent => self.set_aside(now, draw),
             Outcome::Broken => {
                 self.broken += 1;
-                if self.broken >= BROKEN_IN_A_ROW {
+                self.broken_share += SHARE_WEIGHT * (1.0 - self.broken_share);
+                if self.broken >= BROKEN_IN_A_ROW || self.broken_share > MOST_BROKEN_SHARE {
                     self.set_aside(now, draw);
                 }
             }
@@ -53,13 +64,20 @@
         self.breaker.failed(now, draw);
     }
 
+    /// The places that its answers of late have earned, at least one.
+    fn trusted(&self, slots: u32) -> u32 {
+        let kept_share = 1.0 - PLACES_PER_SHARE * self.broken_share;
+        let kept = (f64::from(slots) * kept_share).ceil() as u32;
+        kept.clamp(1, slots.max(1))
+    }
+
     /// How many of its `slots` may be in use now.
     pub fn limit(&self, now: MonoMs, slots: u32) -> u32 {
         if self.full_until > now {
             return 0;
         }
         match self.breaker.availability(now) {
-            Availability::Open => slots,
+            Availability::Open => self.trusted(slots),
             Availability::HalfOpen => 1,
             Availability::SetAside
                 if self.breaker.blocked_until().since_ms(now) > MOST_ASIDE_MS =>
--- a/crates/foxtailhold/tests/slots.rs
+++ b/crates/foxtailhold/tests/slots.rs
@@ -405,3 +405,43 @@
         ask_of("entry-1", 4, Urgency::Batch, 9_000),
     );
 }
+
+#[test]
+fn an_engine_that_fails_every_other_request_loses_most_of_its_places() {
+    let mut allocator = allocator(&[8, 8]);
+    let mut on_first = 0;
+    for number in 0..60 {
+        let at_ms = number * 100;
+        let engine = granted(&mut allocator, at_ms, ask(number, ONLINE));
+        let is_first = engine == backend("engine-0");
+        on_first += u64::from(is_first);
+        let outcome = match is_first && on_first % 2 == 0 {
+            true => Outcome::Broken,
+            false => DONE,
+        };
+        release(&mut allocator, at_ms + 50, number, outcome);
+    }
+    let mut held = 0;
+    for number in 100..108 {
+        let engine = granted(&mut allocator, 6_100, ask(number, ONLINE));
+        held += u32::from(engine == backend("engine-0"));
+    }
+    assert!(held <= 3, "{held} of 8 places are at the failing engine");
+}
+
+#[test]
+fn an_engine_that_fails_one_in_forty_keeps_nearly_all_of_its_places() {
+    let mut allocator = allocator(&[8]);
+    for number in 0..200 {
+        granted(&mut allocator, number * 10, ask(number, ONLINE));
+        let outcome = if number % 40 == 20 {
+            Outcome::Broken
+        } else {
+            DONE
+        };
+        release(&mut allocator, number * 10 + 5, number, outcome);
+    }
+    for number in 300..308 {
+        granted(&mut allocator, 2_100, ask(number, ONLINE));
+    }
+}
