--- a/crates/foxtailhold/src/slots/trouble.rs
+++ b/crates/foxtailhold/src/slots/trouble.rs
@@ -9,12 +9,14 @@
 pub const BROKEN_IN_A_ROW: u32 = 3;
 /// Weight of the newest answer in the running share of broken ones.
 const SHARE_WEIGHT: f64 = 0.2;
-/// A backend server whose running share of broken answers is over this is set aside: two broken ones
-/// of a few reach it, one in forty does not.
-const MOST_BROKEN_SHARE: f64 = 0.35;
-/// A share of broken answers takes so many times that share of its places, until it has served well
-/// for a while: one that fails half of its requests must not get all of them back with its first success.
-const PLACES_PER_SHARE: f64 = 2.0;
+/// A backend server whose running share of broken answers is over this is set aside: three broken ones
+/// of five reach it.
+const MOST_BROKEN_SHARE: f64 = 0.45;
+/// A running share up to this, one broken answer, costs no place: it is usual, and places are dear.
+const USUAL_BROKEN_SHARE: f64 = 0.2;
+/// What is over it takes so many times that share of its places, until it has served well for a while:
+/// one that fails half of its requests must not get all of them back with its first success.
+const PLACES_PER_SHARE: f64 = 4.0;
 /// After saying that it is full a backend server gets nothing new for this time, about two requests
 /// of a step each.
 pub const FULL_MS: u64 = 40;
@@ -66,7 +68,8 @@
 
     /// The places that its answers of late have earned, at least one.
     fn trusted(&self, slots: u32) -> u32 {
-        let kept_share = 1.0 - PLACES_PER_SHARE * self.broken_share;
+        let unusual_share = (self.broken_share - USUAL_BROKEN_SHARE).max(0.0);
+        let kept_share = 1.0 - PLACES_PER_SHARE * unusual_share;
         let kept = (f64::from(slots) * kept_share).ceil() as u32;
         kept.clamp(1, slots.max(1))
     }
