--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -23,7 +23,7 @@
 use crate::dispatch::Relay;
 use crate::fleet::{BackendServer, Backends, FleetBook};
 use crate::follow::{Sink, follow};
-use crate::jobs::{BookSink, JOBS_TABLE, JobBook, JobStore, Jobs, own_jobs};
+use crate::jobs::{BookSink, JOBS_TABLE, JobBook, JobStore, Jobs, own_jobs, sweep_jobs};
 use crate::metrics::RelayMetrics;
 use crate::peers::{Member, Peers};
 use crate::plain::PlainLoads;
@@ -96,6 +96,8 @@
     pub caller_address: SocketAddr,
     /// Its share of a core, in thousandths.
     pub core_permille: u32,
+    /// How long batch jobs stay readable after their acceptance.
+    pub keep_jobs_ms: u64,
 }
 
 /// A running instance.
@@ -169,6 +171,7 @@
         tokio::spawn(follow(store.clone(), JOBS_TABLE, sink));
         tokio::spawn(peers.run());
         tokio::spawn(fleet.expire());
+        tokio::spawn(sweep_jobs(Arc::clone(&jobs), identity.keep_jobs_ms));
         let (leaving, jobs_leave) = (CancellationToken::new(), CancellationToken::new());
         tokio::spawn(own_jobs(Arc::clone(&jobs), jobs_leave.clone()));
         let instance = Arc::new(Instance {
--- a/crates/foxtailhold-relay/src/jobs/accept.rs
+++ b/crates/foxtailhold-relay/src/jobs/accept.rs
@@ -19,8 +19,8 @@
 const SETTLE_MS: u64 = 1_500;
 /// Pause between two looks.
 const LOOK_MS: u64 = 150;
-/// Items are given up this much later than allowed, for clocks that differ between instances.
-const GIVE_UP_MARGIN_MS: u64 = 2_000;
+/// Items are given up this much later than allowed, for clocks that differ by seconds between instances.
+const GIVE_UP_MARGIN_MS: u64 = 6_000;
 /// Results are due this much earlier inside, for the last commit and the caller's next read.
 const DUE_MARGIN_MS: u64 = 300;
 
@@ -123,6 +123,7 @@
             owner: self.me().clone(),
             listed: Vec::new(),
             is_ended: false,
+            accepted_unix_ms: now,
             due_unix_ms: now + bounds.due_ms.saturating_sub(DUE_MARGIN_MS),
             give_up_unix_ms: now + bounds.give_up_ms + GIVE_UP_MARGIN_MS,
         }
--- a/crates/foxtailhold-relay/src/jobs/book.rs
+++ b/crates/foxtailhold-relay/src/jobs/book.rs
@@ -34,6 +34,8 @@
     pub listed: Vec<u16>,
     /// Whether its caller has ended it.
     pub is_ended: bool,
+    /// When it was accepted, by the time of day.
+    pub accepted_unix_ms: u64,
     /// When results are due, by the time of day.
     pub due_unix_ms: u64,
     /// When items may be given up.
@@ -140,6 +142,13 @@
         open.map(|(id, job)| (id.clone(), job.clone())).collect()
     }
 
+    /// All jobs with nothing left to run.
+    pub fn closed(&self) -> Vec<(JobId, KnownJob)> {
+        let known = self.lock();
+        let closed = known.jobs.iter().filter(|(_, known)| !known.job.is_open());
+        closed.map(|(id, job)| (id.clone(), job.clone())).collect()
+    }
+
     /// Whether the table has been read since the process started.
     pub fn is_read(&self) -> bool {
         self.lock().is_read
--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -13,6 +13,7 @@
 mod read;
 mod run;
 mod store;
+mod sweep;
 
 pub use accept::Accepted;
 pub use book::{BookSink, Job, JobBook};
@@ -20,6 +21,7 @@
 pub use partial::{Given, Partials, Piece};
 pub use read::{ListedResult, Page};
 pub use store::{JobStore, QuotaRow};
+pub use sweep::sweep_jobs;
 
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
--- a/crates/foxtailhold-relay/src/jobs/store.rs
+++ b/crates/foxtailhold-relay/src/jobs/store.rs
@@ -21,6 +21,8 @@
 const INLINE_BYTES: usize = 600_000;
 /// Bytes of bodies in one row, below the platform's limit on a row with room for base64.
 const BODY_ROW_BYTES: usize = 45_000;
+/// Rows deleted with one commit, below the store's limits on a transaction.
+const DELETE_ROWS: usize = 80;
 /// Jobs whose bodies stay in memory: those that arrived last, most of which run now.
 const KEPT_BODIES: usize = 12;
 
@@ -222,6 +224,36 @@
             .rows)
     }
 
+    /// Deletes results, pieces and bodies of a job.
+    pub async fn delete_contents(&self, id: &JobId) -> Result<()> {
+        let (first, end) = (format!("{id}/"), format!("{id}0"));
+        for table in [RESULTS_TABLE, PIECES_TABLE, BODIES_TABLE] {
+            let rows = self.platform.read(table, "", &first, &end).await?.rows;
+            for some in rows.chunks(DELETE_ROWS) {
+                let changes = Changes {
+                    deletes: some.iter().map(|row| row.key.clone()).collect(),
+                    ..Changes::default()
+                };
+                self.platform.commit(&changes).await?;
+            }
+        }
+        self.platform.delete_object(&body_name(id)).await?;
+        let mut bodies = self.bodies.lock().unwrap_or_else(PoisonError::into_inner);
+        bodies.retain(|(known, _)| known != id);
+        Ok(())
+    }
+
+    /// Deletes a job's row, if it is still of this version.
+    pub async fn delete_job(&self, id: &JobId, version: u64) -> Result<()> {
+        let changes = Changes {
+            expected: vec![(job_key(id), version)],
+            deletes: vec![job_key(id)],
+            ..Changes::default()
+        };
+        self.platform.commit(&changes).await?;
+        Ok(())
+    }
+
     /// Reads the results at positions `from` up to, without, `to`.
     pub async fn results(&self, id: &JobId, from: usize, to: usize) -> Result<Vec<ListedResult>> {
         let (first, end) = (result_key(id, from, 0), result_key(id, to, 0));
