--- a/crates/foxtailhold-relay/src/fleet.rs
+++ b/crates/foxtailhold-relay/src/fleet.rs
@@ -48,9 +48,10 @@
         self.of(service).iter().find(|backend| backend.id == *id)
     }
 
-    /// Whether none is known.
-    pub fn is_empty(&self) -> bool {
-        self.services.is_empty()
+    /// Whether a backend server takes new work, for whatever service.
+    pub fn has(&self, id: &BackendId) -> bool {
+        let mut all = self.services.values().flatten();
+        all.any(|backend| backend.id == *id)
     }
 
     /// The places of a service.
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -399,6 +399,8 @@
             let places = snapshot.places(engine);
             self.relay.peers.set_backends(engine, &places);
         }
+        self.relay.connections.keep_only(|id| snapshot.has(id));
+        self.relay.plain.keep_only(|id| snapshot.has(id));
         self.relay.backends.store(Arc::new(snapshot));
         self.known.send_replace(true);
     }
--- a/crates/foxtailhold-relay/src/jobs/book.rs
+++ b/crates/foxtailhold-relay/src/jobs/book.rs
@@ -105,8 +105,6 @@
 struct Known {
     jobs: HashMap<JobId, KnownJob>,
     quotas: HashMap<String, (u64, QuotaRow)>,
-    version: u64,
-    is_read: bool,
 }
 
 /// All jobs, kept up to date by the feed and by this instance's own writes.
@@ -149,11 +147,6 @@
         closed.map(|(id, job)| (id.clone(), job.clone())).collect()
     }
 
-    /// Whether the table has been read since the process started.
-    pub fn is_read(&self) -> bool {
-        self.lock().is_read
-    }
-
     /// The row that serializes acceptances of a route, and the tokens that wait as of that row.
     pub fn quota(&self, route: &str) -> QuotaView {
         let known = self.lock();
@@ -195,7 +188,6 @@
 }
 
 fn put_row(known: &mut Known, row: &VersionedRow) {
-    known.version = known.version.max(row.version);
     let key = row.key.key.as_str();
     if let Some(route) = key.strip_prefix(QUOTA_PREFIX) {
         let parsed = row.value.as_ref().map(|v| serde_json::from_slice(v));
@@ -260,7 +252,6 @@
         for row in &snapshot.rows {
             put_row(&mut known, row);
         }
-        known.is_read = true;
         drop(known);
         self.book.changed.send_modify(|count| *count += 1);
     }
--- a/crates/foxtailhold-relay/src/request.rs
+++ b/crates/foxtailhold-relay/src/request.rs
@@ -49,6 +49,3 @@
     /// None.
     Unserved(Unserved),
 }
-
-/// The backend server's head of an answer, with the body's bytes.
-pub type WholeAnswer = Response<Bytes>;
--- a/crates/foxtailhold/src/routes.rs
+++ b/crates/foxtailhold/src/routes.rs
@@ -204,16 +204,6 @@
         };
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
-
-    /// All batch routes of a host.
-    pub fn batch_routes(&self, host: &str) -> impl Iterator<Item = &Route> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
-        let routes = self.hosts.get(&name.to_ascii_lowercase());
-        routes
-            .into_iter()
-            .flatten()
-            .filter(|route| route.repeat == Repeat::Batch)
-    }
 }
 
 fn check(route: &Route) -> Result<()> {
--- a/crates/foxtailhold/src/slots/trouble.rs
+++ b/crates/foxtailhold/src/slots/trouble.rs
@@ -54,11 +54,6 @@
         }
     }
 
-    /// Notes that it answers to at least one request.
-    pub fn alive(&mut self) {
-        self.breaker.succeeded();
-    }
-
     fn set_aside(&mut self, now: MonoMs, draw: u64) {
         if self.breaker.availability(now) == Availability::SetAside {
             return;
