--- a/crates/foxtailhold-relay/src/jobs/item.rs
+++ b/crates/foxtailhold-relay/src/jobs/item.rs
@@ -22,8 +22,12 @@
 
 /// Without word for this time an engine counts as silent for an item, and the item goes on elsewhere.
 const PATIENCE_MS: u64 = 900;
-/// Pause after a failed run.
+/// Pause after a failed run, and after the second loss in a row without a new event; it doubles with
+/// each further one.
 const PAUSE_MS: u64 = 60;
+/// Longest pause: an item that crashes each engine which runs it must not take one after the other
+/// down, and may not be given up before its time.
+const MOST_PAUSE_MS: u64 = 8_000;
 /// An item whose route is missing for this time, and so from the configuration, is given up.
 const NO_ROUTE_MS: u64 = 5_000;
 /// Longest wait for one place; then route, job and time are looked at again.
@@ -47,6 +51,8 @@
     item: &'a Item,
     partials: &'a Partials,
     failures: u32,
+    /// Losses in a row without a new event.
+    vain_losses: u32,
     avoid: Vec<foxtailhold::ids::BackendId>,
 }
 
@@ -64,6 +70,7 @@
             item,
             partials,
             failures: 0,
+            vain_losses: 0,
             avoid: Vec::new(),
         }
     }
@@ -93,7 +100,11 @@
                 continue;
             };
             no_route_since = None;
+            let events = self.events();
             let run = self.run_once(route, job, &target, &headers).await;
+            if self.events() > events {
+                self.vain_losses = 0;
+            }
             match run {
                 Run::Complete => return Some(self.result(ItemState::Done)),
                 Run::Impossible => return Some(self.result(ItemState::GivenUp)),
@@ -103,6 +114,7 @@
                         job = self.id.as_str(), item = self.item.id.as_str(),
                         after = self.events(), cause:? = miss; "an item goes on elsewhere"
                     );
+                    self.pause_after_loss(miss).await;
                 }
                 Run::Failed => {
                     self.failures += 1;
@@ -115,6 +127,19 @@
         }
     }
 
+    /// Waits the longer the more often engines broke off without giving an event.
+    async fn pause_after_loss(&mut self, miss: Miss) {
+        if miss != Miss::Broken {
+            return;
+        }
+        self.vain_losses += 1;
+        if self.vain_losses < 2 {
+            return;
+        }
+        let pause_ms = MOST_PAUSE_MS.min(PAUSE_MS << (self.vain_losses - 2).min(16));
+        tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+    }
+
     /// Events that the item has given.
     fn events(&self) -> u64 {
         self.partials.last(&self.item.id)
