--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -478,6 +478,8 @@
                 Err(error) => log::warn!("instance {instance} cannot be read: {error}"),
             }
         }
+        drop(members);
+        self.0.members_changed();
     }
 }
 
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -20,12 +20,15 @@
 use foxtailhold::time::MonoMs;
 use foxtailhold_peer::codec;
 use tokio::net::UdpSocket;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio_util::sync::CancellationToken;
 
 use crate::clock::Clock;
 use message::MAX_DATAGRAM_BYTES;
 
+/// Shortest pause between two reports: changes of instances come in numbers at a start of all.
+const LEAST_PAUSE_MS: u64 = 50;
+
 /// A place in use by this instance.
 #[derive(Debug)]
 struct Holding {
@@ -52,6 +55,8 @@
     members: Mutex<Members>,
     places: Mutex<OwnPlaces>,
     allocator: Mutex<Allocator>,
+    /// Woken when the rows of instances have changed.
+    members_changed: Notify,
 }
 
 /// This instance's side of the talk with others.
@@ -75,6 +80,7 @@
             clock,
             places: Mutex::new(OwnPlaces::default()),
             allocator: Mutex::new(Allocator::default()),
+            members_changed: Notify::new(),
         };
         Peers {
             inner: Arc::new(inner),
@@ -147,10 +153,21 @@
             for address in addresses {
                 self.send(address, &report);
             }
-            tokio::time::sleep(Duration::from_millis(pause_ms)).await;
+            tokio::time::sleep(Duration::from_millis(LEAST_PAUSE_MS)).await;
+            let rest = Duration::from_millis(pause_ms.saturating_sub(LEAST_PAUSE_MS));
+            tokio::select! {
+                () = tokio::time::sleep(rest) => {}
+                () = self.inner.members_changed.notified() => {}
+            }
         }
     }
 
+    /// Reports soon: there may be other senior instances. Until they are heard this instance grants
+    /// places to itself, without knowing of others.
+    pub fn members_changed(&self) {
+        self.inner.members_changed.notify_one();
+    }
+
     fn holdings(&self, now: MonoMs) -> Vec<Held> {
         let places = lock(&self.inner.places);
         let held = places.held.iter().map(|(number, holding)| Held {
