--- a/crates/foxtailhold/src/slots/pool.rs
+++ b/crates/foxtailhold/src/slots/pool.rs
@@ -66,6 +66,26 @@
     seen_at: MonoMs,
 }
 
+/// Free places while they are handed out.
+#[derive(Debug, Clone, Copy)]
+struct Room {
+    free: u64,
+    headroom: u64,
+}
+
+impl Room {
+    /// Whether there is a place for who waits. An item that would soon be too late may use the
+    /// headroom: it is cut all the same where an online request needs its place.
+    fn allows(&self, now: MonoMs, waiting: &Waiting) -> bool {
+        let until = waiting.slack_until;
+        let is_tight = until > now && until < now + TIGHT_SLACK_MS;
+        match waiting.ask.urgency {
+            Urgency::Batch if !is_tight => self.free > self.headroom,
+            _ => self.free > 0,
+        }
+    }
+}
+
 /// One service's places.
 #[derive(Debug)]
 pub struct Pool {
@@ -229,12 +249,19 @@
             self.arrivals.pop_front();
         }
         self.waiting.sort_by_key(|waiting| order(now, waiting));
+        let mut room = self.room(now);
         let mut left = Vec::new();
         for waiting in std::mem::take(&mut self.waiting) {
-            match self.place_for(now, &waiting) {
-                Some(backend) => self.grant(now, waiting, backend, decisions),
-                None => left.push(waiting),
-            }
+            let place = match room.allows(now, &waiting) {
+                true => self.place_for(now, &waiting.ask),
+                false => None,
+            };
+            let Some(backend) = place else {
+                left.push(waiting);
+                continue;
+            };
+            room.free -= 1;
+            self.grant(now, waiting, backend, decisions);
         }
         self.waiting = left;
         self.yield_batch(decisions);
@@ -242,11 +269,7 @@
 
     /// The engine with the fewest places in use; one in another availability zone must have two fewer,
     /// since a step grows little with one more place and bytes between availability zones cost.
-    fn place_for(&self, now: MonoMs, waiting: &Waiting) -> Option<BackendId> {
-        let ask = &waiting.ask;
-        if ask.urgency == Urgency::Batch && self.free(now) <= self.headroom_for(now, waiting) {
-            return None;
-        }
+    fn place_for(&self, now: MonoMs, ask: &Ask) -> Option<BackendId> {
         let mut best: Option<(u32, bool, &BackendId)> = None;
         for (id, backend) in &self.backends {
             let free = backend.free(now);
@@ -263,8 +286,13 @@
         best.map(|(_, _, id)| id.clone())
     }
 
-    fn free(&self, now: MonoMs) -> u64 {
-        self.backends.values().map(|b| u64::from(b.free(now))).sum()
+    /// What is free, counted once for all who wait: hundreds of items may wait for places at dozens of
+    /// engines, and each ask and release decides anew.
+    fn room(&self, now: MonoMs) -> Room {
+        Room {
+            free: self.backends.values().map(|b| u64::from(b.free(now))).sum(),
+            headroom: self.headroom(now),
+        }
     }
 
     /// Places kept free of batch work. A small or troubled pool keeps none: where only single
@@ -274,16 +302,6 @@
         wanted.min(self.usable(now) / LEAST_PLACES_PER_HEADROOM)
     }
 
-    /// An item that would soon be too late may use the headroom: it is cut all the same where an
-    /// online request needs its place.
-    fn headroom_for(&self, now: MonoMs, waiting: &Waiting) -> u64 {
-        let until = waiting.slack_until;
-        if until > now && until < now + TIGHT_SLACK_MS {
-            return 0;
-        }
-        self.headroom(now)
-    }
-
     /// Places that may be in use.
     fn usable(&self, now: MonoMs) -> u64 {
         let limits = self.backends.values();
@@ -318,6 +336,9 @@
     /// those with the most slack.
     fn yield_batch(&mut self, decisions: &mut Vec<Decision>) {
         let wanted = count(self.waiting.iter(), |w| w.ask.urgency != Urgency::Batch);
+        if wanted == 0 {
+            return;
+        }
         let grants = self.backends.values_mut().flat_map(|b| b.grants.iter_mut());
         let mut batch: Vec<(&AskId, &mut Grant)> = grants
             .filter(|(_, grant)| grant.urgency == Urgency::Batch)
