A new instance's share of a limit is never next to nothing

A process that has just started knows only itself and gives the first asker the whole limit. While grants of an earlier home may be valid (3 s) it confirmed that share as it was, so the next instance found nothing, waited 1.4 s and was refused (retry_after 1,000 to 1,500 ms). 2. A home's answer without room that came after the 50 ms fall-back replaced the nth part by a share of nothing: refused for 600 concurrent requests with 13 callers. 3. A share without tokens was taken for a share: refused for tokens, come back in 60 s. 4. Whoever asked third or later at about the same time got nothing of the spare sixteenth.

Change: the spare part goes by halves; a home tells a holder when more is due to it (`rising`) and recalls the holders that have more than is due to them, which ask at once and confirm a share that shrank at once; requests over a share that is rising wait, 1.4 s at most; an answer without room waits also after the fall-back; a new home raises small shares to the nth part and lets large ones shrink when one lacks room. A request that waits counts as demand once.

Tests: the oracle allows a burst for a fall-back only where one began (it allowed one for each wait). In while_an_earlier_home..., the claimed share is now one above the nth part and still confirmed exactly; a share below it has its own test, since it is raised now.

--- a/crates/foxtailhold-entry/examples/limits_cost.rs
+++ b/crates/foxtailhold-entry/examples/limits_cost.rs
@@ -8,15 +8,17 @@
 
 use foxtailhold::contract::Contract;
 use foxtailhold::contract_book::{ContractBook, ContractChange};
-use foxtailhold::ids::TargetName;
-use foxtailhold::limits::{EXCHANGE_MS, IDLE_MS};
+use foxtailhold::ids::{InstanceId, TargetName};
+use foxtailhold::limits::{Ask, EXCHANGE_MS, IDLE_MS, ShareAsks};
 use foxtailhold::time::MonoMs;
 use foxtailhold_entry::admission::Admission;
 use foxtailhold_entry::clock::Clock;
-use foxtailhold_entry::limits::{Decision, Limits};
+use foxtailhold_entry::limits::{Attempt, Decision, Limits};
 
 /// Customers of the two-year target.
 const CUSTOMERS: usize = 31_000;
+/// The instance measured, home of all customers.
+const ME: &str = "entry-0";
 /// Requests of one measurement.
 const REQUESTS: u32 = 2_000_000;
 /// Bytes of a memory page.
@@ -41,28 +43,43 @@
 }
 
 /// Sends one request of a customer whose home is this instance.
-fn admit(limits: &Limits, contract: &Contract, book: &ContractBook, now: MonoMs) -> bool {
+fn admit(limits: &Limits, contract: &Contract, book: &ContractBook, now: MonoMs) -> Result<bool> {
     for _ in 0..2 {
-        match limits.decide(contract, 16.0, now) {
-            Decision::Admitted(_) => return true,
-            Decision::Refused(_) => return false,
+        match limits.decide(contract, 16.0, Attempt::First, now) {
+            Decision::Admitted(_) => return Ok(true),
+            Decision::Refused(_) => return Ok(false),
             Decision::Wait(_) => {}
         }
         let ask = limits.due_ask(&contract.customer, now);
-        limits.ask_here(ask.into_iter().collect(), book, now);
+        exchange(limits, ask.into_iter().collect(), book, now)?;
     }
-    false
+    Ok(false)
 }
 
-fn cost(name: &str, contracts: &[Arc<Contract>], limits: &Limits, book: &ContractBook) {
+/// Asks this instance as the home and takes its answer in.
+fn exchange(limits: &Limits, asks: Vec<Ask>, book: &ContractBook, now: MonoMs) -> Result<()> {
+    let from = InstanceId::try_from(ME)?;
+    let asks = ShareAsks { from, asks };
+    let grants = limits.answer(&asks, book, now).grants;
+    limits.granted(&asks.asks, &grants, now);
+    Ok(())
+}
+
+fn cost(
+    name: &str,
+    contracts: &[Arc<Contract>],
+    limits: &Limits,
+    book: &ContractBook,
+) -> Result<()> {
     let start = Instant::now();
     let mut admitted = 0;
     for index in 0..REQUESTS {
         let contract = &contracts[index as usize * 7_919 % contracts.len()];
-        admitted += u32::from(admit(limits, contract, book, MonoMs(10_000)));
+        admitted += u32::from(admit(limits, contract, book, MonoMs(10_000))?);
     }
     let cost_ns = start.elapsed().as_nanos() as f64 / f64::from(REQUESTS);
     println!("{name}: {cost_ns:.0} ns a request, {admitted} of {REQUESTS} admitted");
+    Ok(())
 }
 
 #[tokio::main(flavor = "current_thread")]
@@ -81,20 +98,19 @@
         contracts.push(contract);
     }
     let clock = Clock::default();
-    let me = "entry-0".try_into()?;
-    let limits = Limits::new(me, MonoMs(0), clock.wall());
-    cost("limits, one customer", &contracts[..1], &limits, &book);
+    let limits = Limits::new(ME.try_into()?, MonoMs(0), clock.wall());
+    cost("limits, one customer", &contracts[..1], &limits, &book)?;
     cost(
         "limits, 1,000 customers",
         &contracts[..1_000],
         &limits,
         &book,
-    );
+    )?;
 
     let before_bytes = resident_bytes()?;
     let now = MonoMs(10_000);
     for contract in &contracts {
-        admit(&limits, contract, &book, now);
+        admit(&limits, contract, &book, now)?;
     }
     let used_bytes = resident_bytes()?.saturating_sub(before_bytes);
     println!(
@@ -110,11 +126,11 @@
         asks.len(),
         start.elapsed()
     );
-    limits.ask_here(asks, &book, later);
+    exchange(&limits, asks, &book, later)?;
     for pass in 1..20 {
         let later = now + pass * (IDLE_MS + EXCHANGE_MS);
         let asks = limits.due_asks(later);
-        limits.ask_here(asks, &book, later);
+        exchange(&limits, asks, &book, later)?;
         limits.sweep(later);
     }
     println!("at rest: {} customers in memory", limits.customers());
--- a/crates/foxtailhold-entry/src/actors/limits.rs
+++ b/crates/foxtailhold-entry/src/actors/limits.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use foxtailhold::ids::{CustomerId, InstanceId};
-use foxtailhold::limits::{Ask, HURRY_MS, ShareAsks};
+use foxtailhold::limits::{Ask, Grant, HURRY_MS, ShareAsks};
 use foxtailhold::membership::{Member, MemberState};
 use foxtailhold_peer::{PeerAnswer, PeerRequest};
 use foxtailhold_platform::Platform;
@@ -112,20 +112,65 @@
 
 /// Asks the home of one customer at once, where no ask is on its way.
 pub fn ask_now<P: Platform>(shared: &Shared<P>, customer: &CustomerId) {
-    let now = shared.clock.mono();
+    let due = shared.limits.due_ask(customer, shared.clock.mono());
+    send(shared, due.into_iter().collect());
+}
+
+/// Gives room that another instance lacks: asks the homes of these customers at once.
+pub fn give_room<P: Platform>(shared: &Shared<P>, customers: &[CustomerId]) {
     send(
         shared,
-        shared.limits.due_ask(customer, now).into_iter().collect(),
+        shared.limits.recalled(customers, shared.clock.mono()),
     );
 }
 
-/// Sends asks, in one message to each home, and takes the answers in when they come.
-fn send<P: Platform>(shared: &Shared<P>, asks: Vec<Ask>) {
-    let now = shared.clock.mono();
-    let by_home = shared.limits.ask_here(asks, &shared.contracts.load(), now);
-    for (home, asks) in by_home {
+/// Answers asks as the home of the customers, and tells holders where another one lacks room.
+pub fn answer<P: Platform>(shared: &Shared<P>, asks: &ShareAsks) -> Vec<Grant> {
+    let (contracts, now) = (shared.contracts.load(), shared.clock.mono());
+    let shares = shared.limits.answer(asks, &contracts, now);
+    for (instance, customers) in shares.recalls {
         let shared = shared.clone();
-        tokio::spawn(async move { exchange(&shared, &home, asks).await });
+        tokio::spawn(async move { recall(&shared, &instance, customers).await });
+    }
+    shares.grants
+}
+
+async fn recall<P: Platform>(shared: &Shared<P>, holder: &InstanceId, customers: Vec<CustomerId>) {
+    if *holder == shared.settings.instance {
+        give_room(shared, &customers);
+        return;
+    }
+    let Some(holder) = shared.member(holder) else {
+        return;
+    };
+    let request = PeerRequest::SharesRecalled(customers);
+    let peers = &shared.peers;
+    let told = peers.ask(holder.peer_address, &request, ANSWER_TIMEOUT_MS);
+    if let Err(error) = told.await {
+        log::debug!("holder {} was not told to give room: {error}", holder.id);
+    }
+}
+
+/// Sends asks, in one message to each home, and takes the answers in when they come. Asks to
+/// this instance are answered before it returns.
+fn send<P: Platform>(shared: &Shared<P>, asks: Vec<Ask>) {
+    for (home, asks) in shared.limits.by_home(asks) {
+        if home != shared.settings.instance {
+            let shared = shared.clone();
+            tokio::spawn(async move { exchange(&shared, &home, asks).await });
+            continue;
+        }
+        let asks = ShareAsks { from: home, asks };
+        let grants = answer(shared, &asks);
+        take_in(shared, &asks.asks, &grants);
+    }
+}
+
+/// Takes answers in. A share that shrank is confirmed at once, so that its room can be used.
+fn take_in<P: Platform>(shared: &Shared<P>, asks: &[Ask], grants: &[Grant]) {
+    let due = shared.limits.granted(asks, grants, shared.clock.mono());
+    if !due.is_empty() {
+        send(shared, due);
     }
 }
 
@@ -150,7 +195,5 @@
             Vec::new()
         }
     };
-    shared
-        .limits
-        .granted(&asks.asks, &grants, shared.clock.mono());
+    take_in(shared, &asks.asks, &grants);
 }
--- a/crates/foxtailhold-entry/src/gateway/mod.rs
+++ b/crates/foxtailhold-entry/src/gateway/mod.rs
@@ -33,7 +33,7 @@
 use sha2::{Digest, Sha256};
 
 use crate::actors::limits;
-use crate::limits::{Admitted, Decision};
+use crate::limits::{Admitted, Attempt, Decision};
 use crate::metrics::{AnswerLabels, CodeLabel, KindLabel};
 use crate::shared::Shared;
 
@@ -106,13 +106,15 @@
     async fn within_limits(&self, contract: &Contract, tokens: f64) -> Result<Admitted> {
         let shared = &self.0;
         let customer = &contract.customer;
+        let mut attempt = Attempt::First;
         loop {
             let now = shared.clock.mono();
-            let mut answered = match shared.limits.decide(contract, tokens, now) {
+            let mut answered = match shared.limits.decide(contract, tokens, attempt, now) {
                 Decision::Admitted(admitted) => return Ok(admitted),
                 Decision::Refused(refusal) => return Err(refusal),
                 Decision::Wait(answered) => answered,
             };
+            attempt = Attempt::Again;
             limits::ask_now(shared, customer);
             let wait = Duration::from_millis(FIRST_SHARE_WAIT_MS);
             let _ = tokio::time::timeout(wait, answered.changed()).await;
--- a/crates/foxtailhold-entry/src/limits.rs
+++ b/crates/foxtailhold-entry/src/limits.rs
@@ -46,7 +46,6 @@
 
 #[derive(Debug)]
 struct State {
-    me: InstanceId,
     hasher: std::hash::RandomState,
     shards: Vec<Shard>,
     home: Mutex<LimitHome>,
@@ -58,6 +57,24 @@
 #[derive(Debug, Clone)]
 pub struct Limits(Arc<State>);
 
+/// Whether a request comes for the first time or was told to wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Attempt {
+    /// It counts as demand.
+    First,
+    /// It has been counted.
+    Again,
+}
+
+/// What a home answers.
+#[derive(Debug, Default)]
+pub struct Shares {
+    /// One for each ask, without those of other homes.
+    pub grants: Vec<Grant>,
+    /// Customers of which each instance should give room, by asking at once.
+    pub recalls: BTreeMap<InstanceId, Vec<CustomerId>>,
+}
+
 /// What becomes of a request.
 #[derive(Debug)]
 pub enum Decision {
@@ -93,14 +110,19 @@
             hasher: std::hash::RandomState::new(),
             shards,
             home: Mutex::default(),
-            views: ArcSwap::from_pointee(Views::new(me.clone(), now)),
-            me,
+            views: ArcSwap::from_pointee(Views::new(me, now)),
             next_number: AtomicU64::new(wall.0 << NUMBER_BITS),
         }))
     }
 
-    /// Decides on a request that is charged `tokens`.
-    pub fn decide(&self, contract: &Contract, tokens: f64, now: MonoMs) -> Decision {
+    /// Decides on a request that is charged `tokens`; `attempt` tells whether it has waited.
+    pub fn decide(
+        &self,
+        contract: &Contract,
+        tokens: f64,
+        attempt: Attempt,
+        now: MonoMs,
+    ) -> Decision {
         let customer = &contract.customer;
         let listed = self.0.views.load().listed();
         let terms = Terms::from(contract);
@@ -115,7 +137,12 @@
             }),
         };
         usage.terms = terms;
-        match usage.holder.admit(&terms, listed, charged_tokens, now) {
+        let holder = &mut usage.holder;
+        let verdict = match attempt {
+            Attempt::First => holder.admit(&terms, listed, charged_tokens, now),
+            Attempt::Again => holder.admit_again(&terms, listed, charged_tokens, now),
+        };
+        match verdict {
             Verdict::Admitted => Decision::Admitted(Admitted {
                 limits: self.clone(),
                 customer: customer.clone(),
@@ -168,61 +195,68 @@
         asks
     }
 
-    /// Answers the asks whose home is this instance, and returns the others by their home.
-    pub fn ask_here(
-        &self,
-        asks: Vec<Ask>,
-        contracts: &ContractBook,
-        now: MonoMs,
-    ) -> BTreeMap<InstanceId, Vec<Ask>> {
+    /// The asks by the home of their customers; without those of which no home is known.
+    pub fn by_home(&self, asks: Vec<Ask>) -> BTreeMap<InstanceId, Vec<Ask>> {
         let views = self.0.views.load();
-        let mut here = Vec::new();
-        let mut elsewhere: BTreeMap<InstanceId, Vec<Ask>> = BTreeMap::new();
+        let mut by_home: BTreeMap<InstanceId, Vec<Ask>> = BTreeMap::new();
         for ask in asks {
-            match views.home(&ask.customer) {
-                None => {}
-                Some(home) if *home == self.0.me => here.push(ask),
-                Some(home) => elsewhere.entry(home.clone()).or_default().push(ask),
+            if let Some(home) = views.home(&ask.customer) {
+                by_home.entry(home.clone()).or_default().push(ask);
             }
         }
-        if !here.is_empty() {
-            let from = self.0.me.clone();
-            let here = ShareAsks { from, asks: here };
-            let grants = self.answer(&here, contracts, now);
-            self.granted(&here.asks, &grants, now);
-        }
-        elsewhere
+        by_home
     }
 
     /// Answers an instance's asks as the home of the customers; leaves out the others.
-    pub fn answer(&self, asks: &ShareAsks, contracts: &ContractBook, now: MonoMs) -> Vec<Grant> {
+    pub fn answer(&self, asks: &ShareAsks, contracts: &ContractBook, now: MonoMs) -> Shares {
         let views = self.0.views.load();
         let mut home = lock(&self.0.home);
-        let mut grants = Vec::with_capacity(asks.asks.len());
+        let mut shares = Shares::default();
         for ask in &asks.asks {
             let entry = contracts.get(&ask.customer);
             let Some(contract) = entry.and_then(|entry| entry.contract.as_ref()) else {
                 continue;
             };
             let terms = Terms::from(contract.as_ref());
-            grants.extend(home.ask(&asks.from, ask, &terms, &views, now));
+            let grant = home.ask(&asks.from, ask, &terms, &views, now);
+            shares.grants.extend(grant);
+            for above in home.recall(&ask.customer, now) {
+                let recalled = shares.recalls.entry(above).or_default();
+                recalled.push(ask.customer.clone());
+            }
         }
-        grants
+        shares
     }
 
-    /// Takes a home's answer to `asks` in.
-    pub fn granted(&self, asks: &[Ask], grants: &[Grant], now: MonoMs) {
+    /// Takes a home's answer to `asks` in, and returns the asks that are due then.
+    pub fn granted(&self, asks: &[Ask], grants: &[Grant], now: MonoMs) -> Vec<Ask> {
         for grant in grants {
             if let Some(usage) = self.shard(&grant.customer).get_mut(&grant.customer) {
                 usage.holder.granted(&usage.terms, grant, now);
                 usage.tell_if_settled();
             }
         }
+        let mut due = Vec::new();
         for ask in asks {
             if let Some(usage) = self.shard(&ask.customer).get_mut(&ask.customer) {
                 usage.holder.not_answered(ask.number, now);
             }
+            due.extend(self.due_ask(&ask.customer, now));
+        }
+        due
+    }
+
+    /// Takes in that homes want these customers' shares to be asked for at once, and returns the
+    /// asks.
+    pub fn recalled(&self, customers: &[CustomerId], now: MonoMs) -> Vec<Ask> {
+        let mut due = Vec::new();
+        for customer in customers {
+            if let Some(usage) = self.shard(customer).get_mut(customer) {
+                usage.holder.recalled(now);
+            }
+            due.extend(self.due_ask(customer, now));
         }
+        due
     }
 
     /// Sets the live instances and how many there are with those out of reach.
--- a/crates/foxtailhold-entry/src/peer.rs
+++ b/crates/foxtailhold-entry/src/peer.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 
 use foxtailhold::contract_book::Catchup;
-use foxtailhold::limits::ShareAsks;
 use foxtailhold::membership::Gossip;
 use foxtailhold::timeline::HlcTime;
 use foxtailhold_peer::{MessageClock, PeerAnswer, PeerHandler, PeerRequest};
@@ -15,8 +14,8 @@
 use crate::actors::fleet::FleetMessage;
 use crate::actors::jobs::JobsMessage;
 use crate::actors::membership::{MembershipMessage, PROBE_TIMEOUT_MS};
-use crate::actors::note_undelivered;
 use crate::actors::steward::StewardMessage;
+use crate::actors::{limits, note_undelivered};
 use crate::jobs::{landing, owner};
 use crate::online;
 use crate::shared::{Actors, Shared};
@@ -55,7 +54,11 @@
                 PeerAnswer::Done
             }
             PeerRequest::ProbeFor { address } => self.probe(actors, address).await,
-            PeerRequest::Shares(asks) => self.share(&asks),
+            PeerRequest::Shares(asks) => PeerAnswer::Shares(limits::answer(&self.0, &asks)),
+            PeerRequest::SharesRecalled(customers) => {
+                limits::give_room(&self.0, &customers);
+                PeerAnswer::Done
+            }
             PeerRequest::JobOffered { .. } => {
                 note_undelivered(actors.jobs.send_message(JobsMessage::Scan));
                 PeerAnswer::Done
@@ -150,14 +153,6 @@
     }
 }
 
-impl<P: Platform> EntryPeer<P> {
-    fn share(&self, asks: &ShareAsks) -> PeerAnswer {
-        let contracts = self.0.contracts.load();
-        let now = self.0.clock.mono();
-        PeerAnswer::Shares(self.0.limits.answer(asks, &contracts, now))
-    }
-}
-
 impl<P: Platform> PeerHandler for EntryPeer<P> {
     async fn handle(&self, request: PeerRequest) -> PeerAnswer {
         match self.0.actors() {
--- a/crates/foxtailhold-peer/src/message.rs
+++ b/crates/foxtailhold-peer/src/message.rs
@@ -45,6 +45,8 @@
     },
     /// Asks the home of customers' limits for shares.
     Shares(ShareAsks),
+    /// Tells a holder of shares that another instance lacks room: it asks at once for less.
+    SharesRecalled(Vec<CustomerId>),
     /// Asks the steward of a replica for places of batch items.
     PlacesAsked(PlaceAsk),
     /// Tells an owner of jobs what a steward allows it from now on.
--- a/crates/foxtailhold/src/limits/holder.rs
+++ b/crates/foxtailhold/src/limits/holder.rs
@@ -10,8 +10,10 @@
 const SLOT_RETRY_AFTER_MS: u64 = 500;
 /// Demand is counted over at least this time.
 const LEAST_PERIOD_MS: u64 = 200;
-/// First requests wait this long for the other holders to give room, which they do when they ask.
+/// Requests wait at most this long for other holders to give room, which they do when they ask.
 const NO_ROOM_WAIT_MS: u64 = EXCHANGE_MS + 2 * HURRY_MS;
+/// While requests wait for room the home is asked this often; it has told the others to give.
+const NO_ROOM_ASK_MS: u64 = 50;
 /// An ask that was not answered for this time is given up.
 pub const ANSWER_MS: u64 = 600;
 
@@ -31,8 +33,9 @@
 pub enum Verdict {
     /// It is within the limits.
     Admitted,
-    /// The home has not answered for this customer yet: decide again when it has, or after a short
-    /// wait call [`Holder::fall_back`].
+    /// The home has not answered for this customer yet, or raises its share: decide again with
+    /// [`Holder::admit_again`] when it has answered, or after a short wait call
+    /// [`Holder::fall_back`].
     Wait,
     /// It is over a limit.
     Over {
@@ -79,7 +82,8 @@
     asked: Option<Asked>,
     asked_at: MonoMs,
     ask_at: MonoMs,
-    /// Until when first requests wait, while the home has answered that all is granted.
+    /// Until when requests wait for room, while the home has answered that more is due than others
+    /// have given so far.
     no_room_until: Option<MonoMs>,
 }
 
@@ -105,20 +109,29 @@
 
     /// Decides on a request that is charged `tokens`; `listed` is the number of all instances.
     pub fn admit(&mut self, terms: &Terms, listed: u32, tokens: f64, now: MonoMs) -> Verdict {
-        self.used_at = now;
         self.seen.requests += 1.0;
         self.seen.tokens += tokens;
         self.seen.slots = self.seen.slots.max(self.in_flight + 1);
+        self.admit_again(terms, listed, tokens, now)
+    }
+
+    /// Decides on a request that was told to wait: its demand is counted already.
+    pub fn admit_again(&mut self, terms: &Terms, listed: u32, tokens: f64, now: MonoMs) -> Verdict {
+        self.used_at = now;
         self.lapse(terms, listed, now);
+        let waits = self.no_room_until.map(|until| until > now);
         if matches!(self.standing, Standing::Fresh | Standing::Released) {
             self.standing = Standing::Fresh;
-            if self.no_room_until.is_some_and(|until| until <= now) {
-                let (limit, after_ms) = (Limit::Requests, EXCHANGE_MS);
-                return Verdict::Over { limit, after_ms };
-            }
-            return Verdict::Wait;
+            let (limit, after_ms) = (Limit::Requests, EXCHANGE_MS);
+            return match waits {
+                Some(false) => Verdict::Over { limit, after_ms },
+                _ => Verdict::Wait,
+            };
         }
         if let Some((limit, after_ms)) = self.over(now) {
+            if waits == Some(true) {
+                return Verdict::Wait;
+            }
             if self.demand_grew() {
                 self.ask_at = self.ask_at.min(self.asked_at + HURRY_MS);
             }
@@ -165,10 +178,7 @@
         if self.is_idle(now) {
             return self.release(customer, number, now);
         }
-        let held = match self.standing {
-            Standing::Granted { until } if until > now => self.share,
-            _ => Share::default(),
-        };
+        let held = self.held(now);
         self.asked = Some(Asked { number, at: now });
         self.asked_at = now;
         self.ask_at = now + EXCHANGE_MS;
@@ -191,13 +201,15 @@
         if until <= now {
             return;
         }
-        let empty = grant.share.requests_ppm == 0 || grant.share.slots == 0;
-        if self.standing == Standing::Fresh && empty {
-            self.no_room_until.get_or_insert(now + NO_ROOM_WAIT_MS);
-            self.ask_at = now + HURRY_MS;
+        let held = self.held(now);
+        let waits_until = self.no_room_until.unwrap_or(now + NO_ROOM_WAIT_MS);
+        let lacks_room = grant.rising || grant.share.is_empty();
+        self.no_room_until = lacks_room.then_some(waits_until);
+        if grant.share.is_empty() && held.is_empty() {
+            self.standing = Standing::Fresh;
+            self.ask_at = now + NO_ROOM_ASK_MS;
             return;
         }
-        self.no_room_until = None;
         let first = !matches!(self.standing, Standing::Granted { .. });
         if first {
             self.drop_level(now);
@@ -206,17 +218,28 @@
         self.set_share(grant.share, terms, now);
         self.requests.give(grant.credit.requests);
         self.tokens.give(grant.credit.tokens);
-        if first || grant.hurry {
+        if grant.share.max(held) != grant.share {
+            self.ask_at = now;
+        } else if grant.rising && waits_until > now {
+            self.ask_at = now + NO_ROOM_ASK_MS;
+        } else if first || grant.hurry {
             self.ask_at = asked.at + HURRY_MS;
         }
     }
 
+    /// Takes in that the home wants to be asked at once, since another holder lacks room.
+    pub fn recalled(&mut self, now: MonoMs) {
+        self.ask_at = self.ask_at.min(now);
+    }
+
     /// Notes that the ask was not answered.
     pub fn not_answered(&mut self, number: u64, now: MonoMs) {
         if self.asked.is_some_and(|asked| asked.number == number) {
             self.asked = None;
-            self.no_room_until = None;
             self.ask_at = now + HURRY_MS;
+            if self.standing == Standing::Fresh {
+                self.no_room_until = None;
+            }
         }
     }
 
@@ -241,9 +264,13 @@
         self.in_flight
     }
 
-    /// Whether it goes on without a home's grant.
-    pub fn in_fallback(&self) -> bool {
-        self.standing == Standing::Fallback
+    /// Whether it goes on without a home's grant: it has none, or the last one has lapsed.
+    pub fn in_fallback(&self, now: MonoMs) -> bool {
+        match self.standing {
+            Standing::Fallback => true,
+            Standing::Granted { until } => until <= now,
+            Standing::Fresh | Standing::Released => false,
+        }
     }
 
     /// The share in use.
@@ -265,6 +292,14 @@
         }
     }
 
+    /// What a home has granted and has not lapsed.
+    fn held(&self, now: MonoMs) -> Share {
+        match self.standing {
+            Standing::Granted { until } if until > now => self.share,
+            _ => Share::default(),
+        }
+    }
+
     /// Whether more has come than the home was told of.
     fn demand_grew(&self) -> bool {
         let (seen, last) = (&self.seen, &self.last_demand);
@@ -301,6 +336,7 @@
             return None;
         };
         self.standing = Standing::Released;
+        self.no_room_until = None;
         self.share = Share::default();
         let mut returned = Credit::default();
         if until > now {
@@ -319,26 +355,35 @@
         })
     }
 
-    /// Demand since the last ask, falling by half at most, so that one quiet period does not cost
-    /// the share.
+    /// Demand since it was last counted, falling by half at most, so that one quiet period does
+    /// not cost the share. Within a short period it can only rise.
     fn demand(&mut self, terms: &Terms, now: MonoMs) -> Demand {
-        let period_s = now.since_ms(self.seen_since).max(LEAST_PERIOD_MS) as f64 / 1_000.0;
+        let period_ms = now.since_ms(self.seen_since);
+        let counts = period_ms >= LEAST_PERIOD_MS;
+        let period_s = period_ms.max(LEAST_PERIOD_MS) as f64 / 1_000.0;
         let last = self.last_demand;
+        let (least, divisor) = if counts { (0.5, 2) } else { (1.0, 1) };
         let requests_per_s = self.seen.requests / period_s;
         let tokens_per_s = self.seen.tokens / period_s;
         let demand = Demand {
             requests_per_s: requests_per_s
-                .max(last.requests_per_s / 2.0)
+                .max(last.requests_per_s * least)
                 .min(terms.requests_per_s),
             tokens_per_s: tokens_per_s
-                .max(last.tokens_per_s / 2.0)
+                .max(last.tokens_per_s * least)
                 .min(terms.tokens_per_s),
-            slots: self.seen.slots.max(last.slots / 2).max(self.in_flight),
+            slots: self
+                .seen
+                .slots
+                .max(last.slots / divisor)
+                .max(self.in_flight),
             in_flight: self.in_flight,
         };
         self.last_demand = demand;
-        self.seen = Seen::default();
-        self.seen_since = now;
+        if counts {
+            self.seen = Seen::default();
+            self.seen_since = now;
+        }
         demand
     }
 }
--- a/crates/foxtailhold/src/limits/home.rs
+++ b/crates/foxtailhold/src/limits/home.rs
@@ -4,8 +4,8 @@
 
 use crate::ids::{CustomerId, InstanceId};
 use crate::limits::{
-    Ask, Claim, Credit, Demand, Grant, LEASE_MS, Share, Terms, TokenBucket, Views, WHOLE_PPM,
-    max_min,
+    Ask, Claim, Credit, Demand, Grant, HURRY_MS, LEASE_MS, Share, Terms, TokenBucket, Views,
+    WHOLE_PPM, max_min,
 };
 use crate::time::MonoMs;
 
@@ -25,6 +25,8 @@
     granted: Share,
     demand: Demand,
     expires_at: MonoMs,
+    /// More is due to it than was free.
+    short: bool,
 }
 
 impl Held {
@@ -43,9 +45,38 @@
     holders: BTreeMap<InstanceId, Held>,
     requests: TokenBucket,
     tokens: TokenBucket,
+    /// When holders were last told to give room.
+    recalled_at: Option<MonoMs>,
 }
 
 impl Division {
+    /// Whether a holder other than `from` is short of what is due to it.
+    fn short_beside(&self, from: &InstanceId) -> bool {
+        let mut others = self.holders.iter().filter(|(id, _)| *id != from);
+        others.any(|(_, held)| held.short)
+    }
+
+    /// What may be given of `free`: the last of it goes by halves, so that whoever comes next
+    /// finds some.
+    fn giveable(&self, free: Share) -> Share {
+        let half = |free: u32, whole: u32| free - free.min(whole / SPARE_DIVISOR) / 2;
+        Share {
+            requests_ppm: half(free.requests_ppm, self.budget.requests_ppm),
+            tokens_ppm: half(free.tokens_ppm, self.budget.tokens_ppm),
+            slots: half(free.slots, self.budget.slots),
+        }
+    }
+
+    /// What is due to a holder of `held` while another home's grants may be valid: its share is
+    /// confirmed, shrinks only to make room, and is raised to `part` where it is below.
+    fn due_beside_another(&self, from: &InstanceId, held: Share, part: Share) -> Share {
+        let kept = match self.short_beside(from) {
+            true => held.min(self.target(from)),
+            false => held,
+        };
+        kept.max(part)
+    }
+
     fn counted(&self) -> Share {
         let mut sum = Share::default();
         for held in self.holders.values() {
@@ -142,8 +173,8 @@
     /// A share is only raised out of what is free; one that is held shrinks to its target at most,
     /// also where more is granted than there is since the budget shrank.
     ///
-    /// While grants of another home may be valid, a share held is confirmed and an instance that
-    /// holds none gets the nth part that it would fall back to.
+    /// While grants of another home may be valid, each instance is due the nth part that it would
+    /// fall back to, and a share held above it is confirmed unless another one lacks room.
     pub fn ask(
         &mut self,
         from: &InstanceId,
@@ -176,6 +207,7 @@
                 granted: Share::default(),
                 demand,
                 expires_at: now + LEASE_MS,
+                short: false,
             };
             division.holders.insert(from.clone(), held);
         }
@@ -183,21 +215,26 @@
         division.requests.give(ask.returned.requests);
         division.tokens.give(ask.returned.tokens);
         ask.demand?;
-        let target = match foreign {
-            false => division.target(from),
-            true if ask.held == Share::default() => Share::part(terms, 1, views.listed()),
-            true => ask.held,
+        let room = available.minus(ask.held);
+        let (target, room) = match foreign {
+            false => (division.target(from), division.giveable(room)),
+            true => {
+                let part = Share::part(terms, 1, views.listed());
+                (division.due_beside_another(from, ask.held, part), room)
+            }
         };
-        let share = target.min(available.max(ask.held));
-        let credit = match foreign && ask.held == Share::default() {
-            false => division.credit(share.minus(ask.held).min(free), free, now),
+        let share = target.min(ask.held.plus(room));
+        let gained = share.minus(ask.held);
+        let credit = match foreign {
+            false => division.credit(gained.min(free), free, now),
             true => Credit {
-                requests: terms.burst_requests * part(share.requests_ppm),
-                tokens: terms.burst_tokens * part(share.tokens_ppm),
+                requests: terms.burst_requests * part(gained.requests_ppm),
+                tokens: terms.burst_tokens * part(gained.tokens_ppm),
             },
         };
+        let rising = far(target, share);
         if let Some(held) = division.holders.get_mut(from) {
-            held.granted = share;
+            (held.granted, held.short) = (share, rising);
         }
         division.keep_rest(now);
         Some(Grant {
@@ -205,10 +242,32 @@
             number: ask.number,
             share,
             credit,
-            hurry: far(target, share) || far(ask.held, share),
+            hurry: rising || far(ask.held, share),
+            rising,
         })
     }
 
+    /// The holders that should ask at once, since they hold more than is due to them and another
+    /// one lacks room. They are named once in [`HURRY_MS`].
+    pub fn recall(&mut self, customer: &CustomerId, now: MonoMs) -> Vec<InstanceId> {
+        let Some(division) = self.divisions.get_mut(customer) else {
+            return Vec::new();
+        };
+        let again = |at: MonoMs| now.since_ms(at) < HURRY_MS;
+        let short = division.holders.values().any(|held| held.short);
+        if !short || division.recalled_at.is_some_and(again) {
+            return Vec::new();
+        }
+        division.recalled_at = Some(now);
+        let mut above = Vec::new();
+        for (id, held) in &division.holders {
+            if !held.short && far(held.granted, division.target(id)) {
+                above.push(id.clone());
+            }
+        }
+        above
+    }
+
     /// Forgets customers at rest: none holds a share and all has flowed back.
     pub fn sweep(&mut self, now: MonoMs) {
         self.divisions.retain(|_, division| {
@@ -255,6 +314,7 @@
                     terms.burst_tokens * full,
                     now,
                 ),
+                recalled_at: None,
             })
     }
 }
--- a/crates/foxtailhold/src/limits/message.rs
+++ b/crates/foxtailhold/src/limits/message.rs
@@ -67,6 +67,11 @@
         tokens.set_rate(rate_per_s * part, burst * part, now);
     }
 
+    /// Whether no request can be admitted on it: one of its parts is nothing.
+    pub fn is_empty(self) -> bool {
+        self.requests_ppm == 0 || self.tokens_ppm == 0 || self.slots == 0
+    }
+
     /// The larger of the two in each limit.
     pub fn max(self, other: Share) -> Share {
         Share {
@@ -175,4 +180,6 @@
     pub credit: Credit,
     /// Whether the holder should ask again after [`crate::limits::HURRY_MS`].
     pub hurry: bool,
+    /// Whether more is due to the holder as soon as others have given room.
+    pub rising: bool,
 }
--- a/crates/foxtailhold/tests/common/shares.rs
+++ b/crates/foxtailhold/tests/common/shares.rs
@@ -38,6 +38,7 @@
 enum Message {
     Ask(Ask),
     Grant(Grant),
+    Recall,
 }
 
 #[derive(Debug)]
@@ -62,6 +63,8 @@
     homes: VecDeque<(MonoMs, f64)>,
     changes: Vec<MonoMs>,
     pub admitted: f64,
+    /// Requests that were told to wait.
+    pub held_back: u64,
     allowed: f64,
     least: f64,
     pub worst: f64,
@@ -96,6 +99,7 @@
             homes: VecDeque::new(),
             changes: Vec::new(),
             admitted: 0.0,
+            held_back: 0,
             allowed: 0.0,
             least: 0.0,
             worst: 0.0,
@@ -152,12 +156,23 @@
                     if let Some(grant) = grant {
                         self.post(to, from, Message::Grant(grant));
                     }
+                    self.recall(to);
                 }
+                Message::Recall => node.holder.recalled(now),
                 Message::Grant(grant) => node.holder.granted(&TERMS, &grant, now),
             }
         }
     }
 
+    fn recall(&mut self, home: usize) {
+        let above = self.nodes[home].home.recall(&customer(), self.now);
+        for index in 0..INSTANCES {
+            if above.contains(&instance(index)) {
+                self.post(home, index, Message::Recall);
+            }
+        }
+    }
+
     fn send_asks(&mut self) {
         for index in 0..INSTANCES {
             self.number += 1;
@@ -192,16 +207,20 @@
 
     fn request_one(&mut self, index: usize) -> bool {
         let now = self.now;
-        for _ in 0..2 {
+        for attempt in 0..2 {
             let node = &mut self.nodes[index];
             let listed = node.views.listed();
-            match node.holder.admit(&TERMS, listed, 0.0, now) {
+            let verdict = match attempt {
+                0 => node.holder.admit(&TERMS, listed, 0.0, now),
+                _ => node.holder.admit_again(&TERMS, listed, 0.0, now),
+            };
+            match verdict {
                 Verdict::Admitted => {
                     node.holder.finish(0.0);
                     return true;
                 }
                 Verdict::Over { .. } => return false,
-                Verdict::Wait => {}
+                Verdict::Wait => self.held_back += 1,
             }
             self.send_asks();
             self.deliver();
@@ -209,8 +228,11 @@
             let since = *node.waiting_since.get_or_insert(now);
             if now.since_ms(since) >= 50 {
                 node.waiting_since = None;
+                let before = node.holder.in_fallback(self.now);
                 node.holder.fall_back(&TERMS, listed, now);
-                self.allowed += TERMS.burst_requests / f64::from(listed);
+                if node.holder.in_fallback(self.now) && !before {
+                    self.allowed += TERMS.burst_requests / f64::from(listed);
+                }
             }
         }
         false
@@ -256,7 +278,11 @@
         let mut fallback = 0.0;
         for node in &self.nodes {
             let part = 1.0 / f64::from(node.views.listed());
-            fallback += if node.holder.in_fallback() { part } else { 0.0 };
+            fallback += if node.holder.in_fallback(self.now) {
+                part
+            } else {
+                0.0
+            };
         }
         let fraction = most + f64::from(u8::from(changing)) + fallback;
         self.allowed += fraction * TERMS.requests_per_s * STEP_MS as f64 / 1_000.0;
@@ -290,7 +316,11 @@
         bursts += self.most_granted() - 1.0;
         for node in &self.nodes {
             let part = 1.0 / f64::from(node.views.listed());
-            bursts += if node.holder.in_fallback() { part } else { 0.0 };
+            bursts += if node.holder.in_fallback(self.now) {
+                part
+            } else {
+                0.0
+            };
         }
         bursts * TERMS.burst_requests
     }
--- a/crates/foxtailhold/tests/limits_home.rs
+++ b/crates/foxtailhold/tests/limits_home.rs
@@ -127,8 +127,8 @@
     assert_eq!(newcomer.requests_ppm, part);
     let claimed = Share {
         requests_ppm: WHOLE_PPM / 2,
-        tokens_ppm: 0,
-        slots: 7,
+        tokens_ppm: part + 1,
+        slots: TERMS.slots / 2,
     };
     assert_eq!(home.share(others[1], claimed, NOW + 3), claimed);
     let last = home.share(others[2], Share::default(), NOW + 4);
@@ -153,6 +153,7 @@
             tokens: 1.0,
         },
         hurry: true,
+        rising: false,
     };
     holder.granted(&TERMS, &grant, NOW);
     assert_eq!(holder.admit(&TERMS, count, 1.0, NOW), Verdict::Admitted);
--- /dev/null
+++ b/crates/foxtailhold/tests/limits_newcomers.rs
@@ -0,0 +1,215 @@
+//! A customer far below its limits is served at once by an instance that had no share of it.
+
+mod common;
+
+use common::shares::{INSTANCES, World, customer, instance};
+use foxtailhold::limits::{
+    Ask, Credit, Demand, Grant, Holder, LimitHome, Share, Terms, Verdict, Views, WHOLE_PPM,
+};
+use foxtailhold::time::MonoMs;
+use test_case::test_case;
+
+const NOW: MonoMs = MonoMs(100_000);
+const TERMS: Terms = Terms {
+    requests_per_s: 10_000.0,
+    burst_requests: 10_000.0,
+    tokens_per_s: 1e6,
+    burst_tokens: 2e6,
+    slots: 600,
+};
+const COUNT: u32 = 5;
+/// Longest wait for a first share, in milliseconds, beside the flight of messages.
+const FIRST_SHARE_MS: u64 = 200;
+
+const FEW: Demand = Demand {
+    requests_per_s: 5.0,
+    tokens_per_s: 500.0,
+    slots: 2,
+    in_flight: 1,
+};
+
+/// The view of the customer's home among `COUNT` instances, which started then.
+fn home_views(started_at: MonoMs) -> Views {
+    let all = || (0..COUNT as usize).map(instance).collect::<Vec<_>>();
+    for id in all() {
+        let mut views = Views::new(id, started_at);
+        views.set(all(), COUNT, started_at);
+        if views.is_home(&customer()) {
+            return views;
+        }
+    }
+    panic!("one of them is the home");
+}
+
+fn ask(number: u64, held: Share) -> Ask {
+    Ask {
+        customer: customer(),
+        number,
+        held,
+        demand: Some(FEW),
+        returned: Credit::default(),
+    }
+}
+
+fn answer(share: Share) -> Grant {
+    Grant {
+        customer: customer(),
+        number: 1,
+        share,
+        credit: Credit {
+            requests: 100.0,
+            tokens: 100.0,
+        },
+        hurry: false,
+        rising: false,
+    }
+}
+
+/// A holder that has asked for its first share.
+fn asking() -> Holder {
+    let mut holder = Holder::new(NOW);
+    assert_eq!(holder.admit(&TERMS, COUNT, 10.0, NOW), Verdict::Wait);
+    assert!(holder.ask(&customer(), &TERMS, 1, NOW).is_some());
+    holder
+}
+
+#[test]
+fn each_newcomer_finds_room_beside_those_that_came_before() {
+    let (mut home, views) = (LimitHome::default(), home_views(MonoMs(0)));
+    let mut sum = Share::default();
+    for index in 0..COUNT {
+        let from = instance(index as usize);
+        let asked = ask(u64::from(index) + 1, Share::default());
+        let grant = home.ask(&from, &asked, &TERMS, &views, NOW).unwrap();
+        let share = grant.share;
+        assert!(share.slots > 0, "instance {index}: {share:?}");
+        let least_ppm = WHOLE_PPM / 1_000;
+        assert!(
+            share.requests_ppm > least_ppm,
+            "instance {index}: {share:?}"
+        );
+        assert!(share.tokens_ppm > least_ppm, "instance {index}: {share:?}");
+        sum = sum.plus(share);
+    }
+    assert!(sum.requests_ppm <= WHOLE_PPM && sum.slots <= TERMS.slots);
+}
+
+#[test]
+fn a_home_that_knew_only_itself_lets_holders_give_room_to_newcomers() {
+    let mut home = LimitHome::default();
+    let me = home_views(MonoMs(0)).home(&customer()).unwrap().clone();
+    let mut views = Views::new(me.clone(), NOW);
+    let first = home.ask(&me, &ask(1, Share::default()), &TERMS, &views, NOW);
+    let first = first.unwrap().share;
+    assert_eq!(first, Share::part(&TERMS, 1, 1));
+    views.set((0..COUNT as usize).map(instance).collect(), COUNT, NOW + 1);
+    let other = (0..COUNT as usize).map(instance).find(|id| *id != me);
+    let other = other.unwrap();
+    let none = home.ask(&other, &ask(1, Share::default()), &TERMS, &views, NOW + 2);
+    assert_eq!(none.unwrap().share, Share::default());
+    let kept = home.ask(&me, &ask(2, first), &TERMS, &views, NOW + 3);
+    let kept = kept.unwrap().share;
+    assert!(kept.slots < first.slots, "{kept:?}");
+    assert!(kept.requests_ppm < first.requests_ppm, "{kept:?}");
+    home.ask(&me, &ask(3, kept), &TERMS, &views, NOW + 4);
+    let found = home.ask(&other, &ask(2, Share::default()), &TERMS, &views, NOW + 5);
+    let found = found.unwrap().share;
+    assert!(found.slots > 0 && found.requests_ppm > 0, "{found:?}");
+}
+
+#[test]
+fn a_new_home_raises_a_small_share_to_the_part_of_one_instance() {
+    let (mut home, views) = (LimitHome::default(), home_views(NOW));
+    let small = Share {
+        requests_ppm: WHOLE_PPM / 2,
+        tokens_ppm: 40,
+        slots: 1,
+    };
+    let other = (0..COUNT as usize)
+        .map(instance)
+        .find(|id| views.home(&customer()) != Some(id));
+    let grant = home.ask(&other.unwrap(), &ask(1, small), &TERMS, &views, NOW + 1);
+    let part = Share::part(&TERMS, 1, COUNT);
+    assert_eq!(grant.unwrap().share, small.max(part));
+}
+
+#[test_case(Share::default(); "nothing at all")]
+#[test_case(Share { requests_ppm: 900, tokens_ppm: 0, slots: 3 }; "no tokens")]
+#[test_case(Share { requests_ppm: 0, tokens_ppm: 900, slots: 3 }; "no requests")]
+#[test_case(Share { requests_ppm: 900, tokens_ppm: 900, slots: 0 }; "no slots")]
+fn first_requests_wait_while_all_is_granted_elsewhere(share: Share) {
+    let mut holder = asking();
+    holder.granted(&TERMS, &answer(share), NOW);
+    assert_eq!(holder.admit(&TERMS, COUNT, 10.0, NOW), Verdict::Wait);
+}
+
+#[test]
+fn an_answer_without_room_after_the_fallback_is_no_refusal() {
+    let mut holder = asking();
+    holder.fall_back(&TERMS, COUNT, NOW + 50);
+    let first = holder.admit(&TERMS, COUNT, 10.0, NOW + 50);
+    assert_eq!(first, Verdict::Admitted);
+    holder.granted(&TERMS, &answer(Share::default()), NOW + 60);
+    let second = holder.admit(&TERMS, COUNT, 10.0, NOW + 60);
+    assert_eq!(second, Verdict::Wait);
+}
+
+#[test_case(true, Verdict::Wait; "that is being raised")]
+#[test_case(false, Verdict::Admitted; "that is all there is")]
+fn a_second_request_on_a_small_share(rising: bool, other: Verdict) {
+    let mut holder = asking();
+    let share = Share {
+        requests_ppm: 900_000,
+        tokens_ppm: 900_000,
+        slots: 1,
+    };
+    let grant = Grant {
+        rising,
+        ..answer(share)
+    };
+    holder.granted(&TERMS, &grant, NOW);
+    assert_eq!(holder.admit(&TERMS, COUNT, 10.0, NOW), Verdict::Admitted);
+    let second = holder.admit(&TERMS, COUNT, 10.0, NOW);
+    match other {
+        Verdict::Wait => assert_eq!(second, Verdict::Wait),
+        _ => assert!(matches!(second, Verdict::Over { .. }), "{second:?}"),
+    }
+    let late = holder.admit(&TERMS, COUNT, 10.0, NOW + 2_000);
+    assert!(matches!(late, Verdict::Over { .. }), "{late:?}");
+}
+
+#[test]
+fn a_newcomer_is_served_within_a_fraction_of_a_second_wherever_the_limit_was_used() {
+    for newcomer in 0..INSTANCES {
+        let mut world = World::new();
+        let others: Vec<usize> = (0..INSTANCES).filter(|other| *other != newcomer).collect();
+        for _ in 0..150 {
+            for other in &others {
+                world.request(*other, 1);
+            }
+            world.advance(20);
+        }
+        let mut waited_ms = 0;
+        while world.request(newcomer, 1) == 0 {
+            for other in &others {
+                world.request(*other, 1);
+            }
+            world.advance(20);
+            waited_ms += 20;
+            assert!(
+                waited_ms <= FIRST_SHARE_MS,
+                "not admitted after {waited_ms} ms"
+            );
+        }
+    }
+}
+
+#[test]
+fn a_flood_above_the_limit_is_refused_at_once() {
+    let mut world = World::new();
+    let all: Vec<usize> = (0..INSTANCES).collect();
+    world.flood(&all, 4_000);
+    world.held_back = 0;
+    world.flood(&all, 4_000);
+    assert_eq!(world.held_back, 0, "requests kept waiting under a flood");
+}
