--- a/crates/foxtailhold-entry/examples/limits_cost.rs
+++ b/crates/foxtailhold-entry/examples/limits_cost.rs
@@ -12,8 +12,8 @@
 use foxtailhold::limits::{Ask, EXCHANGE_MS, IDLE_MS, ShareAsks};
 use foxtailhold::time::MonoMs;
 use foxtailhold_entry::admission::Admission;
-use foxtailhold_entry::clock::Clock;
 use foxtailhold_entry::limits::{Attempt, Decision, Limits};
+use foxtailhold_http::clock::Clock;
 
 /// Customers of the two-year target.
 const CUSTOMERS: usize = 31_000;
--- a/crates/foxtailhold-entry/src/admission.rs
+++ b/crates/foxtailhold-entry/src/admission.rs
@@ -1,7 +1,7 @@
 //! Admission of online requests in front of the engines, on this instance.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
+use std::sync::Arc;
 use std::time::Duration;
 
 use foxtailhold::admission::{
@@ -12,10 +12,11 @@
 use foxtailhold::refusal::{Refusal, RefusalReason, Result};
 use foxtailhold::replicas::{BackendKind, FleetState};
 use foxtailhold::time::MonoMs;
+use parking_lot::{Mutex, RwLock};
 use tokio::sync::oneshot;
 
 use crate::backends::BackendTable;
-use crate::clock::Clock;
+use foxtailhold_http::clock::Clock;
 
 /// A request that waits hears by this.
 type Wake = oneshot::Sender<Option<Place>>;
@@ -57,7 +58,7 @@
 
 impl Drop for WaitGuard<'_> {
     fn drop(&mut self) {
-        let mut state = self.queue.lock();
+        let mut state = self.queue.state.lock();
         state.wakes.remove(&self.id);
         state.queue.cancel(self.customer, self.id);
     }
@@ -66,22 +67,18 @@
 impl Drop for Place {
     fn drop(&mut self) {
         let now = self.queue.clock.mono();
-        self.queue.lock().queue.leave(self.since, now);
+        self.queue.state.lock().queue.leave(self.since, now);
         self.queue.pump();
     }
 }
 
 impl ModelQueue {
-    fn lock(&self) -> MutexGuard<'_, QueueState> {
-        self.state.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Lets all go that need not wait any longer. They are told without the lock, as a place whose
     /// request is gone comes back at once.
     fn pump(self: &Arc<Self>) {
         let now = self.clock.mono();
         let mut told = Vec::new();
-        let mut state = self.lock();
+        let mut state = self.state.lock();
         while let Some(released) = state.queue.next(now) {
             let (id, place) = match released {
                 Released::Expired(id) => (id, None),
@@ -114,7 +111,7 @@
 
     fn set_capacity(self: &Arc<Self>, capacity: &Capacity, instances: u32) {
         let now = self.clock.mono();
-        let mut state = self.lock();
+        let mut state = self.state.lock();
         let window = state.window.update(capacity, instances, now);
         let raised = window > state.queue.window();
         state.queue.set_window(window);
@@ -151,7 +148,7 @@
             draw: rand::random::<u32>().into(),
         };
         let (woken, wait_ms, _guard) = {
-            let mut state = queue.lock();
+            let mut state = queue.state.lock();
             match state.queue.enter(&arrival, now) {
                 Entered::Admitted => return Ok(queue.place(now)),
                 Entered::Refused { after_ms } => return Err(queue.overloaded(after_ms)),
@@ -185,7 +182,7 @@
 
     /// Sets the windows to what the replicas report.
     pub fn update(&self, backends: &BackendTable, instances: u32) {
-        let queues = self.queues.read().unwrap_or_else(PoisonError::into_inner);
+        let queues = self.queues.read();
         let queues: Vec<Arc<ModelQueue>> = queues.values().cloned().collect();
         for queue in queues {
             queue.set_capacity(&capacity(backends, &queue.model), instances);
@@ -194,15 +191,16 @@
 
     /// Requests that wait.
     pub fn waiting(&self) -> usize {
-        let queues = self.queues.read().unwrap_or_else(PoisonError::into_inner);
+        let queues = self.queues.read();
         queues
             .values()
-            .map(|queue| queue.lock().queue.waiting())
+            .map(|queue| queue.state.lock().queue.waiting())
             .sum()
     }
 
     fn gave_up(&self, queue: &ModelQueue, deadline: Option<MonoMs>, since: MonoMs) -> Refusal {
         let after_ms = queue
+            .state
             .lock()
             .queue
             .retry_after_ms(rand::random::<u32>().into());
@@ -217,12 +215,12 @@
     }
 
     fn queue(&self, model: &TargetName) -> Arc<ModelQueue> {
-        let queues = self.queues.read().unwrap_or_else(PoisonError::into_inner);
+        let queues = self.queues.read();
         if let Some(queue) = queues.get(model) {
             return queue.clone();
         }
         drop(queues);
-        let mut queues = self.queues.write().unwrap_or_else(PoisonError::into_inner);
+        let mut queues = self.queues.write();
         let new = || {
             let window = Window::new();
             Arc::new(ModelQueue {
--- a/crates/foxtailhold-entry/src/backends.rs
+++ b/crates/foxtailhold-entry/src/backends.rs
@@ -1,8 +1,8 @@
 //! Backend servers as the request path sees them: a published table of cells with counters.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
@@ -13,6 +13,7 @@
 use foxtailhold::routing::{Candidate, Candidates, affinity_seed};
 use foxtailhold::stall::{self, Pace};
 use foxtailhold::time::MonoMs;
+use parking_lot::Mutex;
 use tokio::time::Instant;
 
 /// Sends this long before a report's own time are counted again, for the way of the report.
@@ -60,10 +61,6 @@
 }
 
 impl Counters {
-    fn lock(&self) -> MutexGuard<'_, Flights> {
-        self.flights.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     fn publish_breaker(&self, breaker: &Breaker) {
         let until = breaker.blocked_until().0;
         self.set_aside_until.store(until, Ordering::Relaxed);
@@ -117,7 +114,7 @@
     /// Takes a load report in. Own sends after the time of which it speaks go on counting.
     pub fn reported(&self, report: LoadReport, now: MonoMs) {
         let back = Duration::from_millis(report.age_ms.saturating_add(REPORT_MARGIN_MS));
-        let mut flights = self.counters.lock();
+        let mut flights = self.counters.flights.lock();
         flights.reported_until = Instant::now().checked_sub(back);
         self.counters.publish_flights(&flights);
         self.counters.report.store(Some(Arc::new((report, now))));
@@ -166,7 +163,7 @@
 
     /// Sets it aside after a failure, for longer with each one.
     pub fn failed(&self, now: MonoMs) {
-        let mut flights = self.counters.lock();
+        let mut flights = self.counters.flights.lock();
         flights.breaker.failed(now, rand::random());
         self.counters.publish_breaker(&flights.breaker);
     }
@@ -176,7 +173,7 @@
         if !self.counters.failures.load(Ordering::Relaxed) {
             return;
         }
-        let mut flights = self.counters.lock();
+        let mut flights = self.counters.flights.lock();
         flights.breaker.succeeded();
         self.counters.publish_breaker(&flights.breaker);
     }
@@ -186,7 +183,7 @@
         if !self.counters.failures.load(Ordering::Relaxed) {
             return;
         }
-        let mut flights = self.counters.lock();
+        let mut flights = self.counters.flights.lock();
         flights.breaker.sent(now);
         self.counters.publish_breaker(&flights.breaker);
     }
@@ -241,7 +238,7 @@
 
     /// Counts a request with a fingerprint as sent until the guard is dropped.
     pub fn send_known(&self, fingerprint: Option<Fingerprint>) -> InFlight {
-        let mut flights = self.counters.lock();
+        let mut flights = self.counters.flights.lock();
         let number = flights.next;
         flights.next += 1;
         flights.sent.push(Sent {
@@ -264,7 +261,7 @@
     /// Requests now in flight there.
     pub fn flights(&self) -> Vec<Flight> {
         let mut flights = Vec::new();
-        for sent in &self.counters.lock().sent {
+        for sent in &self.counters.flights.lock().sent {
             let Some(fingerprint) = sent.fingerprint else {
                 continue;
             };
@@ -295,7 +292,7 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        let mut flights = self.counters.lock();
+        let mut flights = self.counters.flights.lock();
         let place = flights.sent.iter().position(|s| s.number == self.number);
         if let Some(place) = place {
             flights.sent.swap_remove(place);
--- a/crates/foxtailhold-entry/src/jobs/places.rs
+++ b/crates/foxtailhold-entry/src/jobs/places.rs
@@ -1,9 +1,10 @@
 //! The chunk places of one instance, shared by its runs.
 
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 
 use foxtailhold::batch::landing::Landing;
 use foxtailhold::batch::places::ChunkPlaces;
+use parking_lot::{Mutex, MutexGuard};
 
 /// Chunks of one instance started and not committed at most. With chunks of 200 items this bounds
 /// the results that wait in memory while the store is down.
@@ -28,12 +29,12 @@
 impl SharedPlaces {
     /// The places, for one short step.
     pub fn lock(&self) -> MutexGuard<'_, ChunkPlaces> {
-        self.places.lock().unwrap_or_else(PoisonError::into_inner)
+        self.places.lock()
     }
 
     /// The work that waits, for one short step.
     pub fn landing(&self) -> MutexGuard<'_, Landing> {
-        self.landing.lock().unwrap_or_else(PoisonError::into_inner)
+        self.landing.lock()
     }
 
     /// One place, held until dropped.
--- a/crates/foxtailhold-entry/src/lib.rs
+++ b/crates/foxtailhold-entry/src/lib.rs
@@ -5,7 +5,6 @@
 pub mod admission;
 pub mod backends;
 pub mod cli;
-pub mod clock;
 pub mod contract_store;
 pub mod crashes;
 pub mod error;
--- a/crates/foxtailhold-entry/src/limits.rs
+++ b/crates/foxtailhold-entry/src/limits.rs
@@ -2,8 +2,8 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::hash::BuildHasher;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
 use foxtailhold::contract::Contract;
@@ -14,6 +14,7 @@
 };
 use foxtailhold::refusal::{Refusal, RefusalReason};
 use foxtailhold::time::{MonoMs, WallMs};
+use parking_lot::{Mutex, MutexGuard};
 use tokio::sync::watch;
 
 use crate::admission::Place;
@@ -97,10 +98,6 @@
     place: Option<Place>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Limits {
     /// Limits of an instance that starts now.
     pub fn new(me: InstanceId, now: MonoMs, wall: WallMs) -> Self {
@@ -186,7 +183,7 @@
     pub fn due_asks(&self, now: MonoMs) -> Vec<Ask> {
         let mut asks = Vec::new();
         for shard in &self.0.shards {
-            lock(shard).retain(|customer, usage| {
+            shard.lock().retain(|customer, usage| {
                 let number = self.next_number();
                 asks.extend(usage.holder.ask(customer, &usage.terms, number, now));
                 !usage.holder.is_forgettable(now)
@@ -210,7 +207,7 @@
     /// Answers an instance's asks as the home of the customers; leaves out the others.
     pub fn answer(&self, asks: &ShareAsks, contracts: &ContractBook, now: MonoMs) -> Shares {
         let views = self.0.views.load();
-        let mut home = lock(&self.0.home);
+        let mut home = self.0.home.lock();
         let mut shares = Shares::default();
         for ask in &asks.asks {
             let entry = contracts.get(&ask.customer);
@@ -268,17 +265,17 @@
 
     /// Forgets customers at rest at the home.
     pub fn sweep(&self, now: MonoMs) {
-        lock(&self.0.home).sweep(now);
+        self.0.home.lock().sweep(now);
     }
 
     /// Customers with requests here.
     pub fn customers(&self) -> usize {
-        self.0.shards.iter().map(|shard| lock(shard).len()).sum()
+        self.0.shards.iter().map(|shard| shard.lock().len()).sum()
     }
 
     fn shard(&self, customer: &CustomerId) -> MutexGuard<'_, HashMap<CustomerId, Usage>> {
         let hash = self.0.hasher.hash_one(customer) as usize;
-        lock(&self.0.shards[hash % SHARDS])
+        self.0.shards[hash % SHARDS].lock()
     }
 
     fn next_number(&self) -> u64 {
--- a/crates/foxtailhold-entry/src/retries.rs
+++ b/crates/foxtailhold-entry/src/retries.rs
@@ -1,9 +1,8 @@
 //! The retry budget of this instance.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
-
 use foxtailhold::retry::RetryBudget;
 use foxtailhold::time::MonoMs;
+use parking_lot::Mutex;
 
 /// The budget, shared by all requests. Held for a few instructions only.
 #[derive(Debug)]
@@ -18,15 +17,11 @@
 impl RetryGate {
     /// Notes a first try.
     pub fn first_try(&self) {
-        self.lock().first_try();
+        self.0.lock().first_try();
     }
 
     /// Takes one retry; `false` where none is left.
     pub fn retry(&self, now: MonoMs) -> bool {
-        self.lock().retry(now)
-    }
-
-    fn lock(&self) -> MutexGuard<'_, RetryBudget> {
-        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+        self.0.lock().retry(now)
     }
 }
--- a/crates/foxtailhold-entry/src/shared.rs
+++ b/crates/foxtailhold-entry/src/shared.rs
@@ -31,7 +31,6 @@
 use crate::actors::steward::StewardMessage;
 use crate::admission::Admission;
 use crate::backends::BackendTable;
-use crate::clock::Clock;
 use crate::jobs::places::SharedPlaces;
 use crate::limits::Limits;
 use crate::metrics::Metrics;
@@ -39,6 +38,7 @@
 use crate::retries::RetryGate;
 use crate::settings::{BatchPolicy, Settings};
 use crate::timeline::{ProcessClock, Timeline};
+use foxtailhold_http::clock::Clock;
 
 /// The actors of one instance.
 #[derive(Debug, Clone)]
--- a/crates/foxtailhold-entry/src/timeline.rs
+++ b/crates/foxtailhold-entry/src/timeline.rs
@@ -1,14 +1,15 @@
 //! Recent events of this process, in a ring buffer and as JSON lines in the log.
 
 use std::collections::VecDeque;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 
 use foxtailhold::ids::InstanceId;
 use foxtailhold::timeline::{Event, HlcTime, HybridClock, TimelineEntry};
 use foxtailhold_operator::view::TimelineView;
 use foxtailhold_peer::MessageClock;
+use parking_lot::Mutex;
 
-use crate::clock::Clock;
+use foxtailhold_http::clock::Clock;
 
 /// Events kept for `foxtail timeline`.
 pub const EVENTS_KEPT: usize = 8_192;
@@ -32,11 +33,7 @@
     /// A reading for a local event or a message sent.
     pub fn tick(&self) -> HlcTime {
         let wall = self.wall.wall();
-        self.lock().tick(wall)
-    }
-
-    fn lock(&self) -> MutexGuard<'_, HybridClock> {
-        self.hybrid.lock().unwrap_or_else(PoisonError::into_inner)
+        self.hybrid.lock().tick(wall)
     }
 }
 
@@ -47,7 +44,7 @@
 
     fn receive(&self, at: HlcTime) {
         let wall = self.wall.wall();
-        self.lock().receive(at, wall);
+        self.hybrid.lock().receive(at, wall);
     }
 }
 
@@ -77,7 +74,7 @@
 
     /// Notes an event.
     pub fn note(&self, event: Event) {
-        let mut ring = self.lock();
+        let mut ring = self.ring.lock();
         let entry = TimelineEntry {
             at: self.clock.tick(),
             instance: self.instance.clone(),
@@ -102,19 +99,15 @@
 
     /// How many events were dropped because the buffer was full.
     pub fn dropped(&self) -> u64 {
-        self.lock().dropped
+        self.ring.lock().dropped
     }
 
     /// The events kept.
     pub fn view(&self) -> TimelineView {
-        let ring = self.lock();
+        let ring = self.ring.lock();
         TimelineView {
             entries: ring.entries.iter().cloned().collect(),
             dropped: ring.dropped,
         }
     }
-
-    fn lock(&self) -> MutexGuard<'_, Ring> {
-        self.ring.lock().unwrap_or_else(PoisonError::into_inner)
-    }
 }
--- a/crates/foxtailhold-logs/src/sink.rs
+++ b/crates/foxtailhold-logs/src/sink.rs
@@ -2,10 +2,12 @@
 
 use std::collections::VecDeque;
 use std::io::{self, Write};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
+use parking_lot::Mutex;
+
 /// Lines are written together so often: each write wakes a thread, and nobody reads logs faster.
 const FLUSH_MS: u64 = 50;
 /// A second's bytes may wait for a reader that has stopped, before lines are left out.
@@ -113,19 +115,15 @@
         Ok(sink)
     }
 
-    fn lock(&self) -> MutexGuard<'_, LineQueue> {
-        self.queue.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Takes a line.
     pub fn push(&self, weight: Weight, line: Vec<u8>) {
-        self.lock().push(Instant::now(), weight, line);
+        self.queue.lock().push(Instant::now(), weight, line);
     }
 
     fn write_lines<W: Write>(&self, mut output: W, summary: &impl Fn(LeftOut) -> Vec<u8>) {
         loop {
             thread::sleep(Duration::from_millis(FLUSH_MS));
-            let (mut bytes, left_out) = self.lock().take();
+            let (mut bytes, left_out) = self.queue.lock().take();
             if left_out != LeftOut::default() {
                 bytes.extend(summary(left_out));
             }
@@ -146,7 +144,7 @@
     /// Waits until what was taken so far has been handed to the writer, at the end of a process.
     pub fn close(self) {
         let until = Instant::now() + Duration::from_millis(4 * FLUSH_MS);
-        while Instant::now() < until && !self.lock().lines.is_empty() {
+        while Instant::now() < until && !self.queue.lock().lines.is_empty() {
             thread::sleep(Duration::from_millis(FLUSH_MS / 5));
         }
         thread::sleep(Duration::from_millis(FLUSH_MS / 5));
--- a/crates/foxtailhold-peer/src/client.rs
+++ b/crates/foxtailhold-peer/src/client.rs
@@ -2,12 +2,13 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use h2::client::SendRequest;
 use http::Request;
+use parking_lot::Mutex;
 use tokio::net::TcpStream;
 
 use crate::codec;
@@ -96,7 +97,7 @@
     }
 
     async fn connection(&self, address: SocketAddr) -> Result<SendRequest<Bytes>> {
-        if let Some(known) = self.lock().get(&address) {
+        if let Some(known) = self.connections.lock().get(&address) {
             return Ok(known.clone());
         }
         let connect = |source| PeerError::Connect { address, source };
@@ -108,17 +109,11 @@
                 log::debug!("connection to peer {address} ended: {error}");
             }
         });
-        self.lock().insert(address, sender.clone());
+        self.connections.lock().insert(address, sender.clone());
         Ok(sender)
     }
 
     fn forget(&self, address: SocketAddr) {
-        self.lock().remove(&address);
-    }
-
-    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, SendRequest<Bytes>>> {
-        self.connections
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
+        self.connections.lock().remove(&address);
     }
 }
--- a/crates/foxtailhold-relay/src/connections.rs
+++ b/crates/foxtailhold-relay/src/connections.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -15,6 +15,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use parking_lot::Mutex;
 use thiserror::Error;
 use tokio::net::TcpStream;
 
@@ -74,7 +75,7 @@
     sender: SendRequest<Full<Bytes>>,
     backend: BackendId,
     keep: Duration,
-    idle: Connections,
+    connections: Connections,
 }
 
 impl InUse {
@@ -88,23 +89,19 @@
             since: Instant::now(),
             keep: self.keep,
         };
-        let mut map = self.idle.lock();
+        let mut map = self.connections.idle.lock();
         map.entry(self.backend).or_default().push_back(idle);
     }
 }
 
 impl Connections {
-    fn lock(&self) -> MutexGuard<'_, IdleMap> {
-        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Closes the connections to backend servers that are not in use any more.
     pub fn keep_only(&self, is_known: impl Fn(&BackendId) -> bool) {
-        self.lock().retain(|id, _| is_known(id));
+        self.idle.lock().retain(|id, _| is_known(id));
     }
 
     fn take(&self, backend: &BackendId, rest_ms: u64) -> Option<SendRequest<Full<Bytes>>> {
-        let mut map = self.lock();
+        let mut map = self.idle.lock();
         let all = map.get_mut(backend)?;
         all.retain(|idle| !idle.sender.is_closed() && idle.since.elapsed() < idle.keep);
         let oldest = all.front()?;
@@ -144,7 +141,7 @@
                         sender,
                         backend: backend.clone(),
                         keep: keep_time(response.headers()),
-                        idle: self.clone(),
+                        connections: self.clone(),
                     };
                     return Ok((response, in_use));
                 }
--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -8,10 +8,11 @@
 use foxtailhold::routes::{Route, RouteTable};
 use foxtailhold::slots::{Outcome, Urgency};
 use foxtailhold_http::body;
+use foxtailhold_http::clock::Clock;
 use http::Response;
+use hyper::body::Incoming;
 use tokio::time::Instant;
 
-use crate::clock::Clock;
 use crate::connections::{Connections, InUse};
 use crate::dialect::Dialect;
 use crate::events::{EventReader, Step};
@@ -275,19 +276,28 @@
     ) -> Result<Response<bytes::Bytes>, Miss> {
         let patience_ms = route.objective_ms * WHOLE_PATIENCE_OBJECTIVES;
         let patience_until = progress.patience_until(route, patience_ms);
-        let exchange = exchange(request, route, request.after_event);
-        let (response, in_use) = exchange
-            .send(
-                &self.dialect,
-                &self.connections,
-                backend,
-                progress.until,
-                patience_until,
-            )
+        let sent = exchange(request, route, request.after_event);
+        let (response, in_use) = self
+            .send_to(backend, &sent, progress.until, patience_until)
             .await?;
         exchange::read_whole(response, in_use, patience_until).await
     }
 
+    /// Sends to one backend server, which is given the time until `until`, and waits for the head of
+    /// its answer until `patience_until`.
+    pub async fn send_to(
+        &self,
+        backend: &BackendServer,
+        exchange: &Exchange<'_>,
+        until: Instant,
+        patience_until: Instant,
+    ) -> Result<(Response<Incoming>, InUse), Miss> {
+        let (dialect, connections) = (&self.dialect, &self.connections);
+        exchange
+            .send(dialect, connections, backend, until, patience_until)
+            .await
+    }
+
     /// Marks an answer as the backend server's own.
     fn passed_on(&self, mut response: Response<body::AnswerBody>) -> Answer {
         self.dialect.strip(response.headers_mut());
@@ -396,15 +406,9 @@
         place: &Place,
     ) -> Result<Opened, Miss> {
         let patience_until = progress.patience_until(route, FIRST_EVENT_PATIENCE_MS);
-        let exchange = exchange(request, route, request.after_event);
-        let (response, in_use) = exchange
-            .send(
-                &self.dialect,
-                &self.connections,
-                backend,
-                progress.until,
-                patience_until,
-            )
+        let sent = exchange(request, route, request.after_event);
+        let (response, in_use) = self
+            .send_to(backend, &sent, progress.until, patience_until)
             .await?;
         place.sign();
         if !route.repeat.is_stream() || !response.status().is_success() {
@@ -417,7 +421,7 @@
 
     async fn first_event(
         &self,
-        response: Response<hyper::body::Incoming>,
+        response: Response<Incoming>,
         in_use: InUse,
         after: Option<u64>,
         patience_until: Instant,
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -1,7 +1,7 @@
 //! One instance: what it follows, when it is ready, how it stops.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -12,12 +12,12 @@
 use foxtailhold_platform::{
     Changes, Committed, ObjectStore, RowKey, RowStore, Snapshot, VersionedRow,
 };
+use parking_lot::{Mutex, MutexGuard};
 use thiserror::Error;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-use crate::clock::Clock;
 use crate::connections::Connections;
 use crate::dialect::Dialect;
 use crate::dispatch::Relay;
@@ -28,6 +28,7 @@
 use crate::peers::{Member, Peers};
 use crate::plain::PlainLoads;
 use crate::shared_store::SharedStore;
+use foxtailhold_http::clock::Clock;
 
 /// Result of starting an instance.
 pub type Result<T> = std::result::Result<T, InstanceError>;
@@ -377,7 +378,7 @@
 
 impl<D: Dialect, R: Sources> Fleet<D, R> {
     fn book(&self) -> MutexGuard<'_, FleetBook> {
-        self.book.lock().unwrap_or_else(PoisonError::into_inner)
+        self.book.lock()
     }
 
     fn read(&self, row: &VersionedRow) -> Option<BackendServer> {
--- a/crates/foxtailhold-relay/src/jobs/accept.rs
+++ b/crates/foxtailhold-relay/src/jobs/accept.rs
@@ -4,7 +4,7 @@
 
 use foxtailhold::ids::JobId;
 use foxtailhold::routes::{BatchBounds, Route};
-use foxtailhold_platform::{Committed, ObjectStore, RowStore, VersionedRow};
+use foxtailhold_platform::{Committed, ObjectStore, PlatformError, RowStore, VersionedRow};
 use tokio::time::Instant;
 
 use crate::dialect::Dialect;
@@ -56,6 +56,13 @@
     Ok(Some((view.version, row)))
 }
 
+fn others_came_first(what: &str) -> JobError {
+    JobError::Unavailable(PlatformError::Unavailable {
+        service: "row store",
+        detail: format!("other {what} came first each time"),
+    })
+}
+
 fn is_job(row: &VersionedRow) -> bool {
     row.key.key.starts_with(JOB_PREFIX)
 }
@@ -104,12 +111,7 @@
                 Err(error) => return Err(error),
             }
         }
-        Err(JobError::Unavailable(
-            foxtailhold_platform::PlatformError::Unavailable {
-                service: "row store",
-                detail: "other acceptances of the route came first each time".into(),
-            },
-        ))
+        Err(others_came_first("acceptances of the route"))
     }
 
     fn row(&self, route: &Route, bounds: BatchBounds, new: &NewJob) -> Job {
@@ -212,11 +214,6 @@
                 Err(error) => return Err(error),
             }
         }
-        Err(JobError::Unavailable(
-            foxtailhold_platform::PlatformError::Unavailable {
-                service: "row store",
-                detail: "other changes of the job came first each time".into(),
-            },
-        ))
+        Err(others_came_first("changes of the job"))
     }
 }
--- a/crates/foxtailhold-relay/src/jobs/book.rs
+++ b/crates/foxtailhold-relay/src/jobs/book.rs
@@ -1,10 +1,11 @@
 //! What this instance knows of all jobs.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 
 use foxtailhold::ids::{InstanceId, JobId};
 use foxtailhold_platform::{Snapshot, VersionedRow};
+use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
@@ -124,32 +125,28 @@
 }
 
 impl JobBook {
-    fn lock(&self) -> MutexGuard<'_, Known> {
-        self.known.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// A job.
     pub fn get(&self, id: &JobId) -> Option<KnownJob> {
-        self.lock().jobs.get(id).cloned()
+        self.known.lock().jobs.get(id).cloned()
     }
 
     /// All jobs with items left to run.
     pub fn open(&self) -> Vec<(JobId, KnownJob)> {
-        let known = self.lock();
+        let known = self.known.lock();
         let open = known.jobs.iter().filter(|(_, known)| known.job.is_open());
         open.map(|(id, job)| (id.clone(), job.clone())).collect()
     }
 
     /// All jobs with nothing left to run.
     pub fn closed(&self) -> Vec<(JobId, KnownJob)> {
-        let known = self.lock();
+        let known = self.known.lock();
         let closed = known.jobs.iter().filter(|(_, known)| !known.job.is_open());
         closed.map(|(id, job)| (id.clone(), job.clone())).collect()
     }
 
     /// The row that serializes acceptances of a route, and the tokens that wait as of that row.
     pub fn quota(&self, route: &str) -> QuotaView {
-        let known = self.lock();
+        let known = self.known.lock();
         let (version, row) = known.quotas.get(route).copied().unwrap_or_default();
         let jobs = known.jobs.values().filter(|known| known.job.route == route);
         QuotaView {
@@ -166,7 +163,7 @@
 
     /// Takes a job's row, unless a newer one is known.
     pub fn put(&self, id: &JobId, job: Job, version: u64) {
-        let mut known = self.lock();
+        let mut known = self.known.lock();
         put_job(&mut known, id, job, version);
         drop(known);
         self.changed.send_modify(|count| *count += 1);
@@ -174,7 +171,7 @@
 
     /// Takes a row of the table.
     pub fn put_row(&self, row: &VersionedRow) {
-        put_row(&mut self.lock(), row);
+        put_row(&mut self.known.lock(), row);
         self.changed.send_modify(|count| *count += 1);
     }
 }
@@ -248,7 +245,7 @@
 
 impl Sink for BookSink {
     fn replace(&mut self, snapshot: Snapshot) {
-        let mut known = self.book.lock();
+        let mut known = self.book.known.lock();
         for row in &snapshot.rows {
             put_row(&mut known, row);
         }
@@ -257,7 +254,7 @@
     }
 
     fn change(&mut self, rows: Vec<VersionedRow>) {
-        let mut known = self.book.lock();
+        let mut known = self.book.known.lock();
         for row in &rows {
             put_row(&mut known, row);
         }
--- a/crates/foxtailhold-relay/src/jobs/item.rs
+++ b/crates/foxtailhold-relay/src/jobs/item.rs
@@ -275,13 +275,7 @@
         let left_ms = job.give_up_unix_ms.saturating_sub(relay.clock.wall().0);
         let until = Instant::now() + Duration::from_millis(left_ms);
         let patience_until = until.min(Instant::now() + Duration::from_millis(PATIENCE_MS));
-        let sending = exchange.send(
-            &relay.dialect,
-            &relay.connections,
-            backend,
-            until,
-            patience_until,
-        );
+        let sending = relay.send_to(backend, &exchange, until, patience_until);
         let sent = tokio::select! {
             sent = sending => sent,
             () = place.yielded() => return Run::Unfinished,
--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -24,11 +24,12 @@
 pub use sweep::sweep_jobs;
 
 use std::collections::BTreeMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 
 use foxtailhold::ids::{InstanceId, JobId};
 use foxtailhold::pace::ItemPace;
 use foxtailhold_platform::{ObjectStore, PlatformError, RowStore};
+use parking_lot::{Mutex, MutexGuard};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
@@ -138,7 +139,7 @@
 impl<S: RowStore + ObjectStore, D> Jobs<S, D> {
     /// How long items run.
     pub fn pace(&self) -> MutexGuard<'_, ItemPace> {
-        self.pace.lock().unwrap_or_else(PoisonError::into_inner)
+        self.pace.lock()
     }
 
     /// This instance.
--- a/crates/foxtailhold-relay/src/jobs/partial.rs
+++ b/crates/foxtailhold-relay/src/jobs/partial.rs
@@ -5,10 +5,11 @@
 //! since an item's output is the same at every backend server.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 
 use foxtailhold::ids::JobId;
 use foxtailhold_platform::VersionedRow;
+use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
 /// An item is kept again when it has gone on by so many events, about a second of work.
@@ -79,33 +80,29 @@
 }
 
 impl Partials {
-    fn lock(&self) -> MutexGuard<'_, HashMap<String, Given>> {
-        self.items.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// What an item has given.
     pub fn get(&self, item: &str) -> Given {
-        self.lock().get(item).cloned().unwrap_or_default()
+        self.items.lock().get(item).cloned().unwrap_or_default()
     }
 
     /// The last event that an item has given, 0 before the first one.
     pub fn last(&self, item: &str) -> u64 {
-        self.lock().get(item).map_or(0, |given| given.last)
+        self.items.lock().get(item).map_or(0, |given| given.last)
     }
 
     /// Changes what an item has given.
     pub fn update(&self, item: &str, change: impl FnOnce(&mut Given)) {
-        change(self.lock().entry(item.to_owned()).or_default());
+        change(self.items.lock().entry(item.to_owned()).or_default());
     }
 
     /// Drops an item.
     pub fn remove(&self, item: &str) {
-        self.lock().remove(item);
+        self.items.lock().remove(item);
     }
 
     /// Pieces of at least `least_events` events that the store does not have.
     pub fn unkept(&self, least_events: u64) -> Vec<(String, Piece)> {
-        let items = self.lock();
+        let items = self.items.lock();
         let unkept = items.iter().filter_map(|(item, given)| {
             let piece = given.next_piece(least_events)?;
             Some((item.clone(), piece))
@@ -115,7 +112,7 @@
 
     /// Notes that the store has a piece.
     pub fn kept(&self, item: &str, piece: &Piece) {
-        let mut items = self.lock();
+        let mut items = self.items.lock();
         let Some(given) = items.get_mut(item) else {
             return;
         };
@@ -137,7 +134,7 @@
                 Err(error) => log::warn!(job = job.as_str(); "a piece cannot be read: {error}"),
             }
         }
-        let mut items = self.lock();
+        let mut items = self.items.lock();
         for (item, pieces) in pieces {
             items.insert(item, Given::from_pieces(pieces));
         }
--- a/crates/foxtailhold-relay/src/jobs/store.rs
+++ b/crates/foxtailhold-relay/src/jobs/store.rs
@@ -1,11 +1,12 @@
 //! Rows and objects of jobs.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 
 use bytes::Bytes;
 use foxtailhold::ids::JobId;
 use foxtailhold_peer::codec;
 use foxtailhold_platform::{Changes, Committed, ObjectStore, RowKey, RowStore, VersionedRow};
+use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
 use crate::jobs::book::{JOB_PREFIX, QUOTA_PREFIX};
@@ -124,7 +125,7 @@
     }
 
     fn keep(&self, id: &JobId, items: Arc<Vec<Item>>) {
-        let mut bodies = self.bodies.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut bodies = self.bodies.lock();
         bodies.retain(|(known, _)| known != id);
         if bodies.len() >= KEPT_BODIES {
             bodies.remove(0);
@@ -135,7 +136,7 @@
     /// The bodies of a job's items.
     pub async fn bodies(&self, id: &JobId) -> Result<Arc<Vec<Item>>> {
         let kept = {
-            let bodies = self.bodies.lock().unwrap_or_else(PoisonError::into_inner);
+            let bodies = self.bodies.lock();
             let kept = bodies.iter().find(|(known, _)| known == id);
             kept.map(|(_, items)| Arc::clone(items))
         };
@@ -238,7 +239,7 @@
             }
         }
         self.platform.delete_object(&body_name(id)).await?;
-        let mut bodies = self.bodies.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut bodies = self.bodies.lock();
         bodies.retain(|(known, _)| known != id);
         Ok(())
     }
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -1,7 +1,6 @@
 //! Opaque requests and ordered batch jobs, passed on to backend servers by routes.
 #![warn(clippy::unwrap_used)]
 
-pub mod clock;
 pub mod connections;
 pub mod dialect;
 pub mod dispatch;
--- a/crates/foxtailhold-relay/src/metrics.rs
+++ b/crates/foxtailhold-relay/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Metrics of requests and batch items.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 
+use parking_lot::Mutex;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -110,7 +111,7 @@
 
     /// All metrics in the text format.
     pub fn text(&self) -> Result<String, std::fmt::Error> {
-        let registry = self.registry.lock().unwrap_or_else(PoisonError::into_inner);
+        let registry = self.registry.lock();
         let mut out = String::new();
         text::encode(&mut out, &registry)?;
         Ok(out)
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -10,7 +10,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use foxtailhold::ids::{AvailabilityZone, BackendId, InstanceId, TargetName};
@@ -19,11 +19,12 @@
 };
 use foxtailhold::time::MonoMs;
 use foxtailhold_peer::codec;
+use parking_lot::{Mutex, MutexGuard};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, mpsc};
 use tokio_util::sync::CancellationToken;
 
-use crate::clock::Clock;
+use foxtailhold_http::clock::Clock;
 use message::MAX_DATAGRAM_BYTES;
 
 /// Shortest pause between two reports: changes of instances come in numbers at a start of all.
@@ -65,10 +66,6 @@
     inner: Arc<Inner>,
 }
 
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl Peers {
     /// Starts on a bound socket.
     pub fn new(me: InstanceId, zone: AvailabilityZone, socket: UdpSocket, clock: Clock) -> Self {
@@ -104,12 +101,12 @@
 
     /// The view of all instances.
     pub fn members(&self) -> MutexGuard<'_, Members> {
-        lock(&self.inner.members)
+        self.inner.members.lock()
     }
 
     /// Sets the places of a service.
     pub fn set_backends(&self, pool: &TargetName, places: &[Places]) {
-        lock(&self.inner.allocator).set_backends(pool, places);
+        self.inner.allocator.lock().set_backends(pool, places);
     }
 
     /// Receives datagrams and reports, until the task is aborted.
@@ -140,7 +137,10 @@
         loop {
             let now = self.inner.clock.mono();
             let held = self.holdings(now);
-            lock(&self.inner.allocator).report(now, &self.inner.me, &held);
+            self.inner
+                .allocator
+                .lock()
+                .report(now, &self.inner.me, &held);
             let report = PeerMessage::Report {
                 instance: self.inner.me.clone(),
                 held,
@@ -169,7 +169,7 @@
     }
 
     fn holdings(&self, now: MonoMs) -> Vec<Held> {
-        let places = lock(&self.inner.places);
+        let places = self.inner.places.lock();
         let held = places.held.iter().map(|(number, holding)| Held {
             number: *number,
             pool: holding.pool.clone(),
@@ -182,7 +182,7 @@
 
     /// How many places this instance holds and how many requests wait.
     pub fn in_use(&self) -> (usize, usize) {
-        let places = lock(&self.inner.places);
+        let places = self.inner.places.lock();
         (places.held.len(), places.waiting.len())
     }
 
@@ -213,7 +213,7 @@
             PeerMessage::Yield { ask } => self.yield_place(&ask),
             PeerMessage::Release { ask, pool, outcome } => self.free(now, &pool, &ask, outcome),
             PeerMessage::Report { instance, held } => {
-                lock(&self.inner.allocator).report(now, &instance, &held);
+                self.inner.allocator.lock().report(now, &instance, &held);
                 let live = {
                     let mut members = self.members();
                     members.heard(now, &instance);
@@ -232,14 +232,17 @@
 
     fn decide(&self, now: MonoMs, ask: Ask) -> Verdict {
         let mut decisions = Vec::new();
-        let verdict = lock(&self.inner.allocator).ask(now, ask, &mut decisions);
+        let verdict = self.inner.allocator.lock().ask(now, ask, &mut decisions);
         self.spread(decisions);
         verdict
     }
 
     fn free(&self, now: MonoMs, pool: &TargetName, ask: &AskId, outcome: Outcome) {
         let mut decisions = Vec::new();
-        lock(&self.inner.allocator).release(now, pool, ask, outcome, &mut decisions);
+        self.inner
+            .allocator
+            .lock()
+            .release(now, pool, ask, outcome, &mut decisions);
         self.spread(decisions);
     }
 
@@ -251,7 +254,10 @@
         let lives = |instance: &InstanceId| {
             *instance == self.inner.me || live.contains(&ShortName::from(instance))
         };
-        lock(&self.inner.allocator).keep_only(now, lives, &mut decisions);
+        self.inner
+            .allocator
+            .lock()
+            .keep_only(now, lives, &mut decisions);
         self.spread(decisions);
     }
 
@@ -282,7 +288,7 @@
             return;
         }
         let (is_wanted, is_held) = {
-            let places = lock(&self.inner.places);
+            let places = self.inner.places.lock();
             let waiting = places.waiting.get(&ask.number);
             let sent = waiting.is_some_and(|waiting| waiting.send(verdict.clone()).is_ok());
             (sent, places.held.contains_key(&ask.number))
@@ -302,7 +308,7 @@
         let (pools, outcome) = match known {
             Some((pool, outcome)) => (vec![pool.clone()], outcome),
             None => {
-                let allocator = lock(&self.inner.allocator);
+                let allocator = self.inner.allocator.lock();
                 let pools = allocator.loads().map(|(name, ..)| name.clone());
                 (pools.collect(), Outcome::Abandoned)
             }
@@ -320,7 +326,7 @@
     }
 
     fn yield_place(&self, ask: &AskId) {
-        let places = lock(&self.inner.places);
+        let places = self.inner.places.lock();
         if let Some(holding) = places.held.get(&ask.number) {
             holding.yields.cancel();
         }
--- a/crates/foxtailhold-relay/src/peers/place.rs
+++ b/crates/foxtailhold-relay/src/peers/place.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::peers::{Holding, PeerMessage, Peers, lock};
+use crate::peers::{Holding, PeerMessage, Peers};
 
 /// Result of asking for a place.
 pub type Result<T> = std::result::Result<T, NoPlace>;
@@ -73,7 +73,7 @@
     /// Notes a sign of the backend server for this request.
     pub fn sign(&self) {
         let now = self.peers.inner.clock.mono();
-        if let Some(holding) = lock(&self.peers.inner.places).held.get_mut(&self.number) {
+        if let Some(holding) = self.peers.inner.places.lock().held.get_mut(&self.number) {
             holding.last_sign = now;
         }
     }
@@ -91,7 +91,7 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        lock(&self.peers.inner.places).held.remove(&self.number);
+        self.peers.inner.places.lock().held.remove(&self.number);
         let now = self.peers.inner.clock.mono();
         let ask = self.peers.ask_id(self.number);
         let known = Some((&self.pool, self.outcome));
@@ -110,7 +110,7 @@
 
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
-        lock(&self.peers.inner.places).waiting.remove(&self.number);
+        self.peers.inner.places.lock().waiting.remove(&self.number);
         if self.is_settled {
             return;
         }
@@ -133,7 +133,7 @@
     pub async fn acquire(&self, query: &PlaceQuery<'_>) -> Result<Place> {
         let (sender, mut verdicts) = mpsc::unbounded_channel();
         let number = {
-            let mut places = lock(&self.inner.places);
+            let mut places = self.inner.places.lock();
             places.next += 1;
             let number = places.next;
             places.waiting.insert(number, sender);
@@ -179,7 +179,7 @@
             last_sign: self.inner.clock.mono(),
             yields: yields.clone(),
         };
-        lock(&self.inner.places).held.insert(number, holding);
+        self.inner.places.lock().held.insert(number, holding);
         Place {
             peers: self.clone(),
             number,
--- a/crates/foxtailhold-relay/src/plain.rs
+++ b/crates/foxtailhold-relay/src/plain.rs
@@ -2,12 +2,13 @@
 //! has in flight and what answers told.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 
 use foxtailhold::ids::{AvailabilityZone, BackendId};
 use foxtailhold::slots::Outcome;
 use foxtailhold::slots::Trouble;
 use foxtailhold::time::MonoMs;
+use parking_lot::Mutex;
 
 use crate::dialect::ToldLoad;
 use crate::fleet::BackendServer;
@@ -32,10 +33,6 @@
 }
 
 impl PlainLoads {
-    fn lock(&self) -> MutexGuard<'_, HashMap<BackendId, Known>> {
-        self.known.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// Chooses one that was not tried, and counts the request there.
     pub fn choose(
         &self,
@@ -45,7 +42,7 @@
         own_zone: &AvailabilityZone,
         draw: u64,
     ) -> Option<Arc<BackendServer>> {
-        let mut known = self.lock();
+        let mut known = self.known.lock();
         let count = all.len();
         let mut best: Option<(Rank, &Arc<BackendServer>)> = None;
         for step in 0..count {
@@ -72,12 +69,12 @@
 
     /// Notes the load that an answer told.
     pub fn told(&self, now: MonoMs, id: &BackendId, load: ToldLoad) {
-        self.lock().entry(id.clone()).or_default().told = Some((now, load));
+        self.known.lock().entry(id.clone()).or_default().told = Some((now, load));
     }
 
     /// Notes the end of a request.
     pub fn done(&self, now: MonoMs, id: &BackendId, outcome: Outcome, draw: u64) {
-        let mut known = self.lock();
+        let mut known = self.known.lock();
         let seen = known.entry(id.clone()).or_default();
         seen.in_flight = seen.in_flight.saturating_sub(1);
         seen.trouble.note(now, outcome, draw);
@@ -85,7 +82,8 @@
 
     /// Forgets backend servers that are gone.
     pub fn keep_only(&self, is_known: impl Fn(&BackendId) -> bool) {
-        self.lock()
+        self.known
+            .lock()
             .retain(|id, known| known.in_flight > 0 || is_known(id));
     }
 }
--- a/crates/foxtailhold-relay/src/shared_store/mod.rs
+++ b/crates/foxtailhold-relay/src/shared_store/mod.rs
@@ -158,11 +158,19 @@
             Ok(answer) => Ok(answer),
             // A failed wait for changes shows the loss to its follower first.
             Err(error) if matches!(call, StoreCall::Follow { .. }) => Err(error),
-            Err(error) => match self.through(&call).await {
-                Ok(answer) => Ok(answer),
-                Err(second) if second.may_have_taken_effect() => Err(second),
-                Err(_) => Err(error),
-            },
+            Err(error) => self.after_miss(&call, error).await,
+        }
+    }
+
+    /// Makes a call through another instance after it has failed here. Where both fail, the error
+    /// is one after which the call may have taken effect, if either is.
+    async fn after_miss(&self, call: &StoreCall, first: PlatformError) -> Result<StoreAnswer> {
+        match self.through(call).await {
+            Ok(answer) => Ok(answer),
+            Err(second) if !first.may_have_taken_effect() && second.may_have_taken_effect() => {
+                Err(second)
+            }
+            Err(_) => Err(first),
         }
     }
 
@@ -181,14 +189,7 @@
         };
         match first {
             Some(Ok(answer)) => return Ok(answer),
-            Some(Err(error)) => {
-                let second = self.through(&call).await;
-                return match (error.may_have_taken_effect(), second) {
-                    (_, Ok(answer)) => Ok(answer),
-                    (true, Err(_)) => Err(error),
-                    (false, Err(second)) => Err(second),
-                };
-            }
+            Some(Err(error)) => return self.after_miss(&call, error).await,
             None => {}
         }
         let through = self.through(&call);
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -174,11 +174,10 @@
             let exchange = exchange(&self.request, &self.route, after);
             let patience = std::time::Duration::from_millis(FIRST_EVENT_PATIENCE_MS);
             let patience_until = self.until.min(Instant::now() + patience);
-            let (dialect, connections) = (&self.relay.dialect, &self.relay.connections);
-            let sent = exchange
-                .send(dialect, connections, &backend, self.until, patience_until)
-                .await;
-            match sent {
+            let sent = self
+                .relay
+                .send_to(&backend, &exchange, self.until, patience_until);
+            match sent.await {
                 Ok((response, in_use)) if response.status().is_success() => {
                     self.attempts += 1;
                     let reader = EventReader::new(response.into_body(), in_use, after);
--- a/crates/foxtailhold-standin/src/answer.rs
+++ b/crates/foxtailhold-standin/src/answer.rs
@@ -1,7 +1,5 @@
 //! Small pieces shared by the stand-ins' handlers.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
-
 use bytes::Bytes;
 use foxtailhold_http::body::{self, AnswerBody};
 use http::{Response, StatusCode, Uri};
@@ -15,11 +13,6 @@
 /// An answer of a stand-in.
 pub type Answer = Response<AnswerBody>;
 
-/// Locks a mutex, whatever became of an earlier holder.
-pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// An answer with status 200.
 pub fn ok<T: Serialize>(value: &T) -> Answer {
     body::json(StatusCode::OK, value)
--- a/crates/foxtailhold-standin/src/engine/handler.rs
+++ b/crates/foxtailhold-standin/src/engine/handler.rs
@@ -1,7 +1,7 @@
 //! An engine over HTTP, in the OpenAI form.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use foxtailhold::orders::Fencing;
@@ -9,13 +9,14 @@
 use foxtailhold_http::server::{Handler, Server};
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use hyper::body::Incoming;
+use parking_lot::Mutex;
 use serde::Deserialize;
 use serde_json::{Value, json};
 use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::answer::{self, Answer, lock};
+use crate::answer::{self, Answer};
 use crate::engine::faults::{EngineFaults, Ran};
 use crate::engine::orders::EngineOrders;
 use crate::engine::scheduler::{EngineShape, Scheduler, Work};
@@ -105,12 +106,12 @@
 
     /// Sets the fault switches.
     pub fn set_faults(&self, faults: EngineFaults) {
-        lock(&self.scheduler).faults = faults;
+        self.scheduler.lock().faults = faults;
     }
 
     /// What was run.
     pub fn record(&self) -> Vec<Ran> {
-        lock(&self.scheduler).record.clone()
+        self.scheduler.lock().record.clone()
     }
 
     /// Waits until a request has crashed the engine.
@@ -121,9 +122,9 @@
     async fn route(&self, request: Request<Incoming>) -> std::result::Result<Answer, Answer> {
         let (head, incoming) = request.into_parts();
         match (&head.method, head.uri.path()) {
-            (&Method::GET, "/load") => Ok(answer::ok(&lock(&self.scheduler).report())),
+            (&Method::GET, "/load") => Ok(answer::ok(&self.scheduler.lock().report())),
             (&Method::GET, "/standin/counters") => {
-                Ok(answer::ok(&lock(&self.scheduler).counters()))
+                Ok(answer::ok(&self.scheduler.lock().counters()))
             }
             (&Method::GET, "/orders") => Ok(answer::ok(&self.orders.engine_state())),
             (&Method::POST, "/orders") => self.orders.take(incoming).await,
@@ -185,7 +186,7 @@
         &self,
         exchange: &Exchange,
     ) -> std::result::Result<mpsc::UnboundedReceiver<u64>, Answer> {
-        let mut scheduler = lock(&self.scheduler);
+        let mut scheduler = self.scheduler.lock();
         if scheduler.faults.leaving || scheduler.crashed {
             let status = StatusCode::SERVICE_UNAVAILABLE;
             return Err(answer::error(status, "the engine is leaving"));
@@ -225,7 +226,7 @@
             let status = StatusCode::INTERNAL_SERVER_ERROR;
             return Err(answer::error(status, "the engine crashed"));
         }
-        let faults = lock(&self.scheduler).faults.clone();
+        let faults = self.scheduler.lock().faults.clone();
         let id = match faults.foreign_answers {
             true => "another",
             false => &exchange.id,
@@ -239,7 +240,7 @@
 
     fn stream(&self, exchange: Exchange, ordinals: mpsc::UnboundedReceiver<u64>) -> Answer {
         let (sender, stream) = body::streamed();
-        let faults = lock(&self.scheduler).faults.clone();
+        let faults = self.scheduler.lock().faults.clone();
         tokio::spawn(send_events(exchange, faults, ordinals, sender));
         let mut response = Response::new(stream);
         let event_stream = HeaderValue::from_static("text/event-stream");
@@ -402,7 +403,7 @@
             return;
         };
         let (pause, idle) = {
-            let mut scheduler = lock(&strong);
+            let mut scheduler = strong.lock();
             let pause = scheduler.step();
             if scheduler.crashed {
                 crashed.cancel();
--- a/crates/foxtailhold-standin/src/engine/orders.rs
+++ b/crates/foxtailhold-standin/src/engine/orders.rs
@@ -2,7 +2,7 @@
 //! loaded from the platform's weight store at the rate that it allows.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use foxtailhold::orders::{EngineSetup, EngineState, Fencing, Order};
@@ -11,9 +11,10 @@
 use http::{Request, Response, StatusCode, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
+use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
-use crate::answer::{self, Answer, lock};
+use crate::answer::{self, Answer};
 
 /// Pause where the weight store does not say when to come back.
 const WEIGHTS_PAUSE_S: u64 = 1;
@@ -70,22 +71,22 @@
 
     /// Sets the fault switches.
     pub fn set_faults(&self, faults: OrderFaults) {
-        lock(&self.state).faults = faults;
+        self.state.lock().faults = faults;
     }
 
     /// What the engine reports of itself.
     pub fn engine_state(&self) -> EngineState {
-        lock(&self.state).engine.clone()
+        self.state.lock().engine.clone()
     }
 
     /// All orders seen.
     pub fn record(&self) -> Vec<SeenOrder> {
-        lock(&self.state).record.clone()
+        self.state.lock().record.clone()
     }
 
     /// How often the weight store said to come back later.
     pub fn weight_waits(&self) -> u64 {
-        lock(&self.state).weight_waits
+        self.state.lock().weight_waits
     }
 
     /// Takes an order, also when its giver goes away meanwhile.
@@ -110,7 +111,7 @@
     }
 
     fn delay(&self) -> Duration {
-        let mut state = lock(&self.state);
+        let mut state = self.state.lock();
         if state.faults.late_orders == 0 {
             return Duration::ZERO;
         }
@@ -119,7 +120,7 @@
     }
 
     fn decide(&self, order: Order) -> bool {
-        let mut state = lock(&self.state);
+        let mut state = self.state.lock();
         let taken = self.fencing == Fencing::Ignored || !order.is_old(&state.engine);
         let setup = order.setup.clone();
         if taken {
@@ -135,7 +136,7 @@
     }
 
     async fn load(self, load: u64, setup: EngineSetup) {
-        let same = lock(&self.state).engine.in_effect.as_ref() == Some(&setup);
+        let same = self.state.lock().engine.in_effect.as_ref() == Some(&setup);
         if let (Some(weights), false) = (self.weights, same) {
             for name in std::iter::once(&setup.version).chain(&setup.adapters) {
                 let model = escape(setup.model.as_str());
@@ -143,7 +144,7 @@
                 self.read_weights(weights, &path).await;
             }
         }
-        let mut state = lock(&self.state);
+        let mut state = self.state.lock();
         if state.load == load {
             state.engine.in_effect = Some(setup);
             state.engine.loading = None;
@@ -160,7 +161,7 @@
             *request.uri_mut() = uri;
             let pause_s = match client.send(weights, request, WEIGHTS_TIMEOUT_MS).await {
                 Ok(response) if response.status() == StatusCode::TOO_MANY_REQUESTS => {
-                    lock(&self.state).weight_waits += 1;
+                    self.state.lock().weight_waits += 1;
                     retry_after_s(&response)
                 }
                 Ok(_) => return,
--- a/crates/foxtailhold-standin/src/load/tally.rs
+++ b/crates/foxtailhold-standin/src/load/tally.rs
@@ -1,12 +1,9 @@
 //! What callers saw in one phase.
 
-use std::sync::Mutex;
-
 use hdrhistogram::Histogram;
+use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
-use crate::answer::lock;
-
 /// Longest time that a histogram holds.
 const MAX_US: u64 = 120_000_000;
 /// Significant digits of a histogram.
@@ -101,22 +98,22 @@
 impl Tally {
     /// A request is due.
     pub fn sent(&self) {
-        lock(&self.0).sent += 1;
+        self.0.lock().sent += 1;
     }
 
     /// A request's first token came.
     pub fn first_token(&self, us: u64) {
-        note(&mut lock(&self.0).first_token_us, us);
+        note(&mut self.0.lock().first_token_us, us);
     }
 
     /// Another token came.
     pub fn next_token(&self, us: u64) {
-        note(&mut lock(&self.0).between_us, us);
+        note(&mut self.0.lock().between_us, us);
     }
 
     /// A request ended.
     pub fn ended(&self, ending: Ending) {
-        let mut state = lock(&self.0);
+        let mut state = self.0.lock();
         match ending {
             Ending::Whole => state.whole += 1,
             Ending::Refused => state.refused += 1,
@@ -126,7 +123,7 @@
 
     /// What was seen so far.
     pub fn seen(&self) -> Seen {
-        let state = lock(&self.0);
+        let state = self.0.lock();
         Seen {
             sent: state.sent,
             whole: state.whole,
--- a/crates/foxtailhold-standin/src/platform/handler.rs
+++ b/crates/foxtailhold-standin/src/platform/handler.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -11,9 +11,10 @@
 use foxtailhold_platform::{Operation, Transacted};
 use http::{HeaderValue, Method, Request, Response, StatusCode, header, request};
 use hyper::body::Incoming;
+use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
-use crate::answer::{self, Answer, lock};
+use crate::answer::{self, Answer};
 use crate::error::Result;
 use crate::platform::faults::{PlatformFaults, WriteFate};
 use crate::platform::fleet::{FleetChange, LaggingFleet};
@@ -85,17 +86,17 @@
 
     /// Changes the fleet list.
     pub fn change_fleet(&self, change: FleetChange) {
-        lock(&self.state).fleet.change(change);
+        self.state.lock().fleet.change(change);
     }
 
     /// Sets the fault switches.
     pub fn set_faults(&self, faults: PlatformFaults) {
-        lock(&self.state).faults = faults;
+        self.state.lock().faults = faults;
     }
 
     /// What the stores were asked so far.
     pub fn counts(&self) -> StoreCounts {
-        lock(&self.state).counts
+        self.state.lock().counts
     }
 
     async fn route(&self, request: Request<Incoming>) -> std::result::Result<Answer, Answer> {
@@ -116,14 +117,14 @@
             }
             (&Method::GET, ["standin", "counts"]) => Ok(answer::ok(&self.counts())),
             (&Method::GET, ["standin", "transactions"]) => {
-                Ok(answer::ok(&lock(&self.state).transactions_by_table))
+                Ok(answer::ok(&self.state.lock().transactions_by_table))
             }
             _ => self.store_call(head, incoming).await,
         }
     }
 
     fn weights(&self, name: &str) -> Answer {
-        let Err(wait) = lock(&self.state).weights.take() else {
+        let Err(wait) = self.state.lock().weights.take() else {
             return Response::new(body::whole(Bytes::copy_from_slice(name.as_bytes())));
         };
         let mut answer = answer::error(StatusCode::TOO_MANY_REQUESTS, "come back later");
@@ -134,12 +135,12 @@
 
     /// Sets how many weights are handed out each second.
     pub fn with_weights_per_s(self, weights_per_s: u32) -> Self {
-        lock(&self.state).weights = WeightRate::new(weights_per_s);
+        self.state.lock().weights = WeightRate::new(weights_per_s);
         self
     }
 
     fn fleet(&self) -> Answer {
-        let mut state = lock(&self.state);
+        let mut state = self.state.lock();
         if state.faults.fleet_down {
             return answer::error(StatusCode::SERVICE_UNAVAILABLE, "the fleet list is down");
         }
@@ -172,7 +173,7 @@
 
     async fn wait_or_refuse(&self, table: bool) -> std::result::Result<(), Answer> {
         let (down, delay_ms) = {
-            let faults = &lock(&self.state).faults;
+            let faults = &self.state.lock().faults;
             let down = faults.store_down || table && faults.table_down;
             (down, faults.delay_ms)
         };
@@ -195,7 +196,7 @@
         let uri = &head.uri;
         match (&head.method, segments) {
             (&Method::GET, ["v1", "table", table, "row"]) => {
-                let mut state = lock(&self.state);
+                let mut state = self.state.lock();
                 state.counts.table_reads += 1;
                 let key = answer::query(uri, "key");
                 Ok(state.read(|rows| answer::ok(&rows.get(table, &key))))
@@ -203,7 +204,7 @@
             (&Method::GET, ["v1", "table", table, "rows"]) => {
                 let (prefix, after) = (answer::query(uri, "prefix"), answer::query(uri, "after"));
                 let limit = answer::query(uri, "limit").parse().unwrap_or(100);
-                let mut state = lock(&self.state);
+                let mut state = self.state.lock();
                 state.counts.table_reads += 1;
                 let scan = |rows: &MemoryTable| rows.scan(table, &prefix, &after, limit);
                 Ok(state.read(|rows| answer::ok(&scan(rows))))
@@ -216,7 +217,7 @@
                 self.put_object(answer::unescape(name), bytes)
             }
             (&Method::GET, ["v1", "objects", name]) => {
-                let mut state = lock(&self.state);
+                let mut state = self.state.lock();
                 state.counts.object_reads += 1;
                 match state.objects.get(&answer::unescape(name)) {
                     Some(bytes) => Ok(Response::new(body::whole(bytes.clone()))),
@@ -224,7 +225,7 @@
                 }
             }
             (&Method::DELETE, ["v1", "objects", name]) => {
-                lock(&self.state).objects.remove(&answer::unescape(name));
+                self.state.lock().objects.remove(&answer::unescape(name));
                 Ok(body::empty(StatusCode::OK))
             }
             (&Method::GET, ["v1", "objects"]) => {
@@ -237,7 +238,7 @@
     }
 
     fn transact(&self, operations: Vec<Operation>) -> std::result::Result<Answer, Answer> {
-        let mut state = lock(&self.state);
+        let mut state = self.state.lock();
         state.counts.transactions += 1;
         let tables: BTreeSet<&str> = operations.iter().map(|o| o.table.as_str()).collect();
         for table in tables {
@@ -256,7 +257,7 @@
     }
 
     fn put_object(&self, name: String, bytes: Bytes) -> std::result::Result<Answer, Answer> {
-        let mut state = lock(&self.state);
+        let mut state = self.state.lock();
         state.counts.object_writes += 1;
         let fate = state.faults.next_write(&[]);
         if fate == WriteFate::Lost {
@@ -270,7 +271,7 @@
     }
 
     fn list_objects(&self, prefix: &str, after: &str, limit: usize) -> Answer {
-        let state = lock(&self.state);
+        let state = self.state.lock();
         let mut names = Vec::new();
         for name in state.objects.keys() {
             if !name.starts_with(prefix) || name.as_str() <= after {
--- a/crates/foxtailhold-standin/src/service/mod.rs
+++ b/crates/foxtailhold-standin/src/service/mod.rs
@@ -1,7 +1,7 @@
 //! A plain service's stand-in: it counts what it ran and echoes the call.
 
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::time::Duration;
 
 use foxtailhold::replicas::LoadReport;
@@ -9,9 +9,10 @@
 use foxtailhold_http::server::{Handler, Server};
 use http::{Method, Request, StatusCode};
 use hyper::body::Incoming;
+use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
-use crate::answer::{self, Answer, lock};
+use crate::answer::{self, Answer};
 use crate::error::Result;
 
 /// Which faults are on. `POST /standin/faults` sets all of them at once.
@@ -58,16 +59,16 @@
 
     /// Sets the fault switches.
     pub fn set_faults(&self, faults: ServiceFaults) {
-        lock(&self.state).faults = faults;
+        self.state.lock().faults = faults;
     }
 
     /// What was run.
     pub fn record(&self) -> Vec<Called> {
-        lock(&self.state).record.clone()
+        self.state.lock().record.clone()
     }
 
     fn load(&self) -> LoadReport {
-        let state = lock(&self.state);
+        let state = self.state.lock();
         LoadReport {
             running: state.running,
             slots: 64,
@@ -99,7 +100,7 @@
 
     async fn run(&self, call: Called) -> std::result::Result<Answer, Answer> {
         let (faults, number) = {
-            let mut state = lock(&self.state);
+            let mut state = self.state.lock();
             state.record.push(call.clone());
             state.running += 1;
             (state.faults.clone(), state.record.len())
@@ -107,7 +108,7 @@
         if faults.delay_ms > 0 {
             tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
         }
-        lock(&self.state).running -= 1;
+        self.state.lock().running -= 1;
         if faults.fail {
             let status = StatusCode::INTERNAL_SERVER_ERROR;
             return Err(answer::error(status, "the service failed"));
