foxtail timeline reads the lines of the nodes, and what they name

An on-call engineer had to grep by the request's identity, then by each backend server found. It needs no instance.

`foxtailhold_logs::{LogLine, LogBook}` read what the same crate writes; the summary of lines left out is written by the same encoder as all other lines.

--- a/crates/foxtailhold-logs/src/lib.rs
+++ b/crates/foxtailhold-logs/src/lib.rs
@@ -1,7 +1,9 @@
 //! Logs as JSON lines.
 
+mod read;
 mod sink;
 
+pub use read::{LogBook, LogLine};
 pub use sink::{LeftOut, LineQueue, LineSink, Weight};
 
 use std::collections::BTreeMap;
@@ -14,6 +16,9 @@
 use log::{Level, Record};
 use serde::Serialize;
 
+/// Message of the line that counts those left out.
+const LEFT_OUT: &str = "lines left out";
+
 #[derive(Serialize)]
 struct Line<'a> {
     at_ms: u128,
@@ -71,28 +76,44 @@
     }
 }
 
-fn line(instance: &InstanceId, record: &Record<'_>) -> serde_json::Result<Vec<u8>> {
+fn now_ms() -> u128 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
-    let line = Line {
-        at_ms: since.map_or(0, |duration| duration.as_millis()),
+    since.map_or(0, |duration| duration.as_millis())
+}
+
+fn encode(line: &Line<'_>) -> serde_json::Result<Vec<u8>> {
+    let mut bytes = serde_json::to_vec(line)?;
+    bytes.push(b'\n');
+    Ok(bytes)
+}
+
+fn line(instance: &InstanceId, record: &Record<'_>) -> serde_json::Result<Vec<u8>> {
+    encode(&Line {
+        at_ms: now_ms(),
         level: record.level().as_str(),
         instance: instance.as_str(),
         target: record.target(),
         message: record.args().to_string(),
         fields: fields(record),
-    };
-    let mut bytes = serde_json::to_vec(&line)?;
-    bytes.push(b'\n');
-    Ok(bytes)
+    })
 }
 
+/// The line that stands for those left out; none where it cannot be written as JSON.
 fn summary(instance: &InstanceId, left_out: LeftOut) -> Vec<u8> {
-    let text = format!(
-        "{{\"level\":\"WARN\",\"instance\":\"{instance}\",\"message\":\"lines left out\",\
-         \"fields\":{{\"ordinary\":{},\"failures\":{}}}}}\n",
-        left_out.ordinary, left_out.failures
-    );
-    text.into_bytes()
+    let counts = [
+        ("ordinary", left_out.ordinary),
+        ("failures", left_out.failures),
+    ];
+    let counts = counts.map(|(name, count)| (name.to_owned(), count.into()));
+    let line = Line {
+        at_ms: now_ms(),
+        level: Level::Warn.as_str(),
+        instance: instance.as_str(),
+        target: module_path!(),
+        message: LEFT_OUT.to_owned(),
+        fields: counts.into(),
+    };
+    encode(&line).unwrap_or_default()
 }
 
 /// Starts logging at the level in `RUST_LOG`, `info` where it is not set.
--- a/crates/foxtailhold-operator/src/cli.rs
+++ b/crates/foxtailhold-operator/src/cli.rs
@@ -115,11 +115,18 @@
 #[argh(subcommand, name = "jobs")]
 pub struct JobsCommand {}
 
-/// Merge the events of all instances into one order.
+/// Merge the events of all instances, or the log lines in files, into one order.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "timeline")]
 pub struct TimelineCommand {
     /// show only events of this request, job, customer or instance
     #[argh(option)]
     pub of: Option<String>,
+    /// with files and --of: show also lines of the same seconds about the backend servers and
+    /// instances named
+    #[argh(switch)]
+    pub related: bool,
+    /// files with log lines, - for the standard input; without files the instances are asked
+    #[argh(positional)]
+    pub files: Vec<String>,
 }
--- a/crates/foxtailhold-operator/src/command.rs
+++ b/crates/foxtailhold-operator/src/command.rs
@@ -11,7 +11,8 @@
 
 use crate::client::OperatorClient;
 use crate::error::OperatorError;
-use crate::options::{Command, Options};
+use crate::lines::{self, LinesError};
+use crate::options::{Access, Command, Options, Task};
 use crate::order;
 use crate::output::{Table, json};
 use crate::view::{BackendView, ContractView, InstanceView, JobView};
@@ -34,6 +35,10 @@
         /// What the system said.
         source: std::io::Error,
     },
+    /// Log files cannot be read.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Lines(#[from] LinesError),
 }
 
 /// An instance with what it says of itself.
@@ -44,11 +49,17 @@
     contracts_number: Option<u64>,
 }
 
-/// Runs a command.
+/// Does what the options say.
 pub async fn run(options: &Options) -> Result<String> {
-    let client = OperatorClient::new(options.instance, &options.token);
-    let as_json = options.json;
-    match &options.command {
+    match &options.task {
+        Task::Instances(access, command) => at_instances(access, command, options.json).await,
+        Task::Logs(query) => Ok(lines::run(query, options.json)?),
+    }
+}
+
+async fn at_instances(access: &Access, command: &Command, as_json: bool) -> Result<String> {
+    let client = OperatorClient::new(access.instance, &access.token);
+    match command {
         Command::GetContract(customer) => {
             let view = client.contract(customer).await?;
             Ok(if as_json {
--- a/crates/foxtailhold-operator/src/lib.rs
+++ b/crates/foxtailhold-operator/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod error;
 pub mod gateway;
 pub mod handler;
+pub mod lines;
 pub mod options;
 pub mod order;
 pub mod output;
--- a/crates/foxtailhold-operator/src/options.rs
+++ b/crates/foxtailhold-operator/src/options.rs
@@ -7,7 +7,7 @@
 use miette::Diagnostic;
 use thiserror::Error;
 
-use crate::cli::{Cli, ContractSubcommand, RawCommand};
+use crate::cli::{Cli, ContractSubcommand, RawCommand, TimelineCommand};
 use crate::order::OrderCommand;
 
 /// Environment variable with the operator address.
@@ -42,6 +42,9 @@
         /// The text given.
         text: String,
     },
+    /// Related lines of nothing, or of no files.
+    #[error("--related needs --of and log files")]
+    RelatedToNothing,
     /// The customer is wrong.
     #[error(transparent)]
     BadCustomer(#[from] IdError),
@@ -83,17 +86,42 @@
     },
 }
 
-/// Checked options.
+/// Lines to show of log files.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LogQuery {
+    /// The files; `-` is the standard input.
+    pub files: Vec<PathBuf>,
+    /// Identifier that a line must name.
+    pub of: Option<String>,
+    /// Whether lines about what these lines name are shown too.
+    pub related: bool,
+}
+
+/// How an instance is reached.
 #[derive(Debug, Clone)]
-pub struct Options {
+pub struct Access {
     /// Operator address of an instance.
     pub instance: SocketAddr,
     /// Operator token.
     pub token: String,
+}
+
+/// What is to be done, and where.
+#[derive(Debug, Clone)]
+pub enum Task {
+    /// At instances.
+    Instances(Access, Command),
+    /// With log files.
+    Logs(LogQuery),
+}
+
+/// Checked options.
+#[derive(Debug, Clone)]
+pub struct Options {
     /// Whether to print JSON.
     pub json: bool,
     /// What to do.
-    pub command: Command,
+    pub task: Task,
 }
 
 fn given(value: Option<String>, option: &'static str, variable: &'static str) -> Result<String> {
@@ -106,15 +134,42 @@
     type Error = OptionsError;
 
     fn try_from(cli: Cli) -> Result<Self> {
-        let instance = given(cli.instance, "instance", INSTANCE_VARIABLE)?;
+        let json = cli.json;
+        let task = match cli.command {
+            RawCommand::Timeline(timeline) if !timeline.files.is_empty() => {
+                Task::Logs(LogQuery::try_from(timeline)?)
+            }
+            command => {
+                let access = Access::from_flags(cli.instance, cli.token)?;
+                Task::Instances(access, Command::try_from(command)?)
+            }
+        };
+        Ok(Options { json, task })
+    }
+}
+
+impl Access {
+    fn from_flags(instance: Option<String>, token: Option<String>) -> Result<Self> {
+        let instance = given(instance, "instance", INSTANCE_VARIABLE)?;
         let instance = instance
             .parse()
             .map_err(|_| OptionsError::BadAddress { text: instance })?;
-        Ok(Options {
-            instance,
-            token: given(cli.token, "token", TOKEN_VARIABLE)?,
-            json: cli.json,
-            command: Command::try_from(cli.command)?,
+        let token = given(token, "token", TOKEN_VARIABLE)?;
+        Ok(Access { instance, token })
+    }
+}
+
+impl TryFrom<TimelineCommand> for LogQuery {
+    type Error = OptionsError;
+
+    fn try_from(raw: TimelineCommand) -> Result<Self> {
+        if raw.related && raw.of.is_none() {
+            return Err(OptionsError::RelatedToNothing);
+        }
+        Ok(LogQuery {
+            files: raw.files.into_iter().map(PathBuf::from).collect(),
+            of: raw.of,
+            related: raw.related,
         })
     }
 }
@@ -142,6 +197,9 @@
             RawCommand::Backends(_) => Command::Backends,
             RawCommand::Jobs(_) => Command::Jobs,
             RawCommand::Order(order) => Command::Order(OrderCommand::try_from(order)?),
+            RawCommand::Timeline(timeline) if timeline.related => {
+                return Err(OptionsError::RelatedToNothing);
+            }
             RawCommand::Timeline(timeline) => Command::Timeline { of: timeline.of },
         })
     }
--- a/crates/foxtailhold-operator/tests/foxtail.rs
+++ b/crates/foxtailhold-operator/tests/foxtail.rs
@@ -15,6 +15,8 @@
     &["--instance", "127.0.0.1:1", "--token", "t", "instances"],
     "no connection to 127.0.0.1:1"; "nobody there"
 )]
+#[test_case(&["timeline", "--related", "missing.log"], "--related needs --of"; "related to nothing")]
+#[test_case(&["timeline", "missing.log"], "cannot read log lines from missing.log"; "no such file")]
 fn wrong_use_is_explained_with_status_1(arguments: &[&str], says: &str) {
     let output = Command::new(env!("CARGO_BIN_EXE_foxtail"))
         .args(arguments)
@@ -26,3 +28,30 @@
     assert_eq!(output.status.code(), Some(1), "{message}");
     assert!(message.contains(says), "{message}");
 }
+
+#[test]
+fn timeline_is_read_from_files_without_an_instance() {
+    let file = std::env::temp_dir().join(format!("foxtail-lines-{}", std::process::id()));
+    let line = |at_ms: u64, request: &str| {
+        format!(
+            "{{\"at_ms\":{at_ms},\"level\":\"INFO\",\"instance\":\"m1\",\"message\":\"answered\",\
+             \"fields\":{{\"request\":\"{request}\"}}}}\n"
+        )
+    };
+    std::fs::write(
+        &file,
+        line(2_000, "r1") + &line(1_000, "r2") + &line(1_500, "r1"),
+    )
+    .unwrap();
+    let output = Command::new(env!("CARGO_BIN_EXE_foxtail"))
+        .args(["timeline", "--of", "r1"])
+        .arg(&file)
+        .env_remove("FOXTAIL_INSTANCE")
+        .env_remove("FOXTAIL_TOKEN")
+        .output()
+        .unwrap();
+    std::fs::remove_file(&file).unwrap();
+    let text = String::from_utf8_lossy(&output.stdout);
+    let expected = "1.500 INFO m1 answered request=\"r1\"\n2.000 INFO m1 answered request=\"r1\"\n";
+    assert_eq!(text, expected);
+}
