--- /dev/null
+++ b/crates/foxtailhold-experiment/src/arrivals.rs
@@ -0,0 +1,137 @@
+//! What arrives when: the same for each policy.
+
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, Exp, Normal};
+
+use crate::sheet::{Sheet, Site};
+
+/// Numbers of a request that is played.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Request {
+    /// When it arrives, in microseconds.
+    pub at_us: u64,
+    /// The instance that it arrives at.
+    pub instance: usize,
+    /// What it is.
+    pub kind: Kind,
+    /// Prompt tokens.
+    pub prompt_tokens: u64,
+    /// Tokens of the answer.
+    pub answer_tokens: u64,
+    /// Online: its first event is due then. Batch: its result is.
+    pub due_us: u64,
+}
+
+/// Who waits for it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// A person.
+    Online,
+    /// Nobody: an item of a batch job.
+    Batch,
+}
+
+/// Draws of one run.
+struct Draws<'a> {
+    sheet: &'a Sheet,
+    instances: Vec<Site>,
+    rng: SmallRng,
+}
+
+impl Draws<'_> {
+    /// A number around `mean`, at least 1.
+    fn around(&mut self, mean: f64, spread: f64) -> u64 {
+        let drawn = match Normal::new(mean, mean * spread) {
+            Ok(normal) => normal.sample(&mut self.rng),
+            Err(_) => mean,
+        };
+        drawn.round().max(1.0) as u64
+    }
+
+    /// Time to the next arrival of a Poisson process, in microseconds; none at rate 0.
+    fn gap_us(&mut self, per_s: f64) -> Option<u64> {
+        let gap = Exp::new(per_s).ok().filter(|_| per_s > 0.0)?;
+        Some((gap.sample(&mut self.rng) * 1e6) as u64)
+    }
+
+    fn instance_of(&mut self, zone: usize) -> usize {
+        let all = self.instances.iter().enumerate();
+        let in_zone: Vec<usize> = all
+            .filter(|(_, i)| i.zone == zone)
+            .map(|(n, _)| n)
+            .collect();
+        in_zone[self.rng.random_range(0..in_zone.len())]
+    }
+
+    fn online(&mut self, zone: usize, at_us: u64) -> Request {
+        let online = self.sheet.online;
+        Request {
+            at_us,
+            instance: self.instance_of(zone),
+            kind: Kind::Online,
+            prompt_tokens: self.around(online.prompt_tokens, online.spread),
+            answer_tokens: self.around(online.events, online.spread)
+                * self.sheet.engine.tokens_per_event,
+            due_us: at_us + online.objective_ms * 1_000,
+        }
+    }
+
+    fn job(&mut self, zone: usize, at_us: u64, requests: &mut Vec<Request>) {
+        let batch = self.sheet.batch;
+        let instance = self.instance_of(zone);
+        for _ in 0..self.around(batch.items, batch.spread) {
+            requests.push(Request {
+                at_us,
+                instance,
+                kind: Kind::Batch,
+                prompt_tokens: self.around(batch.prompt_tokens, batch.spread),
+                answer_tokens: self.around(batch.events, batch.spread)
+                    * self.sheet.engine.tokens_per_event,
+                due_us: at_us + batch.due_ms * 1_000,
+            });
+        }
+    }
+}
+
+/// Factor of the mean rate at a time.
+pub fn factor(sheet: &Sheet, at_us: u64) -> f64 {
+    let (ebb, flood) = (sheet.online.ebb, sheet.online.flood);
+    let in_turn_ms = (at_us / 1_000) % (ebb.1 + flood.1);
+    if in_turn_ms < ebb.1 { ebb.0 } else { flood.0 }
+}
+
+/// All requests of a run of this length, in the order of their arrival.
+pub fn draw(sheet: &Sheet, length_us: u64, seed: u64) -> Vec<Request> {
+    let mut draws = Draws {
+        sheet,
+        instances: sheet.instances(),
+        rng: SmallRng::seed_from_u64(seed),
+    };
+    let mut requests = Vec::new();
+    let most = sheet.online.ebb.0.max(sheet.online.flood.0);
+    for (zone, rates) in sheet.zones.iter().enumerate() {
+        let mut at_us = 0;
+        while let Some(gap_us) = draws.gap_us(rates.online_per_s * most) {
+            at_us += gap_us;
+            if at_us >= length_us {
+                break;
+            }
+            // Thinning of a process at the highest rate (Lewis and Shedler, 1979).
+            if draws.rng.random_bool(factor(sheet, at_us) / most) {
+                let request = draws.online(zone, at_us);
+                requests.push(request);
+            }
+        }
+        at_us = 0;
+        while let Some(gap_us) = draws.gap_us(rates.jobs_per_s) {
+            at_us += gap_us;
+            if at_us >= length_us {
+                break;
+            }
+            draws.job(zone, at_us, &mut requests);
+        }
+    }
+    requests.sort_by_key(|request| request.at_us);
+    requests
+}
--- /dev/null
+++ b/crates/foxtailhold-experiment/src/bound.rs
@@ -0,0 +1,146 @@
+//! What no policy can exceed: all engines as one, which knows everything at once and loses nothing.
+//!
+//! Engines give the most tokens when all slots are full, so tokens at that rate are the capacity.
+//! Online requests take theirs first. Of the batch items, those that cannot all be served by their
+//! times are left out, the largest first (Moore, 1968), which serves as many as possible. Items may
+//! be served before they come and are never limited by the speed of a single request, so the
+//! result is at least what the best policy could reach.
+
+use std::collections::BinaryHeap;
+
+use crate::arrivals::{Kind, Request, factor};
+use crate::sheet::Sheet;
+use crate::world::Run;
+
+/// Step in which capacity is added up, in microseconds.
+const STEP_US: u64 = 10_000;
+
+/// The most that could be in time.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bound {
+    /// Share of the online requests.
+    pub online: f64,
+    /// Share of the batch items.
+    pub batch: f64,
+    /// Share of the slot time that all requests together need.
+    pub load: f64,
+}
+
+/// Tokens a microsecond of all engines, with full slots.
+fn tokens_per_us(sheet: &Sheet) -> f64 {
+    let slots = sheet.engine.slots as f64;
+    let engines = sheet.engines();
+    engines
+        .iter()
+        .map(|engine| slots / sheet.engine.full_step_us(engine.speed))
+        .sum()
+}
+
+/// Tokens that engines could give up to each step, without the outage.
+fn capacity(run: &Run<'_>) -> Vec<f64> {
+    let rate = tokens_per_us(run.sheet);
+    let mut sum = 0.0;
+    let mut capacity = vec![0.0];
+    for step in 0..run.length_us / STEP_US {
+        let at_us = step * STEP_US;
+        let is_away = run
+            .outage
+            .is_some_and(|o| at_us >= o.at_us && at_us < o.at_us + o.for_us);
+        if !is_away {
+            sum += rate * STEP_US as f64;
+        }
+        capacity.push(sum);
+    }
+    capacity
+}
+
+fn is_lost(run: &Run<'_>, request: &Request) -> bool {
+    run.outage
+        .is_some_and(|o| (o.at_us..o.at_us + o.for_us).contains(&request.at_us))
+}
+
+/// Takes the online requests out of the capacity, each in the step of its arrival or as soon after
+/// as there is some left; returns how many were begun by their time.
+fn serve_online(run: &Run<'_>, capacity: &mut [f64]) -> (u64, u64) {
+    let steps = capacity.len() - 1;
+    let mut free: Vec<f64> = (0..steps).map(|s| capacity[s + 1] - capacity[s]).collect();
+    let (mut owed, mut in_time, mut first) = (0, 0, 0);
+    for request in run
+        .requests
+        .iter()
+        .filter(|request| request.kind == Kind::Online)
+    {
+        owed += 1;
+        if is_lost(run, request) {
+            continue;
+        }
+        first = first.max((request.at_us / STEP_US) as usize);
+        let mut left = request.answer_tokens as f64;
+        while first < steps && free[first] <= 0.0 {
+            first += 1;
+        }
+        in_time += u64::from(first as u64 * STEP_US <= request.due_us);
+        let mut step = first;
+        while step < steps && left > 0.0 {
+            let taken = free[step].min(left);
+            free[step] -= taken;
+            left -= taken;
+            step += 1;
+        }
+    }
+    let mut sum = 0.0;
+    for (step, free) in free.iter().enumerate() {
+        sum += free;
+        capacity[step + 1] = sum;
+    }
+    (owed, in_time)
+}
+
+/// The bound of a run.
+pub fn bound(run: &Run<'_>) -> Bound {
+    let mut capacity = capacity(run);
+    let all = capacity.last().copied().unwrap_or_default();
+    let needed: f64 = run
+        .requests
+        .iter()
+        .map(|request| request.answer_tokens as f64)
+        .sum();
+    let (owed, in_time) = serve_online(run, &mut capacity);
+    let batch = run
+        .requests
+        .iter()
+        .filter(|r| r.kind == Kind::Batch && !is_lost(run, r));
+    let mut items: Vec<&Request> = batch.filter(|r| r.due_us <= run.length_us).collect();
+    items.sort_by_key(|item| item.due_us);
+    let mut taken = BinaryHeap::new();
+    let mut tokens = 0;
+    for item in &items {
+        taken.push(item.answer_tokens);
+        tokens += item.answer_tokens;
+        let by_then = capacity[(item.due_us / STEP_US) as usize];
+        if tokens as f64 > by_then {
+            tokens -= taken.pop().unwrap_or_default();
+        }
+    }
+    let share = |part: u64, whole: u64| {
+        if whole == 0 {
+            1.0
+        } else {
+            part as f64 / whole as f64
+        }
+    };
+    Bound {
+        online: share(in_time, owed),
+        batch: share(taken.len() as u64, items.len() as u64),
+        load: needed / all,
+    }
+}
+
+/// Share of the slot time that the online requests of an ebb, and of a flood, need.
+pub fn online_load(sheet: &Sheet) -> (f64, f64) {
+    let per_s: f64 = sheet.zones.iter().map(|zone| zone.online_per_s).sum();
+    let tokens = sheet.online.events * sheet.engine.tokens_per_event as f64;
+    let mean = per_s * tokens / (tokens_per_us(sheet) * 1e6);
+    let flood_at_us = sheet.online.ebb.1 * 1_000;
+    (mean * factor(sheet, 0), mean * factor(sheet, flood_at_us))
+}
--- /dev/null
+++ b/crates/foxtailhold-experiment/src/plot.rs
@@ -0,0 +1,119 @@
+//! Lines of a report over time, as SVG.
+
+use std::path::Path;
+
+use miette::Diagnostic;
+use plotters::prelude::*;
+use thiserror::Error;
+
+use crate::report::{Report, Row};
+use crate::tally::WINDOW_US;
+
+const SIZE_PX: (u32, u32) = (960, 420);
+
+/// Result of drawing.
+pub type Result<T> = std::result::Result<T, PlotError>;
+
+/// A plot cannot be written.
+#[derive(Debug, Error, Diagnostic)]
+#[error("cannot write the plot {file}: {detail}")]
+pub struct PlotError {
+    file: String,
+    detail: String,
+}
+
+/// A figure that is drawn.
+struct Figure {
+    file: &'static str,
+    title: &'static str,
+    /// Index of the kind in a window's counts.
+    kind: usize,
+}
+
+const FIGURES: [Figure; 2] = [
+    Figure {
+        file: "online-in-time",
+        title: "online requests in time, by arrival",
+        kind: 0,
+    },
+    Figure {
+        file: "batch-in-time",
+        title: "batch items in time, by arrival",
+        kind: 1,
+    },
+];
+
+/// Writes one SVG for each figure.
+pub fn write(report: &Report, directory: &Path) -> Result<()> {
+    let failed = |file: &Path, detail: String| PlotError {
+        file: file.display().to_string(),
+        detail,
+    };
+    std::fs::create_dir_all(directory).map_err(|error| failed(directory, error.to_string()))?;
+    for figure in &FIGURES {
+        let file = directory.join(format!("{}-{}.svg", report.deployment, figure.file));
+        draw(report, figure, &file).map_err(|error| failed(&file, error.to_string()))?;
+    }
+    Ok(())
+}
+
+/// Share in time of each window in which something was owed, over all seeds.
+fn line(row: &Row, kind: usize) -> Vec<(f64, f64)> {
+    let windows = row.tallies.iter().map(|tally| tally.windows.len()).max();
+    let mut points = Vec::new();
+    for index in 0..windows.unwrap_or_default() {
+        let (mut owed, mut in_time) = (0, 0);
+        for tally in &row.tallies {
+            owed += tally.windows[index].owed[kind];
+            in_time += tally.windows[index].in_time[kind];
+        }
+        if owed > 0 {
+            let at_s = index as f64 * WINDOW_US as f64 / 1e6;
+            points.push((at_s, in_time as f64 / owed as f64));
+        }
+    }
+    points
+}
+
+fn draw(
+    report: &Report,
+    figure: &Figure,
+    path: &Path,
+) -> std::result::Result<(), Box<dyn std::error::Error>> {
+    let lines: Vec<_> = report
+        .rows
+        .iter()
+        .map(|row| line(row, figure.kind))
+        .collect();
+    let last_s = lines
+        .iter()
+        .flatten()
+        .map(|(at_s, _)| *at_s)
+        .fold(1.0, f64::max);
+    let root = SVGBackend::new(path, SIZE_PX).into_drawing_area();
+    root.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&root)
+        .caption(
+            format!("{}: {}", report.deployment, figure.title),
+            ("sans-serif", 18),
+        )
+        .margin(10)
+        .x_label_area_size(35)
+        .y_label_area_size(50)
+        .build_cartesian_2d(0.0..last_s, 0.0..1.05)?;
+    chart.configure_mesh().x_desc("arrival, s").draw()?;
+    for (number, (row, points)) in report.rows.iter().zip(lines).enumerate() {
+        let color = Palette99::pick(number).to_rgba();
+        chart
+            .draw_series(LineSeries::new(points, color.stroke_width(2)))?
+            .label(row.policy)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 15, y)], color));
+    }
+    chart
+        .configure_series_labels()
+        .background_style(WHITE.mix(0.8))
+        .border_style(BLACK)
+        .draw()?;
+    root.present()?;
+    Ok(())
+}
