--- a/crates/foxtailhold-experiment/src/plot.rs
+++ b/crates/foxtailhold-experiment/src/plot.rs
@@ -1,6 +1,6 @@
 //! Lines of a report over time, as SVG.
 
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
 use miette::Diagnostic;
 use plotters::prelude::*;
@@ -16,10 +16,21 @@
 
 /// A plot cannot be written.
 #[derive(Debug, Error, Diagnostic)]
-#[error("cannot write the plot {file}: {detail}")]
+#[error("cannot write the plot {}: {source}", file.display())]
 pub struct PlotError {
-    file: String,
-    detail: String,
+    file: PathBuf,
+    source: Cause,
+}
+
+/// Why.
+#[derive(Debug, Error)]
+pub enum Cause {
+    /// Its directory.
+    #[error(transparent)]
+    Directory(#[from] std::io::Error),
+    /// Its drawing.
+    #[error(transparent)]
+    Drawing(#[from] DrawingAreaErrorKind<std::io::Error>),
 }
 
 /// A figure that is drawn.
@@ -45,14 +56,14 @@
 
 /// Writes one SVG for each figure.
 pub fn write(report: &Report, directory: &Path) -> Result<()> {
-    let failed = |file: &Path, detail: String| PlotError {
-        file: file.display().to_string(),
-        detail,
+    let failed = |file: &Path, source: Cause| PlotError {
+        file: file.to_owned(),
+        source,
     };
-    std::fs::create_dir_all(directory).map_err(|error| failed(directory, error.to_string()))?;
+    std::fs::create_dir_all(directory).map_err(|error| failed(directory, error.into()))?;
     for figure in &FIGURES {
         let file = directory.join(format!("{}-{}.svg", report.deployment, figure.file));
-        draw(report, figure, &file).map_err(|error| failed(&file, error.to_string()))?;
+        draw(report, figure, &file).map_err(|source| failed(&file, source))?;
     }
     Ok(())
 }
@@ -75,11 +86,7 @@
     points
 }
 
-fn draw(
-    report: &Report,
-    figure: &Figure,
-    path: &Path,
-) -> std::result::Result<(), Box<dyn std::error::Error>> {
+fn draw(report: &Report, figure: &Figure, path: &Path) -> std::result::Result<(), Cause> {
     let lines: Vec<_> = report
         .rows
         .iter()
--- a/crates/foxtailhold-experiment/src/world.rs
+++ b/crates/foxtailhold-experiment/src/world/mod.rs
@@ -1,5 +1,8 @@
 //! Plays one run: arrivals, messages, engines and one policy, in virtual time.
 
+mod ends;
+mod loss;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
@@ -11,14 +14,8 @@
 
 /// Policies are told of the time so often, in microseconds.
 pub const TICK_US: u64 = 20_000;
-/// Events of an unfinished item are kept in pieces of so many, as owners of jobs do.
-const PIECE_EVENTS: u64 = 40;
-/// A request that engines had no room for is offered again so often.
-const FULL_AGAIN: u32 = 3;
 /// An item that has outrun the mean is taken to need this share of it still.
 const LEAST_LEFT_SHARE: f64 = 0.1;
-/// Callers whom an engine's refusals reach come back after this time.
-const FULL_RETRY_AFTER_MS: u64 = 120;
 
 /// All instances are away for a time, and their requests are lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -400,137 +397,4 @@
         };
         self.at(seen_us, told);
     }
-
-    fn over(&mut self, request: usize, end: End, load: u32, offers: u32) {
-        let life = &mut self.lives[request];
-        if life.is_over || life.offers != offers || self.is_away {
-            return;
-        }
-        let engine = life.engine.take();
-        self.policy_turn(|policy, now_us, actions| {
-            policy.ended(now_us, request, end, Some(load), actions);
-        });
-        match end {
-            End::Done => self.served(request),
-            End::Full => {
-                self.tally.full += 1;
-                self.lives[request].full += 1;
-                let is_online = self.run.requests[request].kind == Kind::Online;
-                if is_online && self.lives[request].full > FULL_AGAIN {
-                    self.refuse(request, FULL_RETRY_AFTER_MS);
-                } else {
-                    self.offer(request, engine);
-                }
-            }
-            End::Cut | End::GivenUp => {}
-        }
-    }
-
-    fn served(&mut self, request: usize) {
-        let (life, arrival) = (self.lives[request], self.run.requests[request]);
-        let online = &self.run.sheet.online;
-        let first_us = life.first_us.unwrap_or(self.now_us) - arrival.at_us;
-        let is_in_time = match arrival.kind {
-            Kind::Online => {
-                first_us <= online.objective_ms * 1_000
-                    && life.longest_pause_us <= online.pause_ms * 1_000
-            }
-            Kind::Batch => self.now_us <= arrival.due_us,
-        };
-        let fate = if is_in_time { Fate::InTime } else { Fate::Late };
-        self.end(request, fate);
-    }
-
-    fn end(&mut self, request: usize, fate: Fate) {
-        let (life, arrival) = (&mut self.lives[request], &self.run.requests[request]);
-        life.is_over = true;
-        let took_us = match arrival.kind {
-            Kind::Online => life.first_us.map(|at_us| at_us - arrival.at_us),
-            Kind::Batch => Some(self.now_us - arrival.at_us),
-        };
-        self.tally.ended(arrival, fate, took_us);
-    }
-
-    fn refuse(&mut self, request: usize, retry_after_ms: u64) {
-        let life = &mut self.lives[request];
-        if life.is_over || life.engine.is_some() {
-            return;
-        }
-        self.policy_turn(|policy, now_us, actions| {
-            policy.ended(now_us, request, End::GivenUp, None, actions);
-        });
-        let life = &mut self.lives[request];
-        life.refusals += 1;
-        if life.refusals > self.run.sheet.online.retries {
-            self.end(request, Fate::Refused);
-            return;
-        }
-        self.at(
-            self.now_us + retry_after_ms * 1_000,
-            Event::Arrive { request },
-        );
-    }
-
-    fn cut(&mut self, request: usize) {
-        let life = &mut self.lives[request];
-        let Some(engine) = life.engine.filter(|_| !life.is_over) else {
-            return;
-        };
-        life.engine = None;
-        let given = self.engines[engine].cancel(self.now_us, request);
-        let life = &mut self.lives[request];
-        life.given_tokens += given;
-        self.tally.cuts += 1;
-        let load = self.engines[engine].load();
-        self.policy_turn(|policy, now_us, actions| {
-            policy.ended(now_us, request, End::Cut, Some(load), actions);
-        });
-        self.offer(request, None);
-    }
-
-    fn give_up(&mut self, request: usize) {
-        if self.lives[request].is_over {
-            return;
-        }
-        if let Some(engine) = self.lives[request].engine.take() {
-            self.engines[engine].cancel(self.now_us, request);
-        }
-        if !self.is_away {
-            self.policy_turn(|policy, now_us, actions| {
-                policy.ended(now_us, request, End::GivenUp, None, actions);
-            });
-        }
-        self.end(request, Fate::Failed);
-    }
-
-    fn lose_all(&mut self) {
-        self.is_away = true;
-        self.policy.restart(self.now_us);
-        let piece_tokens = PIECE_EVENTS * self.run.sheet.engine.tokens_per_event;
-        for request in 0..self.lives.len() {
-            let arrival = self.run.requests[request];
-            let life = self.lives[request];
-            if life.is_over || arrival.at_us > self.now_us {
-                continue;
-            }
-            if let Some(engine) = self.lives[request].engine.take() {
-                let given = self.engines[engine].cancel(self.now_us, request);
-                let kept = (life.given_tokens + given) / piece_tokens * piece_tokens;
-                self.lives[request].given_tokens = kept;
-            }
-            if arrival.kind == Kind::Online {
-                self.end(request, Fate::Failed);
-            }
-        }
-    }
-
-    fn come_back(&mut self) {
-        self.is_away = false;
-        for request in 0..self.lives.len() {
-            let has_come = self.run.requests[request].at_us <= self.now_us;
-            if has_come && !self.lives[request].is_over {
-                self.offer(request, None);
-            }
-        }
-    }
 }
