--- a/crates/foxtailhold-entry/src/actors/contracts.rs
+++ b/crates/foxtailhold-entry/src/actors/contracts.rs
@@ -7,17 +7,17 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use foxtailhold::contract_book::{Catchup, ContractChange};
-use foxtailhold::contract_sync::{Advert, ContractSync, Step, StoreSnapshot};
+use foxtailhold::contract_sync::{ContractSync, Step};
 use foxtailhold::time::MonoMs;
 use foxtailhold::timeline::Event;
 use foxtailhold_peer::{PeerAnswer, PeerRequest};
 use foxtailhold_platform::Platform;
-use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
 use rand::seq::IndexedRandom;
 
 use crate::actors::{note_undelivered, tick};
 use crate::contract_store;
+use crate::messages::{ContractsMessage, Found};
 use crate::shared::Shared;
 
 /// What is due is looked at this often.
@@ -27,46 +27,6 @@
 /// Limit for a peer's answer with the whole book.
 pub const SNAPSHOT_TIMEOUT_MS: u64 = 10_000;
 
-/// Messages to the actor.
-#[derive(Debug)]
-pub enum ContractsMessage {
-    /// Changes known to be committed, pushed by the instance that accepted them.
-    Pushed(Catchup, Option<RpcReplyPort<()>>),
-    /// A peer told of its contracts.
-    Advert {
-        /// What it told.
-        advert: Advert,
-        /// When the message that it answers was sent; `None` for a message of its own.
-        sent_at: Option<MonoMs>,
-        /// The peer.
-        address: SocketAddr,
-    },
-    /// A step ended.
-    Ended(Step, Option<Found>),
-    /// Time to look at what is due.
-    Tick,
-}
-
-/// What a step brought.
-#[derive(Debug)]
-pub enum Found {
-    /// The head number, by a read sent at `sent_at` when the instance stood at `stood_at`.
-    Head {
-        /// The number.
-        number: u64,
-        /// When the read was sent.
-        sent_at: MonoMs,
-        /// Where the instance stood then.
-        stood_at: u64,
-    },
-    /// A peer's answer.
-    Peer(Catchup),
-    /// Log rows.
-    Log(Vec<ContractChange>),
-    /// All contract rows.
-    Snapshot(StoreSnapshot),
-}
-
 /// The actor.
 #[derive(Debug)]
 pub struct ContractsActor<P>(pub Shared<P>);
--- a/crates/foxtailhold-entry/src/actors/crashes.rs
+++ b/crates/foxtailhold-entry/src/actors/crashes.rs
@@ -1,17 +1,17 @@
 //! Keeps the table of requests that crash backend servers and publishes it.
 
 use foxtailhold::breaker::Availability;
-use foxtailhold::ids::BackendId;
 use foxtailhold::membership::MemberState;
-use foxtailhold::quarantine::{Fingerprint, Notice, Quarantine, TrialAnswer, TrialEnd};
+use foxtailhold::quarantine::{Notice, Quarantine, TrialAnswer};
 use foxtailhold::time::MonoMs;
 use foxtailhold::timeline::Event;
 use foxtailhold_peer::{PeerAnswer, PeerRequest};
 use foxtailhold_platform::Platform;
-use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
 use rand::seq::IndexedRandom;
 
 use crate::actors::{note_undelivered, tick};
+use crate::messages::CrashesMessage;
 use crate::shared::Shared;
 
 /// Verdicts and expiry are looked at this often.
@@ -21,25 +21,6 @@
 /// A notice is offered to each peer this often.
 const NOTICE_TRIES: u32 = 4;
 
-/// Messages to the actor.
-#[derive(Debug)]
-pub enum CrashesMessage {
-    /// Time for verdicts.
-    Tick,
-    /// Seen here, to be told to all; answered when the table holds it.
-    Own(Notice, RpcReplyPort<()>),
-    /// Told by a peer.
-    Told(Vec<Notice>),
-    /// At the home: an instance asks for a trial.
-    Ask(Fingerprint, Vec<BackendId>, RpcReplyPort<TrialAnswer>),
-    /// At the home: a trial ended.
-    Ended(Fingerprint, BackendId, TrialEnd),
-    /// A starting instance asks for the table.
-    Snapshot(RpcReplyPort<Vec<Notice>>),
-    /// A peer answered with its table.
-    Caught(Vec<Notice>),
-}
-
 /// The actor.
 #[derive(Debug)]
 pub struct CrashesActor<P>(pub Shared<P>);
--- a/crates/foxtailhold-entry/src/actors/fleet.rs
+++ b/crates/foxtailhold-entry/src/actors/fleet.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use foxtailhold::ids::InstanceId;
-use foxtailhold::leaving::{LeavingMark, LeavingMarks};
+use foxtailhold::leaving::LeavingMarks;
 use foxtailhold::replicas::{BackendKind, FleetState};
 use foxtailhold::time::MonoMs;
 use foxtailhold_peer::PeerRequest;
@@ -11,10 +11,9 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 use rand::seq::SliceRandom;
 
-use crate::actors::limits::LimitsMessage;
-use crate::actors::membership::MembershipMessage;
 use crate::actors::{note_undelivered, tick};
 use crate::backends::Cell;
+use crate::messages::{FleetMessage, LimitsMessage, MembershipMessage};
 use crate::shared::Shared;
 
 /// The list is read this often.
@@ -27,19 +26,6 @@
 /// Limit for telling one of them.
 const SPREAD_TIMEOUT_MS: u64 = 1_000;
 
-/// Messages to the actor.
-#[derive(Debug)]
-pub enum FleetMessage {
-    /// Time to read the list.
-    ReadList,
-    /// The list was read.
-    List(Fleet),
-    /// Time to read load reports.
-    ReadLoads,
-    /// Backend servers that are leaving, as a peer tells.
-    Marks(Vec<LeavingMark>),
-}
-
 /// The actor.
 #[derive(Debug)]
 pub struct FleetActor<P>(pub Shared<P>);
--- a/crates/foxtailhold-entry/src/actors/jobs.rs
+++ b/crates/foxtailhold-entry/src/actors/jobs.rs
@@ -16,6 +16,7 @@
 use crate::jobs::owner::{self, scan_all};
 use crate::jobs::runner::{self, RunStop};
 use crate::jobs::sweep;
+use crate::messages::{JobsMessage, Look};
 use crate::shared::Shared;
 use crate::tables;
 
@@ -27,36 +28,6 @@
 /// Orphaned result objects are looked for at least this often.
 const MAX_SWEEP_PERIOD_MS: u64 = 60_000;
 
-/// What a look at open jobs found.
-#[derive(Debug, Default)]
-pub struct Look {
-    /// Jobs taken over.
-    claimed: Vec<OwnedJob>,
-    /// Jobs running here whose cancel is committed.
-    cancelling: Vec<JobId>,
-    /// Leases of other instances.
-    watched: WatchedLeases,
-}
-
-/// Messages to the actor.
-#[derive(Debug)]
-pub enum JobsMessage {
-    /// Time for a periodic look.
-    Tick,
-    /// Open jobs have to be looked through now.
-    Scan,
-    /// Time to delete orphaned result objects.
-    Sweep,
-    /// A look ended.
-    Scanned(Look),
-    /// The run of a job ended.
-    Ended(JobId),
-    /// A job must stop; answered once no item of it runs.
-    Stop(JobId, RpcReplyPort<()>),
-    /// All jobs must stop and be given up; answered once none runs.
-    StopAll(RpcReplyPort<()>),
-}
-
 /// The actor.
 #[derive(Debug)]
 pub struct JobsActor<P>(pub Shared<P>);
--- a/crates/foxtailhold-entry/src/actors/lease.rs
+++ b/crates/foxtailhold-entry/src/actors/lease.rs
@@ -4,7 +4,8 @@
 
 use foxtailhold::batch::store::Condition;
 use foxtailhold::batch::store::{FoundRow, Outcome};
-use foxtailhold::lease::{LEASE_RENEW_MS, LeaseKeeper, LeaseRow, Renewal};
+use foxtailhold::lease::{LEASE_RENEW_MS, LeaseKeeper, Renewal};
+use foxtailhold::lease_row::LeaseRow;
 use foxtailhold_platform::{Operation, Platform, PlatformError, Result, Transacted};
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 
--- a/crates/foxtailhold-entry/src/actors/limits.rs
+++ b/crates/foxtailhold-entry/src/actors/limits.rs
@@ -10,20 +10,12 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef};
 
 use crate::actors::tick;
+use crate::messages::LimitsMessage;
 use crate::shared::Shared;
 
 /// Limit for a home's answer.
 pub const ANSWER_TIMEOUT_MS: u64 = 500;
 
-/// Messages to the actor.
-#[derive(Debug)]
-pub enum LimitsMessage {
-    /// A period has passed.
-    Tick,
-    /// The live instances of the platform's fleet list.
-    Listed(Vec<InstanceId>),
-}
-
 /// The instances there are, in reach or not.
 #[derive(Debug, Default)]
 pub struct Instances {
--- a/crates/foxtailhold-entry/src/actors/membership.rs
+++ b/crates/foxtailhold-entry/src/actors/membership.rs
@@ -14,9 +14,8 @@
 use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
 use tokio::task::JoinSet;
 
-use crate::actors::contracts::ContractsMessage;
-use crate::actors::fleet::FleetMessage;
 use crate::actors::{note_undelivered, tick};
+use crate::messages::{Answer, ContractsMessage, FleetMessage, MembershipMessage};
 use crate::shared::Shared;
 
 /// Limit for the answer to a probe.
@@ -24,38 +23,6 @@
 /// Limit for the answer to an indirect probe.
 pub const INDIRECT_TIMEOUT_MS: u64 = 2 * PROBE_TIMEOUT_MS;
 
-/// Messages to the actor.
-#[derive(Debug)]
-pub enum MembershipMessage {
-    /// A period has passed.
-    Tick,
-    /// A peer's probe.
-    Gossip(Gossip, RpcReplyPort<Gossip>),
-    /// The answer to a probe.
-    Answer(Answer),
-    /// A probe was not answered.
-    NoAnswer(InstanceId),
-    /// A probe was answered to another instance, or to none.
-    Indirect(InstanceId, bool),
-    /// The fleet list's instances.
-    Seeds(Vec<FleetInstance>),
-    /// A planned stop begins; answered when every other instance was told or could not be.
-    Leave(RpcReplyPort<()>),
-}
-
-/// The answer to a probe.
-#[derive(Debug)]
-pub struct Answer {
-    /// The answer.
-    pub gossip: Gossip,
-    /// The peer's address.
-    pub address: SocketAddr,
-    /// When the probe was sent.
-    pub sent_at: MonoMs,
-    /// Whether the probe asked for all that the peer knows.
-    pub asked_all: bool,
-}
-
 /// The actor.
 #[derive(Debug)]
 pub struct MembershipActor<P>(pub Shared<P>);
--- a/crates/foxtailhold-entry/src/actors/orders.rs
+++ b/crates/foxtailhold-entry/src/actors/orders.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use foxtailhold::ids::BackendId;
-use foxtailhold::lease::LeaseRow;
+use foxtailhold::lease_row::LeaseRow;
 use foxtailhold::once::Expected;
 use foxtailhold::orders::{
     Action, EngineSetup, Giver, LeaseWrite, LeaseWritten, Order, Ordered, Wanted,
--- a/crates/foxtailhold-entry/src/actors/steward.rs
+++ b/crates/foxtailhold-entry/src/actors/steward.rs
@@ -7,21 +7,23 @@
 use foxtailhold::ids::{BackendId, InstanceId};
 use foxtailhold::membership::Member;
 use foxtailhold::rendezvous;
-use foxtailhold::replicas::{BackendKind, FleetState, LoadReport};
-use foxtailhold::steward::desk::{Desk, DeskAction, DeskReplica, ItemKey, WaitingItem};
+use foxtailhold::replicas::{BackendKind, FleetState};
+use foxtailhold::steward::desk::{Desk, DeskAction, DeskReplica, ItemKey};
 use foxtailhold::steward::replica::ReplicaSteward;
-use foxtailhold::steward::{OnlineNotice, PlaceAsk, PlaceGrant};
+use foxtailhold::steward::{PlaceAsk, PlaceGrant};
 use foxtailhold::time::MonoMs;
 use foxtailhold::timeline::Event;
 use foxtailhold_peer::{PeerAnswer, PeerRequest};
 use foxtailhold_platform::Platform;
-use ractor::{Actor, ActorProcessingErr, ActorRef, RpcReplyPort};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
 use tokio::sync::mpsc::UnboundedSender;
 
 use crate::actors::{note_undelivered, tick};
 use crate::backends::{BackendTable, Cell};
-use crate::online::{self, StewardEntry, Stewards};
+use crate::messages::{PlaceSignal, StewardMessage};
+use crate::online;
 use crate::shared::Shared;
+use crate::stewards::{StewardEntry, Stewards};
 
 /// Marks, grants and questions are looked at this often.
 pub const TICK_MS: u64 = 20;
@@ -32,38 +34,6 @@
 /// Attempts to tell an owner of a grant; after that its next question does.
 const PUSH_TRIES: u32 = 3;
 
-/// What a waiting or running item is told.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum PlaceSignal {
-    /// It has a place at this engine.
-    Start(BackendId),
-    /// It has lost its place: its stream must be cancelled.
-    Cut,
-}
-
-/// Messages to the actor.
-#[derive(Debug)]
-pub enum StewardMessage {
-    /// Time to look.
-    Tick,
-    /// An owner asks for places at an engine.
-    Asked(PlaceAsk, RpcReplyPort<PlaceGrant>),
-    /// A steward allows this owner another number of places; answered with what it has then.
-    Granted(PlaceGrant, RpcReplyPort<PlaceAsk>),
-    /// An owner's answer to a grant.
-    Told(PlaceAsk),
-    /// The answer to a question that was sent at this time.
-    Answered(PlaceGrant, MonoMs),
-    /// Online work at an engine; answered with whether batch is steered there.
-    Noticed(OnlineNotice, RpcReplyPort<bool>),
-    /// A load report read by this steward.
-    Reported(BackendId, LoadReport),
-    /// An item waits for a place.
-    Wait(ItemKey, WaitingItem, UnboundedSender<PlaceSignal>),
-    /// An item neither waits nor runs any more.
-    Leave(ItemKey),
-}
-
 /// The actor.
 #[derive(Debug)]
 pub struct StewardActor<P>(pub Shared<P>);
--- a/crates/foxtailhold-entry/src/crashes.rs
+++ b/crates/foxtailhold-entry/src/crashes.rs
@@ -17,9 +17,10 @@
 use ractor::rpc::CallResult;
 use tokio::net::TcpStream;
 
-use crate::actors::crashes::{CrashesMessage, NOTICE_TIMEOUT_MS};
+use crate::actors::crashes::NOTICE_TIMEOUT_MS;
 use crate::actors::note_undelivered;
 use crate::backends::{Cell, InFlight};
+use crate::messages::CrashesMessage;
 use crate::shared::Shared;
 
 /// Limit for a connection to a backend server that may have crashed.
--- a/crates/foxtailhold-entry/src/gateway/batches.rs
+++ b/crates/foxtailhold-entry/src/gateway/batches.rs
@@ -3,7 +3,7 @@
 use std::collections::HashSet;
 
 use foxtailhold::batch::{
-    BatchError, BatchItem, ChunkRow, FileRow, JobCounts, JobRow, JobStatus, MAX_JOB_ITEMS, OpenRow,
+    BatchError, BatchItem, FileRow, JobCounts, JobRow, JobStatus, MAX_JOB_ITEMS, OpenRow,
 };
 use foxtailhold::contract::Contract;
 use foxtailhold::ids::{CustomerId, JobId};
@@ -15,12 +15,12 @@
 use foxtailhold_platform::{Expect, Operation, Platform, Row, Transacted};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::actors::jobs::JobsMessage;
 use crate::actors::note_undelivered;
 use crate::gateway::results::{Outcome, ResultFile};
-use crate::gateway::{STORE_RETRY_AFTER_MS, files, hex_digest, store_unavailable};
+use crate::gateway::{STORE_RETRY_AFTER_MS, hex_digest, rows, store_unavailable};
 use crate::jobs::landing;
 use crate::jobs::owner::{self, CancelEnd};
+use crate::messages::JobsMessage;
 use crate::shared::Shared;
 use crate::tables;
 
@@ -28,8 +28,6 @@
 const OFFER_TIMEOUT_MS: u64 = 500;
 /// Attempts to learn what became of a write whose answer was lost.
 const MAX_WRITE_TRIES: u32 = 3;
-/// Rows read at once.
-pub const PAGE: usize = 1_000;
 /// Characters of the digest in a job's identifier.
 const JOB_DIGEST_CHARS: usize = 32;
 
@@ -95,7 +93,7 @@
     if let Some(row) = known.map_err(|error| store_unavailable(&error))? {
         return resent(shared, &request, &row).await;
     }
-    let file = files::row(shared, customer, &request.input_file).await?;
+    let file = rows::file(shared, customer, &request.input_file).await?;
     let items = check_input(shared, &request, &file).await?;
     let now_ms = shared.clock.wall().0;
     let window_s = request.window_s.unwrap_or(contract.batch_window_s);
@@ -201,31 +199,6 @@
     });
 }
 
-/// A job's row with its version.
-pub async fn row<P: Platform>(
-    shared: &Shared<P>,
-    customer: &CustomerId,
-    job: &JobId,
-) -> Result<(JobRow, u64)> {
-    let key = tables::job_key(customer, job);
-    let found = shared.platform.get(tables::JOB, &key).await;
-    let found = found.map_err(|error| store_unavailable(&error))?;
-    let found = found.ok_or_else(|| {
-        Refusal::not_run(RefusalReason::NotFound {
-            kind: "batch".into(),
-            id: job.to_string(),
-        })
-    })?;
-    let row = found.read().map_err(|error| store_unavailable(&error))?;
-    Ok((row, found.version))
-}
-
-/// The finished chunks of a job, in order.
-pub async fn chunks<P: Platform>(shared: &Shared<P>, job: &JobId) -> Result<Vec<(u32, ChunkRow)>> {
-    let found = owner::finished_chunks(&shared.platform, job).await;
-    found.map_err(|error| store_unavailable(&error))
-}
-
 async fn object<P: Platform>(shared: &Shared<P>, row: JobRow) -> Result<BatchObject> {
     let counts = counts(shared, &row).await?;
     let file = |outcome, items: u64| {
@@ -265,7 +238,7 @@
     contract: &Contract,
     job: &JobId,
 ) -> Result<BatchObject> {
-    let (row, _) = row(shared, &contract.customer, job).await?;
+    let (row, _) = rows::job(shared, &contract.customer, job).await?;
     object(shared, row).await
 }
 
--- a/crates/foxtailhold-entry/src/gateway/files.rs
+++ b/crates/foxtailhold-entry/src/gateway/files.rs
@@ -11,7 +11,7 @@
 use foxtailhold_platform::{Expect, Operation, Platform, Transacted};
 
 use crate::gateway::results::ResultFile;
-use crate::gateway::{batches, store_unavailable};
+use crate::gateway::{rows, store_unavailable};
 use crate::shared::Shared;
 use crate::tables;
 
@@ -29,13 +29,6 @@
     bytes: u64,
 }
 
-fn not_found(id: &FileId) -> Refusal {
-    Refusal::not_run(RefusalReason::NotFound {
-        kind: "file".into(),
-        id: id.to_string(),
-    })
-}
-
 impl<P: Platform> EntryUpload<P> {
     /// Begins an upload of a customer.
     pub fn new(shared: &Shared<P>, customer: &CustomerId) -> Result<Self> {
@@ -113,19 +106,6 @@
     }
 }
 
-/// The row of an uploaded file.
-pub async fn row<P: Platform>(
-    shared: &Shared<P>,
-    customer: &CustomerId,
-    file: &FileId,
-) -> Result<FileRow> {
-    let key = tables::file_key(customer, file);
-    let found = shared.platform.get(tables::FILE, &key).await;
-    let found = found.map_err(|error| store_unavailable(&error))?;
-    let row = found.ok_or_else(|| not_found(file))?;
-    row.read().map_err(|error| store_unavailable(&error))
-}
-
 /// Describes an uploaded file or a result file of a job.
 pub async fn describe<P: Platform>(
     shared: &Shared<P>,
@@ -133,10 +113,10 @@
     file: &FileId,
 ) -> Result<FileObject> {
     let Some(result) = ResultFile::of(file) else {
-        let row = row(shared, &contract.customer, file).await?;
+        let row = rows::file(shared, &contract.customer, file).await?;
         return Ok(object(file, row));
     };
-    let (row, _) = batches::row(shared, &contract.customer, &result.job).await?;
+    let (row, _) = rows::job(shared, &contract.customer, &result.job).await?;
     Ok(FileObject {
         id: file.clone(),
         bytes: result.size_bytes(shared).await?,
@@ -176,7 +156,7 @@
     file: &FileId,
 ) -> Result<()> {
     if let Some(result) = ResultFile::of(file) {
-        batches::row(shared, &contract.customer, &result.job).await?;
+        rows::job(shared, &contract.customer, &result.job).await?;
         let detail = format!("file {file} is the result of a batch and stays readable");
         return Err(Refusal::not_run(RefusalReason::Conflict { detail }));
     }
@@ -184,7 +164,7 @@
     let delete = Operation::delete(tables::FILE, &key, Expect::Present);
     match shared.platform.transact(&[delete]).await {
         Ok(Transacted::Committed) => Ok(()),
-        Ok(Transacted::Conflict { .. }) => Err(not_found(file)),
+        Ok(Transacted::Conflict { .. }) => Err(rows::no_file(file)),
         Err(error) if error.may_have_taken_effect() => {
             Err(store_unavailable(&error).with_ran(Ran::MayHaveRun))
         }
@@ -192,18 +172,6 @@
     }
 }
 
-/// Reads an object that must exist.
-pub async fn read_object<P: Platform>(shared: &Shared<P>, name: &str) -> Result<Bytes> {
-    let found = shared.platform.get_object(name).await;
-    let found = found.map_err(|error| store_unavailable(&error))?;
-    found.ok_or_else(|| {
-        Refusal::not_run(RefusalReason::NotFound {
-            kind: "object".into(),
-            id: name.to_owned(),
-        })
-    })
-}
-
 #[derive(Debug)]
 enum Piece {
     Object(String),
@@ -228,13 +196,13 @@
     let result = ResultFile::of(file);
     match &result {
         None => {
-            let row = row(shared, &contract.customer, file).await?;
+            let row = rows::file(shared, &contract.customer, file).await?;
             for part in 0..row.part_lines.len() {
                 pieces.push_back(Piece::Object(tables::part_object(file, part as u32)));
             }
         }
         Some(result) => {
-            batches::row(shared, &contract.customer, &result.job).await?;
+            rows::job(shared, &contract.customer, &result.job).await?;
             let chunks = result.chunks(shared).await?;
             pieces.extend(chunks.into_iter().map(Piece::Chunk));
         }
@@ -251,8 +219,8 @@
         let piece = self.pieces.pop_front()?;
         Some(match (&piece, &self.result) {
             (Piece::Chunk(chunk), Some(result)) => result.lines(&self.shared, chunk).await,
-            (Piece::Chunk(chunk), None) => read_object(&self.shared, &chunk.object).await,
-            (Piece::Object(name), _) => read_object(&self.shared, name).await,
+            (Piece::Chunk(chunk), None) => rows::object(&self.shared, &chunk.object).await,
+            (Piece::Object(name), _) => rows::object(&self.shared, name).await,
         })
     }
 }
--- a/crates/foxtailhold-entry/src/gateway/mod.rs
+++ b/crates/foxtailhold-entry/src/gateway/mod.rs
@@ -9,6 +9,7 @@
 pub mod operator;
 pub mod orders;
 pub mod results;
+pub mod rows;
 pub mod service_call;
 pub mod stream;
 
--- a/crates/foxtailhold-entry/src/gateway/operator.rs
+++ b/crates/foxtailhold-entry/src/gateway/operator.rs
@@ -8,7 +8,7 @@
 use foxtailhold::timeline::Event;
 use foxtailhold_operator::error::{OperatorError, Result};
 use foxtailhold_operator::gateway::{ContractUpdate, OperatorGateway};
-use foxtailhold_operator::order::OrderView;
+use foxtailhold_operator::view::OrderView;
 use foxtailhold_operator::view::{
     AcceptedChange, BackendView, ContractView, InstanceView, InstancesView, JobView, Readiness,
     TimelineView,
@@ -17,11 +17,11 @@
 use foxtailhold_platform::{Platform, PlatformError};
 use tokio::sync::mpsc;
 
-use crate::actors::contracts::ContractsMessage;
 use crate::actors::note_undelivered;
 use crate::gateway::{EntryGateway, contract_change, orders};
 use crate::gauges;
 use crate::jobs::owner::{finished_chunks, scan_all};
+use crate::messages::ContractsMessage;
 use crate::shared::Shared;
 use crate::tables;
 
--- a/crates/foxtailhold-entry/src/gateway/orders.rs
+++ b/crates/foxtailhold-entry/src/gateway/orders.rs
@@ -3,7 +3,7 @@
 use foxtailhold::ids::BackendId;
 use foxtailhold::orders::EngineSetup;
 use foxtailhold_operator::error::{OperatorError, Result};
-use foxtailhold_operator::order::OrderView;
+use foxtailhold_operator::view::OrderView;
 use foxtailhold_platform::{Expect, Operation, Platform, PlatformError, Row, Transacted};
 
 use crate::jobs::owner::scan_all;
--- a/crates/foxtailhold-entry/src/gateway/results.rs
+++ b/crates/foxtailhold-entry/src/gateway/results.rs
@@ -9,7 +9,7 @@
 use foxtailhold::refusal::Result;
 use foxtailhold_platform::Platform;
 
-use crate::gateway::{batches, files};
+use crate::gateway::rows;
 use crate::shared::Shared;
 use crate::tables;
 
@@ -87,7 +87,7 @@
     /// Chunks with at least one item of the file, in order.
     pub async fn chunks<P: Platform>(&self, shared: &Shared<P>) -> Result<Vec<ChunkRow>> {
         let mut held = Vec::new();
-        for (_, chunk) in batches::chunks(shared, &self.job).await? {
+        for (_, chunk) in rows::chunks(shared, &self.job).await? {
             if self.outcome.items(&chunk) > 0 {
                 held.push(chunk);
             }
@@ -97,7 +97,7 @@
 
     /// The lines of one chunk's result object that belong to the file.
     pub async fn lines<P: Platform>(&self, shared: &Shared<P>, chunk: &ChunkRow) -> Result<Bytes> {
-        let bytes = files::read_object(shared, &chunk.object).await?;
+        let bytes = rows::object(shared, &chunk.object).await?;
         let whole = chunk.completed + chunk.failed;
         if self.outcome.items(chunk) == whole {
             return Ok(bytes);
--- /dev/null
+++ b/crates/foxtailhold-entry/src/gateway/rows.rs
@@ -0,0 +1,71 @@
+//! Reads the rows and objects behind files and batches, with the refusals that callers get where they
+//! are not there.
+
+use bytes::Bytes;
+use foxtailhold::batch::{ChunkRow, FileRow, JobRow};
+use foxtailhold::ids::{CustomerId, FileId, JobId};
+use foxtailhold::refusal::{Refusal, RefusalReason, Result};
+use foxtailhold_platform::Platform;
+
+use crate::gateway::store_unavailable;
+use crate::jobs::owner;
+use crate::shared::Shared;
+use crate::tables;
+
+/// A file that does not exist.
+pub fn no_file(id: &FileId) -> Refusal {
+    Refusal::not_run(RefusalReason::NotFound {
+        kind: "file".into(),
+        id: id.to_string(),
+    })
+}
+
+/// The row of an uploaded file.
+pub async fn file<P: Platform>(
+    shared: &Shared<P>,
+    customer: &CustomerId,
+    file: &FileId,
+) -> Result<FileRow> {
+    let key = tables::file_key(customer, file);
+    let found = shared.platform.get(tables::FILE, &key).await;
+    let found = found.map_err(|error| store_unavailable(&error))?;
+    let row = found.ok_or_else(|| no_file(file))?;
+    row.read().map_err(|error| store_unavailable(&error))
+}
+
+/// Reads an object that must exist.
+pub async fn object<P: Platform>(shared: &Shared<P>, name: &str) -> Result<Bytes> {
+    let found = shared.platform.get_object(name).await;
+    let found = found.map_err(|error| store_unavailable(&error))?;
+    found.ok_or_else(|| {
+        Refusal::not_run(RefusalReason::NotFound {
+            kind: "object".into(),
+            id: name.to_owned(),
+        })
+    })
+}
+
+/// A job's row with its version.
+pub async fn job<P: Platform>(
+    shared: &Shared<P>,
+    customer: &CustomerId,
+    job: &JobId,
+) -> Result<(JobRow, u64)> {
+    let key = tables::job_key(customer, job);
+    let found = shared.platform.get(tables::JOB, &key).await;
+    let found = found.map_err(|error| store_unavailable(&error))?;
+    let found = found.ok_or_else(|| {
+        Refusal::not_run(RefusalReason::NotFound {
+            kind: "batch".into(),
+            id: job.to_string(),
+        })
+    })?;
+    let row = found.read().map_err(|error| store_unavailable(&error))?;
+    Ok((row, found.version))
+}
+
+/// The finished chunks of a job, in order.
+pub async fn chunks<P: Platform>(shared: &Shared<P>, job: &JobId) -> Result<Vec<(u32, ChunkRow)>> {
+    let found = owner::finished_chunks(&shared.platform, job).await;
+    found.map_err(|error| store_unavailable(&error))
+}
--- a/crates/foxtailhold-entry/src/jobs/chunk.rs
+++ b/crates/foxtailhold-entry/src/jobs/chunk.rs
@@ -12,7 +12,8 @@
 use futures_util::stream;
 use tokio::sync::watch;
 
-use crate::jobs::item::{self, EndedItem, ItemRun};
+use crate::jobs::item::{EndedItem, ItemRun};
+use crate::jobs::policy;
 use crate::jobs::store::{self, Backoff};
 use crate::shared::Shared;
 use crate::tables;
@@ -127,7 +128,7 @@
             started();
         }
         tokio::select! {
-            ended = item::run(shared, &run) => {
+            ended = policy::run(shared, &run) => {
                 shared.metrics.batch_items.inc();
                 shared.chunk_places.landing().items_ended(1);
                 return Some(ended);
--- a/crates/foxtailhold-entry/src/jobs/mod.rs
+++ b/crates/foxtailhold-entry/src/jobs/mod.rs
@@ -7,6 +7,7 @@
 pub mod ordinary;
 pub mod owner;
 pub mod places;
+pub mod policy;
 pub mod runner;
 pub mod steward_item;
 pub mod steward_leg;
--- a/crates/foxtailhold-entry/src/jobs/owner.rs
+++ b/crates/foxtailhold-entry/src/jobs/owner.rs
@@ -12,9 +12,8 @@
 use foxtailhold_peer::{PeerAnswer, PeerRequest};
 use foxtailhold_platform::{KeyedRow, Platform, Result, TableService};
 
-use crate::actors::jobs::JobsMessage;
-use crate::gateway::batches::PAGE;
 use crate::jobs::store::{self, Backoff};
+use crate::messages::JobsMessage;
 use crate::shared::Shared;
 use crate::tables;
 
@@ -32,8 +31,8 @@
     let mut rows: Vec<KeyedRow> = Vec::new();
     loop {
         let after = rows.last().map_or("", |row| row.key.as_str()).to_owned();
-        let page = table.scan(name, prefix, &after, PAGE).await?;
-        let last = page.len() < PAGE;
+        let page = table.scan(name, prefix, &after, tables::PAGE).await?;
+        let last = page.len() < tables::PAGE;
         rows.extend(page);
         if last {
             return Ok(rows);
--- a/crates/foxtailhold-entry/src/jobs/steward_leg.rs
+++ b/crates/foxtailhold-entry/src/jobs/steward_leg.rs
@@ -16,8 +16,9 @@
 use crate::crashes::TrialGuard;
 use crate::gateway::dispatch::{self, Opened, Outgoing};
 use crate::jobs::item_body::Received;
-use crate::online::{self, BatchFlight};
+use crate::online;
 use crate::shared::Shared;
+use crate::stewards::BatchFlight;
 
 /// How a leg ended by itself.
 #[derive(Debug)]
--- a/crates/foxtailhold-entry/src/jobs/steward_line.rs
+++ b/crates/foxtailhold-entry/src/jobs/steward_line.rs
@@ -8,7 +8,7 @@
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 
 use crate::actors::note_undelivered;
-use crate::actors::steward::{PlaceSignal, StewardMessage};
+use crate::messages::{PlaceSignal, StewardMessage};
 use crate::shared::Shared;
 
 /// Pause while the actor is not there.
--- a/crates/foxtailhold-entry/src/jobs/sweep.rs
+++ b/crates/foxtailhold-entry/src/jobs/sweep.rs
@@ -4,7 +4,6 @@
 use foxtailhold::ids::JobId;
 use foxtailhold_platform::{Expect, Operation, Platform, Result};
 
-use crate::gateway::batches::PAGE;
 use crate::jobs::owner;
 use crate::shared::Shared;
 use crate::tables;
@@ -12,7 +11,10 @@
 /// Looks through the jobs that ended long enough ago and whose home is here.
 pub async fn run<P: Platform>(shared: &Shared<P>) -> Result<()> {
     let after_ms = shared.settings.sweep_after_ms;
-    let rows = shared.platform.scan(tables::SWEEP, "", "", PAGE).await?;
+    let rows = shared
+        .platform
+        .scan(tables::SWEEP, "", "", tables::PAGE)
+        .await?;
     for keyed in rows {
         let row: SweepRow = keyed.row.read()?;
         if !row.is_due(after_ms, shared.clock.wall()) {
@@ -37,13 +39,16 @@
     let mut after = String::new();
     let mut deleted = 0;
     loop {
-        let listed = shared.platform.list_objects(&prefix, &after, PAGE).await?;
+        let listed = shared
+            .platform
+            .list_objects(&prefix, &after, tables::PAGE)
+            .await?;
         for name in sweep::orphans(&listed, &chunks) {
             shared.platform.delete_object(name).await?;
             deleted += 1;
         }
         match listed.last() {
-            Some(last) if listed.len() == PAGE => after.clone_from(last),
+            Some(last) if listed.len() == tables::PAGE => after.clone_from(last),
             _ => return Ok(deleted),
         }
     }
--- a/crates/foxtailhold-entry/src/lib.rs
+++ b/crates/foxtailhold-entry/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod jobs;
 pub mod limits;
 pub use foxtailhold_logs as logging;
+pub mod messages;
 pub mod metered;
 pub mod metrics;
 pub mod online;
@@ -21,6 +22,7 @@
 pub mod retries;
 pub mod settings;
 pub mod shared;
+pub mod stewards;
 pub mod tables;
 pub mod timeline;
 
--- /dev/null
+++ b/crates/foxtailhold-entry/src/messages.rs
@@ -0,0 +1,193 @@
+//! What the actors of one instance say to each other and to themselves.
+
+use std::net::SocketAddr;
+
+use foxtailhold::batch::claim::{OwnedJob, WatchedLeases};
+use foxtailhold::contract_book::{Catchup, ContractChange};
+use foxtailhold::contract_sync::{Advert, Step, StoreSnapshot};
+use foxtailhold::ids::{BackendId, InstanceId, JobId};
+use foxtailhold::leaving::LeavingMark;
+use foxtailhold::membership::Gossip;
+use foxtailhold::quarantine::{Fingerprint, Notice, TrialAnswer, TrialEnd};
+use foxtailhold::replicas::LoadReport;
+use foxtailhold::steward::desk::{ItemKey, WaitingItem};
+use foxtailhold::steward::{OnlineNotice, PlaceAsk, PlaceGrant};
+use foxtailhold::time::MonoMs;
+use foxtailhold_platform::{Fleet, FleetInstance};
+use ractor::RpcReplyPort;
+use tokio::sync::mpsc::UnboundedSender;
+
+/// Messages to the keeper of contracts.
+#[derive(Debug)]
+pub enum ContractsMessage {
+    /// Changes known to be committed, pushed by the instance that accepted them.
+    Pushed(Catchup, Option<RpcReplyPort<()>>),
+    /// A peer told of its contracts.
+    Advert {
+        /// What it told.
+        advert: Advert,
+        /// When the message that it answers was sent; `None` for a message of its own.
+        sent_at: Option<MonoMs>,
+        /// The peer.
+        address: SocketAddr,
+    },
+    /// A step ended.
+    Ended(Step, Option<Found>),
+    /// Time to look at what is due.
+    Tick,
+}
+
+/// What a step brought.
+#[derive(Debug)]
+pub enum Found {
+    /// The head number, by a read sent at `sent_at` when the instance stood at `stood_at`.
+    Head {
+        /// The number.
+        number: u64,
+        /// When the read was sent.
+        sent_at: MonoMs,
+        /// Where the instance stood then.
+        stood_at: u64,
+    },
+    /// A peer's answer.
+    Peer(Catchup),
+    /// Log rows.
+    Log(Vec<ContractChange>),
+    /// All contract rows.
+    Snapshot(StoreSnapshot),
+}
+
+/// Messages to the keeper of requests that crash backend servers.
+#[derive(Debug)]
+pub enum CrashesMessage {
+    /// Time for verdicts.
+    Tick,
+    /// Seen here, to be told to all; answered when the table holds it.
+    Own(Notice, RpcReplyPort<()>),
+    /// Told by a peer.
+    Told(Vec<Notice>),
+    /// At the home: an instance asks for a trial.
+    Ask(Fingerprint, Vec<BackendId>, RpcReplyPort<TrialAnswer>),
+    /// At the home: a trial ended.
+    Ended(Fingerprint, BackendId, TrialEnd),
+    /// A starting instance asks for the table.
+    Snapshot(RpcReplyPort<Vec<Notice>>),
+    /// A peer answered with its table.
+    Caught(Vec<Notice>),
+}
+
+/// Messages to the reader of the fleet list and of load reports.
+#[derive(Debug)]
+pub enum FleetMessage {
+    /// Time to read the list.
+    ReadList,
+    /// The list was read.
+    List(Fleet),
+    /// Time to read load reports.
+    ReadLoads,
+    /// Backend servers that are leaving, as a peer tells.
+    Marks(Vec<LeavingMark>),
+}
+
+/// Messages to the keeper of batch jobs owned here.
+#[derive(Debug)]
+pub enum JobsMessage {
+    /// Time for a periodic look.
+    Tick,
+    /// Open jobs have to be looked through now.
+    Scan,
+    /// Time to delete orphaned result objects.
+    Sweep,
+    /// A look ended.
+    Scanned(Look),
+    /// The run of a job ended.
+    Ended(JobId),
+    /// A job must stop; answered once no item of it runs.
+    Stop(JobId, RpcReplyPort<()>),
+    /// All jobs must stop and be given up; answered once none runs.
+    StopAll(RpcReplyPort<()>),
+}
+
+/// What a look at open jobs found.
+#[derive(Debug, Default)]
+pub struct Look {
+    /// Jobs taken over.
+    pub claimed: Vec<OwnedJob>,
+    /// Jobs running here whose cancel is committed.
+    pub cancelling: Vec<JobId>,
+    /// Leases of other instances.
+    pub watched: WatchedLeases,
+}
+
+/// Messages to the exchange of shares of limits.
+#[derive(Debug)]
+pub enum LimitsMessage {
+    /// A period has passed.
+    Tick,
+    /// The live instances of the platform's fleet list.
+    Listed(Vec<InstanceId>),
+}
+
+/// Messages to the keeper of the view of instances.
+#[derive(Debug)]
+pub enum MembershipMessage {
+    /// A period has passed.
+    Tick,
+    /// A peer's probe.
+    Gossip(Gossip, RpcReplyPort<Gossip>),
+    /// The answer to a probe.
+    Answer(Answer),
+    /// A probe was not answered.
+    NoAnswer(InstanceId),
+    /// A probe was answered to another instance, or to none.
+    Indirect(InstanceId, bool),
+    /// The fleet list's instances.
+    Seeds(Vec<FleetInstance>),
+    /// A planned stop begins; answered when every other instance was told or could not be.
+    Leave(RpcReplyPort<()>),
+}
+
+/// The answer to a probe.
+#[derive(Debug)]
+pub struct Answer {
+    /// The answer.
+    pub gossip: Gossip,
+    /// The peer's address.
+    pub address: SocketAddr,
+    /// When the probe was sent.
+    pub sent_at: MonoMs,
+    /// Whether the probe asked for all that the peer knows.
+    pub asked_all: bool,
+}
+
+/// Messages to the steward of batch at replicas.
+#[derive(Debug)]
+pub enum StewardMessage {
+    /// Time to look.
+    Tick,
+    /// An owner asks for places at an engine.
+    Asked(PlaceAsk, RpcReplyPort<PlaceGrant>),
+    /// A steward allows this owner another number of places; answered with what it has then.
+    Granted(PlaceGrant, RpcReplyPort<PlaceAsk>),
+    /// An owner's answer to a grant.
+    Told(PlaceAsk),
+    /// The answer to a question that was sent at this time.
+    Answered(PlaceGrant, MonoMs),
+    /// Online work at an engine; answered with whether batch is steered there.
+    Noticed(OnlineNotice, RpcReplyPort<bool>),
+    /// A load report read by this steward.
+    Reported(BackendId, LoadReport),
+    /// An item waits for a place.
+    Wait(ItemKey, WaitingItem, UnboundedSender<PlaceSignal>),
+    /// An item neither waits nor runs any more.
+    Leave(ItemKey),
+}
+
+/// What a waiting or running item is told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PlaceSignal {
+    /// It has a place at this engine.
+    Start(BackendId),
+    /// It has lost its place: its stream must be cancelled.
+    Cut,
+}
--- a/crates/foxtailhold-entry/src/online.rs
+++ b/crates/foxtailhold-entry/src/online.rs
@@ -1,21 +1,20 @@
 //! Tells the stewards of engines of online work. The request path only touches counters here; a
 //! notice is sent by a task of its own, at most one for each engine every few milliseconds.
 
-use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use foxtailhold::ids::{BackendId, InstanceId};
+use foxtailhold::ids::BackendId;
 use foxtailhold::steward::{NOTICE_GAP_MS, NOTICE_PERIOD_MS, OnlineNotice, is_queued};
 use foxtailhold_peer::{PeerAnswer, PeerRequest};
 use foxtailhold_platform::Platform;
 use ractor::rpc::CallResult;
 
-use crate::actors::steward::StewardMessage;
 use crate::backends::Cell;
+use crate::messages::StewardMessage;
 use crate::shared::Shared;
+use crate::stewards::{BatchFlight, OnlineGauge, StewardEntry};
 
 /// Limit for telling a steward.
 const NOTICE_TIMEOUT_MS: u64 = 500;
@@ -25,50 +24,9 @@
 /// Without batch there, a steward is not told for this long.
 const QUIET_MS: u64 = 500;
 
-/// What the steward of one engine was told of this instance's online work there.
-#[derive(Debug, Default)]
-pub struct OnlineGauge {
-    batch: AtomicU32,
-    pressed: AtomicBool,
-    telling: AtomicBool,
-    told: AtomicU32,
-    told_ms: AtomicU64,
-    quiet_until_ms: AtomicU64,
-    number: AtomicU64,
-}
-
-/// A batch item in flight at an engine, counted until dropped, so that it does not pass for online
-/// work.
-#[derive(Debug)]
-pub struct BatchFlight(Arc<OnlineGauge>);
-
-impl Drop for BatchFlight {
-    fn drop(&mut self) {
-        self.0.batch.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
-/// The steward of one engine.
-#[derive(Debug, Clone)]
-pub struct StewardEntry {
-    /// The instance.
-    pub steward: InstanceId,
-    /// Where it takes messages of peers.
-    pub address: SocketAddr,
-    /// What it was told.
-    pub gauge: Arc<OnlineGauge>,
-}
-
-/// The stewards of all engines, as published for the request path.
-#[derive(Debug, Clone, Default)]
-pub struct Stewards(pub HashMap<BackendId, StewardEntry>);
-
 /// Counts a batch item that is about to be sent to an engine.
 pub fn batch_flight<P: Platform>(shared: &Shared<P>, backend: &BackendId) -> Option<BatchFlight> {
-    let stewards = shared.stewards.load();
-    let gauge = stewards.0.get(backend)?.gauge.clone();
-    gauge.batch.fetch_add(1, Ordering::Relaxed);
-    Some(BatchFlight(gauge))
+    shared.stewards.load().batch_flight(backend)
 }
 
 /// Notes that an online request was sent to `cell`.
--- a/crates/foxtailhold-entry/src/peer.rs
+++ b/crates/foxtailhold-entry/src/peer.rs
@@ -9,14 +9,12 @@
 use foxtailhold_platform::Platform;
 use ractor::rpc::CallResult;
 
-use crate::actors::contracts::ContractsMessage;
-use crate::actors::crashes::CrashesMessage;
-use crate::actors::fleet::FleetMessage;
-use crate::actors::jobs::JobsMessage;
-use crate::actors::membership::{MembershipMessage, PROBE_TIMEOUT_MS};
-use crate::actors::steward::StewardMessage;
+use crate::actors::membership::PROBE_TIMEOUT_MS;
 use crate::actors::{limits, note_undelivered};
 use crate::jobs::{landing, owner};
+use crate::messages::{
+    ContractsMessage, CrashesMessage, FleetMessage, JobsMessage, MembershipMessage, StewardMessage,
+};
 use crate::online;
 use crate::shared::{Actors, Shared};
 
--- a/crates/foxtailhold-entry/src/shared.rs
+++ b/crates/foxtailhold-entry/src/shared.rs
@@ -22,21 +22,18 @@
 use ractor::ActorRef;
 use tokio::sync::Semaphore;
 
-use crate::actors::contracts::ContractsMessage;
-use crate::actors::crashes::CrashesMessage;
-use crate::actors::fleet::FleetMessage;
-use crate::actors::jobs::JobsMessage;
-use crate::actors::limits::LimitsMessage;
-use crate::actors::membership::MembershipMessage;
-use crate::actors::steward::StewardMessage;
 use crate::admission::Admission;
 use crate::backends::BackendTable;
 use crate::jobs::places::SharedPlaces;
 use crate::limits::Limits;
+use crate::messages::{
+    ContractsMessage, CrashesMessage, FleetMessage, JobsMessage, LimitsMessage, MembershipMessage,
+    StewardMessage,
+};
 use crate::metrics::Metrics;
-use crate::online::Stewards;
 use crate::retries::RetryGate;
 use crate::settings::{BatchPolicy, Settings};
+use crate::stewards::Stewards;
 use crate::timeline::{ProcessClock, Timeline};
 use foxtailhold_http::clock::Clock;
 
--- a/crates/foxtailhold-entry/src/tables.rs
+++ b/crates/foxtailhold-entry/src/tables.rs
@@ -3,6 +3,8 @@
 use foxtailhold::batch::sweep::SweepRow;
 use foxtailhold::ids::{CustomerId, FileId, IdempotencyKey, InstanceId, JobId};
 
+/// Rows read at once.
+pub const PAGE: usize = 1_000;
 /// One row `head`: number of the last contract change.
 pub const CONFIG_HEAD: &str = "config_head";
 /// Contract changes by number.
--- a/crates/foxtailhold-operator/src/cli.rs
+++ b/crates/foxtailhold-operator/src/cli.rs
@@ -2,8 +2,6 @@
 
 use argh::FromArgs;
 
-use crate::order::RawOrderCommand;
-
 /// Steer and watch foxtailhold instances.
 #[derive(Debug, FromArgs)]
 pub struct Cli {
@@ -130,3 +128,48 @@
     #[argh(positional)]
     pub files: Vec<String>,
 }
+
+/// Wanted states of engines.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "order")]
+pub struct RawOrderCommand {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: RawOrderSubcommand,
+}
+
+/// What to do with wanted states.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum RawOrderSubcommand {
+    /// Set one.
+    Set(RawSetOrder),
+    /// List all.
+    List(RawListOrders),
+}
+
+/// Set what an engine has to load and its role.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "set")]
+pub struct RawSetOrder {
+    /// backend server id of the engine
+    #[argh(positional)]
+    pub backend: String,
+    /// model to load
+    #[argh(option)]
+    pub model: String,
+    /// version of its weights
+    #[argh(option)]
+    pub version: String,
+    /// adapter to load, in order; may be given more than once
+    #[argh(option)]
+    pub adapter: Vec<String>,
+    /// mixed, online or batch; default mixed
+    #[argh(option, default = "String::from(\"mixed\")")]
+    pub role: String,
+}
+
+/// List the wanted states of all engines.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "list")]
+pub struct RawListOrders {}
--- a/crates/foxtailhold-operator/src/client.rs
+++ b/crates/foxtailhold-operator/src/client.rs
@@ -14,7 +14,7 @@
 
 use crate::error::{OperatorError, Result};
 use crate::handler::{EXPECTED_VERSION, OperatorErrorBody};
-use crate::order::OrderView;
+use crate::view::OrderView;
 use crate::view::{
     AcceptedChange, BackendView, ContractView, InstancesView, JobView, TimelineView,
 };
--- a/crates/foxtailhold-operator/src/command.rs
+++ b/crates/foxtailhold-operator/src/command.rs
@@ -108,7 +108,7 @@
                 job_table(&views)
             })
         }
-        Command::Order(order) => order::run(&client, order, as_json).await,
+        Command::Order(order) => Ok(order::run(&client, order, as_json).await?),
         Command::Timeline { of } => {
             let merged = timeline(&client, of.as_deref()).await?;
             Ok(if as_json {
--- a/crates/foxtailhold-operator/src/gateway.rs
+++ b/crates/foxtailhold-operator/src/gateway.rs
@@ -7,7 +7,7 @@
 use foxtailhold::orders::EngineSetup;
 
 use crate::error::Result;
-use crate::order::OrderView;
+use crate::view::OrderView;
 use crate::view::{
     AcceptedChange, BackendView, ContractView, InstancesView, JobView, Readiness, TimelineView,
 };
--- a/crates/foxtailhold-operator/src/handler.rs
+++ b/crates/foxtailhold-operator/src/handler.rs
@@ -5,7 +5,8 @@
 use std::net::SocketAddr;
 
 use foxtailhold::contract::Contract;
-use foxtailhold::ids::CustomerId;
+use foxtailhold::ids::{BackendId, CustomerId};
+use foxtailhold::orders::EngineSetup;
 use foxtailhold_http::body::{self, AnswerBody};
 use foxtailhold_http::server::Handler;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header, request};
@@ -15,7 +16,6 @@
 
 use crate::error::{OperatorError, Result};
 use crate::gateway::{ContractUpdate, OperatorGateway};
-use crate::order;
 use crate::route::Route;
 
 /// Largest contract document.
@@ -89,7 +89,7 @@
             .map_err(|error| OperatorError::BadRequest {
                 detail: error.to_string(),
             })?;
-        let (backend, setup) = (order::backend_id(backend)?, order::read_setup(&bytes)?);
+        let (backend, setup) = (backend_id(backend)?, read_setup(&bytes)?);
         Ok(ok(&self.gateway.set_order(&backend, &setup).await?))
     }
 
@@ -240,3 +240,17 @@
         }
     }
 }
+
+/// Reads the identifier of an engine in a path.
+fn backend_id(text: &str) -> Result<BackendId> {
+    BackendId::try_from(text).map_err(|error| OperatorError::BadRequest {
+        detail: error.to_string(),
+    })
+}
+
+/// Reads the wanted state in a body.
+fn read_setup(bytes: &[u8]) -> Result<EngineSetup> {
+    serde_json::from_slice(bytes).map_err(|error| OperatorError::BadRequest {
+        detail: error.to_string(),
+    })
+}
--- a/crates/foxtailhold-operator/src/options.rs
+++ b/crates/foxtailhold-operator/src/options.rs
@@ -3,12 +3,14 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use foxtailhold::ids::{CustomerId, IdError};
+use foxtailhold::ids::{BackendId, CustomerId, IdError, TargetName};
+use foxtailhold::orders::{EngineSetup, Role};
 use miette::Diagnostic;
 use thiserror::Error;
 
-use crate::cli::{Cli, ContractSubcommand, RawCommand, TimelineCommand};
-use crate::order::OrderCommand;
+use crate::cli::{
+    Cli, ContractSubcommand, RawCommand, RawOrderCommand, RawOrderSubcommand, TimelineCommand,
+};
 
 /// Environment variable with the operator address.
 pub const INSTANCE_VARIABLE: &str = "FOXTAIL_INSTANCE";
@@ -204,3 +206,41 @@
         })
     }
 }
+
+/// What to do with wanted states, checked.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum OrderCommand {
+    /// Set one.
+    Set(BackendId, EngineSetup),
+    /// List all.
+    List,
+}
+
+fn role(text: &str) -> Result<Role> {
+    match text {
+        "mixed" => Ok(Role::Mixed),
+        "online" => Ok(Role::Online),
+        "batch" => Ok(Role::Batch),
+        _ => Err(OptionsError::BadRole {
+            text: text.to_owned(),
+        }),
+    }
+}
+
+impl TryFrom<RawOrderCommand> for OrderCommand {
+    type Error = OptionsError;
+
+    fn try_from(raw: RawOrderCommand) -> Result<Self> {
+        let RawOrderSubcommand::Set(set) = raw.command else {
+            return Ok(OrderCommand::List);
+        };
+        let backend = BackendId::try_from(set.backend.as_str())?;
+        let setup = EngineSetup {
+            model: TargetName::try_from(set.model.as_str())?,
+            version: set.version,
+            adapters: set.adapter,
+            role: role(&set.role)?,
+        };
+        Ok(OrderCommand::Set(backend, setup))
+    }
+}
--- a/crates/foxtailhold-operator/src/view.rs
+++ b/crates/foxtailhold-operator/src/view.rs
@@ -5,6 +5,7 @@
 use foxtailhold::contract::Contract;
 use foxtailhold::ids::{AvailabilityZone, BackendId, CustomerId, InstanceId, JobId, TargetName};
 use foxtailhold::membership::MemberState;
+use foxtailhold::orders::EngineSetup;
 use foxtailhold::replicas::{BackendKind, FleetState};
 use foxtailhold::timeline::TimelineEntry;
 use serde::{Deserialize, Serialize};
@@ -132,3 +133,14 @@
     /// Why not.
     pub reasons: Vec<String>,
 }
+
+/// The wanted state of one engine.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OrderView {
+    /// The engine.
+    pub backend: BackendId,
+    /// Version of the wanted state.
+    pub version: u64,
+    /// The wanted state.
+    pub setup: EngineSetup,
+}
--- a/crates/foxtailhold-operator/tests/common/mod.rs
+++ b/crates/foxtailhold-operator/tests/common/mod.rs
@@ -14,7 +14,7 @@
 use foxtailhold_operator::OperatorHandler;
 use foxtailhold_operator::error::{OperatorError, Result};
 use foxtailhold_operator::gateway::{ContractUpdate, OperatorGateway};
-use foxtailhold_operator::order::OrderView;
+use foxtailhold_operator::view::OrderView;
 use foxtailhold_operator::view::*;
 use http::{HeaderMap, Method, Request, StatusCode};
 use http_body_util::Full;
--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -3,9 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use arc_swap::ArcSwap;
 use foxtailhold::ids::{BackendId, TargetName};
-use foxtailhold::routes::{Route, RouteTable};
+use foxtailhold::routes::Route;
 use foxtailhold::slots::{Outcome, Urgency};
 use foxtailhold_http::body;
 use foxtailhold_http::clock::Clock;
@@ -13,14 +12,14 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
-use crate::connections::{Connections, InUse};
+use crate::connections::InUse;
 use crate::dialect::Dialect;
 use crate::events::{EventReader, Step};
-use crate::exchange::{self, Exchange, Miss};
-use crate::fleet::{BackendServer, Backends};
-use crate::metrics::RelayMetrics;
-use crate::peers::{NoPlace, Peers, Place, PlaceQuery};
+use crate::exchange::{self, Miss};
+use crate::fleet::BackendServer;
+use crate::peers::{NoPlace, Place, PlaceQuery};
 use crate::plain::PlainLoads;
+use crate::relay::{FIRST_EVENT_PATIENCE_MS, PLAIN_RETRY_AFTER_MS, Relay, exchange};
 use crate::request::{Answer, OpaqueRequest, Unserved};
 use crate::stream::Pump;
 
@@ -29,41 +28,11 @@
 /// Requests that did not run are sent again at other backend servers at most so often, beside the
 /// attempts that the route allows: a refusal costs a crossing, and more would come too late.
 const NOT_RUN_AGAIN: u32 = 3;
-/// Without word for this time an engine counts as silent for a stream that may be repeated: many
-/// times its time to a first event, and time is left to be on time late.
-pub const FIRST_EVENT_PATIENCE_MS: u64 = 650;
-/// A pause of this many times the route's longest good pause counts as silence.
-const PAUSE_FACTOR: u64 = 3;
-/// Shortest pause that counts as silence.
-const LEAST_PAUSE_MS: u64 = 600;
 /// An idempotent whole answer is tried elsewhere after so many objectives.
 const WHOLE_PATIENCE_OBJECTIVES: u64 = 2;
-/// Callers of a plain service without room come back after this time: some requests are done then.
-const PLAIN_RETRY_AFTER_MS: u64 = 120;
 /// Callers come back after this time where no backend server is known.
 const NO_BACKEND_RETRY_AFTER_MS: u64 = 400;
 
-/// What passes requests on.
-#[derive(Debug)]
-pub struct Relay<D> {
-    /// How backend servers are spoken to.
-    pub dialect: D,
-    /// Connections to them.
-    pub connections: Connections,
-    /// Other instances, and places.
-    pub peers: Peers,
-    /// Loads of plain services.
-    pub plain: PlainLoads,
-    /// Backend servers in use.
-    pub backends: Arc<ArcSwap<Backends>>,
-    /// Routes in force.
-    pub routes: Arc<ArcSwap<RouteTable>>,
-    /// Clocks.
-    pub clock: Clock,
-    /// Metrics.
-    pub metrics: RelayMetrics,
-}
-
 /// The way of one request so far.
 #[derive(Debug)]
 pub struct Progress {
@@ -136,19 +105,6 @@
     }
 }
 
-/// The exchange of a request.
-pub fn exchange<'a>(request: &'a OpaqueRequest, route: &Route, after: Option<u64>) -> Exchange<'a> {
-    Exchange {
-        request_id: &request.id,
-        method: &request.method,
-        target: &request.target,
-        headers: &request.headers,
-        body: &request.body,
-        after_event: after,
-        is_idempotent: route.repeat.is_idempotent(),
-    }
-}
-
 impl<D: Dialect> Relay<D> {
     /// Answers a request of a route.
     pub async fn serve(self: &Arc<Self>, route: &Route, request: OpaqueRequest) -> Answer {
@@ -283,45 +239,12 @@
         exchange::read_whole(response, in_use, patience_until).await
     }
 
-    /// Sends to one backend server, which is given the time until `until`, and waits for the head of
-    /// its answer until `patience_until`.
-    pub async fn send_to(
-        &self,
-        backend: &BackendServer,
-        exchange: &Exchange<'_>,
-        until: Instant,
-        patience_until: Instant,
-    ) -> Result<(Response<Incoming>, InUse), Miss> {
-        let (dialect, connections) = (&self.dialect, &self.connections);
-        exchange
-            .send(dialect, connections, backend, until, patience_until)
-            .await
-    }
-
     /// Marks an answer as the backend server's own.
     fn passed_on(&self, mut response: Response<body::AnswerBody>) -> Answer {
         self.dialect.strip(response.headers_mut());
         Answer::Served(response)
     }
 
-    /// Asks for a place at an engine and finds the engine.
-    pub(crate) async fn place(
-        &self,
-        query: &PlaceQuery<'_>,
-    ) -> Result<(Place, Arc<BackendServer>), NoPlace> {
-        let place = self.peers.acquire(query).await?;
-        let backends = self.backends.load();
-        match backends.find(query.pool, place.backend()) {
-            Some(backend) => Ok((place, Arc::clone(backend))),
-            None => {
-                place.close(Outcome::Unreachable);
-                Err(NoPlace::Refused {
-                    retry_after_ms: PLAIN_RETRY_AFTER_MS,
-                })
-            }
-        }
-    }
-
     async fn serve_engine(
         self: &Arc<Self>,
         route: &Route,
@@ -444,11 +367,6 @@
     Stream(http::response::Parts, Box<EventReader>, Step),
 }
 
-/// Time without an event after which a stream's backend server counts as silent.
-pub fn pause_patience_ms(route: &Route) -> u64 {
-    (route.pause_ms * PAUSE_FACTOR).max(LEAST_PAUSE_MS)
-}
-
 /// A request counted at a plain backend server until it ends, also where its caller leaves.
 struct Counted<'a> {
     loads: &'a PlainLoads,
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -20,13 +20,13 @@
 
 use crate::connections::Connections;
 use crate::dialect::Dialect;
-use crate::dispatch::Relay;
 use crate::fleet::{BackendServer, Backends, FleetBook};
 use crate::follow::{Sink, follow};
 use crate::jobs::{BookSink, JOBS_TABLE, JobBook, JobStore, Jobs, own_jobs, sweep_jobs};
 use crate::metrics::RelayMetrics;
 use crate::peers::{Member, Peers};
 use crate::plain::PlainLoads;
+use crate::relay::Relay;
 use crate::shared_store::SharedStore;
 use foxtailhold_http::clock::Clock;
 
--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -33,7 +33,7 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
-use crate::dispatch::Relay;
+use crate::relay::Relay;
 
 /// Result of a call about jobs.
 pub type Result<T> = std::result::Result<T, JobError>;
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod metrics;
 pub mod peers;
 pub mod plain;
+pub mod relay;
 pub mod request;
 pub mod shared_store;
 pub mod stream;
--- /dev/null
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -0,0 +1,104 @@
+//! What passing requests on needs: connections, places, loads, and how backend servers are spoken to.
+
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
+use foxtailhold::routes::{Route, RouteTable};
+use foxtailhold::slots::Outcome;
+use foxtailhold_http::clock::Clock;
+use http::Response;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+
+use crate::connections::{Connections, InUse};
+use crate::dialect::Dialect;
+use crate::exchange::{Exchange, Miss};
+use crate::fleet::{BackendServer, Backends};
+use crate::metrics::RelayMetrics;
+use crate::peers::{NoPlace, Peers, Place, PlaceQuery};
+use crate::plain::PlainLoads;
+use crate::request::OpaqueRequest;
+
+/// Without word for this time an engine counts as silent for a stream that may be repeated: many
+/// times its time to a first event, and time is left to be on time late.
+pub const FIRST_EVENT_PATIENCE_MS: u64 = 650;
+/// A pause of this many times the route's longest good pause counts as silence.
+const PAUSE_FACTOR: u64 = 3;
+/// Shortest pause that counts as silence.
+const LEAST_PAUSE_MS: u64 = 600;
+/// Callers of a plain service without room come back after this time: some requests are done then.
+pub const PLAIN_RETRY_AFTER_MS: u64 = 120;
+
+/// What passes requests on.
+#[derive(Debug)]
+pub struct Relay<D> {
+    /// How backend servers are spoken to.
+    pub dialect: D,
+    /// Connections to them.
+    pub connections: Connections,
+    /// Other instances, and places.
+    pub peers: Peers,
+    /// Loads of plain services.
+    pub plain: PlainLoads,
+    /// Backend servers in use.
+    pub backends: Arc<ArcSwap<Backends>>,
+    /// Routes in force.
+    pub routes: Arc<ArcSwap<RouteTable>>,
+    /// Clocks.
+    pub clock: Clock,
+    /// Metrics.
+    pub metrics: RelayMetrics,
+}
+
+impl<D: Dialect> Relay<D> {
+    /// Sends to one backend server, which is given the time until `until`, and waits for the head of
+    /// its answer until `patience_until`.
+    pub async fn send_to(
+        &self,
+        backend: &BackendServer,
+        exchange: &Exchange<'_>,
+        until: Instant,
+        patience_until: Instant,
+    ) -> Result<(Response<Incoming>, InUse), Miss> {
+        let (dialect, connections) = (&self.dialect, &self.connections);
+        exchange
+            .send(dialect, connections, backend, until, patience_until)
+            .await
+    }
+
+    /// Asks for a place at an engine and finds the engine.
+    pub(crate) async fn place(
+        &self,
+        query: &PlaceQuery<'_>,
+    ) -> Result<(Place, Arc<BackendServer>), NoPlace> {
+        let place = self.peers.acquire(query).await?;
+        let backends = self.backends.load();
+        match backends.find(query.pool, place.backend()) {
+            Some(backend) => Ok((place, Arc::clone(backend))),
+            None => {
+                place.close(Outcome::Unreachable);
+                Err(NoPlace::Refused {
+                    retry_after_ms: PLAIN_RETRY_AFTER_MS,
+                })
+            }
+        }
+    }
+}
+
+/// The exchange of a request.
+pub fn exchange<'a>(request: &'a OpaqueRequest, route: &Route, after: Option<u64>) -> Exchange<'a> {
+    Exchange {
+        request_id: &request.id,
+        method: &request.method,
+        target: &request.target,
+        headers: &request.headers,
+        body: &request.body,
+        after_event: after,
+        is_idempotent: route.repeat.is_idempotent(),
+    }
+}
+
+/// Time without an event after which a stream's backend server counts as silent.
+pub fn pause_patience_ms(route: &Route) -> u64 {
+    (route.pause_ms * PAUSE_FACTOR).max(LEAST_PAUSE_MS)
+}
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -10,10 +10,10 @@
 use tokio::time::Instant;
 
 use crate::dialect::Dialect;
-use crate::dispatch::{FIRST_EVENT_PATIENCE_MS, Relay, exchange, pause_patience_ms};
 use crate::events::{EventReader, Step};
 use crate::exchange::Miss;
 use crate::peers::{Place, PlaceQuery};
+use crate::relay::{FIRST_EVENT_PATIENCE_MS, Relay, exchange, pause_patience_ms};
 use crate::request::OpaqueRequest;
 
 /// A stream on its way to its caller.
--- a/crates/foxtailhold-standin/src/cluster.rs
+++ b/crates/foxtailhold-standin/src/cluster.rs
@@ -9,11 +9,11 @@
 use foxtailhold_http::server::Server;
 use foxtailhold_platform::{FleetInstance, HttpPlatform};
 
-use crate::command::backend;
 use crate::engine::{EngineShape, EngineStandin};
 use crate::error::Result;
 use crate::platform::PlatformStandin;
 use crate::platform::fleet::FleetChange;
+use crate::registry::backend;
 use crate::service::ServiceStandin;
 
 /// Operator token of the embedded instances.
--- a/crates/foxtailhold-standin/src/command.rs
+++ b/crates/foxtailhold-standin/src/command.rs
@@ -2,25 +2,19 @@
 
 use std::net::SocketAddr;
 
-use foxtailhold::ids::{AvailabilityZone, BackendId, InstanceId, TargetName};
 use foxtailhold::orders::Fencing;
-use foxtailhold::replicas::{Backend, BackendKind, FleetState};
-use foxtailhold_http::client::{Call, HttpClient, Reuse};
+use foxtailhold::replicas::BackendKind;
 use foxtailhold_http::server::Server;
-use foxtailhold_platform::FleetInstance;
-use http::Method;
 use tokio::signal::unix::{SignalKind, signal};
 
 use crate::bench;
-use crate::cli::{
-    AddInstanceCommand, Cli, Command, EngineCommand, PlatformCommand, ServiceCommand,
-};
+use crate::cli::{Cli, Command, EngineCommand, PlatformCommand, ServiceCommand};
 use crate::demo;
 use crate::engine::{EngineFaults, EngineOrders, EngineShape, EngineStandin, InstantEngine};
-use crate::error::{Result, StandinError};
+use crate::error::Result;
 use crate::load;
 use crate::platform::PlatformStandin;
-use crate::platform::fleet::FleetChange;
+use crate::registry::{add_instance, address, backend, register};
 use crate::service::ServiceStandin;
 use crate::slopes;
 
@@ -41,13 +35,6 @@
     }
 }
 
-fn address(text: &str) -> Result<SocketAddr> {
-    text.parse().map_err(|_| StandinError::Check {
-        step: "command line",
-        detail: format!("{text:?} is not an IP address and a port"),
-    })
-}
-
 /// Tells whoever started the process where it listens.
 fn announce(address: SocketAddr) {
     println!("{}", serde_json::json!({ "listening": address }));
@@ -66,49 +53,6 @@
     terminated().await
 }
 
-/// Changes the fleet list of the platform's stand-in.
-pub async fn change_fleet(platform: SocketAddr, change: &FleetChange) -> Result<()> {
-    let path = "/standin/fleet";
-    let call = Call::new(Method::POST, platform, path);
-    let client = HttpClient::new(Reuse::Fresh);
-    let (status, body) = client.call(&call, Some(change)).await?;
-    if status.is_success() {
-        return Ok(());
-    }
-    Err(StandinError::Status {
-        address: platform,
-        path: path.into(),
-        status: status.as_u16(),
-        body: String::from_utf8_lossy(&body).into_owned(),
-    })
-}
-
-/// A live entry of the fleet list.
-pub fn backend(
-    id: &str,
-    kind: BackendKind,
-    address: SocketAddr,
-    availability_zone: &str,
-    target: &str,
-) -> Result<Backend> {
-    Ok(Backend {
-        id: BackendId::try_from(id)?,
-        kind,
-        address,
-        availability_zone: AvailabilityZone::try_from(availability_zone)?,
-        state: FleetState::Live,
-        targets: vec![TargetName::try_from(target)?],
-    })
-}
-
-async fn register(platform: &str, backend: Backend) -> Result<()> {
-    let change = FleetChange {
-        backends: vec![backend],
-        ..FleetChange::default()
-    };
-    change_fleet(address(platform)?, &change).await
-}
-
 async fn engine(command: EngineCommand) -> Result<()> {
     let at = address(&command.address)?;
     if command.step_us == 0 {
@@ -160,17 +104,3 @@
     announce(server.address());
     terminated().await
 }
-
-/// Adds an instance to the fleet list.
-pub async fn add_instance(command: AddInstanceCommand) -> Result<()> {
-    let instance = FleetInstance {
-        id: InstanceId::try_from(command.id.as_str())?,
-        peer_address: address(&command.peer_address)?,
-        state: FleetState::Live,
-    };
-    let change = FleetChange {
-        instances: vec![instance],
-        ..FleetChange::default()
-    };
-    change_fleet(address(&command.platform_address)?, &change).await
-}
--- a/crates/foxtailhold-standin/src/deployment.rs
+++ b/crates/foxtailhold-standin/src/deployment.rs
@@ -11,11 +11,11 @@
 use serde::de::DeserializeOwned;
 
 use crate::cli::AddInstanceCommand;
-use crate::command;
 use crate::engine::EngineCounters;
 use crate::error::{Result, StandinError};
 use crate::platform::PlatformFaults;
 use crate::process::{Process, Program};
+use crate::registry;
 
 /// Operator token of the instances.
 pub const TOKEN: &str = "measuring-operator-token";
@@ -130,7 +130,7 @@
         }
         let mut process = Process::start(Program::Entry, &arguments, &variables).await?;
         process.availability_zone = zone.to_owned();
-        command::add_instance(AddInstanceCommand {
+        registry::add_instance(AddInstanceCommand {
             id,
             peer_address: process.address("peer_address")?.to_string(),
             platform_address: platform,
--- a/crates/foxtailhold-standin/src/lib.rs
+++ b/crates/foxtailhold-standin/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod load;
 pub mod platform;
 pub mod process;
+pub mod registry;
 pub mod service;
 pub mod slopes;
 
--- a/crates/foxtailhold-standin/src/slopes/idle.rs
+++ b/crates/foxtailhold-standin/src/slopes/idle.rs
@@ -7,7 +7,6 @@
 use serde_json::json;
 
 use crate::cluster::any_port;
-use crate::command::{backend, change_fleet};
 use crate::demo::{API_KEY, Caller, batch_input};
 use crate::deployment::{Deployment, DeploymentShape};
 use crate::engine::InstantEngine;
@@ -15,6 +14,7 @@
 use crate::load::scenario::GRANITE_TRAIL;
 use crate::platform::handler::StoreCounts;
 use crate::process::Usage;
+use crate::registry::{backend, change_fleet};
 use crate::slopes::sockets;
 
 /// Time to settle before a measurement.
--- a/crates/foxtailhold/src/batch/claim.rs
+++ b/crates/foxtailhold/src/batch/claim.rs
@@ -9,7 +9,8 @@
 use crate::batch::rows::{JobRow, OwnerRow};
 use crate::batch::store::{Change, Condition, Outcome, Step, Transaction, Versioned};
 use crate::ids::InstanceId;
-use crate::lease::{LeaseRow, WatchedLease};
+use crate::lease::WatchedLease;
+use crate::lease_row::LeaseRow;
 use crate::time::MonoMs;
 
 /// Leases of other instances as one instance sees them.
--- a/crates/foxtailhold/src/batch/store.rs
+++ b/crates/foxtailhold/src/batch/store.rs
@@ -6,7 +6,7 @@
 use crate::batch::rows::{ChunkRow, JobRow, OpenRow, OwnerRow};
 use crate::batch::sweep::SweepRow;
 use crate::ids::{CustomerId, InstanceId, JobId};
-use crate::lease::LeaseRow;
+use crate::lease_row::LeaseRow;
 
 /// A row with the version that the table service raises at each write.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/foxtailhold/src/lease.rs
+++ b/crates/foxtailhold/src/lease.rs
@@ -4,10 +4,10 @@
 //! (Gray and Cheriton, "Leases", 1989), and stops acting a margin before the end. Another instance
 //! may take over only after it has seen the row unchanged for the whole term on its own clock.
 
-use serde::{Deserialize, Serialize};
 
 use crate::batch::store::{Condition, Outcome, Versioned};
 use crate::ids::InstanceId;
+use crate::lease_row::LeaseRow;
 use crate::time::MonoMs;
 
 /// Term of a lease.
@@ -17,19 +17,6 @@
 /// The holder renews this often.
 pub const LEASE_RENEW_MS: u64 = 1_500;
 
-/// The row's content.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LeaseRow {
-    /// Who holds it.
-    pub holder: InstanceId,
-    /// Fencing number, raised each time the holder starts anew.
-    pub epoch: u64,
-    /// Raised by each renewal.
-    pub renewal: u64,
-    /// Set by the instance that took over: the holder has to start anew with a higher epoch.
-    pub ended: bool,
-}
-
 /// The holder's side.
 #[derive(Debug, Clone, Default)]
 pub struct HeldLease {
--- a/crates/foxtailhold/src/lib.rs
+++ b/crates/foxtailhold/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod contract_sync;
 pub mod ids;
 pub mod lease;
+pub mod lease_row;
 pub mod leaving;
 pub mod limits;
 pub mod membership;
--- a/crates/foxtailhold/tests/batch_races.rs
+++ b/crates/foxtailhold/tests/batch_races.rs
@@ -10,7 +10,8 @@
 use foxtailhold::batch::store::{Outcome, Versioned};
 use foxtailhold::batch::{ChunkRow, JobRow, JobStatus, OwnerRow};
 use foxtailhold::ids::InstanceId;
-use foxtailhold::lease::{LEASE_TERM_MS, LeaseRow};
+use foxtailhold::lease::LEASE_TERM_MS;
+use foxtailhold::lease_row::LeaseRow;
 use foxtailhold::time::{MonoMs, WallMs};
 use test_case::test_case;
 
--- a/crates/foxtailhold/tests/batch_sim/node.rs
+++ b/crates/foxtailhold/tests/batch_sim/node.rs
@@ -10,7 +10,8 @@
 use foxtailhold::batch::store::{Outcome, Transaction, Versioned};
 use foxtailhold::batch::{ChunkRow, JobRow, OpenRow, OwnerRow};
 use foxtailhold::ids::{InstanceId, JobId};
-use foxtailhold::lease::{LeaseKeeper, LeaseRow, Renewal};
+use foxtailhold::lease::{LeaseKeeper, Renewal};
+use foxtailhold::lease_row::LeaseRow;
 
 use super::store::Token;
 
--- /dev/null
+++ b/crates/foxtailhold/tests/modules.rs
@@ -0,0 +1,118 @@
+//! Modules of each crate import each other without circles, so that each can be read from below.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fs;
+use std::path::{Path, PathBuf};
+
+/// The modules of a crate, each with those it imports.
+type Imports = BTreeMap<String, BTreeSet<String>>;
+
+fn sources(folder: &Path, found: &mut Vec<PathBuf>) {
+    for entry in fs::read_dir(folder).unwrap() {
+        let path = entry.unwrap().path();
+        if path.is_dir() {
+            sources(&path, found);
+        } else if path.extension().is_some_and(|extension| extension == "rs") {
+            found.push(path);
+        }
+    }
+}
+
+/// Paths in a `use` after `crate::`, with braces written out.
+fn paths(tree: &str) -> Vec<String> {
+    let Some((head, inner)) = tree.split_once('{') else {
+        return vec![tree.to_owned()];
+    };
+    let inner = inner.rsplit_once('}').map_or(inner, |(inner, _)| inner);
+    let (mut depth, mut part, mut found) = (0, String::new(), Vec::new());
+    for letter in inner.chars().chain([',']) {
+        match letter {
+            ',' if depth == 0 => {
+                let nested = paths(&std::mem::take(&mut part));
+                found.extend(nested.into_iter().map(|path| format!("{head}{path}")));
+                continue;
+            }
+            '{' => depth += 1,
+            '}' => depth -= 1,
+            _ => {}
+        }
+        part.push(letter);
+    }
+    found
+}
+
+/// The module that a path leads to: the longest beginning that is one.
+fn module_of(path: &str, modules: &BTreeSet<String>) -> Option<String> {
+    let mut path = path;
+    while !modules.contains(path) {
+        path = path.rsplit_once("::")?.0;
+    }
+    Some(path.to_owned())
+}
+
+fn imports(source: &Path) -> Imports {
+    let mut files = Vec::new();
+    sources(source, &mut files);
+    let name = |file: &PathBuf| {
+        let inside = file.strip_prefix(source).unwrap().with_extension("");
+        let name = inside.to_str().unwrap().replace('/', "::");
+        name.trim_end_matches("::mod").to_owned()
+    };
+    let modules: BTreeSet<String> = files.iter().map(name).collect();
+    let mut imports = Imports::new();
+    for file in &files {
+        let text = fs::read_to_string(file).unwrap();
+        let mut imported = BTreeSet::new();
+        for tree in text.split("use crate::").skip(1) {
+            let tree: String = tree.split(';').next().unwrap().split_whitespace().collect();
+            for path in paths(&tree) {
+                imported.extend(module_of(&path, &modules));
+            }
+        }
+        imported.remove(&name(file));
+        imports.insert(name(file), imported);
+    }
+    imports
+}
+
+/// What is left when modules that import none of the rest are taken away, again and again: the
+/// circles, and what imports them.
+fn circles(mut imports: Imports) -> Imports {
+    loop {
+        let left: BTreeSet<String> = imports.keys().cloned().collect();
+        let before = imports.len();
+        imports.retain(|_, imported| !imported.is_disjoint(&left));
+        if imports.len() == before {
+            return imports;
+        }
+    }
+}
+
+#[test]
+fn no_crate_has_modules_that_import_each_other() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let mut crates = vec![root.join("platform")];
+    for entry in fs::read_dir(root.join("crates")).unwrap() {
+        crates.push(entry.unwrap().path());
+    }
+    for folder in crates {
+        let found = circles(imports(&folder.join("src")));
+        assert!(found.is_empty(), "{}: {found:#?}", folder.display());
+    }
+}
+
+#[test]
+fn a_circle_is_found() {
+    let of = |names: &[&str]| names.iter().map(|name| (*name).to_owned()).collect();
+    let mut imports = Imports::new();
+    imports.insert("a".into(), of(&["b"]));
+    imports.insert("b".into(), of(&["c"]));
+    imports.insert("c".into(), of(&["b", "d"]));
+    imports.insert("d".into(), of(&[]));
+    let found: Vec<String> = circles(imports).into_keys().collect();
+    assert_eq!(found, ["a", "b", "c"]);
+    assert_eq!(
+        paths("x::{y,z::{self,w}}"),
+        ["x::y", "x::z::self", "x::z::w"]
+    );
+}
--- a/crates/foxtailhold/tests/orders_fuzz/world.rs
+++ b/crates/foxtailhold/tests/orders_fuzz/world.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use foxtailhold::lease::LeaseRow;
+use foxtailhold::lease_row::LeaseRow;
 use foxtailhold::once::Expected;
 use foxtailhold::orders::giver::{Action, Giver, LeaseWrite};
 use foxtailhold::orders::{
