A home that knows only itself leaves room beside the first one that asks

The home had just started and knew only itself, so the first instance that asked got one nth of one: the whole. That instance was killed, nobody could be asked to give room, and the survivors found none for the 3 s of its lease.

Change: the n of one nth counts the instances that ask, also before the home knows them.

Ruled out: the recall (it was not answered, as it cannot be by a killed process).

Test: a_home_that_knows_only_itself_leaves_room_beside_one_that_asks_and_is_lost, red before (whole share in place of a half).

--- a/crates/foxtailhold/src/limits/home.rs
+++ b/crates/foxtailhold/src/limits/home.rs
@@ -219,7 +219,13 @@
         let (target, room) = match foreign {
             false => (division.target(from), division.giveable(room)),
             true => {
-                let part = Share::part(terms, 1, views.listed());
+                let known = division
+                    .holders
+                    .keys()
+                    .filter(|id| !views.is_me(id))
+                    .count()
+                    + 1;
+                let part = Share::part(terms, 1, views.listed().max(known as u32));
                 (division.due_beside_another(from, ask.held, part), room)
             }
         };
--- a/crates/foxtailhold/src/limits/views.rs
+++ b/crates/foxtailhold/src/limits/views.rs
@@ -62,6 +62,11 @@
         rendezvous::home(&self.members, customer.as_str().as_bytes())
     }
 
+    /// Whether it is this instance.
+    pub fn is_me(&self, id: &InstanceId) -> bool {
+        *id == self.me
+    }
+
     /// Whether this instance is the home of a customer's limits.
     pub fn is_home(&self, customer: &CustomerId) -> bool {
         self.home(customer) == Some(&self.me)
--- a/crates/foxtailhold/tests/limits_newcomers.rs
+++ b/crates/foxtailhold/tests/limits_newcomers.rs
@@ -117,6 +117,24 @@
     assert!(found.slots > 0 && found.requests_ppm > 0, "{found:?}");
 }
 
+#[test]
+fn a_home_that_knows_only_itself_leaves_room_beside_one_that_asks_and_is_lost() {
+    let mut home = LimitHome::default();
+    let me = home_views(MonoMs(0)).home(&customer()).unwrap().clone();
+    let views = Views::new(me.clone(), NOW);
+    let other = (0..COUNT as usize).map(instance).find(|id| *id != me);
+    let first = home.ask(
+        &other.unwrap(),
+        &ask(1, Share::default()),
+        &TERMS,
+        &views,
+        NOW + 1,
+    );
+    assert_eq!(first.unwrap().share, Share::part(&TERMS, 1, 2));
+    let own = home.ask(&me, &ask(1, Share::default()), &TERMS, &views, NOW + 2);
+    assert_eq!(own.unwrap().share, Share::part(&TERMS, 1, 2));
+}
+
 #[test]
 fn a_new_home_raises_a_small_share_to_the_part_of_one_instance() {
     let (mut home, views) = (LimitHome::default(), home_views(NOW));
