Batch items are sent under a lease or not at all, looked at when the bytes go out

The lease was checked when an item got one of the instance's places; then the item waits for a steward's place, and each further leg was sent without a look. Some of the way to the engine, a connection to be made among it, lies after any check.

Change: an item asks for its lease before each leg, and the request carries the moment until which the lease may be acted on: `TimelyBody` looks at the clock when the connection asks for the bytes, so that a process paused after it began to send ends the request without its body.

--- a/crates/foxtailhold-engine/src/client.rs
+++ b/crates/foxtailhold-engine/src/client.rs
@@ -11,15 +11,16 @@
 use foxtailhold::ids::RequestId;
 use foxtailhold::replicas::LoadReport;
 use foxtailhold_http::body;
-use foxtailhold_http::client::{Call, HttpClient, Reuse, SendError, uri};
+use foxtailhold_http::client::{BodyClient, Call, Reuse, SendError, uri};
 use http::{HeaderValue, Method, Request, StatusCode, header};
-use http_body_util::Full;
 use hyper::body::Incoming;
 use serde::Serialize;
+use tokio::time::Instant;
 
 use crate::check::check_whole;
 use crate::error::{EngineError, Result};
 use crate::stream::EngineStream;
+use crate::timely::TimelyBody;
 
 /// Largest whole answer accepted.
 pub const MAX_ANSWER_BYTES: usize = 16 << 20;
@@ -43,6 +44,8 @@
     pub resume: Option<Resume<'a>>,
     /// Limit for the wait for the head of a stream, or for the whole of an unstreamed answer.
     pub timeout_ms: u64,
+    /// It is sent before this time or not at all.
+    pub not_after: Option<Instant>,
 }
 
 /// Where a resumed stream goes on.
@@ -77,13 +80,13 @@
 /// A client of all engines.
 #[derive(Debug, Clone)]
 pub struct EngineClient {
-    http: HttpClient,
+    http: BodyClient<TimelyBody>,
 }
 
 impl Default for EngineClient {
     fn default() -> Self {
         EngineClient {
-            http: HttpClient::new(Reuse::Pooled),
+            http: BodyClient::new(Reuse::Pooled),
         }
     }
 }
@@ -175,13 +178,13 @@
         })
 }
 
-fn build(address: SocketAddr, request: &EngineRequest<'_>) -> Result<Request<Full<Bytes>>> {
+fn build(address: SocketAddr, request: &EngineRequest<'_>) -> Result<Request<TimelyBody>> {
     let invalid = |detail: String| EngineError::Send(SendError::Invalid { detail });
     let body = match &request.resume {
         None => request.body.clone(),
         Some(resume) => continued(request.body, resume)?,
     };
-    let mut built = Request::new(Full::new(body));
+    let mut built = Request::new(TimelyBody::new(body, request.not_after));
     *built.method_mut() = Method::POST;
     *built.uri_mut() = uri(address, request.path)?;
     let id = HeaderValue::try_from(request.id.as_str()).map_err(|e| invalid(e.to_string()))?;
--- a/crates/foxtailhold-engine/src/lib.rs
+++ b/crates/foxtailhold-engine/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod orders;
 pub mod sse;
 pub mod stream;
+pub mod timely;
 
 pub use client::{EngineAnswer, EngineClient, EngineRequest, Resume, WholeAnswer};
 pub use error::{EngineError, Result};
--- /dev/null
+++ b/crates/foxtailhold-engine/tests/timely.rs
@@ -0,0 +1,53 @@
+//! A request that may be sent only until a moment, over a real connection.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use foxtailhold::ids::RequestId;
+use foxtailhold_engine::{EngineClient, EngineRequest};
+use test_case::test_case;
+use tokio::io::AsyncReadExt;
+use tokio::net::TcpListener;
+use tokio::time::Instant;
+
+const BODY: &str = "{\"prompt\":\"a walk along the ridge\"}";
+
+/// What an engine that never answers receives, of a request that may be sent until then.
+async fn received(not_after: Option<Instant>) -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address: SocketAddr = listener.local_addr().unwrap();
+    let engine = tokio::spawn(async move {
+        let mut text = Vec::new();
+        let Ok((mut socket, _)) = listener.accept().await else {
+            return text;
+        };
+        let reading = socket.read_to_end(&mut text);
+        let _ = tokio::time::timeout(Duration::from_millis(400), reading).await;
+        text
+    });
+    let id = RequestId::try_from("r-1").unwrap();
+    let body = Bytes::from_static(BODY.as_bytes());
+    let request = EngineRequest {
+        id: &id,
+        path: "/v1/completions",
+        body: &body,
+        streamed: false,
+        resume: None,
+        timeout_ms: 200,
+        not_after,
+    };
+    let answer = EngineClient::default().send(address, &request).await;
+    assert!(answer.is_err(), "{answer:?}");
+    String::from_utf8(engine.await.unwrap()).unwrap()
+}
+
+#[test_case(None, true; "at any time")]
+#[test_case(Some(60_000), true; "in time")]
+#[test_case(Some(0), false; "too late")]
+#[tokio::test]
+async fn a_body_is_sent_in_time_or_not_at_all(left_ms: Option<u64>, sent: bool) {
+    let not_after = left_ms.map(|left_ms| Instant::now() + Duration::from_millis(left_ms));
+    let text = received(not_after).await;
+    assert_eq!(text.contains(BODY), sent, "{text}");
+}
--- a/crates/foxtailhold-entry/src/gateway/dispatch.rs
+++ b/crates/foxtailhold-entry/src/gateway/dispatch.rs
@@ -61,6 +61,15 @@
     pub deadline: Option<(MonoMs, u64)>,
     /// Whether it may be sent to a backend server after another one may have run it.
     pub repeatable: bool,
+    /// Whether it may be sent only while this instance's lease is held.
+    pub under_lease: bool,
+}
+
+impl Outgoing {
+    /// Until when it may be sent, where that is bounded.
+    pub fn not_after<P: Platform>(&self, shared: &Shared<P>) -> Option<Instant> {
+        self.under_lease.then(|| shared.acts_until())
+    }
 }
 
 /// An answer that has begun, with the place it takes at its backend server.
@@ -322,6 +331,7 @@
         streamed: outgoing.streamed,
         resume,
         timeout_ms,
+        not_after: outgoing.not_after(shared),
     };
     let answer = shared.engines.send(cell.backend.address, &request).await?;
     match &answer {
--- a/crates/foxtailhold-entry/src/jobs/chunk.rs
+++ b/crates/foxtailhold-entry/src/jobs/chunk.rs
@@ -53,8 +53,9 @@
             path,
             deadline: WallMs(owned.row.deadline_wall_ms),
             order,
+            epoch: owned.epoch,
         };
-        runs.push(run_item(shared, owned, run, standing.clone(), &started));
+        runs.push(run_item(shared, run, standing.clone(), &started));
     }
     let mut running = stream::iter(runs).buffered(items.len().max(1));
     let mut lines = Vec::new();
@@ -104,7 +105,6 @@
 /// back; `None` once the job is lost.
 async fn run_item<P: Platform>(
     shared: &Shared<P>,
-    owned: &OwnedJob,
     run: ItemRun<'_>,
     mut standing: watch::Receiver<Standing>,
     started: &(impl Fn() + Sync),
@@ -119,7 +119,7 @@
             return None;
         }
         let place = shared.batch_places.acquire().await.ok()?;
-        if shared.lease_epoch() != Some(owned.epoch) {
+        if !run.is_owned(shared) {
             drop(place);
             standing.changed().await.ok()?;
             continue;
--- a/crates/foxtailhold-entry/src/jobs/item.rs
+++ b/crates/foxtailhold-entry/src/jobs/item.rs
@@ -26,6 +26,8 @@
     pub deadline: WallMs,
     /// Order of its chunk: those begun before go first.
     pub order: u64,
+    /// Fencing number of the lease under which its job is owned.
+    pub epoch: u64,
 }
 
 /// How an item ended.
@@ -50,6 +52,12 @@
 }
 
 impl ItemRun<'_> {
+    /// Whether the job's lease is held now. Asked before each sending to an engine, which takes no
+    /// fencing number: a process that was paused learns of a lapse a moment after it goes on.
+    pub fn is_owned<P: Platform>(&self, shared: &Shared<P>) -> bool {
+        shared.lease_epoch() == Some(self.epoch)
+    }
+
     fn result(&self, id: &RequestId) -> ItemResult {
         ItemResult {
             id: format!("batch_req_{id}"),
@@ -72,6 +80,7 @@
             max_tokens: body.max_tokens,
             deadline: None,
             repeatable: true,
+            under_lease: true,
         }
     }
 
--- a/crates/foxtailhold-entry/src/jobs/ordinary.rs
+++ b/crates/foxtailhold-entry/src/jobs/ordinary.rs
@@ -35,6 +35,10 @@
         let outgoing = run.outgoing(id.clone(), unstreamed);
         let mut failures = 0;
         loop {
+            if !run.is_owned(shared) {
+                tokio::time::sleep(Duration::from_millis(FULL_PAUSE_MS)).await;
+                continue;
+            }
             let mut tries = Tries::default();
             match dispatch::open(shared, &outgoing, None, &mut tries).await {
                 Ok(opened) => {
--- a/crates/foxtailhold-entry/src/jobs/steward_item.rs
+++ b/crates/foxtailhold-entry/src/jobs/steward_item.rs
@@ -71,6 +71,10 @@
     async fn until_ended(mut self) -> EndedItem {
         let mut line = PlaceLine::new(self.shared);
         loop {
+            if !self.run.is_owned(self.shared) {
+                tokio::time::sleep(Duration::from_millis(FAILED_PAUSE_MS)).await;
+                continue;
+            }
             let ended = match self.shared.standing(self.outgoing.fingerprint) {
                 Standing::Clear => self.next_leg(&mut line).await,
                 Standing::Suspect | Standing::Convicted { .. } => self.trial_leg().await,
@@ -84,6 +88,10 @@
     /// Waits for a place and runs the item there, until it ends, fails or is cut.
     async fn next_leg(&mut self, line: &mut PlaceLine<P>) -> Option<EndedItem> {
         let backend = line.place(&self.waiting).await;
+        if !self.run.is_owned(self.shared) {
+            line.leave();
+            return None;
+        }
         let before = self.received.tokens;
         let end = tokio::select! {
             biased;
--- a/crates/foxtailhold-entry/src/jobs/steward_leg.rs
+++ b/crates/foxtailhold-entry/src/jobs/steward_leg.rs
@@ -68,6 +68,7 @@
             streamed: outgoing.streamed,
             resume: (received.tokens > 0).then_some(resume),
             timeout_ms: dispatch::bound_ms(cell, outgoing),
+            not_after: outgoing.not_after(shared),
         };
         let answer = match shared.engines.send(cell.backend.address, &request).await {
             Ok(answer) => answer,
--- a/crates/foxtailhold-entry/src/shared.rs
+++ b/crates/foxtailhold-entry/src/shared.rs
@@ -21,6 +21,7 @@
 use foxtailhold_service::ServiceClient;
 use ractor::ActorRef;
 use tokio::sync::Semaphore;
+use tokio::time::Instant;
 
 use crate::admission::Admission;
 use crate::backends::BackendTable;
@@ -226,6 +227,12 @@
         members.iter().find(|member| member.id == *id).cloned()
     }
 
+    /// Until when this instance may act on its lease; the present where it holds none.
+    pub fn acts_until(&self) -> Instant {
+        let until = self.lease.load().acts_until();
+        until.map_or_else(Instant::now, |until| self.clock.instant(until))
+    }
+
     /// The fencing number of this instance's lease, while it may act on it.
     pub fn lease_epoch(&self) -> Option<u64> {
         self.lease.load().epoch_at(self.clock.mono())
--- a/crates/foxtailhold-http/src/client.rs
+++ b/crates/foxtailhold-http/src/client.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, Uri, header};
+use http_body::Body;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
@@ -74,13 +75,20 @@
     Fresh,
 }
 
+/// A client whose requests have bodies of bytes.
+pub type HttpClient = BodyClient<Full<Bytes>>;
+
 /// The client.
 #[derive(Debug, Clone)]
-pub struct HttpClient {
-    inner: Client<HttpConnector, Full<Bytes>>,
+pub struct BodyClient<B> {
+    inner: Client<HttpConnector, B>,
 }
 
-impl HttpClient {
+impl<B> BodyClient<B>
+where
+    B: Body<Data = Bytes> + From<Bytes> + Send + Unpin + 'static,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     /// A client with its own pool.
     pub fn new(reuse: Reuse) -> Self {
         let mut connector = HttpConnector::new();
@@ -93,7 +101,7 @@
         if reuse == Reuse::Fresh {
             builder.pool_max_idle_per_host(0);
         }
-        HttpClient {
+        BodyClient {
             inner: builder.build(connector),
         }
     }
@@ -104,7 +112,7 @@
     pub async fn send(
         &self,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
+        request: Request<B>,
         timeout_ms: u64,
     ) -> Result<Response<Incoming>> {
         let wait = Duration::from_millis(timeout_ms);
@@ -146,7 +154,7 @@
         bytes: Bytes,
         content_type: &'static str,
     ) -> Result<(http::StatusCode, Bytes)> {
-        let mut request = Request::new(Full::new(bytes));
+        let mut request = Request::new(B::from(bytes));
         *request.method_mut() = call.method.clone();
         *request.uri_mut() = uri(call.address, call.path_and_query)?;
         let headers = request.headers_mut();
--- a/crates/foxtailhold-http/src/clock.rs
+++ b/crates/foxtailhold-http/src/clock.rs
@@ -1,6 +1,6 @@
 //! The process's clocks.
 
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use foxtailhold::time::{MonoMs, WallMs};
 use tokio::time::Instant;
@@ -32,6 +32,11 @@
         MonoMs(self.start.elapsed().as_millis() as u64)
     }
 
+    /// The instant of a time of [`Clock::mono`].
+    pub fn instant(&self, at: MonoMs) -> Instant {
+        self.start + Duration::from_millis(at.0)
+    }
+
     /// Milliseconds since the Unix epoch.
     pub fn wall(&self) -> WallMs {
         let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/foxtailhold/src/lease.rs
+++ b/crates/foxtailhold/src/lease.rs
@@ -35,8 +35,14 @@
 
     /// The fencing number, while the holder may act at `now`.
     pub fn epoch_at(&self, now: MonoMs) -> Option<u64> {
-        let (epoch, sent_at) = self.held?;
-        (now < sent_at + (LEASE_TERM_MS - LEASE_MARGIN_MS)).then_some(epoch)
+        let (epoch, _) = self.held?;
+        (now < self.acts_until()?).then_some(epoch)
+    }
+
+    /// Until when the holder may act; `None` where it holds nothing.
+    pub fn acts_until(&self) -> Option<MonoMs> {
+        let (_, sent_at) = self.held?;
+        Some(sent_at + (LEASE_TERM_MS - LEASE_MARGIN_MS))
     }
 }
 
