--- a/crates/foxtailhold/src/limits/home.rs
+++ b/crates/foxtailhold/src/limits/home.rs
@@ -67,6 +67,13 @@
         }
     }
 
+    /// How many instances there are as far as this one knows; whoever asks is one, also before the
+    /// list and gossip show it.
+    fn instances(&self, views: &Views) -> u32 {
+        let others = self.holders.keys().filter(|id| !views.is_me(id)).count();
+        views.listed().max(others as u32 + 1)
+    }
+
     /// What is due to a holder of `held` while another home's grants may be valid: its share is
     /// confirmed, shrinks only to make room, and is raised to `part` where it is below.
     fn due_beside_another(&self, from: &InstanceId, held: Share, part: Share) -> Share {
@@ -219,13 +226,7 @@
         let (target, room) = match foreign {
             false => (division.target(from), division.giveable(room)),
             true => {
-                let known = division
-                    .holders
-                    .keys()
-                    .filter(|id| !views.is_me(id))
-                    .count()
-                    + 1;
-                let part = Share::part(terms, 1, views.listed().max(known as u32));
+                let part = Share::part(terms, 1, division.instances(views));
                 (division.due_beside_another(from, ask.held, part), room)
             }
         };
