--- a/crates/foxtailhold-experiment/src/placement/each.rs
+++ b/crates/foxtailhold-experiment/src/placement/each.rs
@@ -20,8 +20,8 @@
     /// No knowledge yet.
     fn new(instances: usize, engines: usize) -> Self;
 
-    /// Requests that others run at an engine, as far as an instance knows; `own` are its own now.
-    fn others(&self, instance: usize, engine: usize, own: u32) -> u32;
+    /// Requests that others run at an engine, as far as an instance knows.
+    fn others(&self, instance: usize, engine: usize) -> u32;
 
     /// An engine told its load in an answer; `own` are the instance's requests there now.
     fn told(&mut self, instance: usize, engine: usize, load: u32, own: u32);
@@ -44,7 +44,7 @@
         Alone
     }
 
-    fn others(&self, _: usize, _: usize, _: u32) -> u32 {
+    fn others(&self, _: usize, _: usize) -> u32 {
         0
     }
 
@@ -68,7 +68,7 @@
         }
     }
 
-    fn others(&self, instance: usize, engine: usize, _own: u32) -> u32 {
+    fn others(&self, instance: usize, engine: usize) -> u32 {
         self.others[instance][engine]
     }
 
@@ -94,7 +94,7 @@
         }
     }
 
-    fn others(&self, instance: usize, engine: usize, _own: u32) -> u32 {
+    fn others(&self, instance: usize, engine: usize) -> u32 {
         let all = self.counts.iter().enumerate();
         let others = all.filter(|(other, _)| *other != instance);
         others.map(|(_, counts)| counts[engine]).sum()
@@ -147,7 +147,7 @@
 
     fn free(&self, instance: usize, engine: usize) -> usize {
         let own = self.own[instance][engine];
-        let load = own + self.knowledge.others(instance, engine, own);
+        let load = own + self.knowledge.others(instance, engine);
         self.layout.slots.saturating_sub(load as usize)
     }
 
