Lost runs are written down with what tells one request from another

Now: 'a run was lost' with fingerprint (host, path, body), backend server, cause, attempts and time left; 'item failed' and 'item can never be done' with job, backend server and count; the metric lost_runs_total{cause}. A connection that ended (closed) is told from a wrong answer (broken). No decision is changed.

--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -19,7 +19,7 @@
 use crate::fleet::BackendServer;
 use crate::peers::{NoPlace, Place, PlaceQuery};
 use crate::plain::PlainLoads;
-use crate::relay::{FIRST_EVENT_PATIENCE_MS, PLAIN_RETRY_AFTER_MS, Relay, exchange};
+use crate::relay::{FIRST_EVENT_PATIENCE_MS, LostRun, PLAIN_RETRY_AFTER_MS, Relay, exchange};
 use crate::request::{Answer, OpaqueRequest, Unserved};
 use crate::stream::Pump;
 
@@ -33,6 +33,9 @@
 /// Callers come back after this time where no backend server is known.
 const NO_BACKEND_RETRY_AFTER_MS: u64 = 400;
 
+/// Cause of a lost run whose backend server answered with a failure.
+const FAILED: &str = "failed";
+
 /// The way of one request so far.
 #[derive(Debug)]
 pub struct Progress {
@@ -94,6 +97,16 @@
             .min(Instant::now() + Duration::from_millis(patience_ms))
     }
 
+    fn lost<'a>(&self, backend: &'a BackendId, cause: &'static str) -> LostRun<'a> {
+        LostRun {
+            backend,
+            cause,
+            after: None,
+            attempts: self.attempts,
+            until: self.until,
+        }
+    }
+
     fn unserved(&self, retry_after_ms: u64) -> Unserved {
         if self.attempts == 0 {
             return Unserved::NotRun { retry_after_ms };
@@ -206,6 +219,9 @@
                         true => Outcome::Broken,
                         false => Outcome::Done { held_ms: 0 },
                     };
+                    if has_failed {
+                        self.note_miss(request, &progress.lost(&backend.id, FAILED));
+                    }
                     let is_final =
                         !has_failed || !progress.may_go_on(Miss::Broken, &backend.id, route);
                     if is_final {
@@ -215,6 +231,7 @@
                 }
                 Err(miss) => {
                     counted.outcome = miss.outcome();
+                    self.note_miss(request, &progress.lost(&backend.id, miss.as_str()));
                     if !progress.may_go_on(miss, &backend.id, route) {
                         return Answer::Unserved(progress.unserved(PLAIN_RETRY_AFTER_MS));
                     }
@@ -289,8 +306,11 @@
                             held_ms: begun.elapsed().as_millis() as u64,
                         },
                     });
-                    if has_failed && progress.may_go_on(Miss::Broken, &backend.id, route) {
-                        continue;
+                    if has_failed {
+                        self.note_miss(&request, &progress.lost(&backend.id, FAILED));
+                        if progress.may_go_on(Miss::Broken, &backend.id, route) {
+                            continue;
+                        }
                     }
                     return self.passed_on(response.map(body::whole));
                 }
@@ -312,6 +332,7 @@
                 Err(miss) => {
                     place.close(miss.outcome());
                     progress.served_by = None;
+                    self.note_miss(&request, &progress.lost(&backend.id, miss.as_str()));
                     if !progress.may_go_on(miss, &backend.id, route) {
                         return Answer::Unserved(progress.unserved(PLAIN_RETRY_AFTER_MS));
                     }
@@ -356,6 +377,7 @@
             .as_millis() as u64;
         match reader.next(patience_ms, patience_until).await {
             Step::Silent => Err(Miss::Silent),
+            Step::Closed => Err(Miss::Closed),
             Step::Broken => Err(Miss::Broken),
             first => Ok(Opened::Stream(head, Box::new(reader), first)),
         }
--- a/crates/foxtailhold-relay/src/events.rs
+++ b/crates/foxtailhold-relay/src/events.rs
@@ -16,7 +16,9 @@
     Event(RawEvent),
     /// The stream is complete.
     End,
-    /// It broke off, or an event is missing or comes twice.
+    /// The connection ended before the stream did.
+    Closed,
+    /// An event is missing or comes twice, or is too large.
     Broken,
     /// Nothing came for too long.
     Silent,
@@ -59,11 +61,11 @@
             }
             let frame = match tokio::time::timeout_at(limit, self.body.frame()).await {
                 Err(_) => return Step::Silent,
-                Ok(None) if self.cutter.pending_bytes() > 0 => return Step::Broken,
+                Ok(None) if self.cutter.pending_bytes() > 0 => return Step::Closed,
                 Ok(None) => return Step::End,
                 Ok(Some(Err(error))) => {
                     log::debug!("a stream broke off: {error}");
-                    return Step::Broken;
+                    return Step::Closed;
                 }
                 Ok(Some(Ok(frame))) => frame,
             };
--- a/crates/foxtailhold-relay/src/exchange.rs
+++ b/crates/foxtailhold-relay/src/exchange.rs
@@ -25,16 +25,29 @@
     Unreachable,
     /// The backend server said that it did not run the request.
     NotRun,
-    /// The connection failed, or the answer was not one to this request.
+    /// The connection ended before the answer did: the backend server may have crashed.
+    Closed,
+    /// The answer was not one to this request, was a failure, or lacked a part.
     Broken,
     /// Nothing came in time.
     Silent,
 }
 
 impl Miss {
+    /// Its name in lines and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Miss::Unreachable => "unreachable",
+            Miss::NotRun => "not_run",
+            Miss::Closed => "closed",
+            Miss::Broken => "broken",
+            Miss::Silent => "silent",
+        }
+    }
+
     /// Whether the request may have run.
     pub fn may_have_run(self) -> bool {
-        matches!(self, Miss::Broken | Miss::Silent)
+        matches!(self, Miss::Closed | Miss::Broken | Miss::Silent)
     }
 
     /// What it says of the backend server.
@@ -42,7 +55,7 @@
         match self {
             Miss::Unreachable => Outcome::Unreachable,
             Miss::NotRun => Outcome::Full,
-            Miss::Broken => Outcome::Broken,
+            Miss::Closed | Miss::Broken => Outcome::Broken,
             Miss::Silent => Outcome::Silent,
         }
     }
@@ -113,7 +126,7 @@
             }
             Err(failure @ SendFailure::MayHaveRun { .. }) => {
                 log::debug!("{failure}");
-                return Err(Miss::Broken);
+                return Err(Miss::Closed);
             }
         };
         match dialect.read(self.request_id, &response) {
@@ -153,7 +166,7 @@
         Err(_) => Err(Miss::Silent),
         Ok(Err(error)) => {
             log::debug!("an answer ended early: {error}");
-            Err(Miss::Broken)
+            Err(Miss::Closed)
         }
         Ok(Ok(bytes)) => {
             in_use.put_back();
--- a/crates/foxtailhold-relay/src/jobs/item.rs
+++ b/crates/foxtailhold-relay/src/jobs/item.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use foxtailhold::ids::JobId;
+use foxtailhold::ids::{BackendId, JobId};
 use foxtailhold::routes::Route;
 use foxtailhold::slots::{Outcome, Urgency};
 use foxtailhold_engine::sse::RawEvent;
@@ -53,7 +53,7 @@
     failures: u32,
     /// Losses in a row without a new event.
     vain_losses: u32,
-    avoid: Vec<foxtailhold::ids::BackendId>,
+    avoid: Vec<BackendId>,
 }
 
 impl<'a, S: RowStore + ObjectStore, D: Dialect> ItemRun<'a, S, D> {
@@ -110,9 +110,12 @@
                 Run::Impossible => return Some(self.result(ItemState::GivenUp)),
                 Run::Unfinished => {}
                 Run::Lost(miss) => {
+                    self.jobs.relay.metrics.run_lost(miss.as_str());
                     log::info!(
                         job = self.id.as_str(), item = self.item.id.as_str(),
-                        after = self.events(), cause:? = miss; "an item goes on elsewhere"
+                        backend = self.avoid.last().map(BackendId::as_str),
+                        after = self.events(), losses = self.vain_losses,
+                        cause:? = miss; "an item goes on elsewhere"
                     );
                     self.pause_after_loss(miss).await;
                 }
@@ -129,7 +132,7 @@
 
     /// Waits the longer the more often engines broke off without giving an event.
     async fn pause_after_loss(&mut self, miss: Miss) {
-        if miss != Miss::Broken {
+        if !matches!(miss, Miss::Closed | Miss::Broken) {
             return;
         }
         self.vain_losses += 1;
@@ -282,13 +285,23 @@
         };
         match sent {
             Err(miss) => Run::Lost(miss),
-            Ok((response, _)) if relay.dialect.is_impossible(response.status()) => Run::Impossible,
+            Ok((response, _)) if relay.dialect.is_impossible(response.status()) => {
+                log::info!(
+                    job = self.id.as_str(), item = self.item.id.as_str(),
+                    backend = backend.id.as_str(); "item can never be done"
+                );
+                Run::Impossible
+            }
             Ok((response, in_use)) if response.status().is_success() => {
                 self.read(response.into_body(), in_use, place, until).await
             }
             Ok((response, in_use)) => {
                 let status = response.status();
-                log::info!(item = self.item.id.as_str(), status = status.as_u16(); "item failed");
+                log::info!(
+                    job = self.id.as_str(), item = self.item.id.as_str(),
+                    backend = backend.id.as_str(), status = status.as_u16(),
+                    failures = self.failures; "item failed"
+                );
                 if exchange::read_whole(response, in_use, until).await.is_err() {
                     log::debug!("the answer to a failed item broke off");
                 }
@@ -329,6 +342,7 @@
                     reader.close();
                     return Run::Complete;
                 }
+                Step::Closed => return Run::Lost(Miss::Closed),
                 Step::Broken => return Run::Lost(Miss::Broken),
                 Step::Silent => return Run::Lost(Miss::Silent),
             }
--- a/crates/foxtailhold-relay/src/metrics.rs
+++ b/crates/foxtailhold-relay/src/metrics.rs
@@ -29,6 +29,12 @@
     outcome: &'static str,
 }
 
+/// Label of why a run gave no answer.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CauseLabel {
+    cause: &'static str,
+}
+
 /// Label of what became of batch items.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ItemLabel {
@@ -50,6 +56,7 @@
     cuts: Family<RouteLabel, Counter>,
     store_calls: Family<CallLabels, Counter>,
     items: Family<ItemLabel, Counter>,
+    lost_runs: Family<CauseLabel, Counter>,
 }
 
 impl Default for RelayMetrics {
@@ -66,6 +73,9 @@
         registry.register("store_calls", "Calls to the store", store_calls.clone());
         let items = Family::default();
         registry.register("batch_items", "Runs of batch items", items.clone());
+        let lost_runs = Family::default();
+        let help = "Runs of requests and batch items that gave no answer";
+        registry.register("lost_runs", help, lost_runs.clone());
         RelayMetrics {
             registry: Arc::new(Mutex::new(registry)),
             answers,
@@ -73,6 +83,7 @@
             cuts,
             store_calls,
             items,
+            lost_runs,
         }
     }
 }
@@ -109,6 +120,11 @@
         self.items.get_or_create(&ItemLabel { outcome }).inc();
     }
 
+    /// Counts a run that gave no answer.
+    pub fn run_lost(&self, cause: &'static str) {
+        self.lost_runs.get_or_create(&CauseLabel { cause }).inc();
+    }
+
     /// All metrics in the text format.
     pub fn text(&self) -> Result<String, std::fmt::Error> {
         let registry = self.registry.lock();
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
+use foxtailhold::ids::BackendId;
 use foxtailhold::routes::{Route, RouteTable};
 use foxtailhold::slots::Outcome;
 use foxtailhold_http::clock::Clock;
@@ -50,6 +51,21 @@
     pub metrics: RelayMetrics,
 }
 
+/// A run that gave no answer that could be passed on.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct LostRun<'a> {
+    /// Where.
+    pub(crate) backend: &'a BackendId,
+    /// Why.
+    pub(crate) cause: &'static str,
+    /// The last event that it gave.
+    pub(crate) after: Option<u64>,
+    /// Runs of this request before.
+    pub(crate) attempts: u32,
+    /// Until when the request must be answered.
+    pub(crate) until: Instant,
+}
+
 impl<D: Dialect> Relay<D> {
     /// Sends to one backend server, which is given the time until `until`, and waits for the head of
     /// its answer until `patience_until`.
@@ -66,6 +82,21 @@
             .await
     }
 
+    /// Writes down that a run of a request gave no answer that could be passed on.
+    pub(crate) fn note_miss(&self, request: &OpaqueRequest, lost: &LostRun<'_>) {
+        self.metrics.run_lost(lost.cause);
+        log::info!(
+            request = request.id.as_str(),
+            fingerprint:% = request.fingerprint(),
+            backend = lost.backend.as_str(),
+            cause = lost.cause,
+            after = lost.after,
+            attempts = lost.attempts,
+            left_ms = lost.until.saturating_duration_since(Instant::now()).as_millis() as u64;
+            "a run was lost"
+        );
+    }
+
     /// Asks for a place at an engine and finds the engine.
     pub(crate) async fn place(
         &self,
--- a/crates/foxtailhold-relay/src/request.rs
+++ b/crates/foxtailhold-relay/src/request.rs
@@ -1,9 +1,10 @@
 //! Opaque requests and their answers.
 
 use bytes::Bytes;
+use foxtailhold::quarantine::Fingerprint;
 use foxtailhold_http::body::AnswerBody;
 use http::uri::PathAndQuery;
-use http::{HeaderMap, Method, Response};
+use http::{HeaderMap, HeaderValue, Method, Response, header};
 use tokio::time::Instant;
 
 /// A request that is passed on byte for byte.
@@ -27,6 +28,15 @@
     pub received: Instant,
 }
 
+impl OpaqueRequest {
+    /// What stays the same when its caller sends it again, through whatever instance.
+    pub fn fingerprint(&self) -> Fingerprint {
+        let host = self.headers.get(header::HOST).map(HeaderValue::as_bytes);
+        let host = String::from_utf8_lossy(host.unwrap_or_default());
+        Fingerprint::of_opaque(&host, self.target.as_str(), &self.body)
+    }
+}
+
 /// Why a request has no answer of a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Unserved {
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -13,7 +13,7 @@
 use crate::events::{EventReader, Step};
 use crate::exchange::Miss;
 use crate::peers::{Place, PlaceQuery};
-use crate::relay::{FIRST_EVENT_PATIENCE_MS, Relay, exchange, pause_patience_ms};
+use crate::relay::{FIRST_EVENT_PATIENCE_MS, LostRun, Relay, exchange, pause_patience_ms};
 use crate::request::OpaqueRequest;
 
 /// A stream on its way to its caller.
@@ -77,6 +77,7 @@
             place.close(miss.outcome());
             let after = reader.last_id();
             drop(reader);
+            self.note_miss(&lost, miss, after);
             match self.go_on(lost, miss, after).await {
                 Some(next) => (place, reader) = next,
                 None => {
@@ -88,6 +89,17 @@
         }
     }
 
+    fn note_miss(&self, backend: &BackendId, miss: Miss, after: Option<u64>) {
+        let lost = LostRun {
+            backend,
+            cause: miss.as_str(),
+            after,
+            attempts: self.attempts,
+            until: self.until,
+        };
+        self.relay.note_miss(&self.request, &lost);
+    }
+
     async fn cut(&self, sender: AnswerSender, why: &str) {
         self.relay.metrics.cut(&self.route.name);
         log::warn!(
@@ -128,6 +140,7 @@
                     }
                 }
                 Step::End => return Part::Complete,
+                Step::Closed => return Part::Lost(Miss::Closed),
                 Step::Broken => return Part::Lost(Miss::Broken),
                 Step::Silent if Instant::now() >= self.until => return Part::TimeOver,
                 Step::Silent => return Part::Lost(Miss::Silent),
@@ -159,6 +172,7 @@
             log::info!(
                 request = self.request.id.as_str(),
                 after = after,
+                attempts = self.attempts,
                 lost = self.tried.last().map(BackendId::as_str),
                 cause:? = miss;
                 "a stream goes on elsewhere"
@@ -189,6 +203,7 @@
                 }
                 Err(next) => {
                     miss = next;
+                    self.note_miss(&backend.id, miss, after);
                     self.attempts += u32::from(next.may_have_run());
                     place.close(next.outcome());
                 }
--- a/crates/foxtailhold/src/quarantine.rs
+++ b/crates/foxtailhold/src/quarantine.rs
@@ -10,6 +10,7 @@
 //! moment, or a lost notice, cost further trials.
 
 use std::collections::HashMap;
+use std::fmt;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
@@ -50,6 +51,23 @@
         hash.update(body);
         Fingerprint(hash.digest128())
     }
+
+    /// The fingerprint of an opaque request: the host stands for the customer.
+    pub fn of_opaque(host: &str, target: &str, body: &[u8]) -> Self {
+        let mut hash = Xxh3::new();
+        for part in [host, target] {
+            hash.update(part.as_bytes());
+            hash.update(b"\n");
+        }
+        hash.update(body);
+        Fingerprint(hash.digest128())
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
 }
 
 /// A request in flight at a backend server.
