A request that crashes backend servers is refused everywhere after three of them

What callers saw: one request that crashes each backend server that runs it, sent again under another identity at any instance, took one backend server after the other down, and in the end nobody was served.

Cause: what bounds repeats was known to one identity at one instance only (Progress, Pump). The quarantine of the OpenAI form was not joined to opaque requests and is in memory only. Class: a bound over the fleet kept in the memory of one process.

Fix: the evidence against a request is a set of starts of backend servers that ended under it, joined over all instances by union, told at once and kept in the store from the second crash on; three refuse it everywhere, and a run that goes well clears it. Sets instead of counts: copies in flight at one crash count once, and telling twice changes nothing. The start is the identity with its 'born'.

Ruled out: one attempt that runs on more backend servers than its route allows (test, green before).

--- /dev/null
+++ b/crates/foxtailhold-relay/src/crashes.rs
@@ -0,0 +1,158 @@
+//! What this instance knows against requests that crash backend servers: what it saw, what others
+//! told, and what the platform's store keeps.
+
+use std::collections::{BTreeSet, HashMap};
+use std::sync::Arc;
+
+use foxtailhold::crashes::{CrashBook, Evidence, MOST_CRASHES};
+use foxtailhold::quarantine::{CrashId, Fingerprint, Standing};
+use foxtailhold::time::WallMs;
+use foxtailhold_platform::VersionedRow;
+use parking_lot::Mutex;
+use tokio::sync::Notify;
+
+/// Prefix of the keys of evidence.
+pub const CRASH_PREFIX: &str = "crash/";
+/// Evidence is kept in the store from so many crashes on: one is what each neighbour of a crash has,
+/// and all that the loss of all instances can make forgotten.
+const KEPT_CRASHES: usize = 2;
+
+#[derive(Debug, Default)]
+struct Known {
+    book: CrashBook,
+    /// Versions of the rows.
+    rows: HashMap<Fingerprint, u64>,
+    /// Rows that differ from what this instance saw itself.
+    unkept: BTreeSet<Fingerprint>,
+}
+
+/// Evidence of all instances, cheap to clone.
+#[derive(Debug, Clone, Default)]
+pub struct Crashes {
+    known: Arc<Mutex<Known>>,
+    changed: Arc<Notify>,
+}
+
+impl Crashes {
+    /// Whether nothing is known against any request.
+    pub fn is_empty(&self) -> bool {
+        self.known.lock().book.is_empty()
+    }
+
+    /// How a request stands.
+    pub fn standing(&self, fingerprint: Fingerprint, now: WallMs) -> Standing {
+        self.known.lock().book.standing(fingerprint, now)
+    }
+
+    /// How many backend servers a request has crashed.
+    pub fn count(&self, fingerprint: Fingerprint) -> usize {
+        self.known.lock().book.crashes(fingerprint)
+    }
+
+    /// Notes a crash that this instance saw; returns what others should hear.
+    pub fn crashed(
+        &self,
+        fingerprint: Fingerprint,
+        crash: CrashId,
+        now: WallMs,
+    ) -> Option<Evidence> {
+        let mut known = self.known.lock();
+        let backend = crash.backend.clone();
+        let evidence = known.book.crashed(fingerprint, crash, now)?.clone();
+        let crashes = evidence.crashes.len();
+        log::warn!(
+            fingerprint:% = fingerprint, backend = backend.as_str(), crashes = crashes,
+            refused = crashes >= MOST_CRASHES;
+            "a backend server was lost under a request"
+        );
+        if crashes >= KEPT_CRASHES {
+            known.unkept.insert(fingerprint);
+            self.changed.notify_one();
+        }
+        Some(evidence)
+    }
+
+    /// Takes what another instance knows.
+    pub fn heard(&self, fingerprint: Fingerprint, evidence: &Evidence) {
+        self.known.lock().book.join(fingerprint, evidence);
+    }
+
+    /// Notes that a request was seen to run; returns whether anything was known against it.
+    pub fn clear(&self, fingerprint: Fingerprint) -> bool {
+        let mut known = self.known.lock();
+        if !known.book.clear(fingerprint) {
+            return false;
+        }
+        if known.rows.contains_key(&fingerprint) {
+            known.unkept.insert(fingerprint);
+            self.changed.notify_one();
+        }
+        true
+    }
+
+    /// Takes a row; `key` is without its prefix.
+    pub fn take_row(&self, key: &str, row: &VersionedRow) {
+        let fingerprint: Fingerprint = match key.parse() {
+            Ok(fingerprint) => fingerprint,
+            Err(error) => {
+                log::warn!("row {CRASH_PREFIX}{key} has no fingerprint: {error}");
+                return;
+            }
+        };
+        let mut known = self.known.lock();
+        if known
+            .rows
+            .get(&fingerprint)
+            .is_some_and(|version| *version >= row.version)
+        {
+            return;
+        }
+        let Some(value) = &row.value else {
+            known.rows.remove(&fingerprint);
+            known.book.clear(fingerprint);
+            return;
+        };
+        known.rows.insert(fingerprint, row.version);
+        match serde_json::from_slice::<Evidence>(value) {
+            Ok(evidence) => {
+                known.book.join(fingerprint, &evidence);
+            }
+            Err(error) => log::warn!("evidence {fingerprint} cannot be read: {error}"),
+        }
+    }
+
+    /// Waits until a row has to be written or deleted.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    /// Takes the rows that have to be written or deleted.
+    pub fn take_unkept(&self) -> BTreeSet<Fingerprint> {
+        std::mem::take(&mut self.known.lock().unkept)
+    }
+
+    /// A row as it should be, `None` where it should be deleted, and the version that it has, 0 where
+    /// there is none.
+    pub fn row(&self, fingerprint: Fingerprint) -> (Option<Evidence>, u64) {
+        let known = self.known.lock();
+        let version = known.rows.get(&fingerprint).copied().unwrap_or(0);
+        (known.book.evidence(fingerprint).cloned(), version)
+    }
+
+    /// Notes that the store has a row; `None`: it was deleted.
+    pub fn kept(&self, fingerprint: Fingerprint, version: Option<u64>) {
+        let mut known = self.known.lock();
+        match version {
+            Some(version) => known.rows.insert(fingerprint, version),
+            None => known.rows.remove(&fingerprint),
+        };
+    }
+
+    /// Forgets what has expired; returns the fingerprints that have rows.
+    pub fn expire(&self, now: WallMs) -> Vec<Fingerprint> {
+        let mut known = self.known.lock();
+        let mut over = known.book.expire(now);
+        over.retain(|fingerprint| known.rows.contains_key(fingerprint));
+        over
+    }
+}
--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -21,7 +21,7 @@
 use crate::plain::PlainLoads;
 use crate::relay::{FIRST_EVENT_PATIENCE_MS, LostRun, PLAIN_RETRY_AFTER_MS, Relay, exchange};
 use crate::request::{Answer, OpaqueRequest, Unserved};
-use crate::stream::Pump;
+use crate::stream::{Leg, Pump};
 
 /// The answer must be on its way this long before the caller gives up.
 const RETURN_MS: u64 = 15;
@@ -33,9 +33,6 @@
 /// Callers come back after this time where no backend server is known.
 const NO_BACKEND_RETRY_AFTER_MS: u64 = 400;
 
-/// Cause of a lost run whose backend server answered with a failure.
-const FAILED: &str = "failed";
-
 /// The way of one request so far.
 #[derive(Debug)]
 pub struct Progress {
@@ -97,11 +94,11 @@
             .min(Instant::now() + Duration::from_millis(patience_ms))
     }
 
-    fn lost<'a>(&self, backend: &'a BackendId, cause: &'static str) -> LostRun<'a> {
+    fn lost<'a>(&self, backend: &'a BackendServer, cause: Miss) -> LostRun<'a> {
         LostRun {
             backend,
             cause,
-            after: None,
+            events: 0,
             attempts: self.attempts,
             until: self.until,
         }
@@ -122,6 +119,11 @@
     /// Answers a request of a route.
     pub async fn serve(self: &Arc<Self>, route: &Route, request: OpaqueRequest) -> Answer {
         let mut progress = Progress::new(&request, route);
+        if let Some(retry_after_ms) = self.refused_ms(&request) {
+            let answer = Answer::Unserved(Unserved::NotRun { retry_after_ms });
+            self.note(route, &request.id, request.received, &progress, &answer);
+            return answer;
+        }
         let service = route.service(rand::random()).clone();
         let is_engine = self
             .routes
@@ -183,6 +185,19 @@
         );
     }
 
+    /// Notes a lost run; `true`: the request may run once more.
+    fn may_go_on(
+        &self,
+        route: &Route,
+        request: &OpaqueRequest,
+        progress: &mut Progress,
+        backend: &BackendServer,
+        miss: Miss,
+    ) -> bool {
+        self.note_miss(request, &progress.lost(backend, miss));
+        progress.may_go_on(miss, &backend.id, route) && self.refused_ms(request).is_none()
+    }
+
     async fn serve_plain(
         &self,
         route: &Route,
@@ -219,11 +234,11 @@
                         true => Outcome::Broken,
                         false => Outcome::Done { held_ms: 0 },
                     };
-                    if has_failed {
-                        self.note_miss(request, &progress.lost(&backend.id, FAILED));
+                    if !has_failed {
+                        self.note_run(|| request.fingerprint());
                     }
-                    let is_final =
-                        !has_failed || !progress.may_go_on(Miss::Broken, &backend.id, route);
+                    let is_final = !has_failed
+                        || !self.may_go_on(route, request, progress, &backend, Miss::Failed);
                     if is_final {
                         progress.served_by = Some(backend.id.clone());
                         return self.passed_on(response.map(body::whole));
@@ -231,8 +246,7 @@
                 }
                 Err(miss) => {
                     counted.outcome = miss.outcome();
-                    self.note_miss(request, &progress.lost(&backend.id, miss.as_str()));
-                    if !progress.may_go_on(miss, &backend.id, route) {
+                    if !self.may_go_on(route, request, progress, &backend, miss) {
                         return Answer::Unserved(progress.unserved(PLAIN_RETRY_AFTER_MS));
                     }
                 }
@@ -306,11 +320,10 @@
                             held_ms: begun.elapsed().as_millis() as u64,
                         },
                     });
-                    if has_failed {
-                        self.note_miss(&request, &progress.lost(&backend.id, FAILED));
-                        if progress.may_go_on(Miss::Broken, &backend.id, route) {
-                            continue;
-                        }
+                    if !has_failed {
+                        self.note_run(|| request.fingerprint());
+                    } else if self.may_go_on(route, &request, progress, &backend, Miss::Failed) {
+                        continue;
                     }
                     return self.passed_on(response.map(body::whole));
                 }
@@ -325,15 +338,21 @@
                         attempts: progress.attempts + 1,
                         until: progress.until,
                     };
-                    tokio::spawn(pump.run(sender, place, begun, reader, first));
+                    let leg = Leg {
+                        place,
+                        backend,
+                        begun,
+                        reader,
+                        events: 0,
+                    };
+                    tokio::spawn(pump.run(sender, leg, first));
                     let response = Response::from_parts(head, stream);
                     return self.passed_on(response);
                 }
                 Err(miss) => {
                     place.close(miss.outcome());
                     progress.served_by = None;
-                    self.note_miss(&request, &progress.lost(&backend.id, miss.as_str()));
-                    if !progress.may_go_on(miss, &backend.id, route) {
+                    if !self.may_go_on(route, &request, progress, &backend, miss) {
                         return Answer::Unserved(progress.unserved(PLAIN_RETRY_AFTER_MS));
                     }
                 }
--- a/crates/foxtailhold-relay/src/exchange.rs
+++ b/crates/foxtailhold-relay/src/exchange.rs
@@ -27,8 +27,10 @@
     NotRun,
     /// The connection ended before the answer did: the backend server may have crashed.
     Closed,
-    /// The answer was not one to this request, was a failure, or lacked a part.
+    /// The answer was not one to this request, or lacked a part.
     Broken,
+    /// The answer was the backend server's own failure.
+    Failed,
     /// Nothing came in time.
     Silent,
 }
@@ -41,13 +43,14 @@
             Miss::NotRun => "not_run",
             Miss::Closed => "closed",
             Miss::Broken => "broken",
+            Miss::Failed => "failed",
             Miss::Silent => "silent",
         }
     }
 
     /// Whether the request may have run.
     pub fn may_have_run(self) -> bool {
-        matches!(self, Miss::Closed | Miss::Broken | Miss::Silent)
+        !matches!(self, Miss::Unreachable | Miss::NotRun)
     }
 
     /// What it says of the backend server.
@@ -55,7 +58,7 @@
         match self {
             Miss::Unreachable => Outcome::Unreachable,
             Miss::NotRun => Outcome::Full,
-            Miss::Closed | Miss::Broken => Outcome::Broken,
+            Miss::Closed | Miss::Broken | Miss::Failed => Outcome::Broken,
             Miss::Silent => Outcome::Silent,
         }
     }
--- a/crates/foxtailhold-relay/src/fleet.rs
+++ b/crates/foxtailhold-relay/src/fleet.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use foxtailhold::ids::{AvailabilityZone, BackendId, TargetName};
+use foxtailhold::quarantine::CrashId;
 use foxtailhold::slots::Places;
 use foxtailhold::time::MonoMs;
 
@@ -17,7 +18,7 @@
 /// One backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BackendServer {
-    /// Its identifier, new at each start.
+    /// Its identifier; another start may have the same one.
     pub id: BackendId,
     /// The service that it serves.
     pub service: TargetName,
@@ -29,6 +30,18 @@
     pub slots: u32,
     /// Whether it has said that it is leaving.
     pub is_leaving: bool,
+    /// Unix milliseconds of its start, 0 where it does not say.
+    pub started_unix_ms: u64,
+}
+
+impl BackendServer {
+    /// What tells a crash of this start from others.
+    pub fn crash_id(&self) -> CrashId {
+        CrashId {
+            backend: self.id.clone(),
+            started_unix_ms: self.started_unix_ms,
+        }
+    }
 }
 
 /// The backend servers that may be used, as one moment's snapshot.
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -19,12 +19,14 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::connections::Connections;
+use crate::crash_rows::keep_crashes;
+use crate::crashes::CRASH_PREFIX;
 use crate::dialect::Dialect;
 use crate::fleet::{BackendServer, Backends, FleetBook};
 use crate::follow::{Sink, follow};
 use crate::jobs::{BookSink, JOBS_TABLE, JobBook, JobStore, Jobs, own_jobs, sweep_jobs};
 use crate::metrics::RelayMetrics;
-use crate::peers::{Member, Peers};
+use crate::peers::{INSTANCES_TABLE, Member, Peers};
 use crate::plain::PlainLoads;
 use crate::relay::Relay;
 use crate::shared_store::SharedStore;
@@ -33,8 +35,6 @@
 /// Result of starting an instance.
 pub type Result<T> = std::result::Result<T, InstanceError>;
 
-/// Table of the instances.
-pub const INSTANCES_TABLE: &str = "instances";
 /// Pause between two looks at entries that time alone changes.
 const LOOK_MS: u64 = 200;
 /// Rows of instances that are down for this time are deleted.
@@ -172,6 +172,7 @@
         tokio::spawn(follow(store.clone(), JOBS_TABLE, sink));
         tokio::spawn(peers.run());
         tokio::spawn(fleet.expire());
+        tokio::spawn(keep_crashes(store.clone(), relay.peers.clone()));
         tokio::spawn(sweep_jobs(Arc::clone(&jobs), identity.keep_jobs_ms));
         let (leaving, jobs_leave) = (CancellationToken::new(), CancellationToken::new());
         tokio::spawn(own_jobs(Arc::clone(&jobs), jobs_leave.clone()));
@@ -434,7 +435,7 @@
             if let Some(backend) = self.read(row) {
                 log::info!(
                     backend = backend.id.as_str(), leaving = backend.is_leaving,
-                    version = row.version; "backend server listed"
+                    started_unix_ms = backend.started_unix_ms, version = row.version; "backend server listed"
                 );
                 self.book().put(backend);
                 continue;
@@ -466,6 +467,10 @@
     fn take(&self, rows: &[VersionedRow]) {
         let mut members = self.0.members();
         for row in rows {
+            if let Some(key) = row.key.key.strip_prefix(CRASH_PREFIX) {
+                self.0.crashes().take_row(key, row);
+                continue;
+            }
             let Ok(instance) = InstanceId::try_from(row.key.key.as_str()) else {
                 log::warn!("row {} is no instance", row.key.key);
                 continue;
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -2,6 +2,8 @@
 #![warn(clippy::unwrap_used)]
 
 pub mod connections;
+pub mod crash_rows;
+pub mod crashes;
 pub mod dialect;
 pub mod dispatch;
 pub mod events;
--- a/crates/foxtailhold-relay/src/peers/members.rs
+++ b/crates/foxtailhold-relay/src/peers/members.rs
@@ -109,6 +109,12 @@
         self.staying().count()
     }
 
+    /// The addresses of all other instances that stay.
+    pub fn others(&self) -> Vec<SocketAddr> {
+        let others = self.staying().filter(|member| member.instance != self.me);
+        others.map(|member| member.peer_address).collect()
+    }
+
     /// The address of an instance.
     pub fn address(&self, instance: &InstanceId) -> Option<SocketAddr> {
         let mut all = self.rows.values();
--- a/crates/foxtailhold-relay/src/peers/message.rs
+++ b/crates/foxtailhold-relay/src/peers/message.rs
@@ -3,7 +3,9 @@
 //! Datagrams fit: each is small, is repeated until it is answered or replaced by the next one, and
 //! a peer that vanishes leaves no connection that must time out.
 
+use foxtailhold::crashes::Evidence;
 use foxtailhold::ids::{InstanceId, TargetName};
+use foxtailhold::quarantine::Fingerprint;
 use foxtailhold::slots::{Ask, AskId, Held, Outcome, Verdict};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -61,4 +63,16 @@
         /// Short names of the instances that live.
         live: Vec<ShortName>,
     },
+    /// What is known against a request that crashes backend servers.
+    Crashed {
+        /// The request.
+        fingerprint: Fingerprint,
+        /// Its crashes.
+        evidence: Evidence,
+    },
+    /// A request was seen to run: nothing is held against it.
+    Cleared {
+        /// The request.
+        fingerprint: Fingerprint,
+    },
 }
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -14,19 +14,23 @@
 use std::time::Duration;
 
 use foxtailhold::ids::{AvailabilityZone, BackendId, InstanceId, TargetName};
+use foxtailhold::quarantine::{CrashId, Fingerprint};
 use foxtailhold::slots::{
     Allocator, Ask, AskId, Decision, Held, Outcome, Places, Urgency, Verdict,
 };
-use foxtailhold::time::MonoMs;
+use foxtailhold::time::{MonoMs, WallMs};
 use foxtailhold_peer::codec;
 use parking_lot::{Mutex, MutexGuard};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, mpsc};
 use tokio_util::sync::CancellationToken;
 
+use crate::crashes::Crashes;
 use foxtailhold_http::clock::Clock;
 use message::MAX_DATAGRAM_BYTES;
 
+/// Table of the instances, and of what all of them have to know for longer than any of them lives.
+pub const INSTANCES_TABLE: &str = "instances";
 /// Shortest pause between two reports: changes of instances come in numbers at a start of all.
 const LEAST_PAUSE_MS: u64 = 50;
 
@@ -56,6 +60,9 @@
     members: Mutex<Members>,
     places: Mutex<OwnPlaces>,
     allocator: Mutex<Allocator>,
+    crashes: Crashes,
+    /// What is told once more with the next report, in case that it was lost.
+    told: Mutex<Vec<PeerMessage>>,
     /// Woken when the rows of instances have changed.
     members_changed: Notify,
 }
@@ -77,6 +84,8 @@
             clock,
             places: Mutex::new(OwnPlaces::default()),
             allocator: Mutex::new(Allocator::default()),
+            crashes: Crashes::default(),
+            told: Mutex::default(),
             members_changed: Notify::new(),
         };
         Peers {
@@ -89,6 +98,43 @@
         self.inner.clock.mono()
     }
 
+    /// Time of day.
+    pub fn wall(&self) -> WallMs {
+        self.inner.clock.wall()
+    }
+
+    /// What is known against requests.
+    pub fn crashes(&self) -> &Crashes {
+        &self.inner.crashes
+    }
+
+    /// Notes that a backend server was lost under a request, and tells the other instances.
+    pub fn crashed(&self, fingerprint: Fingerprint, crash: CrashId) {
+        let new = self.inner.crashes.crashed(fingerprint, crash, self.wall());
+        if let Some(evidence) = new {
+            self.tell_all(PeerMessage::Crashed {
+                fingerprint,
+                evidence,
+            });
+        }
+    }
+
+    /// Notes that a request was seen to run, and tells the other instances where that is news.
+    pub fn cleared(&self, fingerprint: Fingerprint) {
+        if self.inner.crashes.clear(fingerprint) {
+            log::info!(fingerprint:% = fingerprint; "a request is cleared");
+            self.tell_all(PeerMessage::Cleared { fingerprint });
+        }
+    }
+
+    fn tell_all(&self, message: PeerMessage) {
+        let others = self.members().others();
+        for address in others {
+            self.send(address, &message);
+        }
+        self.inner.told.lock().push(message);
+    }
+
     /// This instance.
     pub fn me(&self) -> &InstanceId {
         &self.inner.me
@@ -153,6 +199,7 @@
             for address in addresses {
                 self.send(address, &report);
             }
+            self.tell_again();
             tokio::time::sleep(Duration::from_millis(LEAST_PAUSE_MS)).await;
             let rest = Duration::from_millis(pause_ms.saturating_sub(LEAST_PAUSE_MS));
             tokio::select! {
@@ -162,6 +209,19 @@
         }
     }
 
+    fn tell_again(&self) {
+        let told = std::mem::take(&mut *self.inner.told.lock());
+        if told.is_empty() {
+            return;
+        }
+        let others = self.members().others();
+        for address in others {
+            for message in &told {
+                self.send(address, message);
+            }
+        }
+    }
+
     /// Reports soon: there may be other senior instances. Until they are heard this instance grants
     /// places to itself, without knowing of others.
     pub fn members_changed(&self) {
@@ -227,6 +287,13 @@
                 members.heard(now, &instance);
                 members.told(now, &instance, live);
             }
+            PeerMessage::Crashed {
+                fingerprint,
+                evidence,
+            } => self.inner.crashes.heard(fingerprint, &evidence),
+            PeerMessage::Cleared { fingerprint } => {
+                self.inner.crashes.clear(fingerprint);
+            }
         }
     }
 
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use foxtailhold::ids::BackendId;
+use foxtailhold::crashes::EARLY_EVENTS;
+use foxtailhold::quarantine::{Fingerprint, Standing};
 use foxtailhold::routes::{Route, RouteTable};
 use foxtailhold::slots::Outcome;
 use foxtailhold_http::clock::Clock;
@@ -55,11 +56,11 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct LostRun<'a> {
     /// Where.
-    pub(crate) backend: &'a BackendId,
+    pub(crate) backend: &'a BackendServer,
     /// Why.
-    pub(crate) cause: &'static str,
-    /// The last event that it gave.
-    pub(crate) after: Option<u64>,
+    pub(crate) cause: Miss,
+    /// Events that it gave.
+    pub(crate) events: u64,
     /// Runs of this request before.
     pub(crate) attempts: u32,
     /// Until when the request must be answered.
@@ -84,17 +85,51 @@
 
     /// Writes down that a run of a request gave no answer that could be passed on.
     pub(crate) fn note_miss(&self, request: &OpaqueRequest, lost: &LostRun<'_>) {
-        self.metrics.run_lost(lost.cause);
+        self.metrics.run_lost(lost.cause.as_str());
+        let fingerprint = request.fingerprint();
         log::info!(
             request = request.id.as_str(),
-            fingerprint:% = request.fingerprint(),
-            backend = lost.backend.as_str(),
-            cause = lost.cause,
-            after = lost.after,
+            fingerprint:% = fingerprint,
+            backend = lost.backend.id.as_str(),
+            cause = lost.cause.as_str(),
+            events = lost.events,
             attempts = lost.attempts,
             left_ms = lost.until.saturating_duration_since(Instant::now()).as_millis() as u64;
             "a run was lost"
         );
+        self.note_crash(fingerprint, lost.backend, lost.cause, lost.events);
+    }
+
+    /// Notes that a backend server may have crashed under what it had just begun to run.
+    pub(crate) fn note_crash(
+        &self,
+        fingerprint: Fingerprint,
+        backend: &BackendServer,
+        cause: Miss,
+        events: u64,
+    ) {
+        if cause == Miss::Closed && events < EARLY_EVENTS {
+            self.peers.crashed(fingerprint, backend.crash_id());
+        }
+    }
+
+    /// Notes that a request was seen to run.
+    pub(crate) fn note_run(&self, fingerprint: impl FnOnce() -> Fingerprint) {
+        if !self.peers.crashes().is_empty() {
+            self.peers.cleared(fingerprint());
+        }
+    }
+
+    /// How long a request is refused because it crashes backend servers, if it is.
+    pub(crate) fn refused_ms(&self, request: &OpaqueRequest) -> Option<u64> {
+        let crashes = self.peers.crashes();
+        if crashes.is_empty() {
+            return None;
+        }
+        match crashes.standing(request.fingerprint(), self.clock.wall()) {
+            Standing::Convicted { left_ms } => Some(left_ms),
+            Standing::Clear | Standing::Suspect => None,
+        }
     }
 
     /// Asks for a place at an engine and finds the engine.
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -1,8 +1,10 @@
 //! Passes a stream on, and continues it elsewhere when its backend server is lost.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use foxtailhold::crashes::EARLY_EVENTS;
 use foxtailhold::ids::{BackendId, TargetName};
 use foxtailhold::routes::{Repeat, Route};
 use foxtailhold::slots::{Outcome, Urgency};
@@ -12,6 +14,7 @@
 use crate::dialect::Dialect;
 use crate::events::{EventReader, Step};
 use crate::exchange::Miss;
+use crate::fleet::BackendServer;
 use crate::peers::{Place, PlaceQuery};
 use crate::relay::{FIRST_EVENT_PATIENCE_MS, LostRun, Relay, exchange, pause_patience_ms};
 use crate::request::OpaqueRequest;
@@ -35,8 +38,23 @@
     pub until: Instant,
 }
 
-/// How one backend server's part of the stream ended.
-enum Part {
+/// A stream at one backend server.
+#[derive(Debug)]
+pub struct Leg {
+    /// Its place there.
+    pub place: Place,
+    /// Where.
+    pub backend: Arc<BackendServer>,
+    /// When it began.
+    pub begun: Instant,
+    /// Its events.
+    pub reader: Box<EventReader>,
+    /// How many it has given.
+    pub events: u64,
+}
+
+/// How one leg of the stream ended.
+enum End {
     Complete,
     CallerGone,
     TimeOver,
@@ -45,61 +63,37 @@
 
 impl<D: Dialect> Pump<D> {
     /// Passes on all events.
-    pub async fn run(
-        mut self,
-        sender: AnswerSender,
-        mut place: Place,
-        mut begun: Instant,
-        mut reader: Box<EventReader>,
-        first: Step,
-    ) {
+    pub async fn run(mut self, sender: AnswerSender, mut leg: Leg, first: Step) {
         let mut step = Some(first);
         loop {
-            let part = self.pass(&sender, &place, &mut reader, step.take()).await;
-            let held_ms = begun.elapsed().as_millis() as u64;
-            let miss = match part {
-                Part::Complete => {
-                    place.close(Outcome::Done { held_ms });
-                    reader.close();
+            let miss = match self.pass(&sender, &mut leg, step.take()).await {
+                End::Complete => {
+                    let held_ms = leg.begun.elapsed().as_millis() as u64;
+                    leg.place.close(Outcome::Done { held_ms });
+                    leg.reader.close();
+                    self.relay.note_run(|| self.request.fingerprint());
                     return;
                 }
-                Part::CallerGone => {
+                End::CallerGone => {
                     log::info!(request = self.request.id.as_str(); "the caller left its stream");
                     return;
                 }
-                Part::TimeOver => {
+                End::TimeOver => {
                     self.cut(sender, "its time is over").await;
                     return;
                 }
-                Part::Lost(miss) => miss,
+                End::Lost(miss) => miss,
             };
-            let lost = place.backend().clone();
-            place.close(miss.outcome());
-            let after = reader.last_id();
-            drop(reader);
-            self.note_miss(&lost, miss, after);
-            match self.go_on(lost, miss, after).await {
-                Some(next) => (place, reader) = next,
+            match self.go_on(leg, miss).await {
+                Some(next) => leg = next,
                 None => {
                     self.cut(sender, "its backend server was lost").await;
                     return;
                 }
             }
-            begun = Instant::now();
         }
     }
 
-    fn note_miss(&self, backend: &BackendId, miss: Miss, after: Option<u64>) {
-        let lost = LostRun {
-            backend,
-            cause: miss.as_str(),
-            after,
-            attempts: self.attempts,
-            until: self.until,
-        };
-        self.relay.note_miss(&self.request, &lost);
-    }
-
     async fn cut(&self, sender: AnswerSender, why: &str) {
         self.relay.metrics.cut(&self.route.name);
         log::warn!(
@@ -112,13 +106,7 @@
         sender.cut().await;
     }
 
-    async fn pass(
-        &self,
-        sender: &AnswerSender,
-        place: &Place,
-        reader: &mut EventReader,
-        first: Option<Step>,
-    ) -> Part {
+    async fn pass(&self, sender: &AnswerSender, leg: &mut Leg, first: Option<Step>) -> End {
         let mut next = first;
         let patience_ms = match self.may_go_on() {
             true => pause_patience_ms(&self.route),
@@ -128,22 +116,26 @@
             let step = match next.take() {
                 Some(step) => step,
                 None => tokio::select! {
-                    step = reader.next(patience_ms, self.until) => step,
-                    () = sender.gone() => return Part::CallerGone,
+                    step = leg.reader.next(patience_ms, self.until) => step,
+                    () = sender.gone() => return End::CallerGone,
                 },
             };
             match step {
                 Step::Event(event) => {
-                    place.sign();
+                    leg.place.sign();
+                    leg.events += 1;
+                    if leg.events == EARLY_EVENTS {
+                        self.relay.note_run(|| self.request.fingerprint());
+                    }
                     if !self.send(sender, event.raw).await {
-                        return Part::CallerGone;
+                        return End::CallerGone;
                     }
                 }
-                Step::End => return Part::Complete,
-                Step::Closed => return Part::Lost(Miss::Closed),
-                Step::Broken => return Part::Lost(Miss::Broken),
-                Step::Silent if Instant::now() >= self.until => return Part::TimeOver,
-                Step::Silent => return Part::Lost(Miss::Silent),
+                Step::End => return End::Complete,
+                Step::Closed => return End::Lost(Miss::Closed),
+                Step::Broken => return End::Lost(Miss::Broken),
+                Step::Silent if Instant::now() >= self.until => return End::TimeOver,
+                Step::Silent => return End::Lost(Miss::Silent),
             }
         }
     }
@@ -157,58 +149,85 @@
         self.route.repeat == Repeat::ResumableStream && self.attempts < self.route.attempts.max(1)
     }
 
-    async fn go_on(
-        &mut self,
-        lost: BackendId,
-        miss: Miss,
-        after: Option<u64>,
-    ) -> Option<(Place, Box<EventReader>)> {
-        self.tried.push(lost);
-        let mut miss = miss;
+    fn note_miss(&mut self, backend: &BackendServer, cause: Miss, events: u64) {
+        let lost = LostRun {
+            backend,
+            cause,
+            events,
+            attempts: self.attempts,
+            until: self.until,
+        };
+        self.relay.note_miss(&self.request, &lost);
+        self.tried.push(backend.id.clone());
+    }
+
+    /// The next leg after a lost one, where there may be one.
+    async fn go_on(&mut self, lost: Leg, miss: Miss) -> Option<Leg> {
+        let after = lost.reader.last_id();
+        self.note_miss(&lost.backend, miss, lost.events);
+        lost.place.close(miss.outcome());
+        drop(lost.reader);
         loop {
-            if !self.may_go_on() || Instant::now() >= self.until {
+            let is_refused = self.relay.refused_ms(&self.request).is_some();
+            if !self.may_go_on() || is_refused || Instant::now() >= self.until {
                 return None;
             }
             log::info!(
                 request = self.request.id.as_str(),
                 after = after,
                 attempts = self.attempts,
-                lost = self.tried.last().map(BackendId::as_str),
-                cause:? = miss;
+                lost = self.tried.last().map(BackendId::as_str);
                 "a stream goes on elsewhere"
             );
-            let query = PlaceQuery {
-                pool: &self.service,
-                urgency: Urgency::Online { priority: 0 },
-                slack_ms: u64::from(u32::MAX),
-                avoid: &self.tried,
-                until: self.until,
-            };
-            let (place, backend) = self.relay.place(&query).await.ok()?;
-            let exchange = exchange(&self.request, &self.route, after);
-            let patience = std::time::Duration::from_millis(FIRST_EVENT_PATIENCE_MS);
-            let patience_until = self.until.min(Instant::now() + patience);
-            let sent = self
-                .relay
-                .send_to(&backend, &exchange, self.until, patience_until);
-            match sent.await {
-                Ok((response, in_use)) if response.status().is_success() => {
-                    self.attempts += 1;
-                    let reader = EventReader::new(response.into_body(), in_use, after);
-                    return Some((place, Box::new(reader)));
-                }
-                Ok(_) => {
-                    place.close(Outcome::Broken);
+            let (place, backend) = self.place().await?;
+            let begun = Instant::now();
+            match self.resume(&backend, after).await {
+                Ok(reader) => {
                     self.attempts += 1;
+                    return Some(Leg {
+                        place,
+                        backend,
+                        begun,
+                        reader,
+                        events: 0,
+                    });
                 }
-                Err(next) => {
-                    miss = next;
-                    self.note_miss(&backend.id, miss, after);
-                    self.attempts += u32::from(next.may_have_run());
-                    place.close(next.outcome());
+                Err(miss) => {
+                    self.attempts += u32::from(miss.may_have_run());
+                    place.close(miss.outcome());
+                    self.note_miss(&backend, miss, 0);
                 }
             }
-            self.tried.push(backend.id.clone());
         }
     }
+
+    async fn place(&self) -> Option<(Place, Arc<BackendServer>)> {
+        let query = PlaceQuery {
+            pool: &self.service,
+            urgency: Urgency::Online { priority: 0 },
+            slack_ms: u64::from(u32::MAX),
+            avoid: &self.tried,
+            until: self.until,
+        };
+        self.relay.place(&query).await.ok()
+    }
+
+    async fn resume(
+        &self,
+        backend: &BackendServer,
+        after: Option<u64>,
+    ) -> Result<Box<EventReader>, Miss> {
+        let exchange = exchange(&self.request, &self.route, after);
+        let patience = Duration::from_millis(FIRST_EVENT_PATIENCE_MS);
+        let patience_until = self.until.min(Instant::now() + patience);
+        let (response, in_use) = self
+            .relay
+            .send_to(backend, &exchange, self.until, patience_until)
+            .await?;
+        if !response.status().is_success() {
+            return Err(Miss::Failed);
+        }
+        let reader = EventReader::new(response.into_body(), in_use, after);
+        Ok(Box::new(reader))
+    }
 }
--- a/crates/foxtailhold-relay/tests/fleet.rs
+++ b/crates/foxtailhold-relay/tests/fleet.rs
@@ -12,6 +12,7 @@
         address: "10.0.0.1:80".parse().unwrap(),
         zone: AvailabilityZone::try_from("a").unwrap(),
         slots: 8,
+        started_unix_ms: 1,
         is_leaving: false,
     }
 }
--- /dev/null
+++ b/crates/foxtailhold/src/crashes.rs
@@ -0,0 +1,170 @@
+//! Evidence against requests that crash backend servers, joined over all instances.
+//!
+//! A backend server crashes once in each of its starts, so the evidence against a request is a set of
+//! starts. Sets of several instances and of the store are joined by union: hearing of a crash twice,
+//! late or in another order changes nothing, and many copies of a request in flight at one crash
+//! count once. A neighbour of a crashing request collects evidence too, until it is seen to run.
+
+use std::collections::{BTreeSet, HashMap};
+
+use serde::{Deserialize, Serialize};
+
+use crate::quarantine::{
+    CONVICTED_MS, CrashId, Fingerprint, MOST_KEPT, PROBATION_MS, SUSPECT_MS, Standing,
+};
+use crate::time::WallMs;
+
+/// Crashes after which a request is refused. A neighbour on the same backend servers has to be hit
+/// three times in a row before it has run, which is rare; each more costs a backend server.
+pub const MOST_CRASHES: usize = 3;
+/// Runs of a batch item after that: it may not be given up before its time, and may be innocent.
+pub const LATE_RUNS: usize = 3;
+/// Events after which a run has shown that its request does not crash what begins to run it.
+pub const EARLY_EVENTS: u64 = 8;
+/// The time of refusal doubles with each further crash, up to so many times.
+const MOST_DOUBLINGS: usize = 7;
+
+/// The crashes of one request.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// Which starts of backend servers ended under it.
+    pub crashes: BTreeSet<CrashId>,
+    /// Time of the last crash, by the clock of the instance that saw it.
+    pub last_unix_ms: u64,
+}
+
+impl Evidence {
+    /// Adds what another one knows; returns whether that was new.
+    pub fn join(&mut self, other: &Evidence) -> bool {
+        let before = self.crashes.len();
+        self.crashes.extend(other.crashes.iter().cloned());
+        self.last_unix_ms = self.last_unix_ms.max(other.last_unix_ms);
+        self.crashes.len() > before
+    }
+
+    /// Until when the request is refused.
+    fn refused_until(&self) -> Option<u64> {
+        let doublings = self.crashes.len().checked_sub(MOST_CRASHES)?;
+        let refused_ms = CONVICTED_MS << doublings.min(MOST_DOUBLINGS);
+        Some(self.last_unix_ms.saturating_add(refused_ms))
+    }
+
+    fn expires(&self) -> u64 {
+        match self.refused_until() {
+            Some(until) => until.saturating_add(PROBATION_MS),
+            None => self.last_unix_ms.saturating_add(SUSPECT_MS),
+        }
+    }
+}
+
+/// What one instance knows against requests.
+#[derive(Debug, Clone, Default)]
+pub struct CrashBook {
+    known: HashMap<Fingerprint, Evidence>,
+}
+
+impl CrashBook {
+    /// Whether nothing is known against any request.
+    pub fn is_empty(&self) -> bool {
+        self.known.is_empty()
+    }
+
+    /// Notes a crash that this instance saw. `None`: it was known.
+    pub fn crashed(
+        &mut self,
+        fingerprint: Fingerprint,
+        crash: CrashId,
+        now: WallMs,
+    ) -> Option<&Evidence> {
+        let new = Evidence {
+            crashes: BTreeSet::from([crash]),
+            last_unix_ms: now.0,
+        };
+        if !self.join(fingerprint, &new) {
+            return None;
+        }
+        self.known.get(&fingerprint)
+    }
+
+    /// Joins the evidence of another instance or of the store; returns whether that was new.
+    pub fn join(&mut self, fingerprint: Fingerprint, evidence: &Evidence) -> bool {
+        let is_new = self.known.entry(fingerprint).or_default().join(evidence);
+        if self.known.len() > MOST_KEPT {
+            self.drop_oldest();
+        }
+        is_new
+    }
+
+    fn drop_oldest(&mut self) {
+        let by_end = self.known.iter().min_by_key(|(_, known)| known.expires());
+        if let Some(oldest) = by_end.map(|(fingerprint, _)| *fingerprint) {
+            self.known.remove(&oldest);
+        }
+    }
+
+    /// Forgets what is known against a request that was seen to run; returns whether there was any.
+    pub fn clear(&mut self, fingerprint: Fingerprint) -> bool {
+        self.known.remove(&fingerprint).is_some()
+    }
+
+    /// The evidence against a request.
+    pub fn evidence(&self, fingerprint: Fingerprint) -> Option<&Evidence> {
+        self.known.get(&fingerprint)
+    }
+
+    /// How many backend servers a request has crashed.
+    pub fn crashes(&self, fingerprint: Fingerprint) -> usize {
+        self.known.get(&fingerprint).map_or(0, |e| e.crashes.len())
+    }
+
+    /// How a request stands.
+    pub fn standing(&self, fingerprint: Fingerprint, now: WallMs) -> Standing {
+        let Some(evidence) = self.known.get(&fingerprint) else {
+            return Standing::Clear;
+        };
+        match evidence.refused_until() {
+            Some(until) if until > now.0 => Standing::Convicted {
+                left_ms: until - now.0,
+            },
+            _ => Standing::Suspect,
+        }
+    }
+
+    /// Forgets what has expired.
+    pub fn expire(&mut self, now: WallMs) -> Vec<Fingerprint> {
+        let is_over = |evidence: &Evidence| evidence.expires() <= now.0;
+        let over = self.known.iter().filter(|(_, evidence)| is_over(evidence));
+        let over: Vec<Fingerprint> = over.map(|(fingerprint, _)| *fingerprint).collect();
+        for fingerprint in &over {
+            self.known.remove(fingerprint);
+        }
+        over
+    }
+}
+
+/// When a batch item with so many crashes may run again, of the `left_ms` until it is given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ItemRest {
+    /// At once.
+    None,
+    /// After this time: the runs that are left are spread over the time that is left.
+    Pause {
+        /// How long.
+        pause_ms: u64,
+    },
+    /// Not any more.
+    UntilGivenUp,
+}
+
+/// Decides the rest of a batch item.
+pub fn item_rest(crashes: usize, left_ms: u64) -> ItemRest {
+    let Some(late) = crashes.checked_sub(MOST_CRASHES) else {
+        return ItemRest::None;
+    };
+    match LATE_RUNS.checked_sub(late) {
+        None | Some(0) => ItemRest::UntilGivenUp,
+        Some(runs) => ItemRest::Pause {
+            pause_ms: left_ms / (runs as u64 + 1),
+        },
+    }
+}
--- a/crates/foxtailhold/src/quarantine.rs
+++ b/crates/foxtailhold/src/quarantine.rs
@@ -11,6 +11,8 @@
 
 use std::collections::HashMap;
 use std::fmt;
+use std::num::ParseIntError;
+use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
@@ -64,6 +66,14 @@
     }
 }
 
+impl FromStr for Fingerprint {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u128::from_str_radix(text, 16).map(Fingerprint)
+    }
+}
+
 impl fmt::Display for Fingerprint {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:032x}", self.0)
@@ -80,7 +90,7 @@
 }
 
 /// One crash. The same crash has the same value at all instances.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct CrashId {
     /// The backend server.
     pub backend: BackendId,
--- /dev/null
+++ b/crates/foxtailhold/src/run_account.rs
@@ -0,0 +1,75 @@
+//! What the runs of one batch item came to, over all its owners, and whether it may run again.
+//!
+//! An owner writes down each failed answer, and each further run before it begins, so that a run whose
+//! owner was lost in the middle of it counts as one whose outcome is not known.
+
+use serde::{Deserialize, Serialize};
+
+/// Runs without a known outcome after which an item rests: any of them may have been the answer
+/// that it can never be done.
+pub const MOST_OPEN_RUNS: u32 = 3;
+
+/// The account of one item.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RunAccount {
+    /// Answers that count as failed.
+    pub failed: u32,
+    /// Runs that began and whose outcome nobody has written down.
+    pub open: u32,
+}
+
+/// Whether an item may run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NextRun {
+    /// It may.
+    Allowed,
+    /// It has failed too often.
+    GiveUp,
+    /// It rests until it may be given up: too many runs have no known outcome.
+    Rest,
+}
+
+impl RunAccount {
+    /// The account of an item of which nothing is written down: its first owner writes nothing before
+    /// the first run, and may be lost in it.
+    pub fn unwritten(lost_owners: u32) -> Self {
+        RunAccount {
+            failed: 0,
+            open: lost_owners.min(1),
+        }
+    }
+
+    /// Whether the next run has to be written down before it begins.
+    pub fn needs_mark(&self, lost_owners: u32) -> bool {
+        lost_owners > 0 || *self != RunAccount::default()
+    }
+
+    /// Whether the item may run, on a route that allows so many failed answers.
+    pub fn next_run(&self, most_failed: u32) -> NextRun {
+        if self.failed >= most_failed.max(1) {
+            return NextRun::GiveUp;
+        }
+        if self.open >= MOST_OPEN_RUNS {
+            return NextRun::Rest;
+        }
+        NextRun::Allowed
+    }
+
+    /// The account while one more run is under way.
+    pub fn begun(self) -> Self {
+        RunAccount {
+            open: self.open + 1,
+            ..self
+        }
+    }
+
+    /// Notes a failed answer.
+    pub fn note_failed(&mut self) {
+        self.failed += 1;
+    }
+
+    /// Notes that the item gave events: no run of it was the answer that it can never be done.
+    pub fn note_events(&mut self) {
+        self.open = 0;
+    }
+}
--- /dev/null
+++ b/crates/foxtailhold/tests/crashes.rs
@@ -0,0 +1,118 @@
+//! Evidence against requests that crash backend servers.
+
+use foxtailhold::crashes::{CrashBook, Evidence, ItemRest, MOST_CRASHES, item_rest};
+use foxtailhold::ids::BackendId;
+use foxtailhold::quarantine::{CONVICTED_MS, CrashId, Fingerprint, SUSPECT_MS, Standing};
+use foxtailhold::time::WallMs;
+use proptest::prelude::*;
+use test_case::test_case;
+
+const REQUEST: Fingerprint = Fingerprint(7);
+const NOW: WallMs = WallMs(1_000_000);
+
+fn crash(backend: &str, started_unix_ms: u64) -> CrashId {
+    CrashId {
+        backend: BackendId::try_from(backend).unwrap(),
+        started_unix_ms,
+    }
+}
+
+fn book(crashes: &[CrashId]) -> CrashBook {
+    let mut book = CrashBook::default();
+    for crash in crashes {
+        book.crashed(REQUEST, crash.clone(), NOW);
+    }
+    book
+}
+
+fn later(ms: u64) -> WallMs {
+    WallMs(NOW.0 + ms)
+}
+
+#[test_case(&[("a", 1), ("b", 1), ("c", 1)], 3; "three backend servers")]
+#[test_case(&[("a", 1), ("a", 2), ("a", 3)], 3; "three starts of one")]
+#[test_case(&[("a", 1), ("a", 1), ("a", 1)], 1; "copies in flight at one crash")]
+#[test_case(&[("a", 1), ("b", 1), ("a", 1)], 2; "one of them told twice")]
+fn crashes_are_told_apart_by_the_start_of_the_backend_server(
+    crashes: &[(&str, u64)],
+    expected: usize,
+) {
+    let crashes: Vec<CrashId> = crashes.iter().map(|(id, at)| crash(id, *at)).collect();
+    let book = book(&crashes);
+    assert_eq!(book.crashes(REQUEST), expected);
+    let is_refused = matches!(book.standing(REQUEST, NOW), Standing::Convicted { .. });
+    assert_eq!(is_refused, expected >= MOST_CRASHES);
+    assert_eq!(book.standing(Fingerprint(8), NOW), Standing::Clear);
+}
+
+#[test]
+fn a_refusal_lasts_twice_as_long_with_each_further_crash() {
+    let mut book = book(&[crash("a", 1), crash("b", 1), crash("c", 1)]);
+    let refused = Standing::Convicted { left_ms: 1 };
+    assert_eq!(book.standing(REQUEST, later(CONVICTED_MS - 1)), refused);
+    let lapsed = later(CONVICTED_MS);
+    assert_eq!(book.standing(REQUEST, lapsed), Standing::Suspect);
+    book.crashed(REQUEST, crash("d", 1), lapsed);
+    let left_ms = 2 * CONVICTED_MS;
+    assert_eq!(
+        book.standing(REQUEST, lapsed),
+        Standing::Convicted { left_ms }
+    );
+}
+
+#[test]
+fn a_request_that_was_seen_to_run_is_cleared() {
+    let mut book = book(&[crash("a", 1), crash("b", 1)]);
+    assert!(book.clear(REQUEST));
+    assert!(!book.clear(REQUEST));
+    book.crashed(REQUEST, crash("c", 1), NOW);
+    assert_eq!(book.standing(REQUEST, NOW), Standing::Suspect);
+}
+
+#[test]
+fn evidence_expires_unless_the_request_is_refused() {
+    let mut few = book(&[crash("a", 1), crash("b", 1)]);
+    assert!(few.expire(later(SUSPECT_MS - 1)).is_empty());
+    assert_eq!(few.expire(later(SUSPECT_MS)), [REQUEST]);
+    assert!(few.is_empty());
+    let mut enough = book(&[crash("a", 1), crash("b", 1), crash("c", 1)]);
+    assert!(enough.expire(later(CONVICTED_MS)).is_empty());
+}
+
+#[test_case(2, ItemRest::None; "not enough")]
+#[test_case(3, ItemRest::Pause { pause_ms: 15_000 }; "three runs in a minute")]
+#[test_case(4, ItemRest::Pause { pause_ms: 20_000 }; "two")]
+#[test_case(5, ItemRest::Pause { pause_ms: 30_000 }; "the last")]
+#[test_case(6, ItemRest::UntilGivenUp; "none left")]
+#[test_case(60, ItemRest::UntilGivenUp; "far too many")]
+fn the_runs_of_an_item_are_spread_over_its_time(crashes: usize, expected: ItemRest) {
+    assert_eq!(item_rest(crashes, 60_000), expected);
+}
+
+fn evidence() -> impl Strategy<Value = Evidence> {
+    let crashes = prop::collection::btree_set((0_u8..4, 1_u64..4), 0..5);
+    (crashes, 0_u64..100).prop_map(|(crashes, last_unix_ms)| Evidence {
+        crashes: crashes
+            .into_iter()
+            .map(|(backend, started)| crash(&format!("b{backend}"), started))
+            .collect(),
+        last_unix_ms,
+    })
+}
+
+proptest! {
+    #[test]
+    fn the_order_and_number_of_tellings_does_not_matter(
+        told in prop::collection::vec(evidence(), 1..6),
+        again in prop::collection::vec(any::<prop::sample::Index>(), 0..6),
+    ) {
+        let mut first = Evidence::default();
+        told.iter().for_each(|one| { first.join(one); });
+        let mut second = Evidence::default();
+        told.iter().rev().for_each(|one| { second.join(one); });
+        for index in again {
+            prop_assert!(!second.join(index.get(&told)));
+        }
+        prop_assert_eq!(first, second);
+    }
+}
--- /dev/null
+++ b/crates/foxtailhold/tests/run_account.rs
@@ -0,0 +1,85 @@
+//! How often a batch item may run, over the loss of its owners.
+
+use foxtailhold::run_account::{MOST_OPEN_RUNS, NextRun, RunAccount};
+use proptest::prelude::*;
+use test_case::test_case;
+
+#[test_case(0, 0, 3, NextRun::Allowed; "the first run")]
+#[test_case(2, 0, 3, NextRun::Allowed; "failed twice")]
+#[test_case(3, 0, 3, NextRun::GiveUp; "failed as often as the route allows")]
+#[test_case(1, 0, 0, NextRun::GiveUp; "a route without a bound allows one")]
+#[test_case(0, 2, 3, NextRun::Allowed; "two outcomes not known")]
+#[test_case(0, 3, 3, NextRun::Rest; "three outcomes not known")]
+#[test_case(3, 3, 3, NextRun::GiveUp; "failed and not known")]
+fn the_next_run_follows_from_the_account(failed: u32, open: u32, most: u32, expected: NextRun) {
+    assert_eq!(RunAccount { failed, open }.next_run(most), expected);
+}
+
+#[test]
+fn an_item_that_gave_events_may_run_whoever_was_lost() {
+    let mut account = RunAccount { failed: 1, open: 3 };
+    account.note_events();
+    assert_eq!(account.next_run(3), NextRun::Allowed);
+}
+
+/// What an owner lives to do with an item that always fails.
+#[derive(Debug, Clone, Copy)]
+enum Life {
+    /// Lost right after the answer.
+    LostAtOnce,
+    /// Lost after it has written down so many failed answers, in the next run.
+    LostLater(u32),
+}
+
+fn life() -> impl Strategy<Value = Life> {
+    prop_oneof![
+        3 => Just(Life::LostAtOnce),
+        1 => (1_u32..4).prop_map(Life::LostLater),
+    ]
+}
+
+/// Runs an item that always fails through owners; returns how often it ran.
+fn runs(lives: &[Life], most_failed: u32, gives_up_at_once: bool) -> u32 {
+    let mut runs = 0;
+    let mut written: Option<RunAccount> = None;
+    for (lost_owners, life) in lives.iter().enumerate() {
+        let lost_owners = lost_owners as u32;
+        let mut account = written.unwrap_or(RunAccount::unwritten(lost_owners));
+        let written_here = match life {
+            Life::LostAtOnce => 0,
+            Life::LostLater(count) => *count,
+        };
+        for answer in 0..=written_here {
+            if account.next_run(most_failed) != NextRun::Allowed {
+                return runs;
+            }
+            if account.needs_mark(lost_owners) {
+                written = Some(account.begun());
+            }
+            runs += 1;
+            if answer == written_here || gives_up_at_once {
+                break;
+            }
+            account.note_failed();
+            written = Some(account);
+        }
+    }
+    runs
+}
+
+proptest! {
+    #[test]
+    fn failed_answers_stay_within_three_times_the_routes_bound(
+        lives in prop::collection::vec(life(), 0..12), most_failed in 1_u32..5,
+    ) {
+        let runs = runs(&lives, most_failed, false);
+        prop_assert!(runs <= 3 * most_failed, "{} runs", runs);
+    }
+
+    #[test]
+    fn an_item_that_can_never_be_done_runs_three_times_at_most(
+        lives in prop::collection::vec(life(), 0..12), most_failed in 1_u32..5,
+    ) {
+        prop_assert!(runs(&lives, most_failed, true) <= MOST_OPEN_RUNS);
+    }
+}
