A batch item that crashes backend servers rests, whoever owns its job

What callers saw: one item took engines down again and again, most of all after its job changed its owner: the losses were counted in the owner's memory, and set back by every new event.

Cause: the same class as for requests; the count lived with the owner, not with the item.

Fix: the item's crashes are evidence like a request's, in the store from the second on. After three of them three more runs are spread over the time until the item may be given up; it cannot be listed as failed before that. An item that completes or gives eight events in a run is cleared.

--- a/crates/foxtailhold-relay/src/jobs/item.rs
+++ b/crates/foxtailhold-relay/src/jobs/item.rs
@@ -1,9 +1,12 @@
 //! One batch item, from its first place to its result.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use foxtailhold::crashes::{EARLY_EVENTS, ItemRest, item_rest};
 use foxtailhold::ids::{BackendId, JobId};
+use foxtailhold::quarantine::Fingerprint;
 use foxtailhold::routes::Route;
 use foxtailhold::slots::{Outcome, Urgency};
 use foxtailhold_engine::sse::RawEvent;
@@ -30,6 +33,8 @@
 const MOST_PAUSE_MS: u64 = 8_000;
 /// An item whose route is missing for this time, and so from the configuration, is given up.
 const NO_ROUTE_MS: u64 = 5_000;
+/// An item that rests looks at its route, job and time at this pause.
+const REST_LOOK_MS: u64 = 1_000;
 /// Longest wait for one place; then route, job and time are looked at again.
 const PLACE_WAIT_MS: u64 = 2_000;
 
@@ -54,6 +59,10 @@
     /// Losses in a row without a new event.
     vain_losses: u32,
     avoid: Vec<BackendId>,
+    /// Where it ran last.
+    last: Option<Arc<BackendServer>>,
+    /// The crashes after which it last rested, and until when.
+    rested: (usize, Instant),
 }
 
 impl<'a, S: RowStore + ObjectStore, D: Dialect> ItemRun<'a, S, D> {
@@ -72,6 +81,8 @@
             failures: 0,
             vain_losses: 0,
             avoid: Vec::new(),
+            last: None,
+            rested: (0, Instant::now()),
         }
     }
 
@@ -100,6 +111,9 @@
                 continue;
             };
             no_route_since = None;
+            if self.rests(job).await {
+                continue;
+            }
             let events = self.events();
             let run = self.run_once(route, job, &target, &headers).await;
             if self.events() > events {
@@ -117,6 +131,7 @@
                         after = self.events(), losses = self.vain_losses,
                         cause:? = miss; "an item goes on elsewhere"
                     );
+                    self.note_crash(job, miss, self.events() - events);
                     self.pause_after_loss(miss).await;
                 }
                 Run::Failed => {
@@ -130,6 +145,50 @@
         }
     }
 
+    fn fingerprint(&self, job: &Job) -> Fingerprint {
+        Fingerprint::of_opaque(&job.host, &self.item.target, &self.item.body)
+    }
+
+    fn note_crash(&self, job: &Job, miss: Miss, events: u64) {
+        if let Some(backend) = &self.last {
+            let fingerprint = self.fingerprint(job);
+            let relay = &self.jobs.relay;
+            relay.note_crash(fingerprint, backend, miss, events);
+        }
+    }
+
+    /// Waits a while where the item has crashed backend servers and may not run yet. `true`: it waited,
+    /// and its route, job and time may have changed.
+    async fn rests(&mut self, job: &Job) -> bool {
+        let relay = &self.jobs.relay;
+        if relay.peers.crashes().is_empty() {
+            return false;
+        }
+        let crashes = relay.peers.crashes().count(self.fingerprint(job));
+        let left_ms = job.give_up_unix_ms.saturating_sub(relay.clock.wall().0);
+        if crashes > self.rested.0 {
+            let rest_ms = match item_rest(crashes, left_ms) {
+                ItemRest::None => 0,
+                ItemRest::Pause { pause_ms } => pause_ms,
+                ItemRest::UntilGivenUp => left_ms,
+            };
+            let until = Instant::now() + Duration::from_millis(rest_ms);
+            self.rested = (crashes, until);
+            if rest_ms > 0 {
+                log::info!(
+                    job = self.id.as_str(), item = self.item.id.as_str(),
+                    crashes = crashes, rest_ms = rest_ms; "an item rests"
+                );
+            }
+        }
+        let rest = self.rested.1.saturating_duration_since(Instant::now());
+        if rest.is_zero() {
+            return false;
+        }
+        tokio::time::sleep(rest.min(Duration::from_millis(REST_LOOK_MS))).await;
+        true
+    }
+
     /// Waits the longer the more often engines broke off without giving an event.
     async fn pause_after_loss(&mut self, miss: Miss) {
         if !matches!(miss, Miss::Closed | Miss::Broken) {
@@ -233,12 +292,14 @@
             return Run::Unfinished;
         }
         self.avoid.clear();
+        self.last = Some(Arc::clone(&backend));
         let (begun, events) = (Instant::now(), self.events());
         let run = self.exchange(job, target, headers, &backend, &place).await;
         let took_ms = begun.elapsed().as_millis() as u64;
         self.jobs.pace().ran(self.events() - events, took_ms);
         let outcome = match &run {
             Run::Complete => {
+                relay.note_run(|| self.fingerprint(job));
                 self.jobs.pace().finished(self.events());
                 Outcome::Done { held_ms: took_ms }
             }
@@ -293,7 +354,8 @@
                 Run::Impossible
             }
             Ok((response, in_use)) if response.status().is_success() => {
-                self.read(response.into_body(), in_use, place, until).await
+                let body = response.into_body();
+                self.read(job, body, in_use, place, until).await
             }
             Ok((response, in_use)) => {
                 let status = response.status();
@@ -315,12 +377,14 @@
 
     async fn read(
         &self,
+        job: &Job,
         body: hyper::body::Incoming,
         in_use: InUse,
         place: &Place,
         until: Instant,
     ) -> Run {
         let mut reader = EventReader::new(body, in_use, self.after());
+        let mut events = 0;
         loop {
             let step = tokio::select! {
                 step = reader.next(PATIENCE_MS, until) => step,
@@ -337,6 +401,10 @@
                 Step::Event(event) => {
                     place.sign();
                     self.take(&event, reader.last_id());
+                    events += 1;
+                    if events == EARLY_EVENTS {
+                        self.jobs.relay.note_run(|| self.fingerprint(job));
+                    }
                 }
                 Step::End => {
                     reader.close();
