One account of runs for whole answers and for all legs of a stream

Two counters in two loops decided how often a request of a caller runs, and a stream that goes on elsewhere had no bound on refusals beside its time. Attempts is that account now, for both.

--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use crate::attempts::Attempts;
 use crate::connections::InUse;
 use crate::dialect::Dialect;
 use crate::events::{EventReader, Step};
@@ -25,9 +26,6 @@
 
 /// The answer must be on its way this long before the caller gives up.
 const RETURN_MS: u64 = 15;
-/// Requests that did not run are sent again at other backend servers at most so often, beside the
-/// attempts that the route allows: a refusal costs a crossing, and more would come too late.
-const NOT_RUN_AGAIN: u32 = 3;
 /// An idempotent whole answer is tried elsewhere after so many objectives.
 const WHOLE_PATIENCE_OBJECTIVES: u64 = 2;
 /// Callers come back after this time where no backend server is known.
@@ -36,14 +34,8 @@
 /// The way of one request so far.
 #[derive(Debug)]
 pub struct Progress {
-    /// Backend servers that it was sent to.
-    pub tried: Vec<BackendId>,
-    /// How many of them may have run it.
-    pub attempts: u32,
-    /// How many of them said that they did not.
-    pub not_run: u32,
-    /// Until when it must be answered.
-    pub until: Instant,
+    /// How often it ran.
+    pub attempts: Attempts,
     /// Who answered.
     pub served_by: Option<BackendId>,
     /// Time spent waiting for places.
@@ -60,55 +52,17 @@
             left_ms = left_ms.min(patience_ms.saturating_sub(RETURN_MS));
         }
         Progress {
-            tried: Vec::new(),
-            attempts: 0,
-            not_run: 0,
-            until: request.received + Duration::from_millis(left_ms),
+            attempts: Attempts::new(request.received + Duration::from_millis(left_ms)),
             served_by: None,
             waited_ms: 0,
         }
     }
 
-    /// Notes a miss; `true`: the request may be sent once more.
-    pub fn may_go_on(&mut self, miss: Miss, backend: &BackendId, route: &Route) -> bool {
-        self.tried.push(backend.clone());
-        if Instant::now() >= self.until {
-            self.attempts += u32::from(miss.may_have_run());
-            return false;
-        }
-        if !miss.may_have_run() {
-            self.not_run += 1;
-            return self.not_run <= NOT_RUN_AGAIN;
-        }
-        self.attempts += 1;
-        route.repeat.is_idempotent() && self.attempts < route.attempts.max(1)
-    }
-
-    /// Until when the next backend server may be silent: shorter where another one can be tried.
-    fn patience_until(&self, route: &Route, patience_ms: u64) -> Instant {
-        let may_repeat = route.repeat.is_idempotent() && self.attempts + 1 < route.attempts.max(1);
-        if !may_repeat || patience_ms == 0 {
-            return self.until;
-        }
-        self.until
-            .min(Instant::now() + Duration::from_millis(patience_ms))
-    }
-
-    fn lost<'a>(&self, backend: &'a BackendServer, cause: Miss) -> LostRun<'a> {
-        LostRun {
-            backend,
-            cause,
-            events: 0,
-            attempts: self.attempts,
-            until: self.until,
-        }
-    }
-
     fn unserved(&self, retry_after_ms: u64) -> Unserved {
-        if self.attempts == 0 {
+        if self.attempts.runs == 0 {
             return Unserved::NotRun { retry_after_ms };
         }
-        if Instant::now() >= self.until {
+        if Instant::now() >= self.attempts.until {
             return Unserved::TimedOut;
         }
         Unserved::MayHaveRun
@@ -177,9 +131,9 @@
             backend = progress.served_by.as_ref().map(BackendId::as_str),
             retry_after_ms = retry_after_ms,
             allocator = allocator.as_ref().map_or("self", |instance| instance.as_str()),
-            attempts = progress.attempts,
-            not_run = progress.not_run,
-            missed = progress.tried.iter().map(BackendId::as_str).collect::<Vec<_>>().join(","),
+            attempts = progress.attempts.runs,
+            not_run = progress.attempts.not_run,
+            missed = progress.attempts.tried_names(),
             config = self.routes.load().version();
             "answered"
         );
@@ -194,8 +148,14 @@
         backend: &BackendServer,
         miss: Miss,
     ) -> bool {
-        self.note_miss(request, &progress.lost(backend, miss));
-        progress.may_go_on(miss, &backend.id, route) && self.refused_ms(request).is_none()
+        let lost = LostRun {
+            backend,
+            cause: miss,
+            events: 0,
+        };
+        self.note_miss(request, &lost, &progress.attempts);
+        let may_go_on = progress.attempts.lost(miss, &backend.id, route);
+        may_go_on && self.refused_ms(request).is_none()
     }
 
     async fn serve_plain(
@@ -210,7 +170,7 @@
             let chosen = {
                 let backends = self.backends.load();
                 let (all, zone) = (backends.of(service), self.peers.zone());
-                let tried = &progress.tried;
+                let tried = &progress.attempts.tried;
                 self.plain.choose(now, all, tried, zone, rand::random())
             };
             let Some(backend) = chosen else {
@@ -262,10 +222,10 @@
         backend: &BackendServer,
     ) -> Result<Response<bytes::Bytes>, Miss> {
         let patience_ms = route.objective_ms * WHOLE_PATIENCE_OBJECTIVES;
-        let patience_until = progress.patience_until(route, patience_ms);
+        let patience_until = progress.attempts.patience_until(route, patience_ms);
         let sent = exchange(request, route, request.after_event);
         let (response, in_use) = self
-            .send_to(backend, &sent, progress.until, patience_until)
+            .send_to(backend, &sent, progress.attempts.until, patience_until)
             .await?;
         exchange::read_whole(response, in_use, patience_until).await
     }
@@ -293,8 +253,8 @@
                         priority: route.priority,
                     },
                     slack_ms: route.objective_ms.saturating_sub(spent_ms),
-                    avoid: &progress.tried,
-                    until: progress.until,
+                    avoid: &progress.attempts.tried,
+                    until: progress.attempts.until,
                 };
                 let found = self.place(&query).await;
                 progress.waited_ms += asked.elapsed().as_millis() as u64;
@@ -334,9 +294,7 @@
                         route: route.clone(),
                         service: service.clone(),
                         request,
-                        tried: progress.tried.clone(),
-                        attempts: progress.attempts + 1,
-                        until: progress.until,
+                        attempts: progress.attempts.clone(),
                     };
                     let leg = Leg {
                         place,
@@ -368,14 +326,16 @@
         backend: &BackendServer,
         place: &Place,
     ) -> Result<Opened, Miss> {
-        let patience_until = progress.patience_until(route, FIRST_EVENT_PATIENCE_MS);
+        let patience_until = progress
+            .attempts
+            .patience_until(route, FIRST_EVENT_PATIENCE_MS);
         let sent = exchange(request, route, request.after_event);
         let (response, in_use) = self
-            .send_to(backend, &sent, progress.until, patience_until)
+            .send_to(backend, &sent, progress.attempts.until, patience_until)
             .await?;
         place.sign();
         if !route.repeat.is_stream() || !response.status().is_success() {
-            let whole = exchange::read_whole(response, in_use, progress.until).await?;
+            let whole = exchange::read_whole(response, in_use, progress.attempts.until).await?;
             return Ok(Opened::Whole(whole));
         }
         self.first_event(response, in_use, request.after_event, patience_until)
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -1,6 +1,7 @@
 //! Opaque requests and ordered batch jobs, passed on to backend servers by routes.
 #![warn(clippy::unwrap_used)]
 
+pub mod attempts;
 pub mod connections;
 pub mod crash_rows;
 pub mod crashes;
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -12,6 +12,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use crate::attempts::Attempts;
 use crate::connections::{Connections, InUse};
 use crate::dialect::Dialect;
 use crate::exchange::{Exchange, Miss};
@@ -61,10 +62,6 @@
     pub(crate) cause: Miss,
     /// Events that it gave.
     pub(crate) events: u64,
-    /// Runs of this request before.
-    pub(crate) attempts: u32,
-    /// Until when the request must be answered.
-    pub(crate) until: Instant,
 }
 
 impl<D: Dialect> Relay<D> {
@@ -84,17 +81,23 @@
     }
 
     /// Writes down that a run of a request gave no answer that could be passed on.
-    pub(crate) fn note_miss(&self, request: &OpaqueRequest, lost: &LostRun<'_>) {
+    pub(crate) fn note_miss(
+        &self,
+        request: &OpaqueRequest,
+        lost: &LostRun<'_>,
+        attempts: &Attempts,
+    ) {
         self.metrics.run_lost(lost.cause.as_str());
         let fingerprint = request.fingerprint();
+        let left = attempts.until.saturating_duration_since(Instant::now());
         log::info!(
             request = request.id.as_str(),
             fingerprint:% = fingerprint,
             backend = lost.backend.id.as_str(),
             cause = lost.cause.as_str(),
             events = lost.events,
-            attempts = lost.attempts,
-            left_ms = lost.until.saturating_duration_since(Instant::now()).as_millis() as u64;
+            attempts = attempts.runs,
+            left_ms = left.as_millis() as u64;
             "a run was lost"
         );
         self.note_crash(fingerprint, lost.backend, lost.cause, lost.events);
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -6,11 +6,12 @@
 use bytes::Bytes;
 use foxtailhold::crashes::EARLY_EVENTS;
 use foxtailhold::ids::{BackendId, TargetName};
-use foxtailhold::routes::{Repeat, Route};
+use foxtailhold::routes::Route;
 use foxtailhold::slots::{Outcome, Urgency};
 use foxtailhold_http::body::AnswerSender;
 use tokio::time::Instant;
 
+use crate::attempts::Attempts;
 use crate::dialect::Dialect;
 use crate::events::{EventReader, Step};
 use crate::exchange::Miss;
@@ -30,12 +31,8 @@
     pub service: TargetName,
     /// The request.
     pub request: OpaqueRequest,
-    /// Backend servers that it was sent to before.
-    pub tried: Vec<BackendId>,
-    /// How many may have run it.
-    pub attempts: u32,
-    /// Until when it must end.
-    pub until: Instant,
+    /// How often it ran.
+    pub attempts: Attempts,
 }
 
 /// A stream at one backend server.
@@ -64,6 +61,7 @@
 impl<D: Dialect> Pump<D> {
     /// Passes on all events.
     pub async fn run(mut self, sender: AnswerSender, mut leg: Leg, first: Step) {
+        self.attempts.runs_now();
         let mut step = Some(first);
         loop {
             let miss = match self.pass(&sender, &mut leg, step.take()).await {
@@ -99,8 +97,8 @@
         log::warn!(
             request = self.request.id.as_str(),
             route = self.route.name.as_str(),
-            attempts = self.attempts,
-            tried = self.tried.iter().map(BackendId::as_str).collect::<Vec<_>>().join(",");
+            attempts = self.attempts.runs,
+            tried = self.attempts.tried_names();
             "a stream was cut: {why}"
         );
         sender.cut().await;
@@ -108,7 +106,7 @@
 
     async fn pass(&self, sender: &AnswerSender, leg: &mut Leg, first: Option<Step>) -> End {
         let mut next = first;
-        let patience_ms = match self.may_go_on() {
+        let patience_ms = match self.attempts.may_repeat(&self.route) {
             true => pause_patience_ms(&self.route),
             false => u64::from(u32::MAX),
         };
@@ -116,7 +114,7 @@
             let step = match next.take() {
                 Some(step) => step,
                 None => tokio::select! {
-                    step = leg.reader.next(patience_ms, self.until) => step,
+                    step = leg.reader.next(patience_ms, self.attempts.until) => step,
                     () = sender.gone() => return End::CallerGone,
                 },
             };
@@ -134,56 +132,49 @@
                 Step::End => return End::Complete,
                 Step::Closed => return End::Lost(Miss::Closed),
                 Step::Broken => return End::Lost(Miss::Broken),
-                Step::Silent if Instant::now() >= self.until => return End::TimeOver,
+                Step::Silent if Instant::now() >= self.attempts.until => return End::TimeOver,
                 Step::Silent => return End::Lost(Miss::Silent),
             }
         }
     }
 
     async fn send(&self, sender: &AnswerSender, bytes: Bytes) -> bool {
-        let sent = tokio::time::timeout_at(self.until, sender.send(bytes)).await;
+        let sent = tokio::time::timeout_at(self.attempts.until, sender.send(bytes)).await;
         sent.unwrap_or(false)
     }
 
-    fn may_go_on(&self) -> bool {
-        self.route.repeat == Repeat::ResumableStream && self.attempts < self.route.attempts.max(1)
-    }
-
-    fn note_miss(&mut self, backend: &BackendServer, cause: Miss, events: u64) {
+    /// Notes a lost run; `true`: the stream may go on elsewhere.
+    fn may_go_on(&mut self, backend: &BackendServer, cause: Miss, events: u64) -> bool {
         let lost = LostRun {
             backend,
             cause,
             events,
-            attempts: self.attempts,
-            until: self.until,
         };
-        self.relay.note_miss(&self.request, &lost);
-        self.tried.push(backend.id.clone());
+        let (relay, request) = (&self.relay, &self.request);
+        relay.note_miss(request, &lost, &self.attempts);
+        let may_go_on = self.attempts.lost(cause, &backend.id, &self.route);
+        may_go_on && relay.refused_ms(request).is_none()
     }
 
     /// The next leg after a lost one, where there may be one.
     async fn go_on(&mut self, lost: Leg, miss: Miss) -> Option<Leg> {
         let after = lost.reader.last_id();
-        self.note_miss(&lost.backend, miss, lost.events);
+        let mut may_go_on = self.may_go_on(&lost.backend, miss, lost.events);
         lost.place.close(miss.outcome());
         drop(lost.reader);
-        loop {
-            let is_refused = self.relay.refused_ms(&self.request).is_some();
-            if !self.may_go_on() || is_refused || Instant::now() >= self.until {
-                return None;
-            }
+        while may_go_on {
             log::info!(
                 request = self.request.id.as_str(),
                 after = after,
-                attempts = self.attempts,
-                lost = self.tried.last().map(BackendId::as_str);
+                attempts = self.attempts.runs,
+                lost = self.attempts.tried.last().map(BackendId::as_str);
                 "a stream goes on elsewhere"
             );
             let (place, backend) = self.place().await?;
             let begun = Instant::now();
             match self.resume(&backend, after).await {
                 Ok(reader) => {
-                    self.attempts += 1;
+                    self.attempts.runs_now();
                     return Some(Leg {
                         place,
                         backend,
@@ -193,12 +184,12 @@
                     });
                 }
                 Err(miss) => {
-                    self.attempts += u32::from(miss.may_have_run());
                     place.close(miss.outcome());
-                    self.note_miss(&backend, miss, 0);
+                    may_go_on = self.may_go_on(&backend, miss, 0);
                 }
             }
         }
+        None
     }
 
     async fn place(&self) -> Option<(Place, Arc<BackendServer>)> {
@@ -206,8 +197,8 @@
             pool: &self.service,
             urgency: Urgency::Online { priority: 0 },
             slack_ms: u64::from(u32::MAX),
-            avoid: &self.tried,
-            until: self.until,
+            avoid: &self.attempts.tried,
+            until: self.attempts.until,
         };
         self.relay.place(&query).await.ok()
     }
@@ -219,10 +210,10 @@
     ) -> Result<Box<EventReader>, Miss> {
         let exchange = exchange(&self.request, &self.route, after);
         let patience = Duration::from_millis(FIRST_EVENT_PATIENCE_MS);
-        let patience_until = self.until.min(Instant::now() + patience);
+        let patience_until = self.attempts.until.min(Instant::now() + patience);
         let (response, in_use) = self
             .relay
-            .send_to(backend, &exchange, self.until, patience_until)
+            .send_to(backend, &exchange, self.attempts.until, patience_until)
             .await?;
         if !response.status().is_success() {
             return Err(Miss::Failed);
