The time handed on is worked out when the request is written

It was worked out before a connection was opened, so a backend server could be told up to 0.4 s (the limit of a connection) more than was left.

--- a/crates/foxtailhold-relay/src/connections.rs
+++ b/crates/foxtailhold-relay/src/connections.rs
@@ -111,14 +111,14 @@
         all.pop_front().map(|idle| idle.sender)
     }
 
-    /// Sends a request and waits for the head of its answer. Dropping the future closes the
-    /// connection.
+    /// Sends the request that `written` gives when a connection is there, and waits for the head of its
+    /// answer. Dropping the future closes the connection.
     pub async fn send(
         &self,
         backend: &BackendId,
         address: SocketAddr,
-        mut request: Request<Full<Bytes>>,
         is_idempotent: bool,
+        written: impl Fn() -> Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, InUse)> {
         let rest_ms = if is_idempotent { 0 } else { REST_MS };
         let not_sent = |detail: String| SendFailure::NotSent { address, detail };
@@ -135,7 +135,7 @@
                 }
                 return Err(not_sent(error.to_string()));
             }
-            match sender.try_send_request(request).await {
+            match sender.try_send_request(written()).await {
                 Ok(response) => {
                     let in_use = InUse {
                         sender,
@@ -146,7 +146,7 @@
                     return Ok((response, in_use));
                 }
                 Err(mut error) => match error.take_message() {
-                    Some(back) if is_kept => request = back,
+                    Some(_) if is_kept => {}
                     Some(_) => return Err(not_sent(error.into_error().to_string())),
                     None => {
                         let detail = error.into_error().to_string();
--- a/crates/foxtailhold-relay/src/exchange.rs
+++ b/crates/foxtailhold-relay/src/exchange.rs
@@ -114,9 +114,11 @@
         until: Instant,
         patience_until: Instant,
     ) -> Result<(Response<Incoming>, InUse), Miss> {
-        let left = until.saturating_duration_since(Instant::now());
-        let request = self.request(dialect, &backend.id, left.as_millis() as u64);
-        let sending = connections.send(&backend.id, backend.address, request, self.is_idempotent);
+        let written = || {
+            let left = until.saturating_duration_since(Instant::now());
+            self.request(dialect, &backend.id, left.as_millis() as u64)
+        };
+        let sending = connections.send(&backend.id, backend.address, self.is_idempotent, written);
         let sent = match tokio::time::timeout_at(patience_until, sending).await {
             Err(_) => return Err(Miss::Silent),
             Ok(sent) => sent,
