A backend server that starts again is another one; entries of other writers name none

What callers saw: an engine that was down for 3 s and started again under its identity got nothing for the first 400 ms (0 of 66 requests), because what was believed of its earlier start held on. An entry that could not be read was treated like one that lapsed: for up to two seconds the backend server was used on. Entries with an unknown state, or without slots or state, were taken for ready.

Cause: a backend server was known by its identity alone, 'born' was read nowhere; entries were read with defaults.

Fix: a backend server's identifier is its identity with its start, so that places, loads, connections, trouble, lists of tried ones and crashes of one start say nothing of another, also in messages between instances. FleetBook keeps the newest start of each identity: an older one that comes late changes nothing. Requests still name the identity. A place at a start that is not known here yet is asked for again instead of refused and held against the backend server. Entries need all fields with their types and a named state; what cannot be read is dropped at once, counted and written down. Where some entries say their start, one that does not is of another writer.

--- a/crates/foxtailhold-relay/src/dialect.rs
+++ b/crates/foxtailhold-relay/src/dialect.rs
@@ -8,7 +8,7 @@
 pub struct Outgoing<'a> {
     /// Identity of the request, echoed by the backend server.
     pub request_id: &'a str,
-    /// The only backend server that may run it.
+    /// Identity of the only backend server that may run it.
     pub backend: &'a BackendId,
     /// Time left for the answer.
     pub left_ms: u64,
--- a/crates/foxtailhold-relay/src/exchange.rs
+++ b/crates/foxtailhold-relay/src/exchange.rs
@@ -116,7 +116,7 @@
     ) -> Result<(Response<Incoming>, InUse), Miss> {
         let written = || {
             let left = until.saturating_duration_since(Instant::now());
-            self.request(dialect, &backend.id, left.as_millis() as u64)
+            self.request(dialect, &backend.identity, left.as_millis() as u64)
         };
         let sending = connections.send(&backend.id, backend.address, self.is_idempotent, written);
         let sent = match tokio::time::timeout_at(patience_until, sending).await {
--- a/crates/foxtailhold-relay/src/fleet.rs
+++ b/crates/foxtailhold-relay/src/fleet.rs
@@ -15,11 +15,17 @@
 /// The store counts as sound after it has answered for this time without a fault.
 pub const STORE_SOUND_MS: u64 = 3_000;
 
-/// One backend server.
+/// The newest start of an identity is remembered for this time after its entry has gone: longer than any
+/// message or entry of an older one can be late.
+const KNOWN_START_MS: u64 = 600_000;
+
+/// One start of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct BackendServer {
-    /// Its identifier; another start may have the same one.
+    /// Its identifier, another one for each start ([`BackendId::of_start`]).
     pub id: BackendId,
+    /// Its identity, which it may keep when it starts again.
+    pub identity: BackendId,
     /// The service that it serves.
     pub service: TargetName,
     /// Where it listens.
@@ -85,10 +91,18 @@
     missing_since: Option<MonoMs>,
 }
 
-/// The list of backend servers with the entries that have gone missing.
+/// The newest start seen of one identity.
+#[derive(Debug)]
+struct Start {
+    started_unix_ms: u64,
+    seen: MonoMs,
+}
+
+/// The list of backend servers, by identity, with the entries that have gone missing.
 #[derive(Debug, Default)]
 pub struct FleetBook {
     entries: BTreeMap<BackendId, Entry>,
+    starts: HashMap<BackendId, Start>,
     sound_since: Option<MonoMs>,
 }
 
@@ -108,22 +122,42 @@
             .is_some_and(|since| now.since_ms(since) >= STORE_SOUND_MS)
     }
 
-    /// Takes a new or changed entry.
-    pub fn put(&mut self, backend: BackendServer) {
+    /// Takes a new or changed entry. One of an older start than the newest seen is late and changes
+    /// nothing; one without a start, where others of the identity had one, is not its own.
+    pub fn put(&mut self, now: MonoMs, backend: BackendServer) {
+        let started_unix_ms = backend.started_unix_ms;
+        let newest = self.starts.get(&backend.identity);
+        let newest_unix_ms = newest.map_or(0, |start| start.started_unix_ms);
+        if started_unix_ms < newest_unix_ms {
+            if started_unix_ms == 0 {
+                self.refuse(&backend.identity);
+            }
+            return;
+        }
+        let start = Start {
+            started_unix_ms,
+            seen: now,
+        };
+        self.starts.insert(backend.identity.clone(), start);
         let entry = Entry {
             backend: Arc::new(backend),
             missing_since: None,
         };
-        self.entries.insert(entry.backend.id.clone(), entry);
+        self.entries.insert(entry.backend.identity.clone(), entry);
+    }
+
+    /// Drops an entry that cannot be read: it names no backend server to use.
+    pub fn refuse(&mut self, identity: &BackendId) {
+        self.entries.remove(identity);
     }
 
     /// Takes a deleted entry: gone at once while the store is sound, else after a while.
-    pub fn remove(&mut self, now: MonoMs, id: &BackendId) {
+    pub fn remove(&mut self, now: MonoMs, identity: &BackendId) {
         if self.is_store_sound(now) {
-            self.entries.remove(id);
+            self.entries.remove(identity);
             return;
         }
-        if let Some(entry) = self.entries.get_mut(id) {
+        if let Some(entry) = self.entries.get_mut(identity) {
             entry.missing_since.get_or_insert(now);
         }
     }
@@ -133,20 +167,24 @@
         let missing: Vec<BackendId> = self
             .entries
             .keys()
-            .filter(|id| all.iter().all(|backend| backend.id != **id))
+            .filter(|identity| all.iter().all(|backend| backend.identity != **identity))
             .cloned()
             .collect();
-        for id in missing {
-            self.remove(now, &id);
+        for identity in missing {
+            self.remove(now, &identity);
         }
         for backend in all {
-            self.put(backend);
+            self.put(now, backend);
         }
     }
 
     /// Drops entries that have been missing for too long while the store answers; returns whether
     /// any was dropped.
     pub fn expire(&mut self, now: MonoMs) -> bool {
+        let entries = &self.entries;
+        self.starts.retain(|identity, start| {
+            entries.contains_key(identity) || now.since_ms(start.seen) < KNOWN_START_MS
+        });
         let Some(sound_since) = self.sound_since else {
             return false;
         };
@@ -158,11 +196,14 @@
         self.entries.len() != before
     }
 
-    /// A snapshot of those that take new work.
+    /// A snapshot of those that take new work. Where some say when they started all do, and an entry
+    /// that does not is of another writer.
     pub fn snapshot(&self) -> Backends {
+        let says_start = |entry: &Entry| entry.backend.started_unix_ms > 0;
+        let some_say_start = self.entries.values().any(says_start);
         let mut backends = Backends::default();
         for entry in self.entries.values() {
-            if entry.backend.is_leaving {
+            if entry.backend.is_leaving || (some_say_start && !says_start(entry)) {
                 continue;
             }
             let service = entry.backend.service.clone();
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -6,13 +6,11 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use foxtailhold::ids::{AvailabilityZone, BackendId, InstanceId};
+use foxtailhold::ids::{AvailabilityZone, InstanceId};
 use foxtailhold::routes::RouteTable;
 use foxtailhold_http::server::{Server, ServerError};
-use foxtailhold_platform::{
-    Changes, Committed, ObjectStore, RowKey, RowStore, Snapshot, VersionedRow,
-};
-use parking_lot::{Mutex, MutexGuard};
+use foxtailhold_platform::{Changes, Committed, ObjectStore, RowKey, RowStore};
+use parking_lot::Mutex;
 use thiserror::Error;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
@@ -20,23 +18,22 @@
 
 use crate::connections::Connections;
 use crate::crash_rows::keep_crashes;
-use crate::crashes::CRASH_PREFIX;
 use crate::dialect::Dialect;
-use crate::fleet::{BackendServer, Backends, FleetBook};
-use crate::follow::{Sink, follow};
+use crate::feeds::{Fleet, MembersSink, RoutesSink};
+use crate::fleet::{Backends, FleetBook};
+use crate::follow::follow;
 use crate::jobs::{BookSink, JOBS_TABLE, JobBook, JobStore, Jobs, own_jobs, sweep_jobs};
 use crate::metrics::RelayMetrics;
 use crate::peers::{INSTANCES_TABLE, Member, Peers};
 use crate::plain::PlainLoads;
 use crate::relay::Relay;
 use crate::shared_store::SharedStore;
+use crate::sources::Sources;
 use foxtailhold_http::clock::Clock;
 
 /// Result of starting an instance.
 pub type Result<T> = std::result::Result<T, InstanceError>;
 
-/// Pause between two looks at entries that time alone changes.
-const LOOK_MS: u64 = 200;
 /// Rows of instances that are down for this time are deleted.
 const LAPSED_MS: u64 = 15_000;
 /// Pause before a failed write of the own row is tried again.
@@ -58,32 +55,6 @@
     Serve(#[from] ServerError),
 }
 
-/// Why a row of the platform cannot be used.
-#[derive(Debug, Clone, PartialEq, Eq, Error)]
-#[error("row {key} cannot be used: {detail}")]
-pub struct RowError {
-    /// Its key.
-    pub key: String,
-    /// What is wrong.
-    pub detail: String,
-}
-
-/// Where the platform keeps routes and backend servers, and how they are read.
-pub trait Sources: Clone + Send + Sync + 'static {
-    /// Table and key of the routes.
-    fn routes_at(&self) -> (&'static str, &'static str);
-
-    /// Table of backend servers, one row each.
-    fn backends_at(&self) -> &'static str;
-
-    /// Reads the routes.
-    fn read_routes(&self, value: &[u8]) -> std::result::Result<RouteTable, RowError>;
-
-    /// Reads a backend server; `key` is its identifier.
-    fn read_backend(&self, key: &str, value: &[u8])
-    -> std::result::Result<BackendServer, RowError>;
-}
-
 /// Who this instance is.
 #[derive(Debug, Clone)]
 pub struct Identity {
@@ -309,195 +280,3 @@
         }
     }
 }
-
-/// Feeds routes.
-struct RoutesSink<D, R> {
-    relay: Arc<Relay<D>>,
-    fleet: Fleet<D, R>,
-    sources: R,
-}
-
-impl<D: Dialect, R: Sources> RoutesSink<D, R> {
-    fn take(&self, rows: &[VersionedRow]) {
-        let key = self.sources.routes_at().1;
-        for row in rows {
-            if row.key.key != key {
-                continue;
-            }
-            let Some(value) = &row.value else {
-                log::warn!("the routes were deleted; the last ones stay in force");
-                continue;
-            };
-            match self.sources.read_routes(value) {
-                Ok(table) => self.apply(table),
-                Err(error) => log::error!(row = row.version; "routes refused: {error}"),
-            }
-        }
-    }
-
-    fn apply(&self, table: RouteTable) {
-        let known = self.relay.routes.load().version();
-        if table.version() <= known {
-            return;
-        }
-        log::info!(version = table.version(), before = known; "routes in force");
-        self.relay.routes.store(Arc::new(table));
-        self.fleet.publish();
-    }
-}
-
-impl<D: Dialect, R: Sources> Sink for RoutesSink<D, R> {
-    fn replace(&mut self, snapshot: Snapshot) {
-        self.take(&snapshot.rows);
-    }
-
-    fn change(&mut self, rows: Vec<VersionedRow>) {
-        self.take(&rows);
-    }
-
-    fn answered(&mut self, _is_sound: bool) {}
-}
-
-/// Feeds backend servers.
-struct Fleet<D, R> {
-    relay: Arc<Relay<D>>,
-    book: Arc<Mutex<FleetBook>>,
-    sources: R,
-    known: watch::Sender<bool>,
-}
-
-impl<D, R: Clone> Clone for Fleet<D, R> {
-    fn clone(&self) -> Self {
-        Fleet {
-            relay: Arc::clone(&self.relay),
-            book: Arc::clone(&self.book),
-            sources: self.sources.clone(),
-            known: self.known.clone(),
-        }
-    }
-}
-
-impl<D: Dialect, R: Sources> Fleet<D, R> {
-    fn book(&self) -> MutexGuard<'_, FleetBook> {
-        self.book.lock()
-    }
-
-    fn read(&self, row: &VersionedRow) -> Option<BackendServer> {
-        let value = row.value.as_ref()?;
-        match self.sources.read_backend(&row.key.key, value) {
-            Ok(backend) => Some(backend),
-            Err(error) => {
-                log::warn!("{error}");
-                None
-            }
-        }
-    }
-
-    /// Publishes who takes new work.
-    fn publish(&self) {
-        let snapshot = self.book().snapshot();
-        let routes = self.relay.routes.load();
-        for engine in routes.engines() {
-            let places = snapshot.places(engine);
-            self.relay.peers.set_backends(engine, &places);
-        }
-        self.relay.connections.keep_only(|id| snapshot.has(id));
-        self.relay.plain.keep_only(|id| snapshot.has(id));
-        self.relay.backends.store(Arc::new(snapshot));
-        self.known.send_replace(true);
-    }
-
-    /// Drops entries that have been missing for too long.
-    async fn expire(self) {
-        loop {
-            tokio::time::sleep(Duration::from_millis(LOOK_MS)).await;
-            let now = self.relay.clock.mono();
-            if self.book().expire(now) {
-                self.publish();
-            }
-        }
-    }
-}
-
-impl<D: Dialect, R: Sources> Sink for Fleet<D, R> {
-    fn replace(&mut self, snapshot: Snapshot) {
-        let all = snapshot.rows.iter().filter_map(|row| self.read(row));
-        let all: Vec<BackendServer> = all.collect();
-        log::info!(backends = all.len(), version = snapshot.version; "backend servers read");
-        let now = self.relay.clock.mono();
-        self.book().replace(now, all);
-        self.publish();
-    }
-
-    fn change(&mut self, rows: Vec<VersionedRow>) {
-        let now = self.relay.clock.mono();
-        for row in &rows {
-            if let Some(backend) = self.read(row) {
-                log::info!(
-                    backend = backend.id.as_str(), leaving = backend.is_leaving,
-                    started_unix_ms = backend.started_unix_ms, version = row.version; "backend server listed"
-                );
-                self.book().put(backend);
-                continue;
-            }
-            match BackendId::try_from(row.key.key.as_str()) {
-                Ok(id) => {
-                    log::info!(backend = id.as_str(), version = row.version; "backend server removed");
-                    self.book().remove(now, &id);
-                }
-                Err(error) => log::warn!("row {}: {error}", row.key.key),
-            }
-        }
-        self.publish();
-    }
-
-    fn answered(&mut self, is_sound: bool) {
-        let now = self.relay.clock.mono();
-        match is_sound {
-            true => self.book().store_answered(now),
-            false => self.book().store_failed(),
-        }
-    }
-}
-
-/// Feeds instances.
-struct MembersSink(Peers);
-
-impl MembersSink {
-    fn take(&self, rows: &[VersionedRow]) {
-        let mut members = self.0.members();
-        for row in rows {
-            if let Some(key) = row.key.key.strip_prefix(CRASH_PREFIX) {
-                self.0.crashes().take_row(key, row);
-                continue;
-            }
-            let Ok(instance) = InstanceId::try_from(row.key.key.as_str()) else {
-                log::warn!("row {} is no instance", row.key.key);
-                continue;
-            };
-            let Some(value) = &row.value else {
-                members.remove(&instance);
-                continue;
-            };
-            match serde_json::from_slice::<Member>(value) {
-                Ok(member) => members.put(row.version, member),
-                Err(error) => log::warn!("instance {instance} cannot be read: {error}"),
-            }
-        }
-        drop(members);
-        self.0.members_changed();
-    }
-}
-
-impl Sink for MembersSink {
-    fn replace(&mut self, snapshot: Snapshot) {
-        self.0.members().clear();
-        self.take(&snapshot.rows);
-    }
-
-    fn change(&mut self, rows: Vec<VersionedRow>) {
-        self.take(&rows);
-    }
-
-    fn answered(&mut self, _is_sound: bool) {}
-}
--- a/crates/foxtailhold-relay/src/metrics.rs
+++ b/crates/foxtailhold-relay/src/metrics.rs
@@ -57,6 +57,7 @@
     store_calls: Family<CallLabels, Counter>,
     items: Family<ItemLabel, Counter>,
     lost_runs: Family<CauseLabel, Counter>,
+    unreadable_rows: Counter,
 }
 
 impl Default for RelayMetrics {
@@ -76,6 +77,9 @@
         let lost_runs = Family::default();
         let help = "Runs of requests and batch items that gave no answer";
         registry.register("lost_runs", help, lost_runs.clone());
+        let unreadable_rows = Counter::default();
+        let help = "Rows of backend servers that cannot be read";
+        registry.register("unreadable_rows", help, unreadable_rows.clone());
         RelayMetrics {
             registry: Arc::new(Mutex::new(registry)),
             answers,
@@ -84,6 +88,7 @@
             store_calls,
             items,
             lost_runs,
+            unreadable_rows,
         }
     }
 }
@@ -125,6 +130,11 @@
         self.lost_runs.get_or_create(&CauseLabel { cause }).inc();
     }
 
+    /// Counts a row of a backend server that cannot be read.
+    pub fn unreadable_row(&self) {
+        self.unreadable_rows.inc();
+    }
+
     /// All metrics in the text format.
     pub fn text(&self) -> Result<String, std::fmt::Error> {
         let registry = self.registry.lock();
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -29,6 +29,9 @@
 const PAUSE_FACTOR: u64 = 3;
 /// Shortest pause that counts as silence.
 const LEAST_PAUSE_MS: u64 = 600;
+/// Places asked for where the backend servers granted are not known here: instances learn of changes
+/// within milliseconds of each other.
+const PLACE_TRIES: u32 = 3;
 /// Callers of a plain service without room come back after this time: some requests are done then.
 pub const PLAIN_RETRY_AFTER_MS: u64 = 120;
 
@@ -140,17 +143,25 @@
         &self,
         query: &PlaceQuery<'_>,
     ) -> Result<(Place, Arc<BackendServer>), NoPlace> {
-        let place = self.peers.acquire(query).await?;
-        let backends = self.backends.load();
-        match backends.find(query.pool, place.backend()) {
-            Some(backend) => Ok((place, Arc::clone(backend))),
-            None => {
-                place.close(Outcome::Unreachable);
-                Err(NoPlace::Refused {
-                    retry_after_ms: PLAIN_RETRY_AFTER_MS,
-                })
+        let mut avoid = query.avoid.to_vec();
+        for _ in 0..PLACE_TRIES {
+            let query = PlaceQuery {
+                avoid: &avoid,
+                ..query.clone()
+            };
+            let place = self.peers.acquire(&query).await?;
+            let backends = self.backends.load();
+            if let Some(backend) = backends.find(query.pool, place.backend()) {
+                return Ok((place, Arc::clone(backend)));
             }
+            // The allocator has heard of a start that is not known here yet, or the other way round.
+            log::info!(backend = place.backend().as_str(); "a place where no backend server is known");
+            avoid.push(place.backend().clone());
+            place.close(Outcome::Abandoned);
         }
+        Err(NoPlace::Refused {
+            retry_after_ms: PLAIN_RETRY_AFTER_MS,
+        })
     }
 }
 
--- a/crates/foxtailhold/src/ids.rs
+++ b/crates/foxtailhold/src/ids.rs
@@ -117,6 +117,18 @@
     BackendId,
     "backend server id"
 );
+impl BackendId {
+    /// The identifier of one start of a backend server that keeps its identity when it starts again.
+    /// Whatever is known of one start, by this identifier, says nothing of another. Where the start is
+    /// not known (0) the identity stands for it.
+    pub fn of_start(identity: &BackendId, started_unix_ms: u64) -> Result<Self> {
+        if started_unix_ms == 0 {
+            return Ok(identity.clone());
+        }
+        BackendId::try_from(format!("{identity}:{started_unix_ms}"))
+    }
+}
+
 id!(
     /// One customer, the holder of one contract.
     CustomerId,
