A request that was refused as crashing is soon on probation

A request that always has the same body (a status ping) would have been refused for 10 minutes after all backend servers of its service closed connections for a moment.

Was 10 minutes, doubled with each crash.

--- a/crates/foxtailhold-relay/src/crashes.rs
+++ b/crates/foxtailhold-relay/src/crashes.rs
@@ -4,9 +4,9 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
-use foxtailhold::crashes::{CrashBook, Evidence, MOST_CRASHES};
-use foxtailhold::quarantine::{CrashId, Fingerprint, Standing};
-use foxtailhold::time::WallMs;
+use foxtailhold::crashes::{CrashBook, Evidence, MOST_CRASHES, Standing};
+use foxtailhold::quarantine::{CrashId, Fingerprint};
+use foxtailhold::time::{MonoMs, WallMs};
 use foxtailhold_platform::VersionedRow;
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -16,12 +16,17 @@
 /// Evidence is kept in the store from so many crashes on: one is what each neighbour of a crash has,
 /// and all that the loss of all instances can make forgotten.
 const KEPT_CRASHES: usize = 2;
+/// A request on probation may run again after this time where its run came to nothing, longer than runs
+/// usually last.
+const PROBATION_RUN_MS: u64 = 5_000;
 
 #[derive(Debug, Default)]
 struct Known {
     book: CrashBook,
     /// Versions of the rows.
     rows: HashMap<Fingerprint, u64>,
+    /// When requests on probation were let through here.
+    let_through: HashMap<Fingerprint, MonoMs>,
     /// Rows that differ from what this instance saw itself.
     unkept: BTreeSet<Fingerprint>,
 }
@@ -44,6 +49,17 @@
         self.known.lock().book.standing(fingerprint, now)
     }
 
+    /// Whether a request on probation may run now: one at a time.
+    pub fn let_through(&self, fingerprint: Fingerprint, now: MonoMs) -> bool {
+        let mut known = self.known.lock();
+        let before = known.let_through.get(&fingerprint);
+        if before.is_some_and(|at| now.since_ms(*at) < PROBATION_RUN_MS) {
+            return false;
+        }
+        known.let_through.insert(fingerprint, now);
+        true
+    }
+
     /// How many backend servers a request has crashed.
     pub fn count(&self, fingerprint: Fingerprint) -> usize {
         self.known.lock().book.crashes(fingerprint)
@@ -83,6 +99,7 @@
         if !known.book.clear(fingerprint) {
             return false;
         }
+        known.let_through.remove(&fingerprint);
         if known.rows.contains_key(&fingerprint) {
             known.unkept.insert(fingerprint);
             self.changed.notify_one();
@@ -152,6 +169,9 @@
     pub fn expire(&self, now: WallMs) -> Vec<Fingerprint> {
         let mut known = self.known.lock();
         let mut over = known.book.expire(now);
+        for fingerprint in &over {
+            known.let_through.remove(fingerprint);
+        }
         over.retain(|fingerprint| known.rows.contains_key(fingerprint));
         over
     }
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -15,6 +15,7 @@
 
 use foxtailhold::ids::{AvailabilityZone, BackendId, InstanceId, TargetName};
 use foxtailhold::quarantine::{CrashId, Fingerprint};
+use foxtailhold::rendezvous;
 use foxtailhold::slots::{
     Allocator, Ask, AskId, Decision, Held, Outcome, Places, Urgency, Verdict,
 };
@@ -108,6 +109,14 @@
         &self.inner.crashes
     }
 
+    /// Whether this instance is the one of those that live to decide about `key`.
+    pub fn is_home(&self, key: &[u8]) -> bool {
+        let members = self.members();
+        let live = members.live(self.now());
+        let home = rendezvous::home(live.iter().map(|member| &member.instance), key);
+        home.is_none_or(|home| home == self.me())
+    }
+
     /// Notes that a backend server was lost under a request, and tells the other instances.
     pub fn crashed(&self, fingerprint: Fingerprint, crash: CrashId) {
         let new = self.inner.crashes.crashed(fingerprint, crash, self.wall());
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -3,8 +3,8 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use foxtailhold::crashes::EARLY_EVENTS;
-use foxtailhold::quarantine::{Fingerprint, Standing};
+use foxtailhold::crashes::{EARLY_EVENTS, Standing};
+use foxtailhold::quarantine::Fingerprint;
 use foxtailhold::routes::{Route, RouteTable};
 use foxtailhold::slots::Outcome;
 use foxtailhold_http::clock::Clock;
@@ -29,6 +29,9 @@
 const PAUSE_FACTOR: u64 = 3;
 /// Shortest pause that counts as silence.
 const LEAST_PAUSE_MS: u64 = 600;
+/// Callers of a request on probation come back after this time, perhaps at the instance that lets it
+/// through.
+const PROBATION_RETRY_AFTER_MS: u64 = 1_000;
 /// Places asked for where the backend servers granted are not known here: instances learn of changes
 /// within milliseconds of each other.
 const PLACE_TRIES: u32 = 3;
@@ -132,9 +135,15 @@
         if crashes.is_empty() {
             return None;
         }
-        match crashes.standing(request.fingerprint(), self.clock.wall()) {
-            Standing::Convicted { left_ms } => Some(left_ms),
-            Standing::Clear | Standing::Suspect => None,
+        let fingerprint = request.fingerprint();
+        match crashes.standing(fingerprint, self.clock.wall()) {
+            Standing::Free => None,
+            Standing::Refused { left_ms } => Some(left_ms),
+            Standing::OnProbation => {
+                let may_run = self.peers.is_home(&fingerprint.0.to_be_bytes())
+                    && crashes.let_through(fingerprint, self.clock.mono());
+                (!may_run).then_some(PROBATION_RETRY_AFTER_MS)
+            }
         }
     }
 
--- a/crates/foxtailhold/src/crashes.rs
+++ b/crates/foxtailhold/src/crashes.rs
@@ -9,20 +9,34 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::quarantine::{
-    CONVICTED_MS, CrashId, Fingerprint, MOST_KEPT, PROBATION_MS, SUSPECT_MS, Standing,
-};
+use crate::quarantine::{CrashId, Fingerprint, MOST_KEPT, PROBATION_MS, SUSPECT_MS};
 use crate::time::WallMs;
 
 /// Crashes after which a request is refused. A neighbour on the same backend servers has to be hit
 /// three times in a row before it has run, which is rare; each more costs a backend server.
 pub const MOST_CRASHES: usize = 3;
-/// Runs of a batch item after that: it may not be given up before its time, and may be innocent.
+/// Runs after that. What was refused may be innocent: connections also end where a backend server has
+/// too many of them.
 pub const LATE_RUNS: usize = 3;
+/// Time of refusal after [`MOST_CRASHES`], and after the crash of each late run. The first ones are short, so
+/// that an innocent request is soon served again; after the last late run nobody waits for the end.
+pub const REFUSED_MS: [u64; LATE_RUNS + 1] = [10_000, 20_000, 40_000, 86_400_000];
 /// Events after which a run has shown that its request does not crash what begins to run it.
 pub const EARLY_EVENTS: u64 = 8;
-/// The time of refusal doubles with each further crash, up to so many times.
-const MOST_DOUBLINGS: usize = 7;
+
+/// How a request stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// It may run.
+    Free,
+    /// It was refused for its time, and may run once, alone, to show whether it is innocent.
+    OnProbation,
+    /// It is refused.
+    Refused {
+        /// How long.
+        left_ms: u64,
+    },
+}
 
 /// The crashes of one request.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -44,8 +58,8 @@
 
     /// Until when the request is refused.
     fn refused_until(&self) -> Option<u64> {
-        let doublings = self.crashes.len().checked_sub(MOST_CRASHES)?;
-        let refused_ms = CONVICTED_MS << doublings.min(MOST_DOUBLINGS);
+        let late = self.crashes.len().checked_sub(MOST_CRASHES)?;
+        let refused_ms = REFUSED_MS[late.min(LATE_RUNS)];
         Some(self.last_unix_ms.saturating_add(refused_ms))
     }
 
@@ -119,14 +133,13 @@
 
     /// How a request stands.
     pub fn standing(&self, fingerprint: Fingerprint, now: WallMs) -> Standing {
-        let Some(evidence) = self.known.get(&fingerprint) else {
-            return Standing::Clear;
-        };
-        match evidence.refused_until() {
-            Some(until) if until > now.0 => Standing::Convicted {
+        let evidence = self.known.get(&fingerprint);
+        match evidence.and_then(Evidence::refused_until) {
+            None => Standing::Free,
+            Some(until) if until > now.0 => Standing::Refused {
                 left_ms: until - now.0,
             },
-            _ => Standing::Suspect,
+            Some(_) => Standing::OnProbation,
         }
     }
 
