--- a/crates/foxtailhold-relay/src/crashes.rs
+++ b/crates/foxtailhold-relay/src/crashes.rs
@@ -93,18 +93,18 @@
         self.known.lock().book.join(fingerprint, evidence);
     }
 
-    /// Notes that a request was seen to run; returns whether anything was known against it.
+    /// Notes that a request was seen to run; returns whether others should hear of it. One crash is held
+    /// against every neighbour of one, does no harm and expires.
     pub fn clear(&self, fingerprint: Fingerprint) -> bool {
         let mut known = self.known.lock();
-        if !known.book.clear(fingerprint) {
-            return false;
-        }
+        let crashes = known.book.crashes(fingerprint);
+        known.book.clear(fingerprint);
         known.let_through.remove(&fingerprint);
         if known.rows.contains_key(&fingerprint) {
             known.unkept.insert(fingerprint);
             self.changed.notify_one();
         }
-        true
+        crashes >= KEPT_CRASHES
     }
 
     /// Takes a row; `key` is without its prefix.
--- a/crates/foxtailhold-relay/src/fleet.rs
+++ b/crates/foxtailhold-relay/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Backend servers as the platform lists them, and how long a missing entry is still used.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -196,14 +196,17 @@
         self.entries.len() != before
     }
 
-    /// A snapshot of those that take new work. Where some say when they started all do, and an entry
-    /// that does not is of another writer.
+    /// A snapshot of those that take new work. Where some of a service say when they started all do, and
+    /// an entry that does not is of another writer.
     pub fn snapshot(&self) -> Backends {
-        let says_start = |entry: &Entry| entry.backend.started_unix_ms > 0;
-        let some_say_start = self.entries.values().any(says_start);
+        let all = self.entries.values().map(|entry| &entry.backend);
+        let saying = all.filter(|backend| backend.started_unix_ms > 0);
+        let saying: HashSet<&TargetName> = saying.map(|backend| &backend.service).collect();
         let mut backends = Backends::default();
         for entry in self.entries.values() {
-            if entry.backend.is_leaving || (some_say_start && !says_start(entry)) {
+            let lacks_start = entry.backend.started_unix_ms == 0;
+            let is_foreign = lacks_start && saying.contains(&entry.backend.service);
+            if entry.backend.is_leaving || is_foreign {
                 continue;
             }
             let service = entry.backend.service.clone();
--- a/crates/foxtailhold-relay/src/jobs/item.rs
+++ b/crates/foxtailhold-relay/src/jobs/item.rs
@@ -61,7 +61,7 @@
     partials: &'a Partials,
     account: RunAccount,
     /// Whether the present run is written down as begun.
-    is_marked: bool,
+    is_begin_recorded: bool,
     /// Losses in a row without a new event.
     vain_losses: u32,
     avoid: Vec<BackendId>,
@@ -85,7 +85,7 @@
             item,
             partials,
             account: RunAccount::default(),
-            is_marked: false,
+            is_begin_recorded: false,
             vain_losses: 0,
             avoid: Vec::new(),
             last: None,
@@ -342,8 +342,8 @@
                 return Run::Unfinished;
             }
         };
-        self.is_marked = self.events() == 0 && self.account.needs_mark(job.lost_owners);
-        if self.is_marked {
+        self.is_begin_recorded = self.events() == 0 && self.account.records_begin(job.lost_owners);
+        if self.is_begin_recorded {
             self.keep_account(self.account.begun()).await;
         }
         if !self.is_wanted() {
@@ -462,7 +462,7 @@
                     place.sign();
                     self.take(&event, reader.last_id());
                     events += 1;
-                    if events == 1 && self.is_marked {
+                    if events == 1 && self.is_begin_recorded {
                         let mut account = self.account;
                         account.note_events();
                         self.keep_account(account).await;
--- a/crates/foxtailhold/src/run_account.rs
+++ b/crates/foxtailhold/src/run_account.rs
@@ -39,8 +39,8 @@
         }
     }
 
-    /// Whether the next run has to be written down before it begins.
-    pub fn needs_mark(&self, lost_owners: u32) -> bool {
+    /// Whether the beginning of the next run is written down first.
+    pub fn records_begin(&self, lost_owners: u32) -> bool {
         lost_owners > 0 || *self != RunAccount::default()
     }
 
--- a/crates/foxtailhold/tests/run_account.rs
+++ b/crates/foxtailhold/tests/run_account.rs
@@ -53,7 +53,7 @@
             if account.next_run(most_failed) != NextRun::Allowed {
                 return runs;
             }
-            if account.needs_mark(lost_owners) {
+            if account.records_begin(lost_owners) {
                 written = Some(account.begun());
             }
             runs += 1;
