--- a/crates/foxtailhold-entry/src/gateway/dispatch.rs
+++ b/crates/foxtailhold-entry/src/gateway/dispatch.rs
@@ -61,14 +61,14 @@
     pub deadline: Option<(MonoMs, u64)>,
     /// Whether it may be sent to a backend server after another one may have run it.
     pub repeatable: bool,
-    /// Whether it may be sent only while this instance's lease is held.
-    pub under_lease: bool,
+    /// The epoch of this instance's lease under which alone it may be sent, where that is bounded.
+    pub lease_epoch: Option<u64>,
 }
 
 impl Outgoing {
     /// Until when it may be sent, where that is bounded.
     pub fn not_after<P: Platform>(&self, shared: &Shared<P>) -> Option<Instant> {
-        self.under_lease.then(|| shared.acts_until())
+        self.lease_epoch.map(|epoch| shared.acts_until(epoch))
     }
 }
 
--- a/crates/foxtailhold-entry/src/gateway/infer.rs
+++ b/crates/foxtailhold-entry/src/gateway/infer.rs
@@ -48,7 +48,7 @@
         max_tokens: request.max_tokens,
         deadline: deadline_ms.map(|wait_ms| (now + wait_ms, wait_ms)),
         repeatable: !request.context.never_repeat,
-        under_lease: false,
+        lease_epoch: None,
     }
 }
 
--- a/crates/foxtailhold-entry/src/jobs/item.rs
+++ b/crates/foxtailhold-entry/src/jobs/item.rs
@@ -8,6 +8,7 @@
 use foxtailhold::time::WallMs;
 use foxtailhold_engine::WholeAnswer;
 use foxtailhold_platform::Platform;
+use tokio::time::Instant;
 
 use crate::gateway::dispatch::Outgoing;
 use crate::jobs::item_body::ItemBody;
@@ -55,7 +56,7 @@
     /// Whether the job's lease is held now. Asked before each sending to an engine, which takes no
     /// fencing number: a process that was paused learns of a lapse a moment after it goes on.
     pub fn is_owned<P: Platform>(&self, shared: &Shared<P>) -> bool {
-        shared.lease_epoch() == Some(self.epoch)
+        Instant::now() < shared.acts_until(self.epoch)
     }
 
     fn result(&self, id: &RequestId) -> ItemResult {
@@ -80,7 +81,7 @@
             max_tokens: body.max_tokens,
             deadline: None,
             repeatable: true,
-            under_lease: true,
+            lease_epoch: Some(self.epoch),
         }
     }
 
--- a/crates/foxtailhold-entry/src/shared.rs
+++ b/crates/foxtailhold-entry/src/shared.rs
@@ -227,9 +227,9 @@
         members.iter().find(|member| member.id == *id).cloned()
     }
 
-    /// Until when this instance may act on its lease; the present where it holds none.
-    pub fn acts_until(&self) -> Instant {
-        let until = self.lease.load().acts_until();
+    /// Until when this instance may act on work owned under `epoch`; the present where it may not.
+    pub fn acts_until(&self, epoch: u64) -> Instant {
+        let until = self.lease.load().acts_until(epoch);
         until.map_or_else(Instant::now, |until| self.clock.instant(until))
     }
 
--- a/crates/foxtailhold/src/lease.rs
+++ b/crates/foxtailhold/src/lease.rs
@@ -36,13 +36,14 @@
     /// The fencing number, while the holder may act at `now`.
     pub fn epoch_at(&self, now: MonoMs) -> Option<u64> {
         let (epoch, _) = self.held?;
-        (now < self.acts_until()?).then_some(epoch)
+        (now < self.acts_until(epoch)?).then_some(epoch)
     }
 
-    /// Until when the holder may act; `None` where it holds nothing.
-    pub fn acts_until(&self) -> Option<MonoMs> {
-        let (_, sent_at) = self.held?;
-        Some(sent_at + (LEASE_TERM_MS - LEASE_MARGIN_MS))
+    /// Until when the holder may act on work owned under `epoch`; `None` where it holds nothing, or
+    /// another epoch.
+    pub fn acts_until(&self, epoch: u64) -> Option<MonoMs> {
+        let (held, sent_at) = self.held?;
+        (held == epoch).then_some(sent_at + (LEASE_TERM_MS - LEASE_MARGIN_MS))
     }
 }
 
