--- a/crates/foxtailhold-relay/src/crash_rows.rs
+++ b/crates/foxtailhold-relay/src/crash_rows.rs
@@ -1,4 +1,4 @@
-//! Keeps evidence against requests in the platform's store, so that it outlives all instances.
+//! Persists evidence against requests in the platform's store, so that it outlives all instances.
 
 use std::time::Duration;
 
@@ -14,7 +14,7 @@
 const PAUSE_MS: u64 = 250;
 
 /// Writes, deletes and sweeps rows until aborted.
-pub async fn keep_crashes<S: RowStore>(store: S, peers: Peers) {
+pub async fn persist_crashes<S: RowStore>(store: S, peers: Peers) {
     let crashes = peers.crashes();
     loop {
         tokio::select! {
@@ -22,12 +22,12 @@
             () = tokio::time::sleep(Duration::from_millis(LOOK_MS)) => sweep(&store, &peers).await,
         }
         loop {
-            let unkept = crashes.take_unkept();
-            if unkept.is_empty() {
+            let dirty = crashes.take_dirty();
+            if dirty.is_empty() {
                 break;
             }
-            for fingerprint in unkept {
-                keep(&store, crashes, fingerprint).await;
+            for fingerprint in dirty {
+                persist(&store, crashes, fingerprint).await;
             }
         }
     }
@@ -40,18 +40,18 @@
         return;
     }
     for fingerprint in over {
-        keep(store, peers.crashes(), fingerprint).await;
+        persist(store, peers.crashes(), fingerprint).await;
     }
 }
 
-async fn keep<S: RowStore>(store: &S, crashes: &Crashes, fingerprint: Fingerprint) {
+async fn persist<S: RowStore>(store: &S, crashes: &Crashes, fingerprint: Fingerprint) {
     loop {
         match write(store, crashes, fingerprint).await {
             Ok(true) => return,
             Ok(false) => {}
             // A write without an answer may take effect later; then the next one finds its version.
             Err(error) => {
-                log::warn!(fingerprint:% = fingerprint; "evidence not kept: {error}");
+                log::warn!(fingerprint:% = fingerprint; "evidence not persisted: {error}");
                 tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
             }
         }
@@ -84,12 +84,12 @@
     }
     match store.commit(&changes).await? {
         Committed::At(version) => {
-            crashes.kept(fingerprint, has_evidence.then_some(version));
+            crashes.persisted(fingerprint, has_evidence.then_some(version));
             Ok(true)
         }
         Committed::Conflict(rows) => {
             if rows.is_empty() {
-                crashes.kept(fingerprint, None);
+                crashes.persisted(fingerprint, None);
             }
             for row in &rows {
                 if let Some(key) = row.key.key.strip_prefix(CRASH_PREFIX) {
--- a/crates/foxtailhold-relay/src/crashes.rs
+++ b/crates/foxtailhold-relay/src/crashes.rs
@@ -13,9 +13,9 @@
 
 /// Prefix of the keys of evidence.
 pub const CRASH_PREFIX: &str = "crash/";
-/// Evidence is kept in the store from so many crashes on: one is what each neighbour of a crash has,
+/// Evidence is persisted from so many crashes on: one is what each neighbour of a crash has,
 /// and all that the loss of all instances can make forgotten.
-const KEPT_CRASHES: usize = 2;
+const PERSISTED_CRASHES: usize = 2;
 /// A request on probation may run again after this time where its run came to nothing, longer than runs
 /// usually last.
 const PROBATION_RUN_MS: u64 = 5_000;
@@ -25,10 +25,10 @@
     book: CrashBook,
     /// Versions of the rows.
     rows: HashMap<Fingerprint, u64>,
-    /// When requests on probation were let through here.
-    let_through: HashMap<Fingerprint, MonoMs>,
+    /// When requests on probation were admitted here.
+    probation_runs: HashMap<Fingerprint, MonoMs>,
     /// Rows that differ from what this instance saw itself.
-    unkept: BTreeSet<Fingerprint>,
+    dirty: BTreeSet<Fingerprint>,
 }
 
 /// Evidence of all instances, cheap to clone.
@@ -50,13 +50,13 @@
     }
 
     /// Whether a request on probation may run now: one at a time.
-    pub fn let_through(&self, fingerprint: Fingerprint, now: MonoMs) -> bool {
+    pub fn admit_on_probation(&self, fingerprint: Fingerprint, now: MonoMs) -> bool {
         let mut known = self.known.lock();
-        let before = known.let_through.get(&fingerprint);
+        let before = known.probation_runs.get(&fingerprint);
         if before.is_some_and(|at| now.since_ms(*at) < PROBATION_RUN_MS) {
             return false;
         }
-        known.let_through.insert(fingerprint, now);
+        known.probation_runs.insert(fingerprint, now);
         true
     }
 
@@ -81,15 +81,15 @@
             refused = crashes >= MOST_CRASHES;
             "a backend server was lost under a request"
         );
-        if crashes >= KEPT_CRASHES {
-            known.unkept.insert(fingerprint);
+        if crashes >= PERSISTED_CRASHES {
+            known.dirty.insert(fingerprint);
             self.changed.notify_one();
         }
         Some(evidence)
     }
 
-    /// Takes what another instance knows.
-    pub fn heard(&self, fingerprint: Fingerprint, evidence: &Evidence) {
+    /// Merges what another instance knows.
+    pub fn merge(&self, fingerprint: Fingerprint, evidence: &Evidence) {
         self.known.lock().book.join(fingerprint, evidence);
     }
 
@@ -99,12 +99,12 @@
         let mut known = self.known.lock();
         let crashes = known.book.crashes(fingerprint);
         known.book.clear(fingerprint);
-        known.let_through.remove(&fingerprint);
+        known.probation_runs.remove(&fingerprint);
         if known.rows.contains_key(&fingerprint) {
-            known.unkept.insert(fingerprint);
+            known.dirty.insert(fingerprint);
             self.changed.notify_one();
         }
-        crashes >= KEPT_CRASHES
+        crashes >= PERSISTED_CRASHES
     }
 
     /// Takes a row; `key` is without its prefix.
@@ -144,8 +144,8 @@
     }
 
     /// Takes the rows that have to be written or deleted.
-    pub fn take_unkept(&self) -> BTreeSet<Fingerprint> {
-        std::mem::take(&mut self.known.lock().unkept)
+    pub fn take_dirty(&self) -> BTreeSet<Fingerprint> {
+        std::mem::take(&mut self.known.lock().dirty)
     }
 
     /// A row as it should be, `None` where it should be deleted, and the version that it has, 0 where
@@ -156,8 +156,8 @@
         (known.book.evidence(fingerprint).cloned(), version)
     }
 
-    /// Notes that the store has a row; `None`: it was deleted.
-    pub fn kept(&self, fingerprint: Fingerprint, version: Option<u64>) {
+    /// Notes the version of a row that was written; `None`: it was deleted.
+    pub fn persisted(&self, fingerprint: Fingerprint, version: Option<u64>) {
         let mut known = self.known.lock();
         match version {
             Some(version) => known.rows.insert(fingerprint, version),
@@ -165,14 +165,13 @@
         };
     }
 
-    /// Forgets what has expired; returns the fingerprints that have rows.
+    /// Forgets what has expired; returns the fingerprints of rows without evidence.
     pub fn expire(&self, now: WallMs) -> Vec<Fingerprint> {
         let mut known = self.known.lock();
-        let mut over = known.book.expire(now);
-        for fingerprint in &over {
-            known.let_through.remove(fingerprint);
+        for fingerprint in known.book.expire(now) {
+            known.probation_runs.remove(&fingerprint);
         }
-        over.retain(|fingerprint| known.rows.contains_key(fingerprint));
-        over
+        let is_over = |fingerprint: &&Fingerprint| known.book.evidence(**fingerprint).is_none();
+        known.rows.keys().filter(is_over).copied().collect()
     }
 }
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -17,7 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::connections::Connections;
-use crate::crash_rows::keep_crashes;
+use crate::crash_rows::persist_crashes;
 use crate::dialect::Dialect;
 use crate::feeds::{Fleet, MembersSink, RoutesSink};
 use crate::fleet::{Backends, FleetBook};
@@ -143,7 +143,7 @@
         tokio::spawn(follow(store.clone(), JOBS_TABLE, sink));
         tokio::spawn(peers.run());
         tokio::spawn(fleet.expire());
-        tokio::spawn(keep_crashes(store.clone(), relay.peers.clone()));
+        tokio::spawn(persist_crashes(store.clone(), relay.peers.clone()));
         tokio::spawn(sweep_jobs(Arc::clone(&jobs), identity.keep_jobs_ms));
         let (leaving, jobs_leave) = (CancellationToken::new(), CancellationToken::new());
         tokio::spawn(own_jobs(Arc::clone(&jobs), jobs_leave.clone()));
--- a/crates/foxtailhold-relay/src/jobs/item.rs
+++ b/crates/foxtailhold-relay/src/jobs/item.rs
@@ -36,9 +36,9 @@
 const NO_ROUTE_MS: u64 = 5_000;
 /// An item that rests looks at its route, job and time at this pause.
 const REST_LOOK_MS: u64 = 1_000;
-/// Time to write an account down, many times what the store usually takes; meanwhile the item holds
+/// Time to persist an account, many times what the store usually takes; meanwhile the item holds
 /// its place.
-const KEEP_ACCOUNT_MS: u64 = 300;
+const WRITE_ACCOUNT_MS: u64 = 300;
 /// Longest wait for one place; then route, job and time are looked at again.
 const PLACE_WAIT_MS: u64 = 2_000;
 
@@ -60,7 +60,7 @@
     item: &'a Item,
     partials: &'a Partials,
     account: RunAccount,
-    /// Whether the present run is written down as begun.
+    /// Whether the beginning of the present run was persisted.
     is_begin_recorded: bool,
     /// Losses in a row without a new event.
     vain_losses: u32,
@@ -127,7 +127,7 @@
                     continue;
                 }
             }
-            if self.rests(job).await {
+            if self.rest_after_crashes(job).await {
                 continue;
             }
             let events = self.events();
@@ -153,7 +153,7 @@
                 }
                 Run::Failed => {
                     self.account.note_failed();
-                    self.keep_account(self.account).await;
+                    self.write_account(self.account).await;
                     tokio::time::sleep(Duration::from_millis(PAUSE_MS)).await;
                 }
             }
@@ -170,20 +170,20 @@
         account
     }
 
-    /// Writes an account down. Where the store is away the item goes on all the same: an owner that is
+    /// Persists an account. Where the store is away the item goes on all the same: an owner that is
     /// lost meanwhile costs a run more at most.
-    async fn keep_account(&self, account: RunAccount) {
-        let keeping = self
+    async fn write_account(&self, account: RunAccount) {
+        let writing = self
             .jobs
             .store
-            .keep_account(self.id, &self.item.id, &account);
+            .write_account(self.id, &self.item.id, &account);
         let error =
-            match tokio::time::timeout(Duration::from_millis(KEEP_ACCOUNT_MS), keeping).await {
+            match tokio::time::timeout(Duration::from_millis(WRITE_ACCOUNT_MS), writing).await {
                 Ok(Ok(())) => return,
                 Ok(Err(error)) => error.to_string(),
-                Err(_) => format!("no answer within {KEEP_ACCOUNT_MS} ms"),
+                Err(_) => format!("no answer within {WRITE_ACCOUNT_MS} ms"),
             };
-        log::info!(job = self.id.as_str(), item = self.item.id.as_str(); "account not kept: {error}");
+        log::info!(job = self.id.as_str(), item = self.item.id.as_str(); "account not written: {error}");
     }
 
     async fn rest_until_given_up(&self, job: &Job) {
@@ -213,7 +213,7 @@
 
     /// Waits a while where the item has crashed backend servers and may not run yet. `true`: it waited,
     /// and its route, job and time may have changed.
-    async fn rests(&mut self, job: &Job) -> bool {
+    async fn rest_after_crashes(&mut self, job: &Job) -> bool {
         let relay = &self.jobs.relay;
         if relay.peers.crashes().is_empty() {
             return false;
@@ -344,7 +344,7 @@
         };
         self.is_begin_recorded = self.events() == 0 && self.account.records_begin(job.lost_owners);
         if self.is_begin_recorded {
-            self.keep_account(self.account.begun()).await;
+            self.write_account(self.account.begun()).await;
         }
         if !self.is_wanted() {
             return Run::Unfinished;
@@ -465,7 +465,7 @@
                     if events == 1 && self.is_begin_recorded {
                         let mut account = self.account;
                         account.note_events();
-                        self.keep_account(account).await;
+                        self.write_account(account).await;
                     }
                     if events == EARLY_EVENTS {
                         self.jobs.relay.note_run(|| self.fingerprint(job));
--- a/crates/foxtailhold-relay/src/jobs/store.rs
+++ b/crates/foxtailhold-relay/src/jobs/store.rs
@@ -217,8 +217,8 @@
         Ok(())
     }
 
-    /// Keeps the account of an item's runs beside its pieces.
-    pub async fn keep_account(&self, id: &JobId, item: &str, account: &RunAccount) -> Result<()> {
+    /// Writes the account of an item's runs beside its pieces.
+    pub async fn write_account(&self, id: &JobId, item: &str, account: &RunAccount) -> Result<()> {
         let key = format!("{id}/{item}/{ACCOUNT_KEY}");
         let changes = Changes {
             puts: vec![(RowKey::new(PIECES_TABLE, &key), json(id, account)?)],
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -62,8 +62,8 @@
     places: Mutex<OwnPlaces>,
     allocator: Mutex<Allocator>,
     crashes: Crashes,
-    /// What is told once more with the next report, in case that it was lost.
-    told: Mutex<Vec<PeerMessage>>,
+    /// Messages that are sent once more with the next report, since datagrams get lost.
+    rebroadcasts: Mutex<Vec<PeerMessage>>,
     /// Woken when the rows of instances have changed.
     members_changed: Notify,
 }
@@ -86,7 +86,7 @@
             places: Mutex::new(OwnPlaces::default()),
             allocator: Mutex::new(Allocator::default()),
             crashes: Crashes::default(),
-            told: Mutex::default(),
+            rebroadcasts: Mutex::default(),
             members_changed: Notify::new(),
         };
         Peers {
@@ -121,7 +121,7 @@
     pub fn crashed(&self, fingerprint: Fingerprint, crash: CrashId) {
         let new = self.inner.crashes.crashed(fingerprint, crash, self.wall());
         if let Some(evidence) = new {
-            self.tell_all(PeerMessage::Crashed {
+            self.broadcast(PeerMessage::Crashed {
                 fingerprint,
                 evidence,
             });
@@ -132,16 +132,16 @@
     pub fn cleared(&self, fingerprint: Fingerprint) {
         if self.inner.crashes.clear(fingerprint) {
             log::info!(fingerprint:% = fingerprint; "a request is cleared");
-            self.tell_all(PeerMessage::Cleared { fingerprint });
+            self.broadcast(PeerMessage::Cleared { fingerprint });
         }
     }
 
-    fn tell_all(&self, message: PeerMessage) {
+    fn broadcast(&self, message: PeerMessage) {
         let others = self.members().others();
         for address in others {
             self.send(address, &message);
         }
-        self.inner.told.lock().push(message);
+        self.inner.rebroadcasts.lock().push(message);
     }
 
     /// This instance.
@@ -208,7 +208,7 @@
             for address in addresses {
                 self.send(address, &report);
             }
-            self.tell_again();
+            self.rebroadcast();
             tokio::time::sleep(Duration::from_millis(LEAST_PAUSE_MS)).await;
             let rest = Duration::from_millis(pause_ms.saturating_sub(LEAST_PAUSE_MS));
             tokio::select! {
@@ -218,14 +218,14 @@
         }
     }
 
-    fn tell_again(&self) {
-        let told = std::mem::take(&mut *self.inner.told.lock());
-        if told.is_empty() {
+    fn rebroadcast(&self) {
+        let messages = std::mem::take(&mut *self.inner.rebroadcasts.lock());
+        if messages.is_empty() {
             return;
         }
         let others = self.members().others();
         for address in others {
-            for message in &told {
+            for message in &messages {
                 self.send(address, message);
             }
         }
@@ -299,7 +299,7 @@
             PeerMessage::Crashed {
                 fingerprint,
                 evidence,
-            } => self.inner.crashes.heard(fingerprint, &evidence),
+            } => self.inner.crashes.merge(fingerprint, &evidence),
             PeerMessage::Cleared { fingerprint } => {
                 self.inner.crashes.clear(fingerprint);
             }
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -29,8 +29,8 @@
 const PAUSE_FACTOR: u64 = 3;
 /// Shortest pause that counts as silence.
 const LEAST_PAUSE_MS: u64 = 600;
-/// Callers of a request on probation come back after this time, perhaps at the instance that lets it
-/// through.
+/// Callers of a request on probation come back after this time, perhaps at the instance that admits
+/// it.
 const PROBATION_RETRY_AFTER_MS: u64 = 1_000;
 /// Places asked for where the backend servers granted are not known here: instances learn of changes
 /// within milliseconds of each other.
@@ -86,7 +86,7 @@
             .await
     }
 
-    /// Writes down that a run of a request gave no answer that could be passed on.
+    /// Logs and counts a run of a request that gave no answer to pass on.
     pub(crate) fn note_miss(
         &self,
         request: &OpaqueRequest,
@@ -141,7 +141,7 @@
             Standing::Refused { left_ms } => Some(left_ms),
             Standing::OnProbation => {
                 let may_run = self.peers.is_home(&fingerprint.0.to_be_bytes())
-                    && crashes.let_through(fingerprint, self.clock.mono());
+                    && crashes.admit_on_probation(fingerprint, self.clock.mono());
                 (!may_run).then_some(PROBATION_RETRY_AFTER_MS)
             }
         }
