A process that has just begun takes a deleted entry at its word

Cause, from the lines: edge-concord-hall-6 was added at 2.74 s; the entry was deleted at 4.84 s (the replica never said that it leaves), seen at 4.86 s, and a request was sent at 6.91 s. A deletion counts as a lapse, with 2 s and a look each 200 ms, until the store has answered for 3 s; a new process began that count with itself, though it had met no fault of the store.

Fix: the 3 s count after a fault only. Unit test, red before. Class: what a process does not know of the time before its start was taken for trouble.

--- a/crates/foxtailhold-relay/src/fleet.rs
+++ b/crates/foxtailhold-relay/src/fleet.rs
@@ -104,12 +104,15 @@
     entries: BTreeMap<BackendId, Entry>,
     starts: HashMap<BackendId, Start>,
     sound_since: Option<MonoMs>,
+    /// Whether the store has failed here since this process began.
+    has_failed: bool,
 }
 
 impl FleetBook {
     /// Notes that the store does not answer.
     pub fn store_failed(&mut self) {
         self.sound_since = None;
+        self.has_failed = true;
     }
 
     /// Notes that the store answers.
@@ -117,9 +120,12 @@
         self.sound_since.get_or_insert(now);
     }
 
+    /// A process that has just begun and met no fault has no reason to take a deletion for a lapse, and
+    /// waiting for one would send to a backend server that has left for too long.
     fn is_store_sound(&self, now: MonoMs) -> bool {
+        let is_long = |since| now.since_ms(since) >= STORE_SOUND_MS;
         self.sound_since
-            .is_some_and(|since| now.since_ms(since) >= STORE_SOUND_MS)
+            .is_some_and(|since| !self.has_failed || is_long(since))
     }
 
     /// Takes a new or changed entry. One of an older start than the newest seen is late and changes
--- a/crates/foxtailhold-relay/tests/fleet.rs
+++ b/crates/foxtailhold-relay/tests/fleet.rs
@@ -51,6 +51,15 @@
     assert_eq!(used(&book), ["b"]);
 }
 
+#[test]
+fn an_instance_that_has_just_started_takes_a_deletion_at_its_word() {
+    let mut book = FleetBook::default();
+    book.store_answered(MonoMs(0));
+    book.replace(MonoMs(0), vec![backend("a"), backend("b")]);
+    book.remove(MonoMs(500), &identity("a"));
+    assert_eq!(used(&book), ["b"]);
+}
+
 #[test]
 fn an_entry_that_says_leaving_gets_nothing_new() {
     let mut book = book();
