A cut stream brings its receiver what was sent before the cut

What callers saw: a stream that ended early could lack its last events, or even its head, though they had been sent.

Cause: AnswerSender::cut puts an error behind the frames. hyper writes frames into its buffer until the body is pending, and drops the buffer when the body fails, so all frames of one wake-up were lost with the cut.

Fix: the body is pending once before it fails; a connection flushes when its body is pending. Ruled out: an engine that closes its socket with unread bytes (it has read the whole request).

--- a/crates/foxtailhold-http/src/body.rs
+++ b/crates/foxtailhold-http/src/body.rs
@@ -1,7 +1,7 @@
 //! Bodies of requests and answers.
 
 use std::pin::Pin;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -30,6 +30,7 @@
 #[derive(Debug)]
 pub struct StreamBody {
     frames: mpsc::Receiver<std::result::Result<Bytes, StreamCut>>,
+    is_cut: bool,
 }
 
 impl Body for StreamBody {
@@ -40,8 +41,17 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<std::result::Result<Frame<Bytes>, StreamCut>>> {
-        let next = self.frames.poll_recv(context);
-        next.map(|item| item.map(|frame| frame.map(Frame::data)))
+        if self.is_cut {
+            return Poll::Ready(Some(Err(StreamCut)));
+        }
+        let next = ready!(self.frames.poll_recv(context));
+        if let Some(Err(StreamCut)) = next {
+            // An error drops what the connection has buffered; a pending body has it written first.
+            self.is_cut = true;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
+        Poll::Ready(next.map(|frame| frame.map(Frame::data)))
     }
 }
 
@@ -164,7 +174,8 @@
 pub fn streamed() -> (AnswerSender, AnswerBody) {
     let (sender, frames) = mpsc::channel(STREAM_BUFFER_FRAMES);
     let sender = AnswerSender { frames: sender };
-    (sender, Either::Right(StreamBody { frames }))
+    let is_cut = false;
+    (sender, Either::Right(StreamBody { frames, is_cut }))
 }
 
 /// An answer with a JSON body.
--- /dev/null
+++ b/crates/foxtailhold-http/tests/cut_streams.rs
@@ -0,0 +1,49 @@
+//! A stream that is cut brings its receiver all that was sent before the cut.
+
+use std::net::SocketAddr;
+
+use foxtailhold_http::body::{self, AnswerBody, STREAM_BUFFER_FRAMES};
+use foxtailhold_http::client::{HttpClient, Reuse};
+use foxtailhold_http::server::{Handler, Server};
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Bytes, Incoming};
+
+/// Fills the buffer of a stream and cuts it before the connection has taken anything.
+#[derive(Clone)]
+struct CutAtOnce;
+
+impl Handler for CutAtOnce {
+    async fn handle(&self, _: SocketAddr, _: Request<Incoming>) -> Response<AnswerBody> {
+        let (sender, stream) = body::streamed();
+        for _ in 1..STREAM_BUFFER_FRAMES {
+            assert!(sender.send(Bytes::from_static(b"event\n")).await);
+        }
+        sender.cut().await;
+        Response::new(stream)
+    }
+}
+
+#[tokio::test]
+async fn receiver_of_a_cut_stream_gets_what_was_sent_before() {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let server = Server::bind(any, CutAtOnce).await.unwrap();
+    let address = server.address();
+    let request = Request::get(format!("http://{address}/"))
+        .body(Full::new(Bytes::new()))
+        .unwrap();
+    let client = HttpClient::new(Reuse::Fresh);
+    let response = client.send(address, request, 5_000).await.unwrap();
+    let mut body = response.into_body();
+    let mut received = 0;
+    let is_cut = loop {
+        match body.frame().await {
+            None => break false,
+            Some(Err(_)) => break true,
+            Some(Ok(frame)) => received += frame.data_ref().map_or(0, Bytes::len),
+        }
+    };
+    assert!(is_cut, "the stream looks complete");
+    assert_eq!(received, (STREAM_BUFFER_FRAMES - 1) * b"event\n".len());
+    assert!(server.close(1_000).await);
+}
