An innocent batch item rests 2.5 s after three lost runs, and never together with others

Cause: the rest after three crashes was a quarter of the time until the item is given up, 15 s, and the next a third; items that lost the same engines rested for the same time, so that an innocent one came back at the moment and the engine of the one that crashes them. And three runs within 65 ms counted as three crashes, though engines that go down together are listed as gone only later.

Fix: a second's pause before the run that may convict; the first rest is 2.5 s, the later ones a sixth and a third of the time left; rests are shortened at random by up to a quarter.

--- a/crates/foxtailhold-relay/src/jobs/item.rs
+++ b/crates/foxtailhold-relay/src/jobs/item.rs
@@ -34,6 +34,8 @@
 const MOST_PAUSE_MS: u64 = 8_000;
 /// An item whose route is missing for this time, and so from the configuration, is given up.
 const NO_ROUTE_MS: u64 = 5_000;
+/// Rests are shortened by up to this part of their time.
+const REST_JITTER_PART: u64 = 4;
 /// An item that rests looks at its route, job and time at this pause.
 const REST_LOOK_MS: u64 = 1_000;
 /// Time to persist an account, many times what the store usually takes; meanwhile the item holds
@@ -42,6 +44,11 @@
 /// Longest wait for one place; then route, job and time are looked at again.
 const PLACE_WAIT_MS: u64 = 2_000;
 
+/// Items that lost the same engines must not come back together with the one that crashed them.
+fn shortened_at_random(rest_ms: u64) -> u64 {
+    rest_ms - rand::random_range(0..=rest_ms / REST_JITTER_PART)
+}
+
 /// What one run of an item came to.
 enum Run {
     Complete,
@@ -223,7 +230,7 @@
         if crashes > self.rested.0 {
             let rest_ms = match item_rest(crashes, left_ms) {
                 ItemRest::None => 0,
-                ItemRest::Pause { pause_ms } => pause_ms,
+                ItemRest::Pause { pause_ms } => shortened_at_random(pause_ms),
                 ItemRest::UntilGivenUp => left_ms,
             };
             let until = Instant::now() + Duration::from_millis(rest_ms);
--- a/crates/foxtailhold/src/crashes.rs
+++ b/crates/foxtailhold/src/crashes.rs
@@ -15,8 +15,8 @@
 /// Crashes after which a request is refused. A neighbour on the same backend servers has to be hit
 /// three times in a row before it has run, which is rare; each more costs a backend server.
 pub const MOST_CRASHES: usize = 3;
-/// Runs after that. What was refused may be innocent: connections also end where a backend server has
-/// too many of them.
+/// Runs of a request after that. What was refused may be innocent: connections also end where a backend
+/// server has too many of them.
 pub const LATE_RUNS: usize = 3;
 /// Time of refusal after [`MOST_CRASHES`], and after the crash of each late run. The first ones are short, so
 /// that an innocent request is soon served again; after the last late run nobody waits for the end.
@@ -155,12 +155,20 @@
     }
 }
 
-/// When a batch item with so many crashes may run again, of the `left_ms` until it is given up.
+/// Pause of a batch item before the run whose crash would be one too many: engines that end for a reason
+/// of their own often do so together, and are known to be down by then.
+const ITEM_PAUSE_MS: u64 = 1_000;
+/// Rest of a batch item after [`MOST_CRASHES`]. An innocent one is soon done.
+const ITEM_FIRST_REST_MS: u64 = 2_500;
+/// Later rests, as parts of the time until the item is given up.
+const ITEM_REST_PARTS: [u64; 2] = [6, 3];
+
+/// When a batch item may run again.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ItemRest {
     /// At once.
     None,
-    /// After this time: the runs that are left are spread over the time that is left.
+    /// After this time.
     Pause {
         /// How long.
         pause_ms: u64,
@@ -169,15 +177,26 @@
     UntilGivenUp,
 }
 
-/// Decides the rest of a batch item.
+/// Decides the rest of a batch item that has crashed so many backend servers and is given up in
+/// `left_ms`. It cannot be listed as failed before, so its late runs are spread over that time.
 pub fn item_rest(crashes: usize, left_ms: u64) -> ItemRest {
     let Some(late) = crashes.checked_sub(MOST_CRASHES) else {
-        return ItemRest::None;
+        return match crashes + 1 == MOST_CRASHES {
+            true => ItemRest::Pause {
+                pause_ms: ITEM_PAUSE_MS,
+            },
+            false => ItemRest::None,
+        };
+    };
+    let Some(later) = late.checked_sub(1) else {
+        return ItemRest::Pause {
+            pause_ms: ITEM_FIRST_REST_MS,
+        };
     };
-    match LATE_RUNS.checked_sub(late) {
-        None | Some(0) => ItemRest::UntilGivenUp,
-        Some(runs) => ItemRest::Pause {
-            pause_ms: left_ms / (runs as u64 + 1),
+    match ITEM_REST_PARTS.get(later) {
+        None => ItemRest::UntilGivenUp,
+        Some(part) => ItemRest::Pause {
+            pause_ms: left_ms / part,
         },
     }
 }
--- a/crates/foxtailhold/tests/crashes.rs
+++ b/crates/foxtailhold/tests/crashes.rs
@@ -1,7 +1,7 @@
 //! Evidence against requests that crash backend servers.
 
 use foxtailhold::crashes::{
-    CrashBook, Evidence, ItemRest, MOST_CRASHES, REFUSED_MS, Standing, item_rest,
+    CrashBook, Evidence, ItemRest, LATE_RUNS, MOST_CRASHES, REFUSED_MS, Standing, item_rest,
 };
 use foxtailhold::ids::BackendId;
 use foxtailhold::quarantine::{CrashId, Fingerprint, SUSPECT_MS};
@@ -61,7 +61,7 @@
         assert_eq!(book.standing(REQUEST, now), Standing::OnProbation);
         book.crashed(REQUEST, crash("late", late as u64), now);
     }
-    let left_ms = REFUSED_MS[3];
+    let left_ms = REFUSED_MS[LATE_RUNS];
     assert_eq!(book.standing(REQUEST, now), Standing::Refused { left_ms });
 }
 
@@ -84,10 +84,11 @@
     assert!(enough.expire(later(SUSPECT_MS)).is_empty());
 }
 
-#[test_case(2, ItemRest::None; "not enough")]
-#[test_case(3, ItemRest::Pause { pause_ms: 15_000 }; "three runs in a minute")]
-#[test_case(4, ItemRest::Pause { pause_ms: 20_000 }; "two")]
-#[test_case(5, ItemRest::Pause { pause_ms: 30_000 }; "the last")]
+#[test_case(1, ItemRest::None; "not enough")]
+#[test_case(2, ItemRest::Pause { pause_ms: 1_000 }; "one more would be too many")]
+#[test_case(3, ItemRest::Pause { pause_ms: 2_500 }; "the first late run comes soon")]
+#[test_case(4, ItemRest::Pause { pause_ms: 10_000 }; "the second one later")]
+#[test_case(5, ItemRest::Pause { pause_ms: 20_000 }; "the last")]
 #[test_case(6, ItemRest::UntilGivenUp; "none left")]
 #[test_case(60, ItemRest::UntilGivenUp; "far too many")]
 fn the_runs_of_an_item_are_spread_over_its_time(crashes: usize, expected: ItemRest) {
