One late run of a crashing request is left for a crash that is not noted

The contract allows three late retries of a request that crashes backend servers, and three were planned, so one crash that nobody noted, such as that of a run whose instance was killed with it, or a second home of probation for a moment, broke the rule.

Test: a request sent every four seconds, each of four crashes not noted in turn: 7 runs before, where 6 are allowed, 6 now. Fix: two late runs are planned, after 10 s and 60 s, which takes as long as three did after 10, 20 and 40 s, so an innocent request outlives the same outage.

--- a/crates/foxtailhold/src/crashes.rs
+++ b/crates/foxtailhold/src/crashes.rs
@@ -16,11 +16,12 @@
 /// three times in a row before it has run, which is rare; each more costs a backend server.
 pub const MOST_CRASHES: usize = 3;
 /// Runs of a request after that. What was refused may be innocent: connections also end where a backend
-/// server has too many of them.
-pub const LATE_RUNS: usize = 3;
-/// Time of refusal after [`MOST_CRASHES`], and after the crash of each late run. The first ones are short, so
+/// server has too many of them. The contract allows one more, which is left for a run whose only witness
+/// was lost and for instances that do not agree yet who decides.
+pub const LATE_RUNS: usize = 2;
+/// Time of refusal after [`MOST_CRASHES`], and after the crash of each late run. The first one is short, so
 /// that an innocent request is soon served again; after the last late run nobody waits for the end.
-pub const REFUSED_MS: [u64; LATE_RUNS + 1] = [10_000, 20_000, 40_000, 86_400_000];
+pub const REFUSED_MS: [u64; LATE_RUNS + 1] = [10_000, 60_000, 86_400_000];
 /// Events after which a run has shown that its request does not crash what begins to run it.
 pub const EARLY_EVENTS: u64 = 8;
 
--- a/crates/foxtailhold/tests/crashes.rs
+++ b/crates/foxtailhold/tests/crashes.rs
@@ -65,6 +65,31 @@
     assert_eq!(book.standing(REQUEST, now), Standing::Refused { left_ms });
 }
 
+/// A request that is sent every four seconds and crashes whatever runs it, and a crash that is not noted,
+/// such as that of a run whose instance was lost too.
+#[test_case(0; "of the first run")]
+#[test_case(2; "of the third run")]
+#[test_case(3; "of the first late run")]
+#[test_case(4; "of the second late run")]
+fn late_runs_stay_within_the_contract_where_one_crash_is_not_noted(lost: usize) {
+    const PAUSE_MS: u64 = 4_000;
+    const DAY_MS: u64 = 86_400_000;
+    const LATE_RUNS_ALLOWED: usize = 3;
+    let mut book = CrashBook::default();
+    let mut runs = 0;
+    for at in (0..DAY_MS).step_by(PAUSE_MS as usize) {
+        let now = later(at);
+        if let Standing::Refused { .. } = book.standing(REQUEST, now) {
+            continue;
+        }
+        if runs != lost {
+            book.crashed(REQUEST, crash("a", runs as u64), now);
+        }
+        runs += 1;
+    }
+    assert!(runs <= MOST_CRASHES + LATE_RUNS_ALLOWED, "{runs} runs");
+}
+
 #[test]
 fn a_request_that_was_seen_to_run_is_cleared() {
     let mut book = book(&[crash("a", 1), crash("b", 1)]);
