A home that has not heard of a crash does not clear its suspects

Cause, from the lines of that run: entry-2 noted the crash of engine-3 at .148 and suspected the request, asked the home of trials, which had not heard of it yet and answered that nothing is held against it, and sent the request at .200 like any other, to engine-1, which crashed. entry-0 did the same at engine-5. The fuzz of the table looks at its own table again in that case; dispatch.rs did not: the same decision stood in two places, and differed.

Fix: foxtailhold::suspect decides, for both. Test red with what dispatch.rs did.

--- a/crates/foxtailhold-entry/src/gateway/dispatch.rs
+++ b/crates/foxtailhold-entry/src/gateway/dispatch.rs
@@ -5,11 +5,12 @@
 
 use bytes::Bytes;
 use foxtailhold::ids::{BackendId, RequestId, TargetName};
-use foxtailhold::quarantine::{Fingerprint, Standing, TrialAnswer, TrialEnd};
+use foxtailhold::quarantine::{Fingerprint, Standing, TrialEnd};
 use foxtailhold::refusal::{Ran, Refusal, RefusalReason, Result};
 use foxtailhold::replicas::{BackendKind, FleetState};
 use foxtailhold::routing::{BoundedAffinity, LeastLoaded, RoutePolicy, RouteQuery};
 use foxtailhold::stall;
+use foxtailhold::suspect::{Asking, NextStep};
 use foxtailhold::time::MonoMs;
 use foxtailhold::timeline::Event;
 use foxtailhold_engine::{EngineAnswer, EngineError, EngineRequest, Resume};
@@ -259,6 +260,7 @@
 ) -> Result<Route<P>> {
     let fingerprint = outgoing.fingerprint;
     let begun = shared.clock.mono();
+    let mut asking = Asking::default();
     loop {
         time_left_ms(shared, outgoing, tries)?;
         match shared.standing(fingerprint) {
@@ -274,12 +276,16 @@
             return Err(tries.refusal(&outgoing.model));
         }
         let ids = cells.iter().map(|cell| cell.backend.id.clone()).collect();
-        match crashes::ask(shared, fingerprint, ids).await {
-            Some(TrialAnswer::Granted {
+        let Some(answer) = crashes::ask(shared, fingerprint, ids).await else {
+            pause(HOME_PAUSE_MS).await;
+            continue;
+        };
+        match asking.answered(answer, shared.clock.mono()) {
+            NextStep::Try {
                 backend,
                 strict,
                 quiet_ms,
-            }) => {
+            } => {
                 let cell = cells.iter().find(|cell| cell.backend.id == backend);
                 let Some(cell) = cell else {
                     continue;
@@ -289,10 +295,9 @@
                 let cell = cell.clone();
                 return Ok(Route { cell, trial });
             }
-            Some(TrialAnswer::Convicted { left_ms }) => return Err(tries.quarantined(left_ms)),
-            Some(TrialAnswer::Clear) => return plain_route(shared, outgoing, tries),
-            Some(TrialAnswer::Wait { after_ms }) => pause(after_ms).await,
-            None => pause(HOME_PAUSE_MS).await,
+            NextStep::Refuse { left_ms } => return Err(tries.quarantined(left_ms)),
+            NextStep::Send => return plain_route(shared, outgoing, tries),
+            NextStep::AskAgain { after_ms } => pause(after_ms).await,
         }
     }
 }
--- a/crates/foxtailhold/src/lib.rs
+++ b/crates/foxtailhold/src/lib.rs
@@ -31,5 +31,6 @@
 pub mod slots;
 pub mod stall;
 pub mod steward;
+pub mod suspect;
 pub mod time;
 pub mod timeline;
--- a/crates/foxtailhold/tests/quarantine_fuzz/world.rs
+++ b/crates/foxtailhold/tests/quarantine_fuzz/world.rs
@@ -2,8 +2,9 @@
 
 use foxtailhold::ids::BackendId;
 use foxtailhold::quarantine::{
-    CrashId, Fingerprint, Flight, Notice, Quarantine, Standing, TrialAnswer, TrialEnd,
+    CrashId, Fingerprint, Flight, Notice, Quarantine, Standing, TrialEnd,
 };
+use foxtailhold::suspect::{Asking, NextStep};
 use foxtailhold::time::MonoMs;
 
 pub const INSTANCES: usize = 4;
@@ -52,6 +53,7 @@
     instance: usize,
     request: u128,
     stage: Stage,
+    asking: Asking,
     runs: u32,
 }
 
@@ -258,12 +260,16 @@
         self.run_at(backend, request, None)
     }
 
-    fn ask(&mut self, request: u128) -> Stage {
+    fn ask(&mut self, index: usize) -> Stage {
+        let Attempt {
+            instance, request, ..
+        } = self.attempts[index];
         let live = self.live();
         let ids: Vec<_> = live.iter().map(|backend| id(*backend)).collect();
         let (now, fingerprint) = (self.mono(), Fingerprint(request));
-        match self.tables[HOME].ask(fingerprint, &ids, now) {
-            TrialAnswer::Granted {
+        let answer = self.tables[HOME].ask(fingerprint, &ids, now);
+        match self.attempts[index].asking.answered(answer, now) {
+            NextStep::Try {
                 backend,
                 strict,
                 quiet_ms,
@@ -283,11 +289,11 @@
                     strict,
                 }
             }
-            TrialAnswer::Convicted { .. } => Stage::Refused,
-            TrialAnswer::Wait { after_ms } => Stage::Routing {
+            NextStep::Refuse { .. } => Stage::Refused,
+            NextStep::Send => self.plain(instance, request),
+            NextStep::AskAgain { after_ms } => Stage::Routing {
                 at: self.now + after_ms,
             },
-            TrialAnswer::Clear => Stage::Routing { at: self.now + 20 },
         }
     }
 
@@ -299,7 +305,7 @@
         self.attempts[index].stage = match standing {
             Standing::Convicted { .. } => Stage::Refused,
             Standing::Clear => self.plain(instance, request),
-            Standing::Suspect => self.ask(request),
+            Standing::Suspect => self.ask(index),
         };
     }
 
@@ -364,6 +370,7 @@
             instance,
             request,
             stage: Stage::Routing { at: self.now },
+            asking: Asking::default(),
             runs: 0,
         });
     }
