Requests that find room within 5 ms wait for it in place of a refusal

What callers saw: 429 'over its limit of 10000 requests a second', come back in 1 ms, for two requests a second through an instance.

Cause: the bucket of a first share is empty where nothing had gathered at the customer's home; one request is admitted below zero, and the next one of the same millisecond was refused, though it had room 1 ms later.

Fix: such a request pauses once, for 5 ms at most, and is decided again; what finds no room then is refused at once as before. Limits hold: a request is only ever admitted later.

--- a/crates/foxtailhold-entry/examples/limits_cost.rs
+++ b/crates/foxtailhold-entry/examples/limits_cost.rs
@@ -48,7 +48,7 @@
         match limits.decide(contract, 16.0, Attempt::First, now) {
             Decision::Admitted(_) => return Ok(true),
             Decision::Refused(_) => return Ok(false),
-            Decision::Wait(_) => {}
+            Decision::Wait(_) | Decision::Pause { .. } => {}
         }
         let ask = limits.due_ask(&contract.customer, now);
         exchange(limits, ask.into_iter().collect(), book, now)?;
--- a/crates/foxtailhold-entry/src/gateway/mod.rs
+++ b/crates/foxtailhold-entry/src/gateway/mod.rs
@@ -113,9 +113,16 @@
             let mut answered = match shared.limits.decide(contract, tokens, attempt, now) {
                 Decision::Admitted(admitted) => return Ok(admitted),
                 Decision::Refused(refusal) => return Err(refusal),
+                Decision::Pause { after_ms } => {
+                    tokio::time::sleep(Duration::from_millis(after_ms)).await;
+                    attempt = Attempt::Paused;
+                    continue;
+                }
                 Decision::Wait(answered) => answered,
             };
-            attempt = Attempt::Again;
+            if attempt == Attempt::First {
+                attempt = Attempt::Again;
+            }
             limits::ask_now(shared, customer);
             let wait = Duration::from_millis(FIRST_SHARE_WAIT_MS);
             let _ = tokio::time::timeout(wait, answered.changed()).await;
--- a/crates/foxtailhold-entry/src/limits.rs
+++ b/crates/foxtailhold-entry/src/limits.rs
@@ -21,6 +21,9 @@
 
 /// Requests of one customer that wait for its first share.
 const MOST_WAITING: usize = 256;
+/// A request for which there is room within this time waits for it, once. Requests that come at once with a
+/// share that has just begun to flow are far below the limit, and a refusal costs its caller more.
+const PAUSE_MS: u64 = 5;
 /// Locks among which customers are spread.
 const SHARDS: usize = 64;
 /// Bits of an ask's number that count within one start of the instance.
@@ -65,6 +68,8 @@
     First,
     /// It has been counted.
     Again,
+    /// It has been counted and has paused.
+    Paused,
 }
 
 /// What a home answers.
@@ -83,6 +88,11 @@
     Admitted(Admitted),
     /// The customer's home is asked first: decide again when the channel is closed.
     Wait(watch::Receiver<()>),
+    /// There is room in a moment: decide again then.
+    Pause {
+        /// When.
+        after_ms: u64,
+    },
     /// It is refused.
     Refused(Refusal),
 }
@@ -137,7 +147,9 @@
         let holder = &mut usage.holder;
         let verdict = match attempt {
             Attempt::First => holder.admit(&terms, listed, charged_tokens, now),
-            Attempt::Again => holder.admit_again(&terms, listed, charged_tokens, now),
+            Attempt::Again | Attempt::Paused => {
+                holder.admit_again(&terms, listed, charged_tokens, now)
+            }
         };
         match verdict {
             Verdict::Admitted => Decision::Admitted(Admitted {
@@ -155,6 +167,11 @@
                 }
                 Decision::Wait(answered.subscribe())
             }
+            Verdict::Over { after_ms, .. }
+                if after_ms <= PAUSE_MS && attempt != Attempt::Paused =>
+            {
+                Decision::Pause { after_ms }
+            }
             Verdict::Over { limit, after_ms } => {
                 Decision::Refused(over_limit(contract, limit, after_ms))
             }
