Metrics by backend server, reason of refusal, store call, queue and configuration

Runs are counted and timed by start of a backend server (samples go with it, so labels stay bounded), refusals by reason, which is in the line 'answered' too, calls to the store are timed, and places, waiting requests, open jobs, version and age of the configuration are gauges.

--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -18,10 +18,11 @@
 use crate::events::{EventReader, Step};
 use crate::exchange::{self, Miss};
 use crate::fleet::BackendServer;
+use crate::metrics::run_end;
 use crate::peers::{NoPlace, Place, PlaceQuery};
 use crate::plain::PlainLoads;
 use crate::relay::{FIRST_EVENT_PATIENCE_MS, LostRun, PLAIN_RETRY_AFTER_MS, Relay, exchange};
-use crate::request::{Answer, OpaqueRequest, Unserved};
+use crate::request::{Answer, NotRunReason, OpaqueRequest, Unserved};
 use crate::stream::{Leg, Pump};
 
 /// The answer must be on its way this long before the caller gives up.
@@ -58,9 +59,12 @@
         }
     }
 
-    fn unserved(&self, retry_after_ms: u64) -> Unserved {
+    fn unserved(&self, reason: NotRunReason, retry_after_ms: u64) -> Unserved {
         if self.attempts.runs == 0 {
-            return Unserved::NotRun { retry_after_ms };
+            return Unserved::NotRun {
+                reason,
+                retry_after_ms,
+            };
         }
         if Instant::now() >= self.attempts.until {
             return Unserved::TimedOut;
@@ -74,7 +78,8 @@
     pub async fn serve(self: &Arc<Self>, route: &Route, request: OpaqueRequest) -> Answer {
         let mut progress = Progress::new(&request, route);
         if let Some(retry_after_ms) = self.refused_ms(&request) {
-            let answer = Answer::Unserved(Unserved::NotRun { retry_after_ms });
+            let reason = NotRunReason::Crashing;
+            let answer = Answer::Unserved(progress.unserved(reason, retry_after_ms));
             self.note(route, &request.id, request.received, &progress, &answer);
             return answer;
         }
@@ -112,10 +117,16 @@
         };
         let took_ms = received.elapsed().as_millis() as u64;
         self.metrics.answered(&route.name, outcome, took_ms);
-        let retry_after_ms = match answer {
-            Answer::Unserved(Unserved::NotRun { retry_after_ms }) => Some(*retry_after_ms),
-            _ => None,
+        let (reason, retry_after_ms) = match answer {
+            Answer::Unserved(Unserved::NotRun {
+                reason,
+                retry_after_ms,
+            }) => (Some(reason.as_str()), Some(*retry_after_ms)),
+            _ => (None, None),
         };
+        if let Some(reason) = reason {
+            self.metrics.refused(reason);
+        }
         let now = self.clock.mono();
         let allocator = self
             .peers
@@ -126,6 +137,7 @@
             request = id,
             route = route.name.as_str(),
             outcome = outcome,
+            reason = reason,
             took_ms = took_ms,
             waited_ms = progress.waited_ms,
             backend = progress.served_by.as_ref().map(BackendId::as_str),
@@ -174,7 +186,8 @@
                 self.plain.choose(now, all, tried, zone, rand::random())
             };
             let Some(backend) = chosen else {
-                return Answer::Unserved(progress.unserved(NO_BACKEND_RETRY_AFTER_MS));
+                let reason = NotRunReason::NoBackend;
+                return Answer::Unserved(progress.unserved(reason, NO_BACKEND_RETRY_AFTER_MS));
             };
             let mut counted = Counted {
                 loads: &self.plain,
@@ -182,6 +195,7 @@
                 backend: &backend.id,
                 outcome: Outcome::Abandoned,
             };
+            let begun = Instant::now();
             let exchanged = self.whole(route, request, progress, &backend).await;
             match exchanged {
                 Ok(response) => {
@@ -190,6 +204,8 @@
                         self.plain.told(self.clock.mono(), &backend.id, load);
                     }
                     let has_failed = response.status().is_server_error();
+                    self.metrics
+                        .run_ended(&backend.id, whole_end(has_failed), begun);
                     counted.outcome = match has_failed {
                         true => Outcome::Broken,
                         false => Outcome::Done { held_ms: 0 },
@@ -205,9 +221,11 @@
                     }
                 }
                 Err(miss) => {
+                    self.metrics.run_ended(&backend.id, miss.as_str(), begun);
                     counted.outcome = miss.outcome();
                     if !self.may_go_on(route, request, progress, &backend, miss) {
-                        return Answer::Unserved(progress.unserved(PLAIN_RETRY_AFTER_MS));
+                        let reason = NotRunReason::NotTaken;
+                        return Answer::Unserved(progress.unserved(reason, PLAIN_RETRY_AFTER_MS));
                     }
                 }
             }
@@ -261,10 +279,12 @@
                 match found {
                     Ok(found) => found,
                     Err(NoPlace::Refused { retry_after_ms }) => {
-                        return Answer::Unserved(progress.unserved(retry_after_ms));
+                        let reason = NotRunReason::NoPlace;
+                        return Answer::Unserved(progress.unserved(reason, retry_after_ms));
                     }
                     Err(NoPlace::TimedOut) => {
-                        return Answer::Unserved(progress.unserved(PLAIN_RETRY_AFTER_MS));
+                        let reason = NotRunReason::Waited;
+                        return Answer::Unserved(progress.unserved(reason, PLAIN_RETRY_AFTER_MS));
                     }
                 }
             };
@@ -274,6 +294,8 @@
             match opened {
                 Ok(Opened::Whole(response)) => {
                     let has_failed = response.status().is_server_error();
+                    self.metrics
+                        .run_ended(&backend.id, whole_end(has_failed), begun);
                     place.close(match has_failed {
                         true => Outcome::Broken,
                         false => Outcome::Done {
@@ -308,10 +330,12 @@
                     return self.passed_on(response);
                 }
                 Err(miss) => {
+                    self.metrics.run_ended(&backend.id, miss.as_str(), begun);
                     place.close(miss.outcome());
                     progress.served_by = None;
                     if !self.may_go_on(route, &request, progress, &backend, miss) {
-                        return Answer::Unserved(progress.unserved(PLAIN_RETRY_AFTER_MS));
+                        let reason = NotRunReason::NotTaken;
+                        return Answer::Unserved(progress.unserved(reason, PLAIN_RETRY_AFTER_MS));
                     }
                 }
             }
@@ -363,6 +387,13 @@
     }
 }
 
+fn whole_end(has_failed: bool) -> &'static str {
+    match has_failed {
+        true => Miss::Failed.as_str(),
+        false => run_end::DONE,
+    }
+}
+
 enum Opened {
     Whole(Response<bytes::Bytes>),
     Stream(http::response::Parts, Box<EventReader>, Step),
--- a/crates/foxtailhold-relay/src/feeds.rs
+++ b/crates/foxtailhold-relay/src/feeds.rs
@@ -66,7 +66,11 @@
         self.take(&rows);
     }
 
-    fn answered(&mut self, _is_sound: bool) {}
+    fn answered(&mut self, is_sound: bool) {
+        if is_sound {
+            self.relay.metrics.config_confirmed();
+        }
+    }
 }
 
 /// What a row says of a backend server.
@@ -149,6 +153,7 @@
         }
         self.relay.connections.keep_only(|id| snapshot.has(id));
         self.relay.plain.keep_only(|id| snapshot.has(id));
+        self.relay.metrics.keep_only(|id| snapshot.has(id));
         self.relay.backends.store(Arc::new(snapshot));
         self.known.send_replace(true);
     }
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -23,7 +23,7 @@
 use crate::fleet::{Backends, FleetBook};
 use crate::follow::follow;
 use crate::jobs::{BookSink, JOBS_TABLE, JobBook, JobStore, Jobs, own_jobs, sweep_jobs};
-use crate::metrics::RelayMetrics;
+use crate::metrics::{RelayMetrics, State};
 use crate::peers::{INSTANCES_TABLE, Member, Peers};
 use crate::plain::PlainLoads;
 use crate::relay::Relay;
@@ -263,6 +263,17 @@
         self.jobs_leave.cancel();
     }
 
+    /// What the metrics tell of the moment at which they are read.
+    pub fn state(&self) -> State {
+        let (places_in_use, requests_waiting) = self.in_use();
+        State {
+            places_in_use,
+            requests_waiting,
+            batch_jobs_open: self.jobs.book.open().len(),
+            config_version: self.relay.routes.load().version(),
+        }
+    }
+
     /// Places in use and requests that wait.
     pub fn in_use(&self) -> (usize, usize) {
         self.relay.peers.in_use()
--- a/crates/foxtailhold-relay/src/jobs/item.rs
+++ b/crates/foxtailhold-relay/src/jobs/item.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use foxtailhold::crashes::{EARLY_EVENTS, ItemRest, item_rest};
+use foxtailhold::crashes::EARLY_EVENTS;
 use foxtailhold::ids::{BackendId, JobId};
 use foxtailhold::quarantine::Fingerprint;
 use foxtailhold::routes::Route;
@@ -21,7 +21,9 @@
 use crate::events::{EventReader, Step, push_data};
 use crate::exchange::{self, Exchange, Miss};
 use crate::fleet::BackendServer;
+use crate::jobs::rest::CrashRest;
 use crate::jobs::{Item, ItemState, Job, Jobs, ListedResult, Partials};
+use crate::metrics::run_end;
 use crate::peers::{NoPlace, Place, PlaceQuery};
 
 /// Without word for this time an engine counts as silent for an item, and the item goes on elsewhere.
@@ -34,8 +36,6 @@
 const MOST_PAUSE_MS: u64 = 8_000;
 /// An item whose route is missing for this time, and so from the configuration, is given up.
 const NO_ROUTE_MS: u64 = 5_000;
-/// Rests are shortened by up to this part of their time.
-const REST_JITTER_PART: u64 = 4;
 /// An item that rests looks at its route, job and time at this pause.
 const REST_LOOK_MS: u64 = 1_000;
 /// Time to persist an account, many times what the store usually takes; meanwhile the item holds
@@ -44,11 +44,6 @@
 /// Longest wait for one place; then route, job and time are looked at again.
 const PLACE_WAIT_MS: u64 = 2_000;
 
-/// Items that lost the same engines must not come back together with the one that crashed them.
-fn shortened_at_random(rest_ms: u64) -> u64 {
-    rest_ms - rand::random_range(0..=rest_ms / REST_JITTER_PART)
-}
-
 /// What one run of an item came to.
 enum Run {
     Complete,
@@ -60,6 +55,19 @@
     Lost(Miss),
 }
 
+impl Run {
+    /// Its name in metrics.
+    fn as_str(&self) -> &'static str {
+        match self {
+            Run::Complete => run_end::DONE,
+            Run::Impossible => run_end::IMPOSSIBLE,
+            Run::Failed => Miss::Failed.as_str(),
+            Run::Unfinished => run_end::CUT,
+            Run::Lost(miss) => miss.as_str(),
+        }
+    }
+}
+
 /// An item with what it has given so far.
 pub struct ItemRun<'a, S, D> {
     jobs: &'a Jobs<S, D>,
@@ -74,8 +82,7 @@
     avoid: Vec<BackendId>,
     /// Where it ran last.
     last: Option<Arc<BackendServer>>,
-    /// The crashes after which it last rested, and until when.
-    rested: (usize, Instant),
+    rest: CrashRest,
 }
 
 impl<'a, S: RowStore + ObjectStore, D: Dialect> ItemRun<'a, S, D> {
@@ -96,7 +103,7 @@
             vain_losses: 0,
             avoid: Vec::new(),
             last: None,
-            rested: (0, Instant::now()),
+            rest: CrashRest::default(),
         }
     }
 
@@ -227,26 +234,17 @@
         }
         let crashes = relay.peers.crashes().count(self.fingerprint(job));
         let left_ms = job.give_up_unix_ms.saturating_sub(relay.clock.wall().0);
-        if crashes > self.rested.0 {
-            let rest_ms = match item_rest(crashes, left_ms) {
-                ItemRest::None => 0,
-                ItemRest::Pause { pause_ms } => shortened_at_random(pause_ms),
-                ItemRest::UntilGivenUp => left_ms,
-            };
-            let until = Instant::now() + Duration::from_millis(rest_ms);
-            self.rested = (crashes, until);
-            if rest_ms > 0 {
-                log::info!(
-                    job = self.id.as_str(), item = self.item.id.as_str(),
-                    crashes = crashes, rest_ms = rest_ms; "an item rests"
-                );
-            }
+        if let Some(rest_ms) = self.rest.begin(crashes, left_ms) {
+            log::info!(
+                job = self.id.as_str(), item = self.item.id.as_str(),
+                crashes = crashes, rest_ms = rest_ms; "an item rests"
+            );
         }
-        let rest = self.rested.1.saturating_duration_since(Instant::now());
-        if rest.is_zero() {
+        let left = self.rest.left();
+        if left.is_zero() {
             return false;
         }
-        tokio::time::sleep(rest.min(Duration::from_millis(REST_LOOK_MS))).await;
+        tokio::time::sleep(left.min(Duration::from_millis(REST_LOOK_MS))).await;
         true
     }
 
@@ -360,6 +358,7 @@
         self.last = Some(Arc::clone(&backend));
         let (begun, events) = (Instant::now(), self.events());
         let run = self.exchange(job, target, headers, &backend, &place).await;
+        relay.metrics.run_ended(&backend.id, run.as_str(), begun);
         let took_ms = begun.elapsed().as_millis() as u64;
         self.jobs.pace().ran(self.events() - events, took_ms);
         let outcome = match &run {
--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -11,6 +11,7 @@
 mod owner;
 mod partial;
 mod read;
+mod rest;
 mod run;
 mod store;
 mod sweep;
--- a/crates/foxtailhold-relay/src/request.rs
+++ b/crates/foxtailhold-relay/src/request.rs
@@ -37,12 +37,42 @@
     }
 }
 
+/// Why a request did not run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NotRunReason {
+    /// It crashes backend servers.
+    Crashing,
+    /// No backend server that it was not sent to takes new work.
+    NoBackend,
+    /// A place would be free too late.
+    NoPlace,
+    /// Its time was over before a place was free.
+    Waited,
+    /// The backend servers that it was sent to did not take it.
+    NotTaken,
+}
+
+impl NotRunReason {
+    /// Its name in lines and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            NotRunReason::Crashing => "crashing",
+            NotRunReason::NoBackend => "no_backend",
+            NotRunReason::NoPlace => "no_place",
+            NotRunReason::Waited => "waited",
+            NotRunReason::NotTaken => "not_taken",
+        }
+    }
+}
+
 /// Why a request has no answer of a backend server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Unserved {
     /// It has not run and will not: come back later.
     NotRun {
-        /// When.
+        /// Why.
+        reason: NotRunReason,
+        /// When to come back.
         retry_after_ms: u64,
     },
     /// It may have run.
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -16,6 +16,7 @@
 use crate::events::{EventReader, Step};
 use crate::exchange::Miss;
 use crate::fleet::BackendServer;
+use crate::metrics::run_end;
 use crate::peers::{Place, PlaceQuery};
 use crate::relay::{FIRST_EVENT_PATIENCE_MS, LostRun, Relay, exchange, pause_patience_ms};
 use crate::request::OpaqueRequest;
@@ -58,13 +59,28 @@
     Lost(Miss),
 }
 
+impl End {
+    /// Its name in metrics.
+    fn as_str(&self) -> &'static str {
+        match self {
+            End::Complete => run_end::DONE,
+            End::CallerGone => run_end::CALLER_GONE,
+            End::TimeOver => run_end::TIME_OVER,
+            End::Lost(miss) => miss.as_str(),
+        }
+    }
+}
+
 impl<D: Dialect> Pump<D> {
     /// Passes on all events.
     pub async fn run(mut self, sender: AnswerSender, mut leg: Leg, first: Step) {
         self.attempts.runs_now();
         let mut step = Some(first);
         loop {
-            let miss = match self.pass(&sender, &mut leg, step.take()).await {
+            let end = self.pass(&sender, &mut leg, step.take()).await;
+            let metrics = &self.relay.metrics;
+            metrics.run_ended(&leg.backend.id, end.as_str(), leg.begun);
+            let miss = match end {
                 End::Complete => {
                     let held_ms = leg.begun.elapsed().as_millis() as u64;
                     leg.place.close(Outcome::Done { held_ms });
@@ -184,6 +200,8 @@
                     });
                 }
                 Err(miss) => {
+                    let metrics = &self.relay.metrics;
+                    metrics.run_ended(&backend.id, miss.as_str(), begun);
                     place.close(miss.outcome());
                     may_go_on = self.may_go_on(&backend, miss, 0);
                 }
