An instance that has not read the table of instances serves nothing and takes over no job

From the lines: evidence of three crashes was complete after 2.6 s; every late run was at a node that had been started again and whose reads of the table of instances failed ('table not read', 545 times in 160 s), while it had read routes and backend servers, was ready and ran the request as if nothing were known against it.

Cause: readiness asked for routes and backend servers only. Under a store that answers the window is milliseconds; where it refuses single calls it is as long as that lasts. Such an instance also knew nobody else, granted itself places and, after 3.6 s, took jobs over.

Test: a node started again whose store refuses that table alone: 502, the request ran a fourth time, before; 503, not ready, nothing run, and served once the table can be read, now.

Ruled out: the load by itself. The five nodes that had read the table refused the request all the while.

--- a/crates/foxtailhold-relay/src/feeds.rs
+++ b/crates/foxtailhold-relay/src/feeds.rs
@@ -240,6 +240,7 @@
     fn replace(&mut self, snapshot: Snapshot) {
         self.0.members().clear();
         self.take(&snapshot.rows);
+        self.0.table_read();
     }
 
     fn change(&mut self, rows: Vec<VersionedRow>) {
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -162,10 +162,15 @@
         Ok(instance)
     }
 
+    /// Whether it has read what it needs to serve: routes, backend servers, and what all instances know.
+    pub fn has_read_all(&self) -> bool {
+        let knows_routes = self.relay.routes.load().version() > 0;
+        knows_routes && *self.backends_known.borrow() && self.relay.peers.is_table_read()
+    }
+
     /// Whether it should get requests.
     pub fn is_ready(&self) -> bool {
-        let knows_routes = self.relay.routes.load().version() > 0;
-        knows_routes && *self.backends_known.borrow() && !self.leaving.is_cancelled()
+        self.has_read_all() && !self.leaving.is_cancelled()
     }
 
     /// Addresses that callers should use, this instance's own where nobody else is known.
--- a/crates/foxtailhold-relay/src/jobs/owner.rs
+++ b/crates/foxtailhold-relay/src/jobs/owner.rs
@@ -93,6 +93,9 @@
     id: &JobId,
     owner: &InstanceId,
 ) -> bool {
+    if !jobs.relay.peers.is_table_read() {
+        return false;
+    }
     let now = jobs.relay.clock.mono();
     let mut members = jobs.relay.peers.members();
     let down_ms = match members.hears_others(now) {
--- a/crates/foxtailhold-relay/src/metrics.rs
+++ b/crates/foxtailhold-relay/src/metrics.rs
@@ -30,8 +30,8 @@
 
 /// The refusal of a request without a route.
 pub const NO_ROUTE: &str = "no_route";
-/// The refusal of a request before any configuration is known.
-pub const NO_CONFIG: &str = "no_config";
+/// The refusal of a request by an instance that has not read all that it needs to serve.
+pub const STARTING: &str = "starting";
 
 /// Labels of an answer.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -11,6 +11,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use foxtailhold::ids::{AvailabilityZone, BackendId, InstanceId, TargetName};
@@ -66,6 +67,8 @@
     rebroadcasts: Mutex<Vec<PeerMessage>>,
     /// Woken when the rows of instances have changed.
     members_changed: Notify,
+    /// Whether the table of instances, with the evidence against requests, has been read.
+    is_table_read: AtomicBool,
 }
 
 /// This instance's side of the talk with others.
@@ -88,12 +91,24 @@
             crashes: Crashes::default(),
             rebroadcasts: Mutex::default(),
             members_changed: Notify::new(),
+            is_table_read: AtomicBool::new(false),
         };
         Peers {
             inner: Arc::new(inner),
         }
     }
 
+    /// Notes that the table of instances has been read.
+    pub fn table_read(&self) {
+        self.inner.is_table_read.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether it has been read. Until then this instance knows neither who lives nor which requests crash
+    /// backend servers.
+    pub fn is_table_read(&self) -> bool {
+        self.inner.is_table_read.load(Ordering::Relaxed)
+    }
+
     /// Time on the clock of all decisions.
     pub fn now(&self) -> MonoMs {
         self.inner.clock.mono()
