--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -18,7 +18,7 @@
 use crate::events::{EventReader, Step};
 use crate::exchange::{self, Miss};
 use crate::fleet::BackendServer;
-use crate::metrics::run_end;
+use crate::metrics::RunEnd;
 use crate::peers::{NoPlace, Place, PlaceQuery};
 use crate::plain::PlainLoads;
 use crate::relay::{FIRST_EVENT_PATIENCE_MS, LostRun, PLAIN_RETRY_AFTER_MS, Relay, exchange};
@@ -121,7 +121,7 @@
             Answer::Unserved(Unserved::NotRun {
                 reason,
                 retry_after_ms,
-            }) => (Some(reason.as_str()), Some(*retry_after_ms)),
+            }) => (Some(*reason), Some(*retry_after_ms)),
             _ => (None, None),
         };
         if let Some(reason) = reason {
@@ -137,7 +137,7 @@
             request = id,
             route = route.name.as_str(),
             outcome = outcome,
-            reason = reason,
+            reason = reason.map(NotRunReason::as_str),
             took_ms = took_ms,
             waited_ms = progress.waited_ms,
             backend = progress.served_by.as_ref().map(BackendId::as_str),
@@ -221,7 +221,8 @@
                     }
                 }
                 Err(miss) => {
-                    self.metrics.run_ended(&backend.id, miss.as_str(), begun);
+                    self.metrics
+                        .run_ended(&backend.id, RunEnd::Lost(miss), begun);
                     counted.outcome = miss.outcome();
                     if !self.may_go_on(route, request, progress, &backend, miss) {
                         let reason = NotRunReason::NotTaken;
@@ -330,7 +331,8 @@
                     return self.passed_on(response);
                 }
                 Err(miss) => {
-                    self.metrics.run_ended(&backend.id, miss.as_str(), begun);
+                    self.metrics
+                        .run_ended(&backend.id, RunEnd::Lost(miss), begun);
                     place.close(miss.outcome());
                     progress.served_by = None;
                     if !self.may_go_on(route, &request, progress, &backend, miss) {
@@ -387,10 +389,10 @@
     }
 }
 
-fn whole_end(has_failed: bool) -> &'static str {
+fn whole_end(has_failed: bool) -> RunEnd {
     match has_failed {
-        true => Miss::Failed.as_str(),
-        false => run_end::DONE,
+        true => RunEnd::Lost(Miss::Failed),
+        false => RunEnd::Done,
     }
 }
 
--- a/crates/foxtailhold-relay/src/jobs/item.rs
+++ b/crates/foxtailhold-relay/src/jobs/item.rs
@@ -23,7 +23,7 @@
 use crate::fleet::BackendServer;
 use crate::jobs::rest::CrashRest;
 use crate::jobs::{Item, ItemState, Job, Jobs, ListedResult, Partials};
-use crate::metrics::run_end;
+use crate::metrics::RunEnd;
 use crate::peers::{NoPlace, Place, PlaceQuery};
 
 /// Without word for this time an engine counts as silent for an item, and the item goes on elsewhere.
@@ -55,15 +55,14 @@
     Lost(Miss),
 }
 
-impl Run {
-    /// Its name in metrics.
-    fn as_str(&self) -> &'static str {
-        match self {
-            Run::Complete => run_end::DONE,
-            Run::Impossible => run_end::IMPOSSIBLE,
-            Run::Failed => Miss::Failed.as_str(),
-            Run::Unfinished => run_end::CUT,
-            Run::Lost(miss) => miss.as_str(),
+impl From<&Run> for RunEnd {
+    fn from(run: &Run) -> Self {
+        match run {
+            Run::Complete => RunEnd::Done,
+            Run::Impossible => RunEnd::Impossible,
+            Run::Failed => RunEnd::Lost(Miss::Failed),
+            Run::Unfinished => RunEnd::Cut,
+            Run::Lost(miss) => RunEnd::Lost(*miss),
         }
     }
 }
@@ -358,7 +357,9 @@
         self.last = Some(Arc::clone(&backend));
         let (begun, events) = (Instant::now(), self.events());
         let run = self.exchange(job, target, headers, &backend, &place).await;
-        relay.metrics.run_ended(&backend.id, run.as_str(), begun);
+        relay
+            .metrics
+            .run_ended(&backend.id, RunEnd::from(&run), begun);
         let took_ms = begun.elapsed().as_millis() as u64;
         self.jobs.pace().ran(self.events() - events, took_ms);
         let outcome = match &run {
--- a/crates/foxtailhold-relay/src/metrics.rs
+++ b/crates/foxtailhold-relay/src/metrics.rs
@@ -14,24 +14,39 @@
 use prometheus_client::registry::{Registry, Unit};
 use tokio::time::Instant;
 
-/// How runs end, beside the names of [`Miss`](crate::exchange::Miss).
-pub mod run_end {
+use crate::exchange::Miss;
+use crate::request::NotRunReason;
+
+/// How a run ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RunEnd {
     /// With a whole answer.
-    pub const DONE: &str = "done";
+    Done,
     /// Its caller left.
-    pub const CALLER_GONE: &str = "caller_gone";
+    CallerGone,
     /// Its time was over.
-    pub const TIME_OVER: &str = "time_over";
-    /// A batch item that gave way.
-    pub const CUT: &str = "cut";
-    /// A batch item that can never be done.
-    pub const IMPOSSIBLE: &str = "impossible";
+    TimeOver,
+    /// It is a batch item that gave way.
+    Cut,
+    /// It is a batch item that can never be done.
+    Impossible,
+    /// Without an answer that could be passed on.
+    Lost(Miss),
 }
 
-/// The refusal of a request without a route.
-pub const NO_ROUTE: &str = "no_route";
-/// The refusal of a request by an instance that has not read all that it needs to serve.
-pub const STARTING: &str = "starting";
+impl RunEnd {
+    /// Its name in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            RunEnd::Done => "done",
+            RunEnd::CallerGone => "caller_gone",
+            RunEnd::TimeOver => "time_over",
+            RunEnd::Cut => "cut",
+            RunEnd::Impossible => "impossible",
+            RunEnd::Lost(miss) => miss.as_str(),
+        }
+    }
+}
 
 /// Labels of an answer.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
@@ -258,10 +273,11 @@
     }
 
     /// Counts a run, and times it where it has a whole answer.
-    pub fn run_ended(&self, backend: &BackendId, outcome: &'static str, begun: Instant) {
+    pub fn run_ended(&self, backend: &BackendId, end: RunEnd, begun: Instant) {
+        let outcome = end.as_str();
         self.sampled.lock().insert((backend.clone(), outcome));
         let backend = backend.to_string();
-        if outcome == run_end::DONE {
+        if end == RunEnd::Done {
             let backend = backend.clone();
             self.run_times
                 .get_or_create(&BackendLabel { backend })
@@ -289,7 +305,8 @@
     }
 
     /// Counts a request that was refused and did not run.
-    pub fn refused(&self, reason: &'static str) {
+    pub fn refused(&self, reason: NotRunReason) {
+        let reason = reason.as_str();
         self.refusals.get_or_create(&ReasonLabel { reason }).inc();
     }
 
--- a/crates/foxtailhold-relay/src/request.rs
+++ b/crates/foxtailhold-relay/src/request.rs
@@ -50,6 +50,10 @@
     Waited,
     /// The backend servers that it was sent to did not take it.
     NotTaken,
+    /// No route has its host and path.
+    NoRoute,
+    /// This instance has not read all that it needs to serve.
+    Starting,
 }
 
 impl NotRunReason {
@@ -61,6 +65,8 @@
             NotRunReason::NoPlace => "no_place",
             NotRunReason::Waited => "waited",
             NotRunReason::NotTaken => "not_taken",
+            NotRunReason::NoRoute => "no_route",
+            NotRunReason::Starting => "starting",
         }
     }
 }
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -16,7 +16,7 @@
 use crate::events::{EventReader, Step};
 use crate::exchange::Miss;
 use crate::fleet::BackendServer;
-use crate::metrics::run_end;
+use crate::metrics::RunEnd;
 use crate::peers::{Place, PlaceQuery};
 use crate::relay::{FIRST_EVENT_PATIENCE_MS, LostRun, Relay, exchange, pause_patience_ms};
 use crate::request::OpaqueRequest;
@@ -59,14 +59,13 @@
     Lost(Miss),
 }
 
-impl End {
-    /// Its name in metrics.
-    fn as_str(&self) -> &'static str {
-        match self {
-            End::Complete => run_end::DONE,
-            End::CallerGone => run_end::CALLER_GONE,
-            End::TimeOver => run_end::TIME_OVER,
-            End::Lost(miss) => miss.as_str(),
+impl From<&End> for RunEnd {
+    fn from(end: &End) -> Self {
+        match end {
+            End::Complete => RunEnd::Done,
+            End::CallerGone => RunEnd::CallerGone,
+            End::TimeOver => RunEnd::TimeOver,
+            End::Lost(miss) => RunEnd::Lost(*miss),
         }
     }
 }
@@ -79,7 +78,7 @@
         loop {
             let end = self.pass(&sender, &mut leg, step.take()).await;
             let metrics = &self.relay.metrics;
-            metrics.run_ended(&leg.backend.id, end.as_str(), leg.begun);
+            metrics.run_ended(&leg.backend.id, RunEnd::from(&end), leg.begun);
             let miss = match end {
                 End::Complete => {
                     let held_ms = leg.begun.elapsed().as_millis() as u64;
@@ -201,7 +200,7 @@
                 }
                 Err(miss) => {
                     let metrics = &self.relay.metrics;
-                    metrics.run_ended(&backend.id, miss.as_str(), begun);
+                    metrics.run_ended(&backend.id, RunEnd::Lost(miss), begun);
                     place.close(miss.outcome());
                     may_go_on = self.may_go_on(&backend, miss, 0);
                 }
