A run that was lost in silence counts as a crash once its backend server has started again

Cause: a crash was recognized only by a closed connection. Where connections stay open, as those of a machine that is lost, or close later than an instance waits, nothing was held against a request.

And once three crashes are known, each late run that was lost in silence or with a broken answer counts, since nothing is left to spare.

Ruled out: load. Three nodes on a quiet machine show it.

--- a/crates/foxtailhold-relay/src/feeds.rs
+++ b/crates/foxtailhold-relay/src/feeds.rs
@@ -143,9 +143,17 @@
         }
     }
 
-    /// Publishes who takes new work.
+    /// Publishes who takes new work, and notes crashes that showed as silence.
     fn publish(&self) {
-        let snapshot = self.book().snapshot();
+        let (snapshot, crashed) = {
+            let (now, book) = (self.relay.clock.mono(), self.book());
+            let newest_start = |identity: &BackendId| book.newest_start(identity);
+            let crashed = self.relay.silent_runs.take_crashed(now, newest_start);
+            (book.snapshot(), crashed)
+        };
+        for (fingerprint, crash) in crashed {
+            self.relay.peers.crashed(fingerprint, crash);
+        }
         let routes = self.relay.routes.load();
         for engine in routes.engines() {
             let places = snapshot.places(engine);
--- a/crates/foxtailhold-relay/src/fleet.rs
+++ b/crates/foxtailhold-relay/src/fleet.rs
@@ -152,6 +152,11 @@
         self.entries.insert(entry.backend.identity.clone(), entry);
     }
 
+    /// Unix milliseconds of the newest start of an identity.
+    pub fn newest_start(&self, identity: &BackendId) -> Option<u64> {
+        self.starts.get(identity).map(|start| start.started_unix_ms)
+    }
+
     /// Drops an entry that cannot be read: it names no backend server to use.
     pub fn refuse(&mut self, identity: &BackendId) {
         self.entries.remove(identity);
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use foxtailhold::crashes::{EARLY_EVENTS, Standing};
+use foxtailhold::crashes::{EARLY_EVENTS, MOST_CRASHES, Standing};
 use foxtailhold::quarantine::Fingerprint;
 use foxtailhold::routes::{Route, RouteTable};
 use foxtailhold::slots::Outcome;
@@ -21,6 +21,7 @@
 use crate::peers::{NoPlace, Peers, Place, PlaceQuery};
 use crate::plain::PlainLoads;
 use crate::request::OpaqueRequest;
+use crate::silent_runs::SilentRuns;
 
 /// Without word for this time an engine counts as silent for a stream that may be repeated: many
 /// times its time to a first event, and time is left to be on time late.
@@ -55,6 +56,8 @@
     pub routes: Arc<ArcSwap<RouteTable>>,
     /// Clocks.
     pub clock: Clock,
+    /// Runs that were lost in silence.
+    pub silent_runs: SilentRuns,
     /// Metrics.
     pub metrics: RelayMetrics,
 }
@@ -109,7 +112,8 @@
         self.note_crash(fingerprint, lost.backend, lost.cause, lost.events);
     }
 
-    /// Notes that a backend server may have crashed under what it had just begun to run.
+    /// Notes that a backend server may have crashed under what it had just begun to run. What is known to
+    /// crash them has no run to spare: its late runs count however they were lost.
     pub(crate) fn note_crash(
         &self,
         fingerprint: Fingerprint,
@@ -117,8 +121,20 @@
         cause: Miss,
         events: u64,
     ) {
-        if cause == Miss::Closed && events < EARLY_EVENTS {
-            self.peers.crashed(fingerprint, backend.crash_id());
+        if events >= EARLY_EVENTS {
+            return;
+        }
+        let is_late = self.peers.crashes().count(fingerprint) >= MOST_CRASHES;
+        match cause {
+            Miss::Closed => self.peers.crashed(fingerprint, backend.crash_id()),
+            Miss::Silent | Miss::Broken if is_late => {
+                self.peers.crashed(fingerprint, backend.crash_id());
+            }
+            Miss::Silent => {
+                let now = self.clock.mono();
+                self.silent_runs.note(fingerprint, backend, now);
+            }
+            Miss::Unreachable | Miss::NotRun | Miss::Broken | Miss::Failed => {}
         }
     }
 
