A run whose caller leaves, or that gives way, counts as a crash once its backend server has started again

Cause: the future of a request is dropped when its caller leaves, with all that was known of its run. A watch notes it as silent where it is dropped before it is settled; streams and items do so where they end before the eighth event. Silent runs are looked at every 200 ms too, as the new start may have been read before.

--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -196,7 +196,9 @@
                 outcome: Outcome::Abandoned,
             };
             let begun = Instant::now();
+            let unsettled = self.watch_run(request, &backend);
             let exchanged = self.whole(route, request, progress, &backend).await;
+            unsettled.settle();
             match exchanged {
                 Ok(response) => {
                     let load = self.dialect.load(response.headers());
@@ -291,7 +293,9 @@
             };
             let begun = Instant::now();
             progress.served_by = Some(backend.id.clone());
+            let unsettled = self.watch_run(&request, &backend);
             let opened = self.open(route, &request, progress, &backend, &place).await;
+            unsettled.settle();
             match opened {
                 Ok(Opened::Whole(response)) => {
                     let has_failed = response.status().is_server_error();
--- a/crates/foxtailhold-relay/src/feeds.rs
+++ b/crates/foxtailhold-relay/src/feeds.rs
@@ -143,17 +143,23 @@
         }
     }
 
-    /// Publishes who takes new work, and notes crashes that showed as silence.
-    fn publish(&self) {
-        let (snapshot, crashed) = {
-            let (now, book) = (self.relay.clock.mono(), self.book());
+    /// Notes the crashes that showed as silence.
+    fn settle_silent_runs(&self) {
+        let now = self.relay.clock.mono();
+        let crashed = {
+            let book = self.book();
             let newest_start = |identity: &BackendId| book.newest_start(identity);
-            let crashed = self.relay.silent_runs.take_crashed(now, newest_start);
-            (book.snapshot(), crashed)
+            self.relay.silent_runs.take_crashed(now, newest_start)
         };
         for (fingerprint, crash) in crashed {
             self.relay.peers.crashed(fingerprint, crash);
         }
+    }
+
+    /// Publishes who takes new work.
+    fn publish(&self) {
+        self.settle_silent_runs();
+        let snapshot = self.book().snapshot();
         let routes = self.relay.routes.load();
         for engine in routes.engines() {
             let places = snapshot.places(engine);
@@ -174,6 +180,7 @@
             if self.book().expire(now) {
                 self.publish();
             }
+            self.settle_silent_runs();
         }
     }
 }
--- a/crates/foxtailhold-relay/src/jobs/item.rs
+++ b/crates/foxtailhold-relay/src/jobs/item.rs
@@ -218,9 +218,8 @@
 
     fn note_crash(&self, job: &Job, miss: Miss, events: u64) {
         if let Some(backend) = &self.last {
-            let fingerprint = self.fingerprint(job);
             let relay = &self.jobs.relay;
-            relay.note_crash(fingerprint, backend, miss, events);
+            relay.note_crash(self.fingerprint(job), backend, miss, events);
         }
     }
 
@@ -362,6 +361,9 @@
             .run_ended(&backend.id, RunEnd::from(&run), begun);
         let took_ms = begun.elapsed().as_millis() as u64;
         self.jobs.pace().ran(self.events() - events, took_ms);
+        if matches!(run, Run::Unfinished) && self.events() - events < EARLY_EVENTS {
+            relay.note_silent_run(self.fingerprint(job), &backend);
+        }
         let outcome = match &run {
             Run::Complete => {
                 relay.note_run(|| self.fingerprint(job));
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -130,14 +130,31 @@
             Miss::Silent | Miss::Broken if is_late => {
                 self.peers.crashed(fingerprint, backend.crash_id());
             }
-            Miss::Silent => {
-                let now = self.clock.mono();
-                self.silent_runs.note(fingerprint, backend, now);
-            }
+            Miss::Silent => self.note_silent_run(fingerprint, backend),
             Miss::Unreachable | Miss::NotRun | Miss::Broken | Miss::Failed => {}
         }
     }
 
+    /// Notes a run that ended here before it showed whether it crashes its backend server.
+    pub(crate) fn note_silent_run(&self, fingerprint: Fingerprint, backend: &BackendServer) {
+        let now = self.clock.mono();
+        self.silent_runs.note(fingerprint, backend, now);
+    }
+
+    /// Watches a run until it is settled.
+    pub(crate) fn watch_run<'a>(
+        &'a self,
+        request: &'a OpaqueRequest,
+        backend: &'a BackendServer,
+    ) -> UnsettledRun<'a, D> {
+        UnsettledRun {
+            relay: self,
+            request,
+            backend,
+            is_settled: false,
+        }
+    }
+
     /// Notes that a request was seen to run.
     pub(crate) fn note_run(&self, fingerprint: impl FnOnce() -> Fingerprint) {
         if !self.peers.crashes().is_empty() {
@@ -190,6 +207,31 @@
     }
 }
 
+/// A run of which nothing is known yet. It is silent if it is dropped so, as when its caller leaves.
+#[derive(Debug)]
+pub(crate) struct UnsettledRun<'a, D: Dialect> {
+    relay: &'a Relay<D>,
+    request: &'a OpaqueRequest,
+    backend: &'a BackendServer,
+    is_settled: bool,
+}
+
+impl<D: Dialect> UnsettledRun<'_, D> {
+    /// Ends the watch: the run has an answer or was lost.
+    pub(crate) fn settle(mut self) {
+        self.is_settled = true;
+    }
+}
+
+impl<D: Dialect> Drop for UnsettledRun<'_, D> {
+    fn drop(&mut self) {
+        if !self.is_settled {
+            let fingerprint = self.request.fingerprint();
+            self.relay.note_silent_run(fingerprint, self.backend);
+        }
+    }
+}
+
 /// The exchange of a request.
 pub fn exchange<'a>(request: &'a OpaqueRequest, route: &Route, after: Option<u64>) -> Exchange<'a> {
     Exchange {
--- a/crates/foxtailhold-relay/src/silent_runs.rs
+++ b/crates/foxtailhold-relay/src/silent_runs.rs
@@ -1,4 +1,5 @@
-//! Runs that gave no sign: their backend server may have crashed without its connections being closed.
+//! Runs that ended here before anything showed that their backend server is alive: it may have crashed
+//! without its connections being closed.
 
 use std::collections::VecDeque;
 
@@ -27,7 +28,7 @@
 pub struct SilentRuns(Mutex<VecDeque<SilentRun>>);
 
 impl SilentRuns {
-    /// Notes a run that was lost in silence.
+    /// Notes a run that ended here without a sign.
     pub fn note(&self, fingerprint: Fingerprint, backend: &BackendServer, now: MonoMs) {
         let mut runs = self.0.lock();
         if runs.len() >= MOST_RUNS {
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -79,6 +79,10 @@
             let end = self.pass(&sender, &mut leg, step.take()).await;
             let metrics = &self.relay.metrics;
             metrics.run_ended(&leg.backend.id, RunEnd::from(&end), leg.begun);
+            if matches!(end, End::CallerGone | End::TimeOver) && leg.events < EARLY_EVENTS {
+                let fingerprint = self.request.fingerprint();
+                self.relay.note_silent_run(fingerprint, &leg.backend);
+            }
             let miss = match end {
                 End::Complete => {
                     let held_ms = leg.begun.elapsed().as_millis() as u64;
