A crash under a request that still waits is known as soon as the new start is listed

From the lines: the second leg of resume-crash-2 waited at writers-2 in silence from 0.9 s to its deadline at 3.9 s, though writers-2 had started again after some 1.5 s; three crashes were known after 4.3 s, while replicas had seen the third run at about 1 s.

Cause: a silent run was noted when it ended here, which for a request without another attempt is its deadline.

Fix: a run is remembered from its sending until it is settled, and taken as a crash when its backend server's new start is read, also while it waits.

--- a/crates/foxtailhold-relay/src/feeds.rs
+++ b/crates/foxtailhold-relay/src/feeds.rs
@@ -143,13 +143,13 @@
         }
     }
 
-    /// Notes the crashes that showed as silence.
-    fn settle_silent_runs(&self) {
+    /// Notes the crashes that showed by a new start only.
+    fn settle_runs(&self) {
         let now = self.relay.clock.mono();
         let crashed = {
             let book = self.book();
             let newest_start = |identity: &BackendId| book.newest_start(identity);
-            self.relay.silent_runs.take_crashed(now, newest_start)
+            self.relay.unsettled_runs.take_crashed(now, newest_start)
         };
         for (fingerprint, crash) in crashed {
             self.relay.peers.crashed(fingerprint, crash);
@@ -158,7 +158,7 @@
 
     /// Publishes who takes new work.
     fn publish(&self) {
-        self.settle_silent_runs();
+        self.settle_runs();
         let snapshot = self.book().snapshot();
         let routes = self.relay.routes.load();
         for engine in routes.engines() {
@@ -180,7 +180,7 @@
             if self.book().expire(now) {
                 self.publish();
             }
-            self.settle_silent_runs();
+            self.settle_runs();
         }
     }
 }
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -28,8 +28,8 @@
 use crate::plain::PlainLoads;
 use crate::relay::Relay;
 use crate::shared_store::SharedStore;
-use crate::silent_runs::SilentRuns;
 use crate::sources::Sources;
+use crate::unsettled_runs::UnsettledRuns;
 use foxtailhold_http::clock::Clock;
 
 /// Result of starting an instance.
@@ -114,7 +114,7 @@
             backends: Arc::new(ArcSwap::from_pointee(Backends::default())),
             routes: Arc::new(ArcSwap::from_pointee(RouteTable::default())),
             clock,
-            silent_runs: SilentRuns::default(),
+            unsettled_runs: UnsettledRuns::default(),
             metrics,
         });
         let book = Arc::new(JobBook::default());
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -20,6 +20,6 @@
 pub mod relay;
 pub mod request;
 pub mod shared_store;
-pub mod silent_runs;
 pub mod sources;
 pub mod stream;
+pub mod unsettled_runs;
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -21,7 +21,7 @@
 use crate::peers::{NoPlace, Peers, Place, PlaceQuery};
 use crate::plain::PlainLoads;
 use crate::request::OpaqueRequest;
-use crate::silent_runs::SilentRuns;
+use crate::unsettled_runs::UnsettledRuns;
 
 /// Without word for this time an engine counts as silent for a stream that may be repeated: many
 /// times its time to a first event, and time is left to be on time late.
@@ -56,8 +56,8 @@
     pub routes: Arc<ArcSwap<RouteTable>>,
     /// Clocks.
     pub clock: Clock,
-    /// Runs that were lost in silence.
-    pub silent_runs: SilentRuns,
+    /// Runs that have not shown yet whether their backend server is alive.
+    pub unsettled_runs: UnsettledRuns,
     /// Metrics.
     pub metrics: RelayMetrics,
 }
@@ -137,21 +137,19 @@
 
     /// Notes a run that ended here before it showed whether it crashes its backend server.
     pub(crate) fn note_silent_run(&self, fingerprint: Fingerprint, backend: &BackendServer) {
-        let now = self.clock.mono();
-        self.silent_runs.note(fingerprint, backend, now);
+        let number = self.unsettled_runs.begin(fingerprint, backend);
+        self.unsettled_runs.end(number, self.clock.mono());
     }
 
     /// Watches a run until it is settled.
-    pub(crate) fn watch_run<'a>(
-        &'a self,
-        request: &'a OpaqueRequest,
-        backend: &'a BackendServer,
-    ) -> UnsettledRun<'a, D> {
+    pub(crate) fn watch_run(
+        &self,
+        request: &OpaqueRequest,
+        backend: &BackendServer,
+    ) -> UnsettledRun<'_, D> {
         UnsettledRun {
             relay: self,
-            request,
-            backend,
-            is_settled: false,
+            number: self.unsettled_runs.begin(request.fingerprint(), backend),
         }
     }
 
@@ -207,28 +205,24 @@
     }
 }
 
-/// A run of which nothing is known yet. It is silent if it is dropped so, as when its caller leaves.
+/// A run of which nothing is known yet. Dropped so, as when its caller leaves, it has ended without a sign.
 #[derive(Debug)]
 pub(crate) struct UnsettledRun<'a, D: Dialect> {
     relay: &'a Relay<D>,
-    request: &'a OpaqueRequest,
-    backend: &'a BackendServer,
-    is_settled: bool,
+    number: u64,
 }
 
 impl<D: Dialect> UnsettledRun<'_, D> {
     /// Ends the watch: the run has an answer or was lost.
-    pub(crate) fn settle(mut self) {
-        self.is_settled = true;
+    pub(crate) fn settle(self) {
+        self.relay.unsettled_runs.settle(self.number);
     }
 }
 
 impl<D: Dialect> Drop for UnsettledRun<'_, D> {
     fn drop(&mut self) {
-        if !self.is_settled {
-            let fingerprint = self.request.fingerprint();
-            self.relay.note_silent_run(fingerprint, self.backend);
-        }
+        let now = self.relay.clock.mono();
+        self.relay.unsettled_runs.end(self.number, now);
     }
 }
 
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -232,10 +232,13 @@
         let exchange = exchange(&self.request, &self.route, after);
         let patience = Duration::from_millis(FIRST_EVENT_PATIENCE_MS);
         let patience_until = self.attempts.until.min(Instant::now() + patience);
-        let (response, in_use) = self
+        let unsettled = self.relay.watch_run(&self.request, backend);
+        let sent = self
             .relay
             .send_to(backend, &exchange, self.attempts.until, patience_until)
-            .await?;
+            .await;
+        unsettled.settle();
+        let (response, in_use) = sent?;
         if !response.status().is_success() {
             return Err(Miss::Failed);
         }
