An instance that stops is told of crashes too

From the lines: all three nodes got SIGTERM within 0.9 s and served for 4 to 5 s more; each noted crashes that the others did not hear of ('crashes': 1 at three nodes), since the message goes to instances that stay only. Two ended and a third was started again with nothing in the store, which gave no answer at that time.

Cause: Members::others left out instances that leave, though callers keep their addresses for seconds. Test: members.rs, red before.

--- a/crates/foxtailhold-relay/src/peers/members.rs
+++ b/crates/foxtailhold-relay/src/peers/members.rs
@@ -109,9 +109,10 @@
         self.staying().count()
     }
 
-    /// The addresses of all other instances that stay.
+    /// The addresses of all other instances, also of those that leave: they serve for seconds more.
     pub fn others(&self) -> Vec<SocketAddr> {
-        let others = self.staying().filter(|member| member.instance != self.me);
+        let all = self.rows.values();
+        let others = all.filter(|member| member.instance != self.me);
         others.map(|member| member.peer_address).collect()
     }
 
--- a/crates/foxtailhold-relay/tests/members.rs
+++ b/crates/foxtailhold-relay/tests/members.rs
@@ -54,6 +54,19 @@
     assert_eq!(live(&members, 0).len(), 5);
 }
 
+#[test]
+fn an_instance_that_leaves_still_serves_and_hears_what_all_must_know() {
+    let mut members = five();
+    let leaving = Member {
+        is_leaving: true,
+        ..member("i2", 2)
+    };
+    members.put(9, leaving);
+    let mut others = members.others();
+    others.sort();
+    assert_eq!(others, [1, 2, 4, 5].map(address));
+}
+
 #[test]
 fn the_oldest_that_is_heard_grants() {
     let mut members = five();
