--- a/crates/foxtailhold-relay/src/jobs/item.rs
+++ b/crates/foxtailhold-relay/src/jobs/item.rs
@@ -31,8 +31,8 @@
 /// Pause after a failed run, and after the second loss in a row without a new event; it doubles with
 /// each further one.
 const PAUSE_MS: u64 = 60;
-/// Longest pause: an item that crashes each engine which runs it must not take one after the other
-/// down, and may not be given up before its time.
+/// Longest pause: an item that meets broken answers only may not be given up before its time, and must not
+/// keep engines busy until then. What crashes them rests by [`CrashRest`].
 const MOST_PAUSE_MS: u64 = 8_000;
 /// An item whose route is missing for this time, and so from the configuration, is given up.
 const NO_ROUTE_MS: u64 = 5_000;
