Logs and metrics that tell the hypotheses of the late configuration apart

Cause: an instance that served an older configuration left nothing in its logs by which a call that hangs, a feed that answers without the change and a process that does not run could be told apart. A failed attempt through another instance was not logged at all while a second one was tried.

Change: each store call records its wait, the way it took and how it ended, also when it is dropped because another one answered first; one over 0.5 s beyond its own wait is logged ("slow store call"). The delay of a timer is measured. Rejected route tables are counted. No decision changes.

--- a/crates/foxtailhold-relay/src/feeds.rs
+++ b/crates/foxtailhold-relay/src/feeds.rs
@@ -17,6 +17,7 @@
 use crate::peers::{Member, Peers};
 use crate::platform_tables::PlatformTables;
 use crate::relay::Relay;
+use crate::tables::FollowedTable;
 
 /// Interval between checks of entries that only expire by time.
 const EXPIRY_CHECK_MS: u64 = 200;
@@ -42,6 +43,7 @@
             match self.tables.read_routes(value) {
                 Ok(table) => self.apply_table(table),
                 Err(error) => {
+                    self.relay.metrics.route_table_rejected();
                     log::error!(row = row.version; "route table rejected, keeping the current one: {error}")
                 }
             }
@@ -53,7 +55,12 @@
         if table.version() <= current {
             return;
         }
-        log::info!(version = table.version(), before = current; "route table in effect");
+        let confirmed = self.relay.metrics.tables().age(FollowedTable::Routes);
+        let access = confirmed.map(|(_, access)| access.to_string());
+        log::info!(
+            version = table.version(), before = current, access = access.as_deref();
+            "route table in effect"
+        );
         self.relay.routes.store(Arc::new(table));
         self.backends_sink.publish();
     }
@@ -68,11 +75,7 @@
         self.apply_rows(&rows);
     }
 
-    fn call_ended(&mut self, is_ok: bool) {
-        if is_ok {
-            self.relay.metrics.config_confirmed();
-        }
-    }
+    fn call_ended(&mut self, _is_ok: bool) {}
 }
 
 /// Decoded row of a backend server.
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -21,7 +21,7 @@
 use crate::dialect::Dialect;
 use crate::feeds::{BackendsSink, MembersSink, RoutesSink};
 use crate::fleet::{Backends, FleetTable};
-use crate::follow::follow;
+use crate::follow::{TableSource, follow};
 use crate::jobs::{JOBS_TABLE, JobCache, JobCacheSink, JobStore, Jobs, own_jobs, sweep_jobs};
 use crate::metrics::{GaugeValues, RelayMetrics};
 use crate::peers::{INSTANCES_TABLE, Member, Peers};
@@ -30,6 +30,8 @@
 use crate::platform_tables::PlatformTables;
 use crate::relay::Relay;
 use crate::shared_store::SharedStore;
+use crate::tables::FollowedTable;
+use crate::timers::watch_timers;
 use foxtailhold_http::clock::Clock;
 
 /// Result of starting an instance.
@@ -103,7 +105,7 @@
         let clock = Clock::default();
         let (instance, zone) = (identity.instance.clone(), identity.zone.clone());
         let peers = Peers::new(instance, zone, socket, clock);
-        let store = SharedStore::new(store, peers.clone());
+        let store = SharedStore::new(store, peers.clone(), metrics.clone());
         let peer_server = Server::bind(address, store.server()).await?;
         tokio::spawn(store.clone().probe(INSTANCES_TABLE));
         let relay = Arc::new(Relay {
@@ -136,17 +138,29 @@
             backends_sink: backends_sink.clone(),
             tables: tables.clone(),
         };
-        tokio::spawn(follow(store.clone(), tables.routes_location().0, routes));
-        let backends = follow(
+        let status = relay.metrics.tables().clone();
+        let source = |table, name| TableSource { table, name };
+        let routes_source = source(FollowedTable::Routes, tables.routes_location().0);
+        let backends_source = source(FollowedTable::Backends, tables.backends_table());
+        let members_source = source(FollowedTable::Instances, INSTANCES_TABLE);
+        let jobs_source = source(FollowedTable::Jobs, JOBS_TABLE);
+        let members_sink = MembersSink(peers.clone());
+        let jobs_sink = JobCacheSink::new(cache, peers.clone());
+        tokio::spawn(follow(store.clone(), routes_source, status.clone(), routes));
+        tokio::spawn(follow(
             store.clone(),
-            tables.backends_table(),
+            backends_source,
+            status.clone(),
             backends_sink.clone(),
-        );
-        tokio::spawn(backends);
-        let members = MembersSink(peers.clone());
-        tokio::spawn(follow(store.clone(), INSTANCES_TABLE, members));
-        let jobs_sink = JobCacheSink::new(cache, peers.clone());
-        tokio::spawn(follow(store.clone(), JOBS_TABLE, jobs_sink));
+        ));
+        tokio::spawn(follow(
+            store.clone(),
+            members_source,
+            status.clone(),
+            members_sink,
+        ));
+        tokio::spawn(follow(store.clone(), jobs_source, status, jobs_sink));
+        tokio::spawn(watch_timers(relay.metrics.clone()));
         tokio::spawn(peers.run());
         tokio::spawn(backends_sink.expire());
         tokio::spawn(persist_crashes(store.clone(), relay.peers.clone()));
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -22,4 +22,6 @@
 pub mod request;
 pub mod shared_store;
 pub mod stream;
+pub mod tables;
+mod timers;
 pub mod upstream;
--- a/crates/foxtailhold-relay/src/metrics.rs
+++ b/crates/foxtailhold-relay/src/metrics.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::time::Duration;
 
 use foxtailhold::ids::BackendId;
 use parking_lot::Mutex;
@@ -15,6 +16,7 @@
 use tokio::time::Instant;
 
 use crate::request::NotRunReason;
+use crate::tables::{FollowedTable, TableStatus};
 use crate::upstream::AttemptFailure;
 
 /// How an attempt ended.
@@ -87,6 +89,18 @@
     outcome: &'static str,
 }
 
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct WaitLabels {
+    call: &'static str,
+    access: &'static str,
+    outcome: &'static str,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct TableLabel {
+    table: &'static str,
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct CauseLabel {
     cause: &'static str,
@@ -123,6 +137,9 @@
     batch_jobs_open: Gauge,
     config_version: Gauge,
     config_age: Gauge<f64, AtomicU64>,
+    table_ages: Family<TableLabel, Gauge<f64, AtomicU64>>,
+    table_versions: Family<TableLabel, Gauge>,
+    timer_delay: Gauge<f64, AtomicU64>,
 }
 
 impl Gauges {
@@ -138,13 +155,35 @@
         let help = "Time since the store last answered about the configuration";
         let age = self.config_age.clone();
         registry.register_with_unit("config_age", help, Unit::Seconds, age);
+        let help = "Time since the store last answered about a followed table";
+        let ages = self.table_ages.clone();
+        registry.register_with_unit("table_age", help, Unit::Seconds, ages);
+        let help = "Version of the newest change of a followed table that was applied";
+        registry.register("table_version", help, self.table_versions.clone());
+        let help = "Longest delay of a timer beyond its time since the metrics were last read";
+        let delay = self.timer_delay.clone();
+        registry.register_with_unit("timer_delay", help, Unit::Seconds, delay);
     }
 
-    fn set(&self, values: &GaugeValues) {
+    fn set(&self, values: &GaugeValues, tables: &TableStatus) {
         self.slots_in_use.set(values.slots_in_use as i64);
         self.requests_waiting.set(values.requests_waiting as i64);
         self.batch_jobs_open.set(values.batch_jobs_open as i64);
         self.config_version.set(values.config_version as i64);
+        for table in FollowedTable::ALL {
+            let label = TableLabel {
+                table: table.as_str(),
+            };
+            let newest = tables.newest_change(table);
+            self.table_versions.get_or_create(&label).set(newest as i64);
+            let Some((age, _)) = tables.age(table) else {
+                continue;
+            };
+            self.table_ages.get_or_create(&label).set(age.as_secs_f64());
+            if table == FollowedTable::Routes {
+                self.config_age.set(age.as_secs_f64());
+            }
+        }
     }
 }
 
@@ -166,9 +205,12 @@
     attempt_durations: DurationFamily<BackendLabel>,
     refusals: Family<ReasonLabel, Counter>,
     store_call_times: DurationFamily<CallLabel>,
+    store_call_waits: DurationFamily<WaitLabels>,
+    rejected_route_tables: Counter,
+    longest_timer_delay: Arc<Mutex<Duration>>,
     gauges: Gauges,
     sampled: Arc<Mutex<SampledAttempts>>,
-    config_confirmed: Arc<Mutex<Option<Instant>>>,
+    tables: TableStatus,
 }
 
 impl Default for RelayMetrics {
@@ -211,6 +253,14 @@
         let help = "Time of an answered call to the store, with the wait of a feed";
         let times = store_call_times.clone();
         registry.register_with_unit("store_call", help, Unit::Seconds, times);
+        let store_call_waits =
+            DurationFamily::new_with_constructor(latency_histogram as fn() -> Histogram);
+        let help = "Wait of a call to the store, by the way it took and how it ended";
+        let waits = store_call_waits.clone();
+        registry.register_with_unit("store_call_wait", help, Unit::Seconds, waits);
+        let rejected_route_tables = Counter::default();
+        let help = "Route tables that were not taken into effect because they are not valid";
+        registry.register("rejected_route_tables", help, rejected_route_tables.clone());
         let gauges = Gauges::default();
         gauges.register(&mut registry);
         RelayMetrics {
@@ -226,9 +276,12 @@
             attempt_durations,
             refusals,
             store_call_times,
+            store_call_waits,
+            rejected_route_tables,
+            longest_timer_delay: Arc::default(),
             gauges,
             sampled: Arc::default(),
-            config_confirmed: Arc::default(),
+            tables: TableStatus::default(),
         }
     }
 }
@@ -315,9 +368,38 @@
         self.refusals.get_or_create(&ReasonLabel { reason }).inc();
     }
 
-    /// Records that the store has confirmed the configuration.
-    pub fn config_confirmed(&self) {
-        *self.config_confirmed.lock() = Some(Instant::now());
+    /// Records the wait of a store call, answered or not.
+    pub fn store_call_waited(
+        &self,
+        call: &'static str,
+        access: &'static str,
+        outcome: &'static str,
+        waited: Duration,
+    ) {
+        let labels = WaitLabels {
+            call,
+            access,
+            outcome,
+        };
+        self.store_call_waits
+            .get_or_create(&labels)
+            .observe(waited.as_secs_f64());
+    }
+
+    /// Status of the followed tables, whose ages and versions are metrics.
+    pub fn tables(&self) -> &TableStatus {
+        &self.tables
+    }
+
+    /// Counts a route table that is not valid.
+    pub fn route_table_rejected(&self) {
+        self.rejected_route_tables.inc();
+    }
+
+    /// Records by how much a timer was late.
+    pub fn timer_delayed(&self, delay: Duration) {
+        let mut longest = self.longest_timer_delay.lock();
+        *longest = delay.max(*longest);
     }
 
     /// Counts the outcome of a batch item's attempt.
@@ -339,11 +421,9 @@
 
     /// All metrics in the Prometheus text format.
     pub fn text(&self, values: &GaugeValues) -> Result<String, std::fmt::Error> {
-        self.gauges.set(values);
-        if let Some(confirmed) = *self.config_confirmed.lock() {
-            let age_s = confirmed.elapsed().as_secs_f64();
-            self.gauges.config_age.set(age_s);
-        }
+        self.gauges.set(values, &self.tables);
+        let delay = std::mem::take(&mut *self.longest_timer_delay.lock());
+        self.gauges.timer_delay.set(delay.as_secs_f64());
         let registry = self.registry.lock();
         let mut out = String::new();
         text::encode(&mut out, &registry)?;
--- a/crates/foxtailhold-relay/src/shared_store/message.rs
+++ b/crates/foxtailhold-relay/src/shared_store/message.rs
@@ -99,6 +99,26 @@
         })
     }
 
+    /// Name in logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            StoreCall::Commit(_) => "commit",
+            StoreCall::Read { .. } => "read",
+            StoreCall::Follow { .. } => "follow",
+            StoreCall::Put(..) => "put_object",
+            StoreCall::Get(_) => "get_object",
+            StoreCall::Delete(_) => "delete_object",
+        }
+    }
+
+    /// Table of a read or a wait for changes.
+    pub fn table(&self) -> Option<&str> {
+        match self {
+            StoreCall::Read { table, .. } | StoreCall::Follow { table, .. } => Some(table),
+            _ => None,
+        }
+    }
+
     /// Time that the call itself may wait, in addition to the limits of the store.
     pub fn wait_ms(&self) -> u64 {
         match self {
--- a/crates/foxtailhold-relay/src/shared_store/mod.rs
+++ b/crates/foxtailhold-relay/src/shared_store/mod.rs
@@ -7,9 +7,11 @@
 
 mod health;
 mod message;
+mod observe;
 
 pub use health::StoreHealth;
 pub use message::{StoreAnswer, StoreCall};
+pub use observe::StoreAccess;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -27,8 +29,10 @@
 use rand::seq::IndexedRandom;
 use tokio::time::Instant;
 
+use crate::metrics::RelayMetrics;
 use crate::peers::Peers;
 use message::SERVICE;
+use observe::CallTimer;
 
 /// HTTP path for calls of other instances.
 const STORE_PATH: &str = "/store";
@@ -53,8 +57,12 @@
     health: StoreHealth,
     peers: Peers,
     http: HttpClient,
+    metrics: RelayMetrics,
 }
 
+/// An answer and the way on which it came.
+type Answered = (StoreAnswer, StoreAccess);
+
 fn unexpected_answer() -> PlatformError {
     PlatformError::Malformed {
         service: SERVICE,
@@ -64,12 +72,13 @@
 
 impl<S: RowStore + ObjectStore> SharedStore<S> {
     /// Creates the fallback for `direct` through the instances known to `peers`.
-    pub fn new(direct: S, peers: Peers) -> Self {
+    pub fn new(direct: S, peers: Peers, metrics: RelayMetrics) -> Self {
         SharedStore {
             direct,
             health: StoreHealth::default(),
             peers,
             http: HttpClient::new(Reuse::Pooled),
+            metrics,
         }
     }
 
@@ -106,20 +115,26 @@
         all.choose_multiple(&mut rng, MAX_PEERS).copied().collect()
     }
 
-    async fn direct(&self, call: &StoreCall) -> Result<StoreAnswer> {
+    async fn direct(&self, call: &StoreCall) -> Result<Answered> {
+        let timer = CallTimer::start(&self.metrics, call, StoreAccess::Direct);
         let answer = call.execute(&self.direct).await.into_result();
+        timer.close(&answer);
         self.health.record(answer.is_ok());
-        answer
+        Ok((answer?, StoreAccess::Direct))
     }
 
-    async fn call_through_peer(&self, call: &StoreCall) -> Result<StoreAnswer> {
+    async fn call_through_peer(&self, call: &StoreCall) -> Result<Answered> {
         let mut last = PlatformError::Unavailable {
             service: SERVICE,
             detail: "no other instance is known".into(),
         };
         for address in self.random_peers() {
-            match self.call_peer(address, call).await {
-                Ok(answer) => return Ok(answer),
+            let access = StoreAccess::Peer(address);
+            let timer = CallTimer::start(&self.metrics, call, access);
+            let answer = self.call_peer(address, call).await;
+            timer.close(&answer);
+            match answer {
+                Ok(answer) => return Ok((answer, access)),
                 Err(error) => last = error,
             }
         }
@@ -154,7 +169,7 @@
         answer.into_result()
     }
 
-    async fn call(&self, call: StoreCall) -> Result<StoreAnswer> {
+    async fn call(&self, call: StoreCall) -> Result<Answered> {
         if self.health.is_unreachable() {
             return self.call_through_peer(&call).await;
         }
@@ -168,11 +183,7 @@
 
     /// Makes a call through another instance after the direct call failed. If both fail, the error
     /// states that the call may have taken effect if that holds for either.
-    async fn retry_through_peer(
-        &self,
-        call: &StoreCall,
-        first: PlatformError,
-    ) -> Result<StoreAnswer> {
+    async fn retry_through_peer(&self, call: &StoreCall, first: PlatformError) -> Result<Answered> {
         match self.call_through_peer(call).await {
             Ok(answer) => Ok(answer),
             Err(second) if !first.may_have_taken_effect() && second.may_have_taken_effect() => {
@@ -183,7 +194,7 @@
     }
 
     /// Also tries another instance if the direct call is slow. The first success is returned.
-    async fn hedged(&self, call: StoreCall) -> Result<StoreAnswer> {
+    async fn hedged(&self, call: StoreCall) -> Result<Answered> {
         if self.health.is_unreachable() {
             return self.call_through_peer(&call).await;
         }
@@ -215,15 +226,19 @@
     }
 }
 
-impl<S: RowStore + ObjectStore> RowStore for SharedStore<S> {
-    async fn commit(&self, changes: &Changes) -> Result<Committed> {
-        match self.hedged(StoreCall::Commit(changes.clone())).await? {
-            StoreAnswer::Committed(committed) => Ok(committed),
-            _ => Err(unexpected_answer()),
-        }
+impl<S: RowStore + ObjectStore> SharedStore<S> {
+    /// Reads a whole table, and tells how the answer came.
+    pub async fn read_table(&self, table: &str) -> Result<(Snapshot, StoreAccess)> {
+        self.read_range(table, "", "", "").await
     }
 
-    async fn read(&self, table: &str, part: &str, from: &str, to: &str) -> Result<Snapshot> {
+    async fn read_range(
+        &self,
+        table: &str,
+        part: &str,
+        from: &str,
+        to: &str,
+    ) -> Result<(Snapshot, StoreAccess)> {
         let call = StoreCall::Read {
             table: table.into(),
             part: part.into(),
@@ -231,41 +246,64 @@
             to: to.into(),
         };
         match self.call(call).await? {
-            StoreAnswer::Read(snapshot) => Ok(snapshot),
+            (StoreAnswer::Read(snapshot), access) => Ok((snapshot, access)),
             _ => Err(unexpected_answer()),
         }
     }
 
-    async fn follow(&self, table: &str, after: u64, wait_ms: u64) -> Result<Feed> {
+    /// Waits for changes of a table, and tells how the answer came.
+    pub async fn follow_table(
+        &self,
+        table: &str,
+        after: u64,
+        wait_ms: u64,
+    ) -> Result<(Feed, StoreAccess)> {
         let call = StoreCall::Follow {
             table: table.into(),
             after,
             wait_ms,
         };
         match self.call(call).await? {
-            StoreAnswer::Followed(feed) => Ok(feed),
+            (StoreAnswer::Followed(feed), access) => Ok((feed, access)),
+            _ => Err(unexpected_answer()),
+        }
+    }
+}
+
+impl<S: RowStore + ObjectStore> RowStore for SharedStore<S> {
+    async fn commit(&self, changes: &Changes) -> Result<Committed> {
+        match self.hedged(StoreCall::Commit(changes.clone())).await?.0 {
+            StoreAnswer::Committed(committed) => Ok(committed),
             _ => Err(unexpected_answer()),
         }
     }
+
+    async fn read(&self, table: &str, part: &str, from: &str, to: &str) -> Result<Snapshot> {
+        Ok(self.read_range(table, part, from, to).await?.0)
+    }
+
+    async fn follow(&self, table: &str, after: u64, wait_ms: u64) -> Result<Feed> {
+        Ok(self.follow_table(table, after, wait_ms).await?.0)
+    }
 }
 
 impl<S: RowStore + ObjectStore> ObjectStore for SharedStore<S> {
     async fn put_object(&self, name: &str, bytes: Bytes) -> Result<()> {
-        match self.hedged(StoreCall::Put(name.into(), bytes)).await? {
+        match self.hedged(StoreCall::Put(name.into(), bytes)).await?.0 {
             StoreAnswer::Written => Ok(()),
             _ => Err(unexpected_answer()),
         }
     }
 
     async fn get_object(&self, name: &str) -> Result<Option<Bytes>> {
-        match self.call(StoreCall::Get(name.into())).await? {
+        match self.call(StoreCall::Get(name.into())).await?.0 {
             StoreAnswer::Object(object) => Ok(object),
             _ => Err(unexpected_answer()),
         }
     }
 
     async fn delete_object(&self, name: &str) -> Result<()> {
-        match self.call(StoreCall::Delete(name.into())).await? {
+        match self.call(StoreCall::Delete(name.into())).await?.0 {
             StoreAnswer::Written => Ok(()),
             _ => Err(unexpected_answer()),
         }
--- /dev/null
+++ b/crates/foxtailhold-relay/src/shared_store/observe.rs
@@ -0,0 +1,95 @@
+//! Measures how long each store call waited, and on which way.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use foxtailhold_platform::PlatformError;
+use tokio::time::Instant;
+
+use super::message::StoreCall;
+use crate::metrics::RelayMetrics;
+
+/// A call that took this long, beyond the wait that it requested, is logged.
+const SLOW_CALL_MS: u64 = 500;
+
+/// How an answer of the store reached this instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreAccess {
+    /// From the store itself.
+    Direct,
+    /// Through the instance with this peer address.
+    Peer(SocketAddr),
+}
+
+impl StoreAccess {
+    /// Name in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            StoreAccess::Direct => "direct",
+            StoreAccess::Peer(_) => "peer",
+        }
+    }
+}
+
+impl fmt::Display for StoreAccess {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            StoreAccess::Direct => f.write_str("direct"),
+            StoreAccess::Peer(address) => write!(f, "through {address}"),
+        }
+    }
+}
+
+/// Outcome of a call that was dropped because another one answered first.
+const ABANDONED: &str = "abandoned";
+
+/// A store call under way. Its wait is recorded when it ends or is dropped.
+pub(super) struct CallTimer<'a> {
+    metrics: &'a RelayMetrics,
+    call: &'a StoreCall,
+    access: StoreAccess,
+    started: Instant,
+    outcome: &'static str,
+}
+
+impl<'a> CallTimer<'a> {
+    pub(super) fn start(
+        metrics: &'a RelayMetrics,
+        call: &'a StoreCall,
+        access: StoreAccess,
+    ) -> Self {
+        CallTimer {
+            metrics,
+            call,
+            access,
+            started: Instant::now(),
+            outcome: ABANDONED,
+        }
+    }
+
+    /// Ends the measurement with the outcome of the call.
+    pub(super) fn close<T>(mut self, result: &Result<T, PlatformError>) {
+        self.outcome = match result {
+            Ok(_) => "answered",
+            Err(PlatformError::Unavailable { .. }) => "unavailable",
+            Err(_) => "no_answer",
+        };
+    }
+}
+
+impl Drop for CallTimer<'_> {
+    fn drop(&mut self) {
+        let (call, outcome) = (self.call.name(), self.outcome);
+        let waited = self.started.elapsed();
+        self.metrics
+            .store_call_waited(call, self.access.as_str(), outcome, waited);
+        let waited_ms = waited.as_millis() as u64;
+        if waited_ms < SLOW_CALL_MS + self.call.wait_ms() {
+            return;
+        }
+        log::warn!(
+            call = call, table = self.call.table(), access:% = self.access, outcome = outcome,
+            waited_ms = waited_ms; "slow store call"
+        );
+    }
+}
