Follow the store's tables on all ways side by side

Cause: callers were refused, or served by the service of before, at one instance. Each change came on one way at a time. While the store could not be reached directly, a feed call waited at one other instance after the other, 2.4 s each, and nothing ended the wait when the store answered directly again. One flag for all calls and tables chose the way.

Change: after a failed feed call the follower asks the store directly and through another instance side by side, each until one answers; the direct call then has no wait, so that it shows at once that the store is reachable. Its retries are scheduled over these rounds. Reads and writes go on the way that worked last, and on the other one as well after a delay. The health flag decides only which way goes first; the probe task is gone. If both ways fail, an error that leaves the effect unknown goes first: a direct refusal used to hide that a call through another instance may have run. The feed waits 1.0 s and has 0.4 s more, so that a silent call is noticed in 1.4 s in place of 1.9 s.

--- a/crates/foxtailhold-relay/src/follow.rs
+++ b/crates/foxtailhold-relay/src/follow.rs
@@ -5,17 +5,22 @@
 
 use std::time::Duration;
 
-use foxtailhold_platform::{Feed, ObjectStore, RowStore, Snapshot, VersionedRow};
+use foxtailhold_platform::{Feed, ObjectStore, Result, RowStore, Snapshot, VersionedRow};
 use rand::Rng;
+use tokio::time::Instant;
 
-use crate::shared_store::{SharedStore, StoreAccess};
+use crate::shared_store::{FeedCall, SharedStore, StoreAccess};
 use crate::tables::{FollowedTable, TableStatus};
 
-/// Longest wait of one call for changes. A silent connection must be noticed, and the table read
-/// again, well within the 3 s after which an instance counts as connected again.
-pub const FEED_WAIT_MS: u64 = 1_200;
+/// Longest wait of one direct call for changes, and its time limit beyond that. A silent connection
+/// must be noticed, and the change read on another one, within the time in which a change has to be
+/// in effect.
+const FEED_WAIT_AND_MARGIN_MS: (u64, u64) = (1_000, 400);
+/// The same for a call through another instance, which may have stopped responding. It is shorter,
+/// so that the next one is soon tried.
+const PEER_FEED_WAIT_AND_MARGIN_MS: (u64, u64) = (600, 400);
 /// First and longest delay after a failed call.
-const RETRY_DELAY_MS: (u64, u64) = (40, 400);
+const RETRY_DELAY_MS: (u64, u64) = (40, 800);
 /// A table that the store has not answered about for this time is reported when it does.
 const LATE_CONFIRMATION_MS: u64 = 2_000;
 
@@ -48,6 +53,35 @@
     source: TableSource,
     status: TableStatus,
     sink: K,
+    direct_retries: RetrySchedule,
+}
+
+/// When the next call on a failing way is due. It outlives the wait for that call, which ends when
+/// another way answers.
+#[derive(Debug)]
+struct RetrySchedule {
+    next_at: Instant,
+    delay_ms: u64,
+}
+
+impl Default for RetrySchedule {
+    fn default() -> Self {
+        RetrySchedule {
+            next_at: Instant::now(),
+            delay_ms: RETRY_DELAY_MS.0,
+        }
+    }
+}
+
+impl RetrySchedule {
+    /// Waits until the next call is due and schedules the one after it, with jitter, so that
+    /// instances do not retry in step.
+    async fn wait(&mut self) {
+        tokio::time::sleep_until(self.next_at).await;
+        let jittered_ms = rand::rng().random_range(self.delay_ms / 2..=self.delay_ms);
+        self.next_at = Instant::now() + Duration::from_millis(jittered_ms);
+        self.delay_ms = RETRY_DELAY_MS.1.min(self.delay_ms * 2);
+    }
 }
 
 /// Follows a table until the task is aborted.
@@ -62,12 +96,14 @@
         source,
         status,
         sink,
+        direct_retries: RetrySchedule::default(),
     };
-    let mut delay_ms = RETRY_DELAY_MS.0;
+    let mut retries = RetrySchedule::default();
     loop {
+        retries.wait().await;
         match follower.store.read_table(source.name).await {
             Ok((snapshot, access)) => {
-                delay_ms = RETRY_DELAY_MS.0;
+                retries = RetrySchedule::default();
                 let version = snapshot.version;
                 follower.confirm(access);
                 log::info!(table = source.name, version = version, rows = snapshot.rows.len(); "table read");
@@ -78,7 +114,6 @@
             Err(error) => {
                 follower.sink.call_ended(false);
                 log::warn!(table = source.name, error = error.to_string().as_str(); "table not read, retrying");
-                back_off(&mut delay_ms).await;
             }
         }
     }
@@ -99,16 +134,33 @@
     /// Follows the change feed until its history no longer reaches back to `after`.
     async fn follow_changes(&mut self, mut after: u64) {
         let table = self.source.name;
-        let mut delay_ms = RETRY_DELAY_MS.0;
-        let mut is_ok = true;
+        let mut is_direct = true;
         loop {
-            match self.store.follow_table(table, after, FEED_WAIT_MS).await {
-                Ok((Feed::Changed { rows, version }, access)) => {
-                    if !is_ok {
-                        log::info!(table = table, version = version; "change feed answers again");
+            let (feed, access) = match is_direct {
+                true => match self.follow_directly(after).await {
+                    Ok(feed) => (feed, StoreAccess::Direct),
+                    Err(error) => {
+                        log::warn!(
+                            table = table, version = after, error = error.to_string().as_str();
+                            "change feed failed, trying all ways to the store"
+                        );
+                        self.sink.call_ended(false);
+                        is_direct = false;
+                        continue;
                     }
-                    (is_ok, delay_ms) = (true, RETRY_DELAY_MS.0);
-                    self.confirm(access);
+                },
+                false => {
+                    let answered = self.follow_on_all_ways(after).await;
+                    is_direct = answered.1 == StoreAccess::Direct;
+                    if is_direct {
+                        log::info!(table = table, version = after; "change feed answers again");
+                    }
+                    answered
+                }
+            };
+            self.confirm(access);
+            match feed {
+                Feed::Changed { rows, version } => {
                     after = after.max(version);
                     if rows.is_empty() {
                         continue;
@@ -117,29 +169,86 @@
                     self.sink.change(rows);
                     tokio::time::sleep(Duration::from_millis(self.sink.batch_delay_ms())).await;
                 }
-                Ok((Feed::HistoryGone, _)) => {
+                Feed::HistoryGone => {
                     log::info!(table = table, version = after; "change feed no longer covers this version, reading the whole table");
                     return;
                 }
-                Err(error) => {
-                    if is_ok {
-                        log::warn!(
-                            table = table, version = after, error = error.to_string().as_str();
-                            "change feed failed, retrying"
-                        );
-                    }
-                    is_ok = false;
-                    self.sink.call_ended(false);
-                    back_off(&mut delay_ms).await;
-                }
             }
         }
     }
+
+    async fn follow_directly(&self, after: u64) -> Result<Feed> {
+        let (wait_ms, margin_ms) = FEED_WAIT_AND_MARGIN_MS;
+        let call = FeedCall {
+            table: self.source.name,
+            after,
+            wait_ms,
+            margin_ms,
+        };
+        self.store.follow_by(StoreAccess::Direct, &call).await
+    }
+
+    /// Calls the store directly and through other instances side by side, each until it is
+    /// answered. The first answer counts.
+    async fn follow_on_all_ways(&mut self, after: u64) -> (Feed, StoreAccess) {
+        let (store, table) = (&self.store, self.source.name);
+        let answered = tokio::select! {
+            feed = retry_directly(store, table, after, &mut self.direct_retries) => {
+                (feed, StoreAccess::Direct)
+            }
+            answered = retry_through_peers(store, table, after) => answered,
+        };
+        if answered.1 == StoreAccess::Direct {
+            self.direct_retries = RetrySchedule::default();
+        }
+        answered
+    }
 }
 
-/// Waits with jitter, so that instances do not retry in step, and doubles the next delay.
-async fn back_off(delay_ms: &mut u64) {
-    let jittered_ms = rand::rng().random_range(*delay_ms / 2..=*delay_ms);
-    *delay_ms = RETRY_DELAY_MS.1.min(*delay_ms * 2);
-    tokio::time::sleep(Duration::from_millis(jittered_ms)).await;
+/// Calls the store without a wait for changes, so that an answer shows at once that it is
+/// reachable.
+async fn retry_directly<S: RowStore + ObjectStore>(
+    store: &SharedStore<S>,
+    table: &str,
+    after: u64,
+    retries: &mut RetrySchedule,
+) -> Feed {
+    let call = FeedCall {
+        table,
+        after,
+        wait_ms: 0,
+        margin_ms: FEED_WAIT_AND_MARGIN_MS.1,
+    };
+    loop {
+        retries.wait().await;
+        match store.follow_by(StoreAccess::Direct, &call).await {
+            Ok(feed) => return feed,
+            Err(error) => log::debug!("change feed of {table} failed again: {error}"),
+        }
+    }
+}
+
+async fn retry_through_peers<S: RowStore + ObjectStore>(
+    store: &SharedStore<S>,
+    table: &str,
+    after: u64,
+) -> (Feed, StoreAccess) {
+    let (wait_ms, margin_ms) = PEER_FEED_WAIT_AND_MARGIN_MS;
+    let call = FeedCall {
+        table,
+        after,
+        wait_ms,
+        margin_ms,
+    };
+    let mut retries = RetrySchedule::default();
+    loop {
+        retries.wait().await;
+        for address in store.random_peers(1) {
+            let access = StoreAccess::Peer(address);
+            match store.follow_by(access, &call).await {
+                Ok(feed) => return (feed, access),
+                Err(error) => log::debug!("change feed of {table} failed {access}: {error}"),
+            }
+        }
+    }
 }
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -107,7 +107,6 @@
         let peers = Peers::new(instance, zone, socket, clock);
         let store = SharedStore::new(store, peers.clone(), metrics.clone());
         let peer_server = Server::bind(address, store.server()).await?;
-        tokio::spawn(store.clone().probe(INSTANCES_TABLE));
         let relay = Arc::new(Relay {
             dialect,
             connections: Connections::default(),
--- a/crates/foxtailhold-relay/src/shared_store/health.rs
+++ b/crates/foxtailhold-relay/src/shared_store/health.rs
@@ -3,13 +3,11 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-use tokio::sync::Notify;
-
-/// Result of the latest direct call; shared by all users of the store.
+/// Result of the latest direct call; shared by all users of the store. It decides which way is
+/// tried first, never which one is left out.
 #[derive(Debug, Clone, Default)]
 pub struct StoreHealth {
     is_unreachable: Arc<AtomicBool>,
-    became_unreachable: Arc<Notify>,
 }
 
 impl StoreHealth {
@@ -19,7 +17,6 @@
         match (was_unreachable, is_ok) {
             (false, false) => {
                 log::warn!("store not reachable, calling it through other instances");
-                self.became_unreachable.notify_one();
             }
             (true, true) => log::info!("store reachable again"),
             _ => {}
@@ -30,11 +27,4 @@
     pub fn is_unreachable(&self) -> bool {
         self.is_unreachable.load(Ordering::Relaxed)
     }
-
-    /// Waits until a direct call fails.
-    pub async fn wait_until_unreachable(&self) {
-        while !self.is_unreachable() {
-            self.became_unreachable.notified().await;
-        }
-    }
 }
--- a/crates/foxtailhold-relay/src/shared_store/mod.rs
+++ b/crates/foxtailhold-relay/src/shared_store/mod.rs
@@ -1,11 +1,12 @@
 //! Access to the platform's store, through another instance if it cannot be reached directly.
 //!
-//! The store may reject some machines, or be unreachable for them, while it serves others. An
-//! instance that cannot reach it sends its calls through a live instance. Every commit is
-//! conditional or idempotent, so a commit that was tried twice is harmless: the second one finds
-//! the first.
+//! The store may reject some machines, or be unreachable for them, while it serves others. A call
+//! that gets no answer in time is also made through another live instance, and no call waits for
+//! one way alone. Every commit is conditional or idempotent, so a commit that was tried twice is
+//! harmless: the second one finds the first.
 
 mod health;
+mod hedge;
 mod message;
 mod observe;
 
@@ -27,10 +28,10 @@
 use http::{Method, Request, Response, StatusCode};
 use hyper::body::Incoming;
 use rand::seq::IndexedRandom;
-use tokio::time::Instant;
 
 use crate::metrics::RelayMetrics;
 use crate::peers::Peers;
+use hedge::hedge;
 use message::SERVICE;
 use observe::CallTimer;
 
@@ -41,14 +42,14 @@
 /// Time limit of a call through another instance, in addition to the wait that the call itself
 /// requests.
 const PEER_CALL_TIMEOUT_MS: u64 = 1_200;
-/// A commit without a response after this time is also tried through another instance. A batch job
-/// must be accepted within about 400 ms, and a network partition only shows by silence.
-const HEDGE_DELAY_MS: u64 = 220;
-/// Delay before each probe of an unreachable store, and time limit of the probe. A store that is
-/// back is found within their sum, and even a slow one answers within the limit.
-const PROBE_DELAY_AND_TIMEOUT_MS: (u64, u64) = (250, 450);
-/// Number of instances tried for one call.
-const MAX_PEERS: usize = 2;
+/// A write that has no response after this time is also tried the other way. A batch job must be
+/// accepted within about 400 ms, and a network partition only shows by silence.
+const WRITE_HEDGE_DELAY_MS: u64 = 220;
+/// The same for a read, which may take longer when the store is slow.
+const READ_HEDGE_DELAY_MS: u64 = 500;
+/// A call through another instance that has no response after this time is also sent to a second
+/// one.
+const PEER_HEDGE_DELAY_MS: u64 = 300;
 
 /// The platform's store with a fallback through other instances.
 #[derive(Debug, Clone)]
@@ -63,6 +64,36 @@
 /// An answer and the way on which it came.
 type Answered = (StoreAnswer, StoreAccess);
 
+/// A call of the change feed.
+#[derive(Debug, Clone, Copy)]
+pub struct FeedCall<'a> {
+    /// Name of the table in the store.
+    pub table: &'a str,
+    /// Version after which changes are requested.
+    pub after: u64,
+    /// Time for which the store waits for a change.
+    pub wait_ms: u64,
+    /// Time limit of the call, in addition to that wait.
+    pub margin_ms: u64,
+}
+
+impl FeedCall<'_> {
+    fn to_call(self) -> StoreCall {
+        StoreCall::Follow {
+            table: self.table.into(),
+            after: self.after,
+            wait_ms: self.wait_ms,
+        }
+    }
+}
+
+fn no_answer(timeout_ms: u64) -> PlatformError {
+    PlatformError::Unknown {
+        service: SERVICE,
+        detail: format!("no answer of the store within {timeout_ms} ms"),
+    }
+}
+
 fn unexpected_answer() -> PlatformError {
     PlatformError::Malformed {
         service: SERVICE,
@@ -90,20 +121,8 @@
         }
     }
 
-    /// Probes the store whenever it is unreachable, until it answers again.
-    pub async fn probe(self, table: &'static str) {
-        loop {
-            self.health.wait_until_unreachable().await;
-            tokio::time::sleep(Duration::from_millis(PROBE_DELAY_AND_TIMEOUT_MS.0)).await;
-            let reading = self.direct.read(table, "", "~", "~~");
-            let response =
-                tokio::time::timeout(Duration::from_millis(PROBE_DELAY_AND_TIMEOUT_MS.1), reading)
-                    .await;
-            self.health.record(matches!(response, Ok(Ok(_))));
-        }
-    }
-
-    fn random_peers(&self) -> Vec<SocketAddr> {
+    /// Peer addresses of up to `count` other live instances, in random order.
+    pub fn random_peers(&self, count: usize) -> Vec<SocketAddr> {
         let now = self.peers.now();
         let members = self.peers.members();
         let live = members.live(now);
@@ -112,7 +131,7 @@
             .filter(|member| member.instance != *self.peers.me());
         let all: Vec<SocketAddr> = others.map(|member| member.peer_address).collect();
         let mut rng = rand::rng();
-        all.choose_multiple(&mut rng, MAX_PEERS).copied().collect()
+        all.choose_multiple(&mut rng, count).copied().collect()
     }
 
     async fn direct(&self, call: &StoreCall) -> Result<Answered> {
@@ -123,32 +142,63 @@
         Ok((answer?, StoreAccess::Direct))
     }
 
-    async fn call_through_peer(&self, call: &StoreCall) -> Result<Answered> {
-        let mut last = PlatformError::Unavailable {
-            service: SERVICE,
-            detail: "no other instance is known".into(),
+    /// Calls the store with a time limit of its own, which may be below that of the store's client.
+    async fn direct_within(&self, call: &StoreCall, timeout_ms: u64) -> Result<Answered> {
+        let timer = CallTimer::start(&self.metrics, call, StoreAccess::Direct);
+        let limit = Duration::from_millis(timeout_ms);
+        let answer = match tokio::time::timeout(limit, call.execute(&self.direct)).await {
+            Ok(answer) => answer.into_result(),
+            Err(_) => Err(no_answer(timeout_ms)),
         };
-        for address in self.random_peers() {
-            let access = StoreAccess::Peer(address);
-            let timer = CallTimer::start(&self.metrics, call, access);
-            let answer = self.call_peer(address, call).await;
-            timer.close(&answer);
-            match answer {
-                Ok(answer) => return Ok((answer, access)),
-                Err(error) => last = error,
-            }
-        }
-        Err(last)
+        timer.close(&answer);
+        self.health.record(answer.is_ok());
+        Ok((answer?, StoreAccess::Direct))
+    }
+
+    async fn through_peer(
+        &self,
+        address: SocketAddr,
+        call: &StoreCall,
+        timeout_ms: u64,
+    ) -> Result<Answered> {
+        let access = StoreAccess::Peer(address);
+        let timer = CallTimer::start(&self.metrics, call, access);
+        let answer = self.call_peer(address, call, timeout_ms).await;
+        timer.close(&answer);
+        Ok((answer?, access))
+    }
+
+    async fn through_peers(&self, call: &StoreCall) -> Result<Answered> {
+        let timeout_ms = PEER_CALL_TIMEOUT_MS + call.wait_ms();
+        let mut peers = self.random_peers(2).into_iter();
+        let Some(first) = peers.next() else {
+            return Err(PlatformError::Unavailable {
+                service: SERVICE,
+                detail: "no other instance is known".into(),
+            });
+        };
+        let through_first = self.through_peer(first, call, timeout_ms);
+        let Some(second) = peers.next() else {
+            return through_first.await;
+        };
+        let through_second = self.through_peer(second, call, timeout_ms);
+        let delay_ms = PEER_HEDGE_DELAY_MS + call.wait_ms();
+        hedge(through_first, through_second, delay_ms).await
     }
 
-    async fn call_peer(&self, address: SocketAddr, call: &StoreCall) -> Result<StoreAnswer> {
+    async fn call_peer(
+        &self,
+        address: SocketAddr,
+        call: &StoreCall,
+        timeout_ms: u64,
+    ) -> Result<StoreAnswer> {
         let malformed = |detail: String| PlatformError::Malformed {
             service: SERVICE,
             detail,
         };
         let bytes = codec::encode(call).map_err(|error| malformed(error.to_string()))?;
         let http_call = Call {
-            timeout_ms: PEER_CALL_TIMEOUT_MS + call.wait_ms(),
+            timeout_ms,
             limit_bytes: MAX_MESSAGE_BYTES,
             ..Call::new(Method::POST, address, STORE_PATH)
         };
@@ -169,59 +219,17 @@
         answer.into_result()
     }
 
+    /// Makes a call on the way that worked last, and on the other one as well if there is no answer
+    /// in time.
     async fn call(&self, call: StoreCall) -> Result<Answered> {
-        if self.health.is_unreachable() {
-            return self.call_through_peer(&call).await;
-        }
-        match self.direct(&call).await {
-            Ok(answer) => Ok(answer),
-            // A failed wait for changes first reports the failure to the follower of the table.
-            Err(error) if matches!(call, StoreCall::Follow { .. }) => Err(error),
-            Err(error) => self.retry_through_peer(&call, error).await,
-        }
-    }
-
-    /// Makes a call through another instance after the direct call failed. If both fail, the error
-    /// states that the call may have taken effect if that holds for either.
-    async fn retry_through_peer(&self, call: &StoreCall, first: PlatformError) -> Result<Answered> {
-        match self.call_through_peer(call).await {
-            Ok(answer) => Ok(answer),
-            Err(second) if !first.may_have_taken_effect() && second.may_have_taken_effect() => {
-                Err(second)
-            }
-            Err(_) => Err(first),
-        }
-    }
-
-    /// Also tries another instance if the direct call is slow. The first success is returned.
-    async fn hedged(&self, call: StoreCall) -> Result<Answered> {
-        if self.health.is_unreachable() {
-            return self.call_through_peer(&call).await;
-        }
-        let started = Instant::now();
-        let direct = self.direct(&call);
-        tokio::pin!(direct);
-        let hedge = tokio::time::sleep_until(started + Duration::from_millis(HEDGE_DELAY_MS));
-        let first = tokio::select! {
-            answer = &mut direct => Some(answer),
-            () = hedge => None,
+        let hedge_delay_ms = match call {
+            StoreCall::Commit(_) | StoreCall::Put(..) => WRITE_HEDGE_DELAY_MS,
+            _ => READ_HEDGE_DELAY_MS + call.wait_ms(),
         };
-        match first {
-            Some(Ok(answer)) => return Ok(answer),
-            Some(Err(error)) => return self.retry_through_peer(&call, error).await,
-            None => {}
-        }
-        let through_peer = self.call_through_peer(&call);
-        tokio::pin!(through_peer);
-        tokio::select! {
-            answer = &mut direct => match answer {
-                Ok(answer) => Ok(answer),
-                Err(error) => through_peer.await.map_err(|_| error),
-            },
-            answer = &mut through_peer => match answer {
-                Ok(answer) => Ok(answer),
-                Err(_) => direct.await,
-            },
+        let (direct, through_peers) = (self.direct(&call), self.through_peers(&call));
+        match self.health.is_unreachable() {
+            true => hedge(through_peers, direct, hedge_delay_ms).await,
+            false => hedge(direct, through_peers, hedge_delay_ms).await,
         }
     }
 }
@@ -251,20 +259,16 @@
         }
     }
 
-    /// Waits for changes of a table, and tells how the answer came.
-    pub async fn follow_table(
-        &self,
-        table: &str,
-        after: u64,
-        wait_ms: u64,
-    ) -> Result<(Feed, StoreAccess)> {
-        let call = StoreCall::Follow {
-            table: table.into(),
-            after,
-            wait_ms,
+    /// Waits for changes of a table, only on the way given by `access`.
+    pub async fn follow_by(&self, access: StoreAccess, feed_call: &FeedCall<'_>) -> Result<Feed> {
+        let call = feed_call.to_call();
+        let timeout_ms = feed_call.wait_ms + feed_call.margin_ms;
+        let answer = match access {
+            StoreAccess::Direct => self.direct_within(&call, timeout_ms).await,
+            StoreAccess::Peer(address) => self.through_peer(address, &call, timeout_ms).await,
         };
-        match self.call(call).await? {
-            (StoreAnswer::Followed(feed), access) => Ok((feed, access)),
+        match answer?.0 {
+            StoreAnswer::Followed(feed) => Ok(feed),
             _ => Err(unexpected_answer()),
         }
     }
@@ -272,7 +276,7 @@
 
 impl<S: RowStore + ObjectStore> RowStore for SharedStore<S> {
     async fn commit(&self, changes: &Changes) -> Result<Committed> {
-        match self.hedged(StoreCall::Commit(changes.clone())).await?.0 {
+        match self.call(StoreCall::Commit(changes.clone())).await?.0 {
             StoreAnswer::Committed(committed) => Ok(committed),
             _ => Err(unexpected_answer()),
         }
@@ -283,13 +287,21 @@
     }
 
     async fn follow(&self, table: &str, after: u64, wait_ms: u64) -> Result<Feed> {
-        Ok(self.follow_table(table, after, wait_ms).await?.0)
+        let call = StoreCall::Follow {
+            table: table.into(),
+            after,
+            wait_ms,
+        };
+        match self.call(call).await?.0 {
+            StoreAnswer::Followed(feed) => Ok(feed),
+            _ => Err(unexpected_answer()),
+        }
     }
 }
 
 impl<S: RowStore + ObjectStore> ObjectStore for SharedStore<S> {
     async fn put_object(&self, name: &str, bytes: Bytes) -> Result<()> {
-        match self.hedged(StoreCall::Put(name.into(), bytes)).await?.0 {
+        match self.call(StoreCall::Put(name.into(), bytes)).await?.0 {
             StoreAnswer::Written => Ok(()),
             _ => Err(unexpected_answer()),
         }
--- a/crates/foxtailhold-relay/src/shared_store/observe.rs
+++ b/crates/foxtailhold-relay/src/shared_store/observe.rs
@@ -10,7 +10,7 @@
 use crate::metrics::RelayMetrics;
 
 /// A call that took this long, beyond the wait that it requested, is logged.
-const SLOW_CALL_MS: u64 = 500;
+const SLOW_CALL_MS: u64 = 300;
 
 /// How an answer of the store reached this instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
