Close all idle connections to the store after a call without an answer

Cause: connections that are open but dead stay in the pool, and each costs one call its whole time limit; the pool is as large as the last burst. Callers of one instance saw an older configuration until the last dead connection had been tried. The client through other instances, and the client of the product's own platform, pool in the same way.

Change: Reuse::PooledUntilTimeout drops the pool when a call that began with it times out; the follower of a table does the same through RowStore::close_idle_connections when it gives up a call before the client's own limit.

--- a/crates/foxtailhold-http/src/client.rs
+++ b/crates/foxtailhold-http/src/client.rs
@@ -2,6 +2,7 @@
 //! the request was sent.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -12,6 +13,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
+use parking_lot::Mutex;
 use serde::Serialize;
 use thiserror::Error;
 
@@ -73,6 +75,9 @@
 pub enum Reuse {
     /// Idle connections are kept for the next request.
     Pooled,
+    /// Idle connections are kept until a request gets no response in time. All are closed then:
+    /// they may be dead as well, and each would cost one more request its time limit.
+    PooledUntilTimeout,
     /// Each request gets its own connection, so that a refused connection proves that the request
     /// was not sent.
     Fresh,
@@ -84,7 +89,15 @@
 /// A client with request bodies of type `B`. Clones share its connection pool.
 #[derive(Debug, Clone)]
 pub struct BodyClient<B> {
-    inner: Client<HttpConnector, B>,
+    reuse: Reuse,
+    pool: Arc<Mutex<Pool<B>>>,
+}
+
+/// The current connection pool. Connections of earlier ones close when their request ends.
+#[derive(Debug)]
+struct Pool<B> {
+    client: Client<HttpConnector, B>,
+    generation: u64,
 }
 
 impl<B> BodyClient<B>
@@ -94,6 +107,17 @@
 {
     /// Creates a client with its own connection pool.
     pub fn new(reuse: Reuse) -> Self {
+        let pool = Pool {
+            client: BodyClient::new_pool(reuse),
+            generation: 0,
+        };
+        BodyClient {
+            reuse,
+            pool: Arc::new(Mutex::new(pool)),
+        }
+    }
+
+    fn new_pool(reuse: Reuse) -> Client<HttpConnector, B> {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
@@ -104,8 +128,20 @@
         if reuse == Reuse::Fresh {
             builder.pool_max_idle_per_host(0);
         }
-        BodyClient {
-            inner: builder.build(connector),
+        builder.build(connector)
+    }
+
+    /// Closes the idle connections. Requests under way are not affected.
+    pub fn close_idle(&self) {
+        let mut pool = self.pool.lock();
+        pool.client = BodyClient::new_pool(self.reuse);
+        pool.generation += 1;
+    }
+
+    /// Closes the idle connections that the request of this generation may have shared.
+    fn timed_out(&self, generation: u64) {
+        if self.reuse == Reuse::PooledUntilTimeout && self.pool.lock().generation == generation {
+            self.close_idle();
         }
     }
 
@@ -119,11 +155,18 @@
         timeout_ms: u64,
     ) -> Result<Response<Incoming>> {
         let wait = Duration::from_millis(timeout_ms);
-        match tokio::time::timeout(wait, self.inner.request(request)).await {
-            Err(_) => Err(SendError::TimedOut {
-                address,
-                timeout_ms,
-            }),
+        let (client, generation) = {
+            let pool = self.pool.lock();
+            (pool.client.clone(), pool.generation)
+        };
+        match tokio::time::timeout(wait, client.request(request)).await {
+            Err(_) => {
+                self.timed_out(generation);
+                Err(SendError::TimedOut {
+                    address,
+                    timeout_ms,
+                })
+            }
             Ok(Ok(response)) => Ok(response),
             Ok(Err(error)) => {
                 let detail = error_chain(&error);
@@ -176,13 +219,17 @@
                 })?;
             Ok((status, bytes))
         };
+        let generation = self.pool.lock().generation;
         let wait = Duration::from_millis(call.timeout_ms);
         match tokio::time::timeout(wait, whole).await {
             Ok(answer) => answer,
-            Err(_) => Err(SendError::TimedOut {
-                address: call.address,
-                timeout_ms: call.timeout_ms,
-            }),
+            Err(_) => {
+                self.timed_out(generation);
+                Err(SendError::TimedOut {
+                    address: call.address,
+                    timeout_ms: call.timeout_ms,
+                })
+            }
         }
     }
 }
--- a/crates/foxtailhold-peer/src/codec.rs
+++ b/crates/foxtailhold-peer/src/codec.rs
@@ -26,6 +26,13 @@
     Ok(message)
 }
 
+/// Decodes the message at the start of `bytes`, and returns the bytes after it. Later versions append
+/// to messages there, so that earlier ones still read what they know.
+pub fn decode_first<T: DeserializeOwned>(bytes: &[u8]) -> Result<(T, &[u8])> {
+    let (message, length) = bincode::serde::decode_from_slice(bytes, config())?;
+    Ok((message, &bytes[length..]))
+}
+
 /// Reads a message body to its end; fails with [`PeerError::TooLarge`] above [`MAX_MESSAGE_BYTES`].
 pub async fn read_body(mut body: RecvStream) -> Result<Bytes> {
     let mut whole = BytesMut::new();
--- a/crates/foxtailhold-platform/src/http.rs
+++ b/crates/foxtailhold-platform/src/http.rs
@@ -39,7 +39,7 @@
     /// Creates a client for the platform at `address`.
     pub fn new(address: SocketAddr) -> Self {
         HttpPlatform {
-            client: HttpClient::new(Reuse::Pooled),
+            client: HttpClient::new(Reuse::PooledUntilTimeout),
             address,
         }
     }
--- a/crates/foxtailhold-platform/src/rows.rs
+++ b/crates/foxtailhold-platform/src/rows.rs
@@ -110,4 +110,8 @@
         after: u64,
         wait_ms: u64,
     ) -> impl Future<Output = Result<Feed>> + Send;
+
+    /// Closes the idle connections to the store, which may be dead after a call was given up
+    /// without an answer. A store without connections has none to close.
+    fn close_idle_connections(&self) {}
 }
--- a/crates/foxtailhold-relay/src/shared_store/mod.rs
+++ b/crates/foxtailhold-relay/src/shared_store/mod.rs
@@ -108,7 +108,7 @@
             direct,
             health: StoreHealth::default(),
             peers,
-            http: HttpClient::new(Reuse::Pooled),
+            http: HttpClient::new(Reuse::PooledUntilTimeout),
             metrics,
         }
     }
@@ -148,7 +148,10 @@
         let limit = Duration::from_millis(timeout_ms);
         let answer = match tokio::time::timeout(limit, call.execute(&self.direct)).await {
             Ok(answer) => answer.into_result(),
-            Err(_) => Err(no_answer(timeout_ms)),
+            Err(_) => {
+                self.direct.close_idle_connections();
+                Err(no_answer(timeout_ms))
+            }
         };
         timer.close(&answer);
         self.health.record(answer.is_ok());
