Announce the newest change of each table between instances

Cause: nothing but its own feed told an instance that a newer configuration, backend server, instance or job exists. While that feed was late, or answered without the change, its callers were served by an older version until the next change, with nothing in the logs.

Change: heartbeats carry the version of the newest change of each followed table, appended to the message, so that builds without it read the message as before and are read. An instance that lacks an announced change for 200 ms asks the store on all ways, through the holder of the change among them, for all changes since the last one that it has; if the change is still missing it reads the whole table.

--- a/crates/foxtailhold-relay/src/follow.rs
+++ b/crates/foxtailhold-relay/src/follow.rs
@@ -9,8 +9,9 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use crate::shared_store::{FeedCall, SharedStore, StoreAccess};
-use crate::tables::{FollowedTable, TableStatus};
+use crate::shared_store::{FeedCall, SharedStore};
+use crate::store_access::StoreAccess;
+use crate::tables::{Announcement, FollowedTable, TableStatus};
 
 /// Longest wait of one direct call for changes, and its time limit beyond that. A silent connection
 /// must be noticed, and the change read on another one, within the time in which a change has to be
@@ -101,14 +102,20 @@
     let mut retries = RetrySchedule::default();
     loop {
         retries.wait().await;
+        // A read that begins now covers every change that has been announced.
+        let announced = follower.status.newest_announced(source.table);
         match follower.store.read_table(source.name).await {
             Ok((snapshot, access)) => {
                 retries = RetrySchedule::default();
+                let complete_up_to = snapshot.version.max(announced);
                 let version = snapshot.version;
                 follower.confirm(access);
                 log::info!(table = source.name, version = version, rows = snapshot.rows.len(); "table read");
                 follower.status.record_changes(source.table, &snapshot.rows);
                 follower.sink.replace(snapshot);
+                follower
+                    .status
+                    .record_complete(source.table, complete_up_to);
                 follower.follow_changes(version).await;
             }
             Err(error) => {
@@ -131,52 +138,77 @@
         }
     }
 
-    /// Follows the change feed until its history no longer reaches back to `after`.
+    /// Follows the change feed until the whole table has to be read: its history no longer reaches
+    /// back, or it has left out a change.
     async fn follow_changes(&mut self, mut after: u64) {
-        let table = self.source.name;
+        let table = self.source.table;
+        let name = self.source.name;
         let mut is_direct = true;
+        let mut missing: Option<Announcement> = None;
         loop {
             let (feed, access) = match is_direct {
-                true => match self.follow_directly(after).await {
-                    Ok(feed) => (feed, StoreAccess::Direct),
-                    Err(error) => {
+                true => match self.follow_until_behind(after).await {
+                    Ok(Ok(feed)) => (feed, StoreAccess::Direct),
+                    Ok(Err(error)) => {
                         log::warn!(
-                            table = table, version = after, error = error.to_string().as_str();
+                            table = name, version = after, error = error.to_string().as_str();
                             "change feed failed, trying all ways to the store"
                         );
                         self.sink.call_ended(false);
                         is_direct = false;
                         continue;
                     }
+                    Err(announcement) => {
+                        after = self.status.known_up_to(table);
+                        log::info!(
+                            table = name, version = after, announced = announcement.version,
+                            from:% = announcement.from; "behind another instance, trying all ways to the store"
+                        );
+                        missing = Some(announcement);
+                        is_direct = false;
+                        continue;
+                    }
                 },
                 false => {
                     let answered = self.follow_on_all_ways(after).await;
                     is_direct = answered.1 == StoreAccess::Direct;
                     if is_direct {
-                        log::info!(table = table, version = after; "change feed answers again");
+                        log::info!(table = name, version = after; "change feed answers again");
                     }
                     answered
                 }
             };
             self.confirm(access);
-            match feed {
-                Feed::Changed { rows, version } => {
-                    after = after.max(version);
-                    if rows.is_empty() {
-                        continue;
-                    }
-                    self.status.record_changes(self.source.table, &rows);
-                    self.sink.change(rows);
-                    tokio::time::sleep(Duration::from_millis(self.sink.batch_delay_ms())).await;
-                }
-                Feed::HistoryGone => {
-                    log::info!(table = table, version = after; "change feed no longer covers this version, reading the whole table");
-                    return;
-                }
+            let Feed::Changed { rows, version } = feed else {
+                log::info!(table = name, version = after; "change feed no longer covers this version, reading the whole table");
+                return;
+            };
+            after = after.max(version);
+            if !rows.is_empty() {
+                self.status.record_changes(table, &rows);
+                self.sink.change(rows);
+                tokio::time::sleep(Duration::from_millis(self.sink.batch_delay_ms())).await;
+            }
+            let is_missing =
+                |announcement: Announcement| announcement.version > self.status.known_up_to(table);
+            if missing.take().is_some_and(is_missing) {
+                log::warn!(table = name, version = after; "change feed left out a change, reading the whole table");
+                return;
             }
         }
     }
 
+    /// Follows the feed directly, unless another instance has a change that does not arrive here.
+    async fn follow_until_behind(
+        &self,
+        after: u64,
+    ) -> std::result::Result<Result<Feed>, Announcement> {
+        tokio::select! {
+            feed = self.follow_directly(after) => Ok(feed),
+            announcement = self.status.wait_until_behind(self.source.table) => Err(announcement),
+        }
+    }
+
     async fn follow_directly(&self, after: u64) -> Result<Feed> {
         let (wait_ms, margin_ms) = FEED_WAIT_AND_MARGIN_MS;
         let call = FeedCall {
@@ -188,15 +220,16 @@
         self.store.follow_by(StoreAccess::Direct, &call).await
     }
 
-    /// Calls the store directly and through other instances side by side, each until it is
-    /// answered. The first answer counts.
+    /// Calls the store directly, through random instances, and through one that has a change which
+    /// this one lacks, side by side and each until it is answered. The first answer counts.
     async fn follow_on_all_ways(&mut self, after: u64) -> (Feed, StoreAccess) {
-        let (store, table) = (&self.store, self.source.name);
+        let (store, source) = (&self.store, self.source);
         let answered = tokio::select! {
-            feed = retry_directly(store, table, after, &mut self.direct_retries) => {
+            feed = retry_directly(store, source.name, after, &mut self.direct_retries) => {
                 (feed, StoreAccess::Direct)
             }
-            answered = retry_through_peers(store, table, after) => answered,
+            answered = retry_through_peers(store, source.name, after) => answered,
+            answered = retry_through_announcer(store, source, &self.status, after) => answered,
         };
         if answered.1 == StoreAccess::Direct {
             self.direct_retries = RetrySchedule::default();
@@ -252,3 +285,28 @@
         }
     }
 }
+
+/// Calls the store through the instance that has announced a change which this one lacks.
+async fn retry_through_announcer<S: RowStore + ObjectStore>(
+    store: &SharedStore<S>,
+    source: TableSource,
+    status: &TableStatus,
+    after: u64,
+) -> (Feed, StoreAccess) {
+    let call = FeedCall {
+        table: source.name,
+        after,
+        wait_ms: 0,
+        margin_ms: PEER_FEED_WAIT_AND_MARGIN_MS.1,
+    };
+    let mut retries = RetrySchedule::default();
+    loop {
+        let announcement = status.wait_until_behind(source.table).await;
+        retries.wait().await;
+        let access = StoreAccess::Peer(announcement.from);
+        match store.follow_by(access, &call).await {
+            Ok(feed) => return (feed, access),
+            Err(error) => log::debug!("change feed of {} failed {access}: {error}", source.name),
+        }
+    }
+}
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -104,7 +104,8 @@
         let socket = socket.map_err(|source| InstanceError::Bind { address, source })?;
         let clock = Clock::default();
         let (instance, zone) = (identity.instance.clone(), identity.zone.clone());
-        let peers = Peers::new(instance, zone, socket, clock);
+        let status = metrics.tables().clone();
+        let peers = Peers::new(instance, zone, socket, clock, status.clone());
         let store = SharedStore::new(store, peers.clone(), metrics.clone());
         let peer_server = Server::bind(address, store.server()).await?;
         let relay = Arc::new(Relay {
@@ -137,7 +138,6 @@
             backends_sink: backends_sink.clone(),
             tables: tables.clone(),
         };
-        let status = relay.metrics.tables().clone();
         let source = |table, name| TableSource { table, name };
         let routes_source = source(FollowedTable::Routes, tables.routes_location().0);
         let backends_source = source(FollowedTable::Backends, tables.backends_table());
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod relay;
 pub mod request;
 pub mod shared_store;
+pub mod store_access;
 pub mod stream;
 pub mod tables;
 mod timers;
--- a/crates/foxtailhold-relay/src/metrics.rs
+++ b/crates/foxtailhold-relay/src/metrics.rs
@@ -139,6 +139,7 @@
     config_age: Gauge<f64, AtomicU64>,
     table_ages: Family<TableLabel, Gauge<f64, AtomicU64>>,
     table_versions: Family<TableLabel, Gauge>,
+    announced_versions: Family<TableLabel, Gauge>,
     timer_delay: Gauge<f64, AtomicU64>,
 }
 
@@ -160,6 +161,9 @@
         registry.register_with_unit("table_age", help, Unit::Seconds, ages);
         let help = "Version of the newest change of a followed table that was applied";
         registry.register("table_version", help, self.table_versions.clone());
+        let help = "Version of the newest change of a followed table at other instances";
+        let announced = self.announced_versions.clone();
+        registry.register("table_announced_version", help, announced);
         let help = "Longest delay of a timer beyond its time since the metrics were last read";
         let delay = self.timer_delay.clone();
         registry.register_with_unit("timer_delay", help, Unit::Seconds, delay);
@@ -176,6 +180,10 @@
             };
             let newest = tables.newest_change(table);
             self.table_versions.get_or_create(&label).set(newest as i64);
+            let announced = tables.newest_announced(table);
+            self.announced_versions
+                .get_or_create(&label)
+                .set(announced as i64);
             let Some((age, _)) = tables.age(table) else {
                 continue;
             };
--- a/crates/foxtailhold-relay/src/peers/message.rs
+++ b/crates/foxtailhold-relay/src/peers/message.rs
@@ -3,13 +3,18 @@
 //! Datagrams suit them: each message is small and is repeated until it is answered or superseded,
 //! and a peer that disappears leaves no connection that has to time out.
 
+use bytes::{Bytes, BytesMut};
 use foxtailhold::crashes::CrashEvidence;
 use foxtailhold::ids::{InstanceId, TargetName};
 use foxtailhold::quarantine::Fingerprint;
 use foxtailhold::slots::{HeldSlot, SlotDecision, SlotOutcome, SlotRequest, SlotRequestId};
+use foxtailhold_peer::codec;
+use foxtailhold_peer::error::Result;
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::tables::TableVersions;
+
 /// Size limit of a datagram, below the maximum payload of a UDP packet.
 pub const MAX_DATAGRAM_BYTES: usize = 60_000;
 
@@ -18,6 +23,38 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct InstanceHash(u32);
 
+/// A message with what later versions append to it. An instance that does not know the appended
+/// part ignores it, and reads a message without one.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Datagram {
+    /// The message.
+    pub message: PeerMessage,
+    /// Newest changes that the sender has, with its heartbeats.
+    pub tables: Option<TableVersions>,
+}
+
+impl Datagram {
+    /// Encodes the datagram as bincode.
+    pub fn encode(message: &PeerMessage, tables: Option<&TableVersions>) -> Result<Bytes> {
+        let message = codec::encode(message)?;
+        let Some(tables) = tables else {
+            return Ok(message);
+        };
+        let mut bytes = BytesMut::from(message.as_ref());
+        bytes.extend_from_slice(&codec::encode(tables)?);
+        Ok(bytes.freeze())
+    }
+
+    /// Decodes a datagram.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        let (message, appended) = codec::decode_first(bytes)?;
+        Ok(Datagram {
+            message,
+            tables: codec::decode(appended).ok(),
+        })
+    }
+}
+
 impl From<&InstanceId> for InstanceHash {
     fn from(instance: &InstanceId) -> Self {
         InstanceHash(xxh3_64(instance.as_str().as_bytes()) as u32)
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -5,7 +5,7 @@
 mod slot;
 
 pub use members::{Member, Members};
-pub use message::{InstanceHash, PeerMessage};
+pub use message::{Datagram, InstanceHash, PeerMessage};
 pub use slot::{Slot, SlotError, SlotQuery};
 
 use std::collections::HashMap;
@@ -22,13 +22,13 @@
     SlotRequestId, Urgency,
 };
 use foxtailhold::time::{MonoMs, WallMs};
-use foxtailhold_peer::codec;
 use parking_lot::{Mutex, MutexGuard};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, mpsc};
 use tokio_util::sync::CancellationToken;
 
 use crate::crashes::CrashTracker;
+use crate::tables::{TableStatus, TableVersions};
 use foxtailhold_http::clock::Clock;
 use message::MAX_DATAGRAM_BYTES;
 
@@ -68,6 +68,7 @@
     rebroadcasts: Mutex<Vec<PeerMessage>>,
     /// Notified when rows of instances have changed.
     members_changed: Notify,
+    tables: TableStatus,
     /// Whether the table of instances, which includes the crash evidence, has been read.
     is_table_read: AtomicBool,
 }
@@ -80,7 +81,13 @@
 
 impl Peers {
     /// Creates the peers of instance `me` on a bound socket.
-    pub fn new(me: InstanceId, zone: AvailabilityZone, socket: UdpSocket, clock: Clock) -> Self {
+    pub fn new(
+        me: InstanceId,
+        zone: AvailabilityZone,
+        socket: UdpSocket,
+        clock: Clock,
+        tables: TableStatus,
+    ) -> Self {
         let inner = Inner {
             members: Mutex::new(Members::new(me.clone())),
             me,
@@ -92,6 +99,7 @@
             crashes: CrashTracker::default(),
             rebroadcasts: Mutex::default(),
             members_changed: Notify::new(),
+            tables,
             is_table_read: AtomicBool::new(false),
         };
         Peers {
@@ -202,8 +210,13 @@
                     continue;
                 }
             };
-            match codec::decode(&buffer[..length]) {
-                Ok(message) => self.handle_message(from, message),
+            match Datagram::decode(&buffer[..length]) {
+                Ok(datagram) => {
+                    if let Some(tables) = &datagram.tables {
+                        self.inner.tables.apply_announcement(from, tables);
+                    }
+                    self.handle_message(from, datagram.message);
+                }
                 Err(error) => log::warn!("cannot decode datagram from {from}: {error}"),
             }
         }
@@ -227,7 +240,7 @@
                 (members.report_addresses(now), members.report_interval_ms())
             };
             for address in addresses {
-                self.send(address, &report);
+                self.send_heartbeat(address, &report);
             }
             self.rebroadcast();
             tokio::time::sleep(Duration::from_millis(MIN_REPORT_INTERVAL_MS)).await;
@@ -280,7 +293,16 @@
     /// Sends without blocking. A datagram that the socket cannot take now is treated like one lost
     /// on the network.
     fn send(&self, to: SocketAddr, message: &PeerMessage) {
-        let bytes = match codec::encode(message) {
+        self.send_with(to, message, None);
+    }
+
+    /// Sends a message together with the newest changes that this instance has.
+    fn send_heartbeat(&self, to: SocketAddr, message: &PeerMessage) {
+        self.send_with(to, message, Some(&self.inner.tables.versions()));
+    }
+
+    fn send_with(&self, to: SocketAddr, message: &PeerMessage, tables: Option<&TableVersions>) {
+        let bytes = match Datagram::encode(message, tables) {
             Ok(bytes) => bytes,
             Err(error) => {
                 log::error!("cannot encode message to another instance: {error}");
@@ -322,7 +344,7 @@
                     members.recently_heard(now)
                 };
                 let instance = self.inner.me.clone();
-                self.send(from, &PeerMessage::LiveInstances { instance, live });
+                self.send_heartbeat(from, &PeerMessage::LiveInstances { instance, live });
             }
             PeerMessage::LiveInstances { instance, live } => {
                 let mut members = self.members();
--- a/crates/foxtailhold-relay/src/shared_store/mod.rs
+++ b/crates/foxtailhold-relay/src/shared_store/mod.rs
@@ -12,7 +12,6 @@
 
 pub use health::StoreHealth;
 pub use message::{StoreAnswer, StoreCall};
-pub use observe::StoreAccess;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -31,6 +30,7 @@
 
 use crate::metrics::RelayMetrics;
 use crate::peers::Peers;
+use crate::store_access::StoreAccess;
 use hedge::hedge;
 use message::SERVICE;
 use observe::CallTimer;
--- a/crates/foxtailhold-relay/src/shared_store/observe.rs
+++ b/crates/foxtailhold-relay/src/shared_store/observe.rs
@@ -1,45 +1,15 @@
 //! Measures how long each store call waited, and on which way.
 
-use std::fmt;
-use std::net::SocketAddr;
-
 use foxtailhold_platform::PlatformError;
 use tokio::time::Instant;
 
 use super::message::StoreCall;
 use crate::metrics::RelayMetrics;
+use crate::store_access::StoreAccess;
 
 /// A call that took this long, beyond the wait that it requested, is logged.
 const SLOW_CALL_MS: u64 = 300;
 
-/// How an answer of the store reached this instance.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum StoreAccess {
-    /// From the store itself.
-    Direct,
-    /// Through the instance with this peer address.
-    Peer(SocketAddr),
-}
-
-impl StoreAccess {
-    /// Name in metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            StoreAccess::Direct => "direct",
-            StoreAccess::Peer(_) => "peer",
-        }
-    }
-}
-
-impl fmt::Display for StoreAccess {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            StoreAccess::Direct => f.write_str("direct"),
-            StoreAccess::Peer(address) => write!(f, "through {address}"),
-        }
-    }
-}
-
 /// Outcome of a call that was dropped because another one answered first.
 const ABANDONED: &str = "abandoned";
 
--- a/crates/foxtailhold-relay/src/tables.rs
+++ b/crates/foxtailhold-relay/src/tables.rs
@@ -1,13 +1,19 @@
 //! The tables that every instance follows, and how current this instance's copy of each one is.
+//!
+//! Instances announce the newest change of each table with their heartbeats. An instance whose own
+//! feed is late, or leaves out a change, learns of it that way.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use foxtailhold_platform::VersionedRow;
 use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
-use crate::shared_store::StoreAccess;
+use crate::store_access::StoreAccess;
 
 /// A table of the platform's store that every instance follows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -42,6 +48,23 @@
     }
 }
 
+/// Time for which an instance may lack an announced change that its own feed is about to deliver.
+const FEED_LAG_MS: u64 = 200;
+
+/// Version of the newest change of each table that an instance has applied, in the order of
+/// [`FollowedTable::ALL`]. It is encoded with bincode.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TableVersions([u64; FollowedTable::ALL.len()]);
+
+/// A change that another instance has and this one lacks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Announcement {
+    /// Version of the change.
+    pub version: u64,
+    /// Peer address of the instance that has it.
+    pub from: SocketAddr,
+}
+
 /// Latest answer of the store about a table.
 #[derive(Debug, Clone, Copy)]
 struct Confirmation {
@@ -53,13 +76,28 @@
 struct TableState {
     /// Version of the newest change that was applied.
     newest_change: u64,
+    /// No change up to this version is missing.
+    complete_up_to: u64,
+    newest_announcement: Option<Announcement>,
     confirmed: Option<Confirmation>,
 }
 
+impl TableState {
+    fn known_up_to(&self) -> u64 {
+        self.newest_change.max(self.complete_up_to)
+    }
+
+    fn missing(&self) -> Option<Announcement> {
+        self.newest_announcement
+            .filter(|announcement| announcement.version > self.known_up_to())
+    }
+}
+
 /// Status of the followed tables; cheap to clone.
 #[derive(Debug, Clone, Default)]
 pub struct TableStatus {
     states: Arc<Mutex<[TableState; FollowedTable::ALL.len()]>>,
+    announced: Arc<[Notify; FollowedTable::ALL.len()]>,
 }
 
 impl TableStatus {
@@ -78,6 +116,63 @@
         state.newest_change = state.newest_change.max(newest);
     }
 
+    /// Records that no change of a table up to `version` is missing.
+    pub fn record_complete(&self, table: FollowedTable, version: u64) {
+        let state = &mut self.states.lock()[table as usize];
+        state.complete_up_to = state.complete_up_to.max(version);
+    }
+
+    /// Version up to which no change of a table is known to be missing.
+    pub fn known_up_to(&self, table: FollowedTable) -> u64 {
+        self.states.lock()[table as usize].known_up_to()
+    }
+
+    /// Newest version that another instance has announced; 0 if none has.
+    pub fn newest_announced(&self, table: FollowedTable) -> u64 {
+        let announcement = self.states.lock()[table as usize].newest_announcement;
+        announcement.map_or(0, |announcement| announcement.version)
+    }
+
+    /// The versions to announce to other instances.
+    pub fn versions(&self) -> TableVersions {
+        let states = self.states.lock();
+        TableVersions(FollowedTable::ALL.map(|table| states[table as usize].newest_change))
+    }
+
+    /// Applies the versions that another instance has announced.
+    pub fn apply_announcement(&self, from: SocketAddr, versions: &TableVersions) {
+        let mut states = self.states.lock();
+        for table in FollowedTable::ALL {
+            let (state, version) = (&mut states[table as usize], versions.0[table as usize]);
+            let newest = state.newest_announcement;
+            if newest.is_some_and(|newest| newest.version > version) {
+                continue;
+            }
+            state.newest_announcement = Some(Announcement { version, from });
+            if state.missing().is_some() {
+                self.announced[table as usize].notify_one();
+            }
+        }
+    }
+
+    fn missing(&self, table: FollowedTable) -> Option<Announcement> {
+        self.states.lock()[table as usize].missing()
+    }
+
+    /// Waits until another instance has announced a change of a table that does not arrive here.
+    /// One task may wait for each table.
+    pub async fn wait_until_behind(&self, table: FollowedTable) -> Announcement {
+        loop {
+            if self.missing(table).is_some() {
+                tokio::time::sleep(Duration::from_millis(FEED_LAG_MS)).await;
+                if let Some(announcement) = self.missing(table) {
+                    return announcement;
+                }
+            }
+            self.announced[table as usize].notified().await;
+        }
+    }
+
     /// Version of the newest change of a table that was applied; 0 if none was.
     pub fn newest_change(&self, table: FollowedTable) -> u64 {
         self.states.lock()[table as usize].newest_change
