--- a/crates/foxtailhold-relay/src/follow.rs
+++ b/crates/foxtailhold-relay/src/follow.rs
@@ -3,6 +3,7 @@
 //! The table is read in full, then its change feed is followed. Every call has its own time limit,
 //! since a connection may go silent without a reset.
 
+use std::future::Future;
 use std::time::Duration;
 
 use foxtailhold_platform::{Feed, ObjectStore, Result, RowStore, Snapshot, VersionedRow};
@@ -13,17 +14,51 @@
 use crate::store_access::StoreAccess;
 use crate::tables::{Announcement, FollowedTable, TableStatus};
 
-/// Longest wait of one direct call for changes, and its time limit beyond that. A silent connection
-/// must be noticed, and the change read on another one, within the time in which a change has to be
-/// in effect.
-const FEED_WAIT_AND_MARGIN_MS: (u64, u64) = (1_000, 400);
-/// The same for a call through another instance, which may have stopped responding. It is shorter,
-/// so that the next one is soon tried.
-const PEER_FEED_WAIT_AND_MARGIN_MS: (u64, u64) = (600, 400);
-/// First and longest delay after a failed call.
-const RETRY_DELAY_MS: (u64, u64) = (40, 800);
-/// A table that the store has not answered about for this time is reported when it does.
-const LATE_CONFIRMATION_MS: u64 = 2_000;
+/// Range of the time within which a change has to be in effect. Shorter ones would keep the store
+/// busy with calls, longer ones would find a silent connection late.
+const CHANGE_BOUND_RANGE_MS: (u64, u64) = (1_000, 6_000);
+/// First delay after a failed call.
+const MIN_RETRY_DELAY_MS: u64 = 40;
+/// Other instances that are called one after the other before a delay.
+const PEERS_PER_ROUND: usize = 2;
+
+/// Times of the calls that follow a table. All are parts of the time within which a change has to
+/// be in effect: a call that hangs from its start, and one on another connection after it, end
+/// within that time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct FeedTiming {
+    /// Time within which a change has to be in effect.
+    pub change_bound_ms: u64,
+    /// Longest wait of a direct call for changes.
+    pub wait_ms: u64,
+    /// Longest wait of a call through another instance. It is shorter, because an instance that has
+    /// stopped responding only shows by silence.
+    pub peer_wait_ms: u64,
+    /// Time limit of a call, in addition to its wait.
+    pub margin_ms: u64,
+    /// Longest delay after a failed call.
+    pub max_retry_delay_ms: u64,
+}
+
+impl FeedTiming {
+    /// The times for changes that have to be in effect within `change_bound_ms`.
+    pub fn new(change_bound_ms: u64) -> Self {
+        let (min_ms, max_ms) = CHANGE_BOUND_RANGE_MS;
+        let bound_ms = change_bound_ms.clamp(min_ms, max_ms);
+        FeedTiming {
+            change_bound_ms: bound_ms,
+            wait_ms: bound_ms / 2,
+            peer_wait_ms: bound_ms * 3 / 10,
+            margin_ms: bound_ms / 5,
+            max_retry_delay_ms: bound_ms * 2 / 5,
+        }
+    }
+
+    /// Longest time from the start of a direct call that hangs to the end of the next call.
+    pub fn longest_gap_ms(&self) -> u64 {
+        self.wait_ms + 2 * self.margin_ms
+    }
+}
 
 /// Consumer of the rows of one table.
 pub trait TableSink: Send {
@@ -39,20 +74,23 @@
     }
 }
 
-/// A table to follow and where it is stored.
-#[derive(Debug, Clone, Copy)]
+/// A table to follow.
+#[derive(Debug, Clone)]
 pub struct TableSource {
     /// The table.
     pub table: FollowedTable,
     /// Its name in the store.
     pub name: &'static str,
+    /// Times of the calls.
+    pub timing: FeedTiming,
+    /// Status of all followed tables.
+    pub status: TableStatus,
 }
 
 /// Follows one table into a sink.
 struct Follower<S, K> {
     store: SharedStore<S>,
     source: TableSource,
-    status: TableStatus,
     sink: K,
     direct_retries: RetrySchedule,
 }
@@ -63,25 +101,26 @@
 struct RetrySchedule {
     next_at: Instant,
     delay_ms: u64,
+    max_delay_ms: u64,
 }
 
-impl Default for RetrySchedule {
-    fn default() -> Self {
+impl RetrySchedule {
+    /// A schedule whose first call is due now.
+    fn new(max_delay_ms: u64) -> Self {
         RetrySchedule {
             next_at: Instant::now(),
-            delay_ms: RETRY_DELAY_MS.0,
+            delay_ms: MIN_RETRY_DELAY_MS,
+            max_delay_ms,
         }
     }
-}
 
-impl RetrySchedule {
     /// Waits until the next call is due and schedules the one after it, with jitter, so that
     /// instances do not retry in step.
     async fn wait(&mut self) {
         tokio::time::sleep_until(self.next_at).await;
         let jittered_ms = rand::rng().random_range(self.delay_ms / 2..=self.delay_ms);
         self.next_at = Instant::now() + Duration::from_millis(jittered_ms);
-        self.delay_ms = RETRY_DELAY_MS.1.min(self.delay_ms * 2);
+        self.delay_ms = self.max_delay_ms.min(self.delay_ms * 2);
     }
 }
 
@@ -89,38 +128,37 @@
 pub async fn follow<S: RowStore + ObjectStore, K: TableSink>(
     store: SharedStore<S>,
     source: TableSource,
-    status: TableStatus,
     sink: K,
 ) {
+    let max_delay_ms = source.timing.max_retry_delay_ms;
+    let (table, name) = (source.table, source.name);
+    let status = source.status.clone();
     let mut follower = Follower {
         store,
         source,
-        status,
         sink,
-        direct_retries: RetrySchedule::default(),
+        direct_retries: RetrySchedule::new(max_delay_ms),
     };
-    let mut retries = RetrySchedule::default();
+    let mut retries = RetrySchedule::new(max_delay_ms);
     loop {
         retries.wait().await;
         // A read that begins now covers every change that has been announced.
-        let announced = follower.status.newest_announced(source.table);
-        match follower.store.read_table(source.name).await {
+        let announced = status.newest_announced(table);
+        match follower.store.read_table(name).await {
             Ok((snapshot, access)) => {
-                retries = RetrySchedule::default();
+                retries = RetrySchedule::new(max_delay_ms);
                 let complete_up_to = snapshot.version.max(announced);
                 let version = snapshot.version;
                 follower.confirm(access);
-                log::info!(table = source.name, version = version, rows = snapshot.rows.len(); "table read");
-                follower.status.record_changes(source.table, &snapshot.rows);
+                log::info!(table = name, version = version, rows = snapshot.rows.len(); "table read");
+                status.record_changes(table, &snapshot.rows);
                 follower.sink.replace(snapshot);
-                follower
-                    .status
-                    .record_complete(source.table, complete_up_to);
+                status.record_complete(table, complete_up_to);
                 follower.follow_changes(version).await;
             }
             Err(error) => {
                 follower.sink.call_ended(false);
-                log::warn!(table = source.name, error = error.to_string().as_str(); "table not read, retrying");
+                log::warn!(table = name, error = error.to_string().as_str(); "table not read, retrying");
             }
         }
     }
@@ -129,11 +167,11 @@
 impl<S: RowStore + ObjectStore, K: TableSink> Follower<S, K> {
     fn confirm(&mut self, access: StoreAccess) {
         self.sink.call_ended(true);
-        let Some(gap) = self.status.confirm(self.source.table, access) else {
+        let Some(gap) = self.source.status.confirm(self.source.table, access) else {
             return;
         };
         let gap_ms = gap.as_millis() as u64;
-        if gap_ms >= LATE_CONFIRMATION_MS {
+        if gap_ms >= self.source.timing.change_bound_ms {
             log::warn!(table = self.source.name, gap_ms = gap_ms, access:% = access; "table confirmed late");
         }
     }
@@ -159,7 +197,7 @@
                         continue;
                     }
                     Err(announcement) => {
-                        after = self.status.known_up_to(table);
+                        after = self.source.status.known_up_to(table);
                         log::info!(
                             table = name, version = after, announced = announcement.version,
                             from:% = announcement.from; "behind another instance, trying all ways to the store"
@@ -185,12 +223,13 @@
             };
             after = after.max(version);
             if !rows.is_empty() {
-                self.status.record_changes(table, &rows);
+                self.source.status.record_changes(table, &rows);
                 self.sink.change(rows);
                 tokio::time::sleep(Duration::from_millis(self.sink.batch_delay_ms())).await;
             }
-            let is_missing =
-                |announcement: Announcement| announcement.version > self.status.known_up_to(table);
+            let is_missing = |announcement: Announcement| {
+                announcement.version > self.source.status.known_up_to(table)
+            };
             if missing.take().is_some_and(is_missing) {
                 log::warn!(table = name, version = after; "change feed left out a change, reading the whole table");
                 return;
@@ -205,108 +244,96 @@
     ) -> std::result::Result<Result<Feed>, Announcement> {
         tokio::select! {
             feed = self.follow_directly(after) => Ok(feed),
-            announcement = self.status.wait_until_behind(self.source.table) => Err(announcement),
+            announcement = self.source.status.wait_until_behind(self.source.table) => Err(announcement),
         }
     }
 
-    async fn follow_directly(&self, after: u64) -> Result<Feed> {
-        let (wait_ms, margin_ms) = FEED_WAIT_AND_MARGIN_MS;
-        let call = FeedCall {
+    fn feed_call(&self, after: u64, wait_ms: u64) -> FeedCall<'static> {
+        FeedCall {
             table: self.source.name,
             after,
             wait_ms,
-            margin_ms,
-        };
+            margin_ms: self.source.timing.margin_ms,
+        }
+    }
+
+    async fn follow_directly(&self, after: u64) -> Result<Feed> {
+        let call = self.feed_call(after, self.source.timing.wait_ms);
         self.store.follow_by(StoreAccess::Direct, &call).await
     }
 
     /// Calls the store directly, through random instances, and through one that has a change which
     /// this one lacks, side by side and each until it is answered. The first answer counts.
     async fn follow_on_all_ways(&mut self, after: u64) -> (Feed, StoreAccess) {
-        let (store, source) = (&self.store, self.source);
+        // Without a wait for changes, an answer shows at once that the store is reachable.
+        let call = self.feed_call(after, 0);
+        let peer_call = self.feed_call(after, self.source.timing.peer_wait_ms);
+        let max_delay_ms = self.source.timing.max_retry_delay_ms;
+        let (store, status, table) = (&self.store, &self.source.status, self.source.table);
+        let (peer_retries, announcer_retries) = (
+            RetrySchedule::new(max_delay_ms),
+            RetrySchedule::new(max_delay_ms),
+        );
         let answered = tokio::select! {
-            feed = retry_directly(store, source.name, after, &mut self.direct_retries) => {
+            feed = retry_directly(store, &call, &mut self.direct_retries) => {
                 (feed, StoreAccess::Direct)
             }
-            answered = retry_through_peers(store, source.name, after) => answered,
-            answered = retry_through_announcer(store, source, &self.status, after) => answered,
+            answered = retry_through_peers(store, &peer_call, peer_retries) => answered,
+            answered = retry_through_announcer(store, &call, announcer_retries, || {
+                status.wait_until_behind(table)
+            }) => answered,
         };
         if answered.1 == StoreAccess::Direct {
-            self.direct_retries = RetrySchedule::default();
+            self.direct_retries = RetrySchedule::new(max_delay_ms);
         }
         answered
     }
 }
 
-/// Calls the store without a wait for changes, so that an answer shows at once that it is
-/// reachable.
 async fn retry_directly<S: RowStore + ObjectStore>(
     store: &SharedStore<S>,
-    table: &str,
-    after: u64,
+    call: &FeedCall<'_>,
     retries: &mut RetrySchedule,
 ) -> Feed {
-    let call = FeedCall {
-        table,
-        after,
-        wait_ms: 0,
-        margin_ms: FEED_WAIT_AND_MARGIN_MS.1,
-    };
     loop {
         retries.wait().await;
-        match store.follow_by(StoreAccess::Direct, &call).await {
+        match store.follow_by(StoreAccess::Direct, call).await {
             Ok(feed) => return feed,
-            Err(error) => log::debug!("change feed of {table} failed again: {error}"),
+            Err(error) => log::debug!("change feed of {} failed directly: {error}", call.table),
         }
     }
 }
 
 async fn retry_through_peers<S: RowStore + ObjectStore>(
     store: &SharedStore<S>,
-    table: &str,
-    after: u64,
+    call: &FeedCall<'_>,
+    mut retries: RetrySchedule,
 ) -> (Feed, StoreAccess) {
-    let (wait_ms, margin_ms) = PEER_FEED_WAIT_AND_MARGIN_MS;
-    let call = FeedCall {
-        table,
-        after,
-        wait_ms,
-        margin_ms,
-    };
-    let mut retries = RetrySchedule::default();
     loop {
         retries.wait().await;
-        for address in store.random_peers(1) {
+        for address in store.random_peers(PEERS_PER_ROUND) {
             let access = StoreAccess::Peer(address);
-            match store.follow_by(access, &call).await {
+            match store.follow_by(access, call).await {
                 Ok(feed) => return (feed, access),
-                Err(error) => log::debug!("change feed of {table} failed {access}: {error}"),
+                Err(error) => log::debug!("change feed of {} failed {access}: {error}", call.table),
             }
         }
     }
 }
 
 /// Calls the store through the instance that has announced a change which this one lacks.
-async fn retry_through_announcer<S: RowStore + ObjectStore>(
+async fn retry_through_announcer<S: RowStore + ObjectStore, F: Future<Output = Announcement>>(
     store: &SharedStore<S>,
-    source: TableSource,
-    status: &TableStatus,
-    after: u64,
+    call: &FeedCall<'_>,
+    mut retries: RetrySchedule,
+    wait_until_behind: impl Fn() -> F,
 ) -> (Feed, StoreAccess) {
-    let call = FeedCall {
-        table: source.name,
-        after,
-        wait_ms: 0,
-        margin_ms: PEER_FEED_WAIT_AND_MARGIN_MS.1,
-    };
-    let mut retries = RetrySchedule::default();
     loop {
-        let announcement = status.wait_until_behind(source.table).await;
+        let access = StoreAccess::Peer(wait_until_behind().await.from);
         retries.wait().await;
-        let access = StoreAccess::Peer(announcement.from);
-        match store.follow_by(access, &call).await {
+        match store.follow_by(access, call).await {
             Ok(feed) => return (feed, access),
-            Err(error) => log::debug!("change feed of {} failed {access}: {error}", source.name),
+            Err(error) => log::debug!("change feed of {} failed {access}: {error}", call.table),
         }
     }
 }
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -21,7 +21,7 @@
 use crate::dialect::Dialect;
 use crate::feeds::{BackendsSink, MembersSink, RoutesSink};
 use crate::fleet::{Backends, FleetTable};
-use crate::follow::{TableSource, follow};
+use crate::follow::{FeedTiming, TableSource, follow};
 use crate::jobs::{JOBS_TABLE, JobCache, JobCacheSink, JobStore, Jobs, own_jobs, sweep_jobs};
 use crate::metrics::{GaugeValues, RelayMetrics};
 use crate::peers::{INSTANCES_TABLE, Member, Peers};
@@ -73,6 +73,8 @@
     pub core_permille: u32,
     /// Time for which batch jobs stay readable after their acceptance.
     pub job_retention_ms: u64,
+    /// Time within which a change of the platform's tables has to be in effect.
+    pub change_bound_ms: u64,
 }
 
 /// A running instance.
@@ -138,27 +140,27 @@
             backends_sink: backends_sink.clone(),
             tables: tables.clone(),
         };
-        let source = |table, name| TableSource { table, name };
+        let timing = FeedTiming::new(identity.change_bound_ms);
+        let source = |table, name| TableSource {
+            table,
+            name,
+            timing,
+            status: status.clone(),
+        };
         let routes_source = source(FollowedTable::Routes, tables.routes_location().0);
         let backends_source = source(FollowedTable::Backends, tables.backends_table());
         let members_source = source(FollowedTable::Instances, INSTANCES_TABLE);
         let jobs_source = source(FollowedTable::Jobs, JOBS_TABLE);
         let members_sink = MembersSink(peers.clone());
         let jobs_sink = JobCacheSink::new(cache, peers.clone());
-        tokio::spawn(follow(store.clone(), routes_source, status.clone(), routes));
+        tokio::spawn(follow(store.clone(), routes_source, routes));
         tokio::spawn(follow(
             store.clone(),
             backends_source,
-            status.clone(),
             backends_sink.clone(),
         ));
-        tokio::spawn(follow(
-            store.clone(),
-            members_source,
-            status.clone(),
-            members_sink,
-        ));
-        tokio::spawn(follow(store.clone(), jobs_source, status, jobs_sink));
+        tokio::spawn(follow(store.clone(), members_source, members_sink));
+        tokio::spawn(follow(store.clone(), jobs_source, jobs_sink));
         tokio::spawn(watch_timers(relay.metrics.clone()));
         tokio::spawn(peers.run());
         tokio::spawn(backends_sink.expire());
