Batch items under which backend servers crashed are owed until they are given up

Cause: during a burst of crashes an item met a crash in each of its first six attempts, or lost its owner in three of them; it was then not placed again, though engines had room, and ended errored. item_backoff ended in NoMoreAttempts, and attempts with an unknown outcome in a wait until the item is given up. Delays after broken connections doubled up to 8 s and came on top of the backoff after crashes.

Evidence: the new tests on: six crashed attempts at 0, 0, 859, 2,941, 12,961 and 30,008 ms and none after; nine were not even reached in 50 s; three lost owners: attempts at 0, 306 and 638 ms and none after. 3 of 6 cases red.

Change: the attempts have no end. Their rate is bounded: 1.0, 2.5 and then 4.6 s (a quarter less at random) after crashes, 10 s after unknown outcomes, at most 4 s after broken connections, all side by side. So an item that crashes engines comes back three times in 10 s at most, as the tests for items ask in the time that they look at, and an innocent one is placed within 5 s of calm. For the fleet: an item with three crashes runs as a trial, one at a time at an instance, 1 to 2 s after the last such crash anywhere, until it has given eight events. Requests are bounded as before.

Result: sound_items 6 green (six: placed again after 3.6 s, nine: 4.0 s, lost owners: 10.4 s; twelve items that crash engines: 8 attempts in 10 s at two instances), crashes 18, attempt_counts 10, repeats 23, batch 35 green.

--- a/crates/foxtailhold-relay/src/crashes.rs
+++ b/crates/foxtailhold-relay/src/crashes.rs
@@ -17,6 +17,12 @@
 /// request that was running at the same backend server, and is all that is lost if all instances
 /// stop at once.
 const MIN_PERSISTED_CRASHES: usize = 2;
+/// Trials that an instance runs at once. A trial is an attempt at a batch item under which
+/// [`MAX_CRASHES`] or more backend servers crashed, until it has shown that it runs.
+const MAX_TRIALS: usize = 1;
+/// Least time from a crash under such an item, at any instance, to the next trial at this one. Up to
+/// as long again is added at random, so that the instances do not begin together.
+const TRIAL_GAP_MS: u64 = 1_000;
 /// Time after which the next probe of a request is admitted if the previous one gave no result. It
 /// is longer than attempts usually take.
 const PROBE_INTERVAL_MS: u64 = 5_000;
@@ -30,6 +36,32 @@
     last_probes: HashMap<Fingerprint, MonoMs>,
     /// Requests whose row differs from the evidence of this instance.
     dirty: BTreeSet<Fingerprint>,
+    /// Trials that are running here.
+    trials: usize,
+    /// No trial begins before this time.
+    next_trial: Option<MonoMs>,
+}
+
+impl CrashState {
+    /// Delays the next trial if another backend server has crashed under a suspected request.
+    fn delay_trials(&mut self, fingerprint: Fingerprint, now: MonoMs) {
+        if self.registry.crashes(fingerprint) >= MAX_CRASHES {
+            let delay_ms = TRIAL_GAP_MS + rand::random_range(0..TRIAL_GAP_MS);
+            self.next_trial = Some(now + delay_ms);
+        }
+    }
+}
+
+/// Permit for a trial of a batch item; dropping it ends the trial.
+#[derive(Debug)]
+pub struct TrialPermit {
+    tracker: CrashTracker,
+}
+
+impl Drop for TrialPermit {
+    fn drop(&mut self) {
+        self.tracker.state.lock().trials -= 1;
+    }
 }
 
 /// Crash evidence of all instances; cheap to clone.
@@ -66,17 +98,32 @@
         self.state.lock().registry.crashes(fingerprint)
     }
 
+    /// Admits a trial of a batch item; `None` while others are running or a backend server has just
+    /// crashed under one. This bounds what items that crash backend servers cost the fleet.
+    pub fn admit_trial(&self, now: MonoMs) -> Option<TrialPermit> {
+        let mut state = self.state.lock();
+        let is_early = state.next_trial.is_some_and(|next| now < next);
+        if is_early || state.trials >= MAX_TRIALS {
+            return None;
+        }
+        state.trials += 1;
+        Some(TrialPermit {
+            tracker: self.clone(),
+        })
+    }
+
     /// Records a crash seen by this instance. Returns the evidence to send to other instances, or
     /// `None` if the crash was known.
     pub fn record_crash(
         &self,
         fingerprint: Fingerprint,
         crash: CrashId,
-        now: WallMs,
+        now: (MonoMs, WallMs),
     ) -> Option<CrashEvidence> {
         let mut state = self.state.lock();
         let backend = crash.backend.clone();
-        let evidence = state.registry.crashed(fingerprint, crash, now)?.clone();
+        let evidence = state.registry.crashed(fingerprint, crash, now.1)?.clone();
+        state.delay_trials(fingerprint, now.0);
         let crashes = evidence.crashes.len();
         log::warn!(
             fingerprint:% = fingerprint, backend = backend.as_str(), crashes = crashes,
@@ -91,8 +138,11 @@
     }
 
     /// Merges the evidence of another instance.
-    pub fn merge(&self, fingerprint: Fingerprint, evidence: &CrashEvidence) {
-        self.state.lock().registry.join(fingerprint, evidence);
+    pub fn merge(&self, fingerprint: Fingerprint, evidence: &CrashEvidence, now: MonoMs) {
+        let mut state = self.state.lock();
+        if state.registry.join(fingerprint, evidence) {
+            state.delay_trials(fingerprint, now);
+        }
     }
 
     /// Clears a request that was seen to run. Returns whether other instances need to know. A
--- a/crates/foxtailhold-relay/src/jobs/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/backoff.rs
@@ -1,38 +1,40 @@
-//! Backoff of a batch item under which backend servers crashed.
+//! Backoff of a batch item whose attempts failed.
 
 use std::time::Duration;
 
-use foxtailhold::crashes::{ItemBackoff, item_backoff};
+use foxtailhold::crashes::item_backoff_ms;
 use tokio::time::Instant;
 
 /// Delays are shortened by a random amount of up to one part in this many.
 const JITTER_DIVISOR: u64 = 4;
 
-/// Backoff of one item.
+/// Backoff of one item. Delays for several reasons run side by side.
 #[derive(Debug, Default)]
-pub(crate) struct CrashBackoff {
-    /// Number of crashes at the last backoff.
+pub(crate) struct Backoff {
+    /// Number of crashes at the last backoff because of crashes.
     crashes: usize,
     ends_at: Option<Instant>,
 }
 
-impl CrashBackoff {
-    /// Starts a backoff if the item has crashed more backend servers than at the last one, and
-    /// returns its length. The item is given up in `left_ms`.
-    pub(crate) fn begin(&mut self, crashes: usize, left_ms: u64) -> Option<u64> {
+impl Backoff {
+    /// Begins a backoff if more backend servers have crashed under the item than at the last one,
+    /// and returns its length.
+    pub(crate) fn begin_after_crashes(&mut self, crashes: usize) -> Option<u64> {
         if crashes <= self.crashes {
             return None;
         }
         self.crashes = crashes;
-        let delay_ms = match item_backoff(crashes, left_ms) {
-            ItemBackoff::None => return None,
-            ItemBackoff::Delay { pause_ms } => with_jitter(pause_ms),
-            ItemBackoff::NoMoreAttempts => left_ms,
-        };
-        self.ends_at = Some(Instant::now() + Duration::from_millis(delay_ms));
+        let delay_ms = with_jitter(item_backoff_ms(crashes)?);
+        self.extend(delay_ms);
         Some(delay_ms)
     }
 
+    /// Ends the backoff no earlier than in `delay_ms`.
+    pub(crate) fn extend(&mut self, delay_ms: u64) {
+        let ends_at = Instant::now() + Duration::from_millis(delay_ms);
+        self.ends_at = self.ends_at.max(Some(ends_at));
+    }
+
     /// Time left of the current backoff.
     pub(crate) fn remaining(&self) -> Duration {
         let remaining = |ends_at: Instant| ends_at.saturating_duration_since(Instant::now());
--- /dev/null
+++ b/crates/foxtailhold-relay/src/jobs/item/backoff.rs
@@ -0,0 +1,97 @@
+//! When a batch item may be tried again. Its attempts have no end before the item is given up; these
+//! delays bound how often it comes back.
+
+use std::time::Duration;
+
+use foxtailhold::crashes::MAX_CRASHES;
+use foxtailhold_platform::{ObjectStore, RowStore};
+use tokio::time::Instant;
+
+use super::{ItemRunner, RETRY_DELAY_MS};
+use crate::dialect::Dialect;
+use crate::jobs::Job;
+use crate::upstream::AttemptFailure;
+
+/// Longest delay after interruptions in a row without a new event. An item with only broken responses
+/// must not keep engines busy, and a sound one is placed within 5 s once engines answer.
+const MAX_RETRY_DELAY_MS: u64 = 4_000;
+/// Interval at which an item in backoff checks its route, job and deadline.
+const BACKOFF_CHECK_MS: u64 = 1_000;
+/// Delay before an attempt at an item of which too many attempts have an unknown outcome. Each of
+/// them may have been answered that it can never be completed.
+const PENDING_BACKOFF_MS: u64 = 10_000;
+/// Interval at which an item asks again to be tried.
+const TRIAL_CHECK_MS: u64 = 100;
+
+impl<S: RowStore + ObjectStore, D: Dialect> ItemRunner<'_, S, D> {
+    /// Waits before the next attempt, because too many have an unknown outcome.
+    pub(super) async fn back_off_after_pending_attempts(&mut self, job: &Job) {
+        log::info!(
+            job = self.id.as_str(), item = self.item.id.as_str(),
+            open = self.counts.pending, rest_ms = PENDING_BACKOFF_MS; "item in backoff"
+        );
+        let until = Instant::now() + Duration::from_millis(PENDING_BACKOFF_MS);
+        let is_open = || self.jobs.relay.clock.wall().0 < job.give_up_unix_ms;
+        while Instant::now() < until && self.is_still_owned() && is_open() {
+            let check_at = Instant::now() + Duration::from_millis(BACKOFF_CHECK_MS);
+            tokio::time::sleep_until(until.min(check_at)).await;
+        }
+        self.is_pending_backoff_over = true;
+    }
+
+    /// Returns whether it waited, so that the route, job and deadline may have changed.
+    pub(super) async fn back_off(&mut self, job: &Job) -> bool {
+        let crashes = self.jobs.relay.peers.crashes();
+        if !crashes.is_empty() {
+            let crashes = crashes.crash_count(self.fingerprint(job));
+            if let Some(delay_ms) = self.backoff.begin_after_crashes(crashes) {
+                log::info!(
+                    job = self.id.as_str(), item = self.item.id.as_str(),
+                    crashes = crashes, rest_ms = delay_ms; "item in backoff"
+                );
+            }
+        }
+        let remaining = self.backoff.remaining();
+        if remaining.is_zero() {
+            return false;
+        }
+        tokio::time::sleep(remaining.min(Duration::from_millis(BACKOFF_CHECK_MS))).await;
+        true
+    }
+
+    /// Whether the item may run now. One under which too many backend servers crashed needs a permit;
+    /// without one this waits a little.
+    pub(super) async fn is_admitted(&self, job: &Job) -> bool {
+        let relay = &self.jobs.relay;
+        let crashes = relay.peers.crashes();
+        if crashes.is_empty() || crashes.crash_count(self.fingerprint(job)) < MAX_CRASHES {
+            return true;
+        }
+        let permit = crashes.admit_trial(relay.clock.mono());
+        let is_admitted = permit.is_some();
+        *self.trial.lock() = permit;
+        if !is_admitted {
+            tokio::time::sleep(Duration::from_millis(TRIAL_CHECK_MS)).await;
+        }
+        is_admitted
+    }
+
+    /// Ends the trial of an item that has shown that it runs, or whose attempt has ended.
+    pub(super) fn end_trial(&self) {
+        self.trial.lock().take();
+    }
+
+    /// Delays the next attempt, for longer the more often in a row engines broke off without giving
+    /// an event.
+    pub(super) fn delay_after_failure(&mut self, failure: AttemptFailure) {
+        if !matches!(failure, AttemptFailure::Closed | AttemptFailure::Broken) {
+            return;
+        }
+        self.interruptions += 1;
+        if self.interruptions < 2 {
+            return;
+        }
+        let delay_ms = RETRY_DELAY_MS << (self.interruptions - 2).min(16);
+        self.backoff.extend(delay_ms.min(MAX_RETRY_DELAY_MS));
+    }
+}
--- a/crates/foxtailhold-relay/src/jobs/item.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -1,5 +1,7 @@
 //! Runs one batch item, from its first slot request to its result.
 
+mod backoff;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,13 +16,15 @@
 use foxtailhold_platform::{ObjectStore, RowStore};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
+use parking_lot::Mutex;
 use tokio::time::Instant;
 
 use crate::connections::BusyConnection;
+use crate::crashes::TrialPermit;
 use crate::dialect::Dialect;
 use crate::events::{EventReader, StreamRead, push_data};
 use crate::fleet::BackendServer;
-use crate::jobs::backoff::CrashBackoff;
+use crate::jobs::backoff::Backoff;
 use crate::jobs::{Item, ItemState, Job, Jobs, ListedResult, PartialOutputs};
 use crate::metrics::AttemptOutcome;
 use crate::peers::{Slot, SlotError, SlotQuery};
@@ -28,16 +32,10 @@
 
 /// An engine without an event for this time counts as silent; the item is resumed elsewhere.
 const EVENT_TIMEOUT_MS: u64 = 900;
-/// Delay after a failed response or two interruptions in a row without a new event; each further
-/// one doubles it.
+/// Delay after a failed response.
 const RETRY_DELAY_MS: u64 = 60;
-/// Upper bound of that delay. An item with only broken responses must not be given up early, nor
-/// keep engines busy until then. Items that crash engines are delayed by [`CrashBackoff`].
-const MAX_RETRY_DELAY_MS: u64 = 8_000;
 /// An item is given up if its route has been missing from the configuration for this time.
 const NO_ROUTE_MS: u64 = 5_000;
-/// Interval at which an item in backoff checks its route, job and deadline.
-const BACKOFF_CHECK_MS: u64 = 1_000;
 /// Time limit for writing attempt counts, many times the store's usual latency; the slot is held.
 const WRITE_LIMIT_MS: u64 = 300;
 /// Time limit of one slot request; afterwards route, job and deadline are checked again.
@@ -78,7 +76,10 @@
     interruptions: u32,
     avoided_backends: Vec<BackendId>,
     last_backend: Option<Arc<BackendServer>>,
-    backoff: CrashBackoff,
+    backoff: Backoff,
+    /// Whether the delay because of attempts with an unknown outcome is over for the next attempt.
+    is_pending_backoff_over: bool,
+    trial: Mutex<Option<TrialPermit>>,
 }
 
 impl<'a, S: RowStore + ObjectStore, D: Dialect> ItemRunner<'a, S, D> {
@@ -99,7 +100,9 @@
             interruptions: 0,
             avoided_backends: Vec::new(),
             last_backend: None,
-            backoff: CrashBackoff::default(),
+            backoff: Backoff::default(),
+            is_pending_backoff_over: false,
+            trial: Mutex::default(),
         }
     }
 
@@ -132,16 +135,18 @@
             match self.counts.next_attempt(route.attempts) {
                 AttemptDecision::Allowed => {}
                 AttemptDecision::GiveUp => return Some(self.into_result(ItemState::GivenUp)),
+                AttemptDecision::Backoff if self.is_pending_backoff_over => {}
                 AttemptDecision::Backoff => {
-                    self.wait_until_given_up(job).await;
+                    self.back_off_after_pending_attempts(job).await;
                     continue;
                 }
             }
-            if self.back_off_after_crashes(job).await {
+            if self.back_off(job).await || !self.is_admitted(job).await {
                 continue;
             }
             let events = self.events();
             let result = self.attempt_once(route, job, &target, &headers).await;
+            self.end_trial();
             if self.events() > events {
                 self.interruptions = 0;
                 self.counts.record_events();
@@ -151,6 +156,7 @@
                 AttemptEnd::Impossible => return Some(self.into_result(ItemState::GivenUp)),
                 AttemptEnd::Suspended => {}
                 AttemptEnd::Interrupted(failure) => {
+                    self.is_pending_backoff_over = false;
                     self.jobs.relay.metrics.attempt_failed(failure.as_str());
                     log::info!(
                         job = self.id.as_str(), item = self.item.id.as_str(),
@@ -160,7 +166,7 @@
                         "attempt of an item interrupted, resuming at another backend server"
                     );
                     self.record_possible_crash(job, failure, self.events() - events);
-                    self.delay_after_failure(failure).await;
+                    self.delay_after_failure(failure);
                 }
                 AttemptEnd::ServerError => {
                     self.counts.record_failure();
@@ -194,19 +200,6 @@
         log::info!(job = self.id.as_str(), item = self.item.id.as_str(); "attempt counts not written, item continues: {error}");
     }
 
-    async fn wait_until_given_up(&self, job: &Job) {
-        let left_ms = job
-            .give_up_unix_ms
-            .saturating_sub(self.jobs.relay.clock.wall().0);
-        log::info!(
-            job = self.id.as_str(), item = self.item.id.as_str(),
-            open = self.counts.pending, rest_ms = left_ms; "item in backoff"
-        );
-        while self.is_still_owned() && self.jobs.relay.clock.wall().0 < job.give_up_unix_ms {
-            tokio::time::sleep(Duration::from_millis(BACKOFF_CHECK_MS)).await;
-        }
-    }
-
     fn fingerprint(&self, job: &Job) -> Fingerprint {
         Fingerprint::of_opaque(&job.host, &self.item.target, &self.item.body)
     }
@@ -218,41 +211,6 @@
         }
     }
 
-    /// Returns whether it waited, so that the route, job and deadline may have changed.
-    async fn back_off_after_crashes(&mut self, job: &Job) -> bool {
-        let relay = &self.jobs.relay;
-        if relay.peers.crashes().is_empty() {
-            return false;
-        }
-        let crashes = relay.peers.crashes().crash_count(self.fingerprint(job));
-        let left_ms = job.give_up_unix_ms.saturating_sub(relay.clock.wall().0);
-        if let Some(delay_ms) = self.backoff.begin(crashes, left_ms) {
-            log::info!(
-                job = self.id.as_str(), item = self.item.id.as_str(),
-                crashes = crashes, rest_ms = delay_ms; "item in backoff"
-            );
-        }
-        let remaining = self.backoff.remaining();
-        if remaining.is_zero() {
-            return false;
-        }
-        tokio::time::sleep(remaining.min(Duration::from_millis(BACKOFF_CHECK_MS))).await;
-        true
-    }
-
-    /// Waits longer the more often in a row engines broke off without giving an event.
-    async fn delay_after_failure(&mut self, failure: AttemptFailure) {
-        if !matches!(failure, AttemptFailure::Closed | AttemptFailure::Broken) {
-            return;
-        }
-        self.interruptions += 1;
-        if self.interruptions < 2 {
-            return;
-        }
-        let delay_ms = MAX_RETRY_DELAY_MS.min(RETRY_DELAY_MS << (self.interruptions - 2).min(16));
-        tokio::time::sleep(Duration::from_millis(delay_ms)).await;
-    }
-
     fn events(&self) -> u64 {
         self.partial_outputs.last(&self.item.id)
     }
@@ -477,6 +435,7 @@
                         self.write_counts(counts).await;
                     }
                     if events == STABLE_AFTER_EVENTS {
+                        self.end_trial();
                         self.jobs.relay.record_execution(|| self.fingerprint(job));
                     }
                 }
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -143,10 +143,10 @@
 
     /// Records a backend server crash under a request and informs the other instances.
     pub fn record_crash(&self, fingerprint: Fingerprint, crash: CrashId) {
-        let new_evidence = self
-            .inner
-            .crashes
-            .record_crash(fingerprint, crash, self.wall());
+        let new_evidence =
+            self.inner
+                .crashes
+                .record_crash(fingerprint, crash, (self.now(), self.wall()));
         if let Some(evidence) = new_evidence {
             self.broadcast(PeerMessage::CrashEvidence {
                 fingerprint,
@@ -354,7 +354,7 @@
             PeerMessage::CrashEvidence {
                 fingerprint,
                 evidence,
-            } => self.inner.crashes.merge(fingerprint, &evidence),
+            } => self.inner.crashes.merge(fingerprint, &evidence, now),
             PeerMessage::CrashesCleared { fingerprint } => {
                 self.inner.crashes.clear(fingerprint);
             }
--- a/crates/foxtailhold/src/attempt_counts.rs
+++ b/crates/foxtailhold/src/attempt_counts.rs
@@ -27,8 +27,8 @@
     Allowed,
     /// The item has failed too often and ends with an error.
     GiveUp,
-    /// The item is not tried again until it may be given up, because too many attempts have an
-    /// unknown outcome.
+    /// The next attempt may start only after a long delay, because too many attempts have an unknown
+    /// outcome.
     Backoff,
 }
 
--- a/crates/foxtailhold/src/crashes.rs
+++ b/crates/foxtailhold/src/crashes.rs
@@ -175,43 +175,18 @@
 /// Backoff of a batch item after [`MAX_CRASHES`]. It is short, so that an innocent item is soon
 /// done.
 const ITEM_FIRST_BACKOFF_MS: u64 = 2_500;
-/// Later backoffs: the time until the item is given up, divided by these numbers.
-const ITEM_BACKOFF_DIVISORS: [u64; 2] = [6, 3];
-
-/// When a batch item may run again after crashes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ItemBackoff {
-    /// The item may run at once.
-    None,
-    /// The item may run after a delay.
-    Delay {
-        /// Length of the delay in ms.
-        pause_ms: u64,
-    },
-    /// The item may not run again.
-    NoMoreAttempts,
-}
-
-/// Decides the backoff of a batch item with this number of crashes that is given up in `left_ms`.
-/// It cannot be reported as failed before that, so its probes are spread over the remaining time.
-pub fn item_backoff(crashes: usize, left_ms: u64) -> ItemBackoff {
-    let Some(probes) = crashes.checked_sub(MAX_CRASHES) else {
-        return match crashes + 1 == MAX_CRASHES {
-            true => ItemBackoff::Delay {
-                pause_ms: ITEM_DELAY_MS,
-            },
-            false => ItemBackoff::None,
-        };
-    };
-    let Some(later) = probes.checked_sub(1) else {
-        return ItemBackoff::Delay {
-            pause_ms: ITEM_FIRST_BACKOFF_MS,
-        };
-    };
-    match ITEM_BACKOFF_DIVISORS.get(later) {
-        None => ItemBackoff::NoMoreAttempts,
-        Some(divisor) => ItemBackoff::Delay {
-            pause_ms: left_ms / divisor,
-        },
+/// Every later backoff. It bounds how often an item that crashes engines comes back; an innocent one
+/// is placed within this time once engines stay up.
+const ITEM_MAX_BACKOFF_MS: u64 = 4_600;
+
+/// Backoff of a batch item under which this number of backend servers crashed, before its next
+/// attempt; `None` if it may run at once. The attempts have no end: an item is owed until it is
+/// given up.
+pub fn item_backoff_ms(crashes: usize) -> Option<u64> {
+    match crashes.checked_sub(MAX_CRASHES) {
+        None if crashes + 1 == MAX_CRASHES => Some(ITEM_DELAY_MS),
+        None => None,
+        Some(0) => Some(ITEM_FIRST_BACKOFF_MS),
+        Some(_) => Some(ITEM_MAX_BACKOFF_MS),
     }
 }
