Close the idle connections of a backend server that was silent

Connections to a backend server that are open but dead stay in the pool, and each costs a request an attempt, or a request that runs at most once its answer.

Change: an attempt that was silent closes the idle connections to that backend server. New connections then show whether it is there.

--- a/crates/foxtailhold-relay/src/connections.rs
+++ b/crates/foxtailhold-relay/src/connections.rs
@@ -102,6 +102,12 @@
         self.idle.lock().retain(|id, _| is_known(id));
     }
 
+    /// Closes the idle connections to a backend server, after one carried no response in time: the
+    /// others may be dead as well, and each would cost a request an attempt.
+    pub fn close_idle(&self, backend: &BackendId) {
+        self.idle.lock().remove(backend);
+    }
+
     fn take_idle(&self, backend: &BackendId, min_idle_ms: u64) -> Option<SendRequest<Full<Bytes>>> {
         let mut map = self.idle.lock();
         let all = map.get_mut(backend)?;
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -115,7 +115,7 @@
     }
 
     /// Records that a backend server may have crashed under a request that it had just begun to
-    /// run. For a request that has already reached the crash limit, silence and broken responses
+    /// run, and closes its idle connections if it was silent. For a request that has already reached the crash limit, silence and broken responses
     /// count as crashes too, because each further attempt can cost a backend server.
     pub(crate) fn record_possible_crash(
         &self,
@@ -124,6 +124,9 @@
         cause: AttemptFailure,
         events: u64,
     ) {
+        if cause == AttemptFailure::Silent {
+            self.connections.close_idle(&backend.id);
+        }
         if events >= STABLE_AFTER_EVENTS {
             return;
         }
