Accept batch jobs of one instance one after the other

Cause: callers who submitted batch jobs at once got 503 though all jobs fitted. All acceptances with a quota change one row; those of one instance competed with each other, and each gave up after 8 conflicts.

Change: an acceptance waits for its turn at its instance, so that it competes with one of each other instance only, waits up to 20 ms at random after a conflict, and gives up after 1.5 s, not after a number of conflicts.

--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -127,6 +127,7 @@
             cache: Arc::clone(&cache),
             relay: Arc::clone(&relay),
             item_durations: Mutex::default(),
+            acceptances: tokio::sync::Mutex::default(),
         });
         let (loaded, backends_loaded) = watch::channel(false);
         let backends_sink = BackendsSink {
--- a/crates/foxtailhold-relay/src/jobs/accept.rs
+++ b/crates/foxtailhold-relay/src/jobs/accept.rs
@@ -5,14 +5,20 @@
 use foxtailhold::ids::JobId;
 use foxtailhold::routes::{BatchLimits, Route};
 use foxtailhold_platform::{Committed, ObjectStore, PlatformError, RowStore, VersionedRow};
+use tokio::sync::MutexGuard;
 use tokio::time::Instant;
 
 use crate::dialect::Dialect;
 use crate::jobs::cache::{CachedJob, JOB_PREFIX, QuotaView, parse_quota};
 use crate::jobs::{Job, JobError, Jobs, NewJob, QuotaRow, Result};
 
-/// Attempts of a commit against concurrent changes of the same rows.
+/// Attempts to end a job against concurrent changes of its row.
 const MAX_COMMIT_ATTEMPTS: u32 = 8;
+/// Time limit for an acceptance against those of other instances, well within the time that callers
+/// wait.
+const ACCEPT_TIMEOUT_MS: u64 = 1_500;
+/// Longest delay after a conflict between acceptances; the delay is random.
+const MAX_CONFLICT_DELAY_MS: u64 = 20;
 /// Time limit for the change feed to deliver the change that won a conflict.
 const CATCH_UP_TIMEOUT_MS: u64 = 500;
 /// Time for which a commit without a response is looked up; afterwards its outcome counts as
@@ -84,9 +90,16 @@
         let new_tokens: u64 = new.items.iter().map(|item| item.tokens).sum();
         check_quota(&self.cache.quota(&route.name), limits, new_tokens)?;
         let bodies = self.store.put_bodies(new).await?;
+        // All acceptances with a quota change the same row. One at a time, they only compete with
+        // those of other instances.
+        let deadline = Instant::now() + Duration::from_millis(ACCEPT_TIMEOUT_MS);
+        let _turn = match limits.quota_tokens {
+            0 => None,
+            _ => Some(self.wait_for_turn(deadline).await?),
+        };
         let job = self.new_row(route, limits, new);
         let mut newer: Option<QuotaView> = None;
-        for _ in 0..MAX_COMMIT_ATTEMPTS {
+        while Instant::now() < deadline {
             let quota = self.next_quota(route, limits, new_tokens, newer).await?;
             let accepted = self.store.accept(&new.id, &job, &bodies, quota).await;
             match accepted {
@@ -105,6 +118,8 @@
                         return Ok(AcceptOutcome::AlreadyAccepted);
                     }
                     newer = rows.iter().find_map(parse_quota);
+                    let delay_ms = rand::random_range(0..MAX_CONFLICT_DELAY_MS);
+                    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
                 }
                 Err(JobError::Unknown(error)) => {
                     return match self.look_up(&new.id).await {
@@ -118,6 +133,11 @@
         Err(lost_to_concurrent_changes("acceptances of the route"))
     }
 
+    async fn wait_for_turn(&self, deadline: Instant) -> Result<MutexGuard<'_, ()>> {
+        let turn = tokio::time::timeout_at(deadline, self.acceptances.lock()).await;
+        turn.map_err(|_| lost_to_concurrent_changes("acceptances of the route"))
+    }
+
     fn new_row(&self, route: &Route, limits: BatchLimits, new: &NewJob) -> Job {
         let now = self.relay.clock.wall().0;
         let items = new.items.iter();
--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -136,6 +136,8 @@
     pub relay: Arc<Relay<D>>,
     /// Duration statistics of items, used to estimate their remaining time.
     pub item_durations: Mutex<ItemDurationEstimate>,
+    /// Held while a job with a quota is accepted.
+    pub acceptances: tokio::sync::Mutex<()>,
 }
 
 impl<S: RowStore + ObjectStore, D> Jobs<S, D> {
