--- a/crates/foxtailhold-service/src/lib.rs
+++ b/crates/foxtailhold-service/src/lib.rs
@@ -119,7 +119,7 @@
         *request.uri_mut() = uri(address, &call.path_and_query)?;
         *request.headers_mut() = call.headers.clone();
         let client = match reuse {
-            Reuse::Pooled => &self.pooled,
+            Reuse::Pooled | Reuse::PooledUntilTimeout => &self.pooled,
             Reuse::Fresh => &self.fresh,
         };
         let response = client.send(address, request, call.timeout_ms).await?;
