--- a/crates/foxtailhold-relay/src/follow.rs
+++ b/crates/foxtailhold-relay/src/follow.rs
@@ -3,10 +3,9 @@
 //! The table is read in full, then its change feed is followed. Every call has its own time limit,
 //! since a connection may go silent without a reset.
 
-use std::future::Future;
 use std::time::Duration;
 
-use foxtailhold_platform::{Feed, ObjectStore, Result, RowStore, Snapshot, VersionedRow};
+use foxtailhold_platform::{Feed, ObjectStore, PlatformError, RowStore, Snapshot, VersionedRow};
 use rand::Rng;
 use tokio::time::Instant;
 
@@ -95,6 +94,16 @@
     direct_retries: RetrySchedule,
 }
 
+/// What ends a wait for changes.
+enum FeedEvent {
+    /// The store answered, on this way.
+    Answered(Feed, StoreAccess),
+    /// The direct call failed.
+    Failed(PlatformError),
+    /// Another instance has a change that does not arrive here.
+    Behind(Announcement),
+}
+
 /// When the next call on a failing way is due. It outlives the wait for that call, which ends when
 /// another way answers.
 #[derive(Debug)]
@@ -179,43 +188,41 @@
     /// Follows the change feed until the whole table has to be read: its history no longer reaches
     /// back, or it has left out a change.
     async fn follow_changes(&mut self, mut after: u64) {
-        let table = self.source.table;
         let name = self.source.name;
         let mut is_direct = true;
         let mut missing: Option<Announcement> = None;
         loop {
-            let (feed, access) = match is_direct {
-                true => match self.follow_until_behind(after).await {
-                    Ok(Ok(feed)) => (feed, StoreAccess::Direct),
-                    Ok(Err(error)) => {
-                        log::warn!(
-                            table = name, version = after, error = error.to_string().as_str();
-                            "change feed failed, trying all ways to the store"
-                        );
-                        self.sink.call_ended(false);
-                        is_direct = false;
-                        continue;
-                    }
-                    Err(announcement) => {
-                        after = self.source.status.known_up_to(table);
-                        log::info!(
-                            table = name, version = after, announced = announcement.version,
-                            from:% = announcement.from; "behind another instance, trying all ways to the store"
-                        );
-                        missing = Some(announcement);
-                        is_direct = false;
-                        continue;
-                    }
-                },
-                false => {
-                    let answered = self.follow_on_all_ways(after).await;
-                    is_direct = answered.1 == StoreAccess::Direct;
-                    if is_direct {
-                        log::info!(table = name, version = after; "change feed answers again");
-                    }
-                    answered
+            let event = match is_direct {
+                true => self.follow_until_behind(after).await,
+                false => self.follow_on_all_ways(after).await,
+            };
+            let (feed, access) = match event {
+                FeedEvent::Answered(feed, access) => (feed, access),
+                FeedEvent::Failed(error) => {
+                    log::warn!(
+                        table = name, version = after, error = error.to_string().as_str();
+                        "change feed failed, trying all ways to the store"
+                    );
+                    self.sink.call_ended(false);
+                    is_direct = false;
+                    continue;
+                }
+                FeedEvent::Behind(announcement) => {
+                    after = self.known_up_to();
+                    log::info!(
+                        table = name, version = after, announced = announcement.version,
+                        from:% = announcement.from; "behind another instance, trying all ways to the store"
+                    );
+                    missing = Some(announcement);
+                    is_direct = false;
+                    continue;
                 }
             };
+            if !is_direct && access == StoreAccess::Direct {
+                log::info!(table = name, version = after; "change feed answers again");
+                self.direct_retries = self.new_retry_schedule();
+                is_direct = true;
+            }
             self.confirm(access);
             let Feed::Changed { rows, version } = feed else {
                 log::info!(table = name, version = after; "change feed no longer covers this version, reading the whole table");
@@ -223,13 +230,9 @@
             };
             after = after.max(version);
             if !rows.is_empty() {
-                self.source.status.record_changes(table, &rows);
-                self.sink.change(rows);
-                tokio::time::sleep(Duration::from_millis(self.sink.batch_delay_ms())).await;
+                self.apply(rows).await;
             }
-            let is_missing = |announcement: Announcement| {
-                announcement.version > self.source.status.known_up_to(table)
-            };
+            let is_missing = |announced: Announcement| announced.version > self.known_up_to();
             if missing.take().is_some_and(is_missing) {
                 log::warn!(table = name, version = after; "change feed left out a change, reading the whole table");
                 return;
@@ -237,14 +240,31 @@
         }
     }
 
+    fn known_up_to(&self) -> u64 {
+        self.source.status.known_up_to(self.source.table)
+    }
+
+    fn new_retry_schedule(&self) -> RetrySchedule {
+        RetrySchedule::new(self.source.timing.max_retry_delay_ms)
+    }
+
+    async fn apply(&mut self, rows: Vec<VersionedRow>) {
+        self.source.status.record_changes(self.source.table, &rows);
+        self.sink.change(rows);
+        tokio::time::sleep(Duration::from_millis(self.sink.batch_delay_ms())).await;
+    }
+
     /// Follows the feed directly, unless another instance has a change that does not arrive here.
-    async fn follow_until_behind(
-        &self,
-        after: u64,
-    ) -> std::result::Result<Result<Feed>, Announcement> {
+    async fn follow_until_behind(&self, after: u64) -> FeedEvent {
+        let call = self.feed_call(after, self.source.timing.wait_ms);
         tokio::select! {
-            feed = self.follow_directly(after) => Ok(feed),
-            announcement = self.source.status.wait_until_behind(self.source.table) => Err(announcement),
+            answer = self.store.follow_by(StoreAccess::Direct, &call) => match answer {
+                Ok(feed) => FeedEvent::Answered(feed, StoreAccess::Direct),
+                Err(error) => FeedEvent::Failed(error),
+            },
+            announcement = self.source.status.wait_until_behind(self.source.table) => {
+                FeedEvent::Behind(announcement)
+            }
         }
     }
 
@@ -257,36 +277,22 @@
         }
     }
 
-    async fn follow_directly(&self, after: u64) -> Result<Feed> {
-        let call = self.feed_call(after, self.source.timing.wait_ms);
-        self.store.follow_by(StoreAccess::Direct, &call).await
-    }
-
     /// Calls the store directly, through random instances, and through one that has a change which
     /// this one lacks, side by side and each until it is answered. The first answer counts.
-    async fn follow_on_all_ways(&mut self, after: u64) -> (Feed, StoreAccess) {
+    async fn follow_on_all_ways(&mut self, after: u64) -> FeedEvent {
         // Without a wait for changes, an answer shows at once that the store is reachable.
         let call = self.feed_call(after, 0);
         let peer_call = self.feed_call(after, self.source.timing.peer_wait_ms);
-        let max_delay_ms = self.source.timing.max_retry_delay_ms;
-        let (store, status, table) = (&self.store, &self.source.status, self.source.table);
-        let (peer_retries, announcer_retries) = (
-            RetrySchedule::new(max_delay_ms),
-            RetrySchedule::new(max_delay_ms),
-        );
-        let answered = tokio::select! {
+        let (peer_retries, holder_retries) = (self.new_retry_schedule(), self.new_retry_schedule());
+        let (store, source) = (&self.store, &self.source);
+        let (feed, access) = tokio::select! {
             feed = retry_directly(store, &call, &mut self.direct_retries) => {
                 (feed, StoreAccess::Direct)
             }
             answered = retry_through_peers(store, &peer_call, peer_retries) => answered,
-            answered = retry_through_announcer(store, &call, announcer_retries, || {
-                status.wait_until_behind(table)
-            }) => answered,
+            answered = retry_through_holder(store, &call, holder_retries, source) => answered,
         };
-        if answered.1 == StoreAccess::Direct {
-            self.direct_retries = RetrySchedule::new(max_delay_ms);
-        }
-        answered
+        FeedEvent::Answered(feed, access)
     }
 }
 
@@ -321,16 +327,17 @@
     }
 }
 
-/// Calls the store through the instance that has announced a change which this one lacks.
-async fn retry_through_announcer<S: RowStore + ObjectStore, F: Future<Output = Announcement>>(
+/// Calls the store through the instance that holds a change which this one lacks.
+async fn retry_through_holder<S: RowStore + ObjectStore>(
     store: &SharedStore<S>,
     call: &FeedCall<'_>,
     mut retries: RetrySchedule,
-    wait_until_behind: impl Fn() -> F,
+    source: &TableSource,
 ) -> (Feed, StoreAccess) {
     loop {
-        let access = StoreAccess::Peer(wait_until_behind().await.from);
+        let announcement = source.status.wait_until_behind(source.table).await;
         retries.wait().await;
+        let access = StoreAccess::Peer(announcement.from);
         match store.follow_by(access, call).await {
             Ok(feed) => return (feed, access),
             Err(error) => log::debug!("change feed of {} failed {access}: {error}", call.table),
