Send the crash evidence to instances that have just started

Cause: evidence of a single crash is not stored.

Change: the first two reports of an instance are answered with the evidence known here, the newest 256 entries, in the messages that exist. The part of the peers that shares evidence is a module of its own.

--- a/crates/foxtailhold-relay/src/crashes.rs
+++ b/crates/foxtailhold-relay/src/crashes.rs
@@ -137,6 +137,15 @@
         Some(evidence)
     }
 
+    /// Up to `limit` entries of evidence, the newest first.
+    pub fn newest_evidence(&self, limit: usize) -> Vec<(Fingerprint, CrashEvidence)> {
+        let state = self.state.lock();
+        let newest = state.registry.newest_first().into_iter().take(limit);
+        newest
+            .map(|(fingerprint, evidence)| (fingerprint, evidence.clone()))
+            .collect()
+    }
+
     /// Merges the evidence of another instance.
     pub fn merge(&self, fingerprint: Fingerprint, evidence: &CrashEvidence, now: MonoMs) {
         let mut state = self.state.lock();
--- /dev/null
+++ b/crates/foxtailhold-relay/src/peers/evidence.rs
@@ -0,0 +1,73 @@
+//! Shares the evidence against requests that crash backend servers with other instances.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use foxtailhold::ids::InstanceId;
+use foxtailhold::quarantine::{CrashId, Fingerprint};
+
+use super::{PeerMessage, Peers};
+
+/// Evidence that is sent to an instance which reports here for the first time.
+const MAX_SHARED_EVIDENCE: usize = 256;
+/// Number of reports of an instance that are answered with the evidence, because datagrams may be
+/// lost.
+const EVIDENCE_SENDS: u32 = 2;
+/// Limit of the instances whose reports are counted.
+const MAX_COUNTED_INSTANCES: usize = 4_096;
+
+/// Number of reports of each instance that were answered with the evidence.
+#[derive(Debug, Default)]
+pub(super) struct EvidenceSends(HashMap<InstanceId, u32>);
+
+impl EvidenceSends {
+    /// Counts a report; returns whether it is to be answered with the evidence.
+    fn count(&mut self, instance: &InstanceId) -> bool {
+        if self.0.len() >= MAX_COUNTED_INSTANCES {
+            self.0.clear();
+        }
+        let sends = self.0.entry(instance.clone()).or_default();
+        *sends += 1;
+        *sends <= EVIDENCE_SENDS
+    }
+}
+
+impl Peers {
+    /// Records a backend server crash under a request and informs the other instances.
+    pub fn record_crash(&self, fingerprint: Fingerprint, crash: CrashId) {
+        let new_evidence =
+            self.inner
+                .crashes
+                .record_crash(fingerprint, crash, (self.now(), self.wall()));
+        if let Some(evidence) = new_evidence {
+            self.broadcast(PeerMessage::CrashEvidence {
+                fingerprint,
+                evidence,
+            });
+        }
+    }
+
+    /// Clears a request that was seen to run and informs the other instances if they hold evidence
+    /// against it.
+    pub fn clear_crashes(&self, fingerprint: Fingerprint) {
+        if self.inner.crashes.clear(fingerprint) {
+            log::info!(fingerprint:% = fingerprint; "request was seen to run, its crash evidence is dropped");
+            self.broadcast(PeerMessage::CrashesCleared { fingerprint });
+        }
+    }
+
+    /// Sends the crash evidence to an instance that has just started. Evidence of a single crash is
+    /// not stored, and would be lost when the last instance that saw the crash stops.
+    pub(super) fn share_evidence(&self, to: SocketAddr, instance: &InstanceId) {
+        if !self.inner.evidence_sends.lock().count(instance) {
+            return;
+        }
+        for (fingerprint, evidence) in self.inner.crashes.newest_evidence(MAX_SHARED_EVIDENCE) {
+            let message = PeerMessage::CrashEvidence {
+                fingerprint,
+                evidence,
+            };
+            self.send(to, &message);
+        }
+    }
+}
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -1,9 +1,11 @@
 //! Communication between instances: slots, heartbeats and crash evidence.
 
+mod evidence;
 mod members;
 mod message;
 mod slot;
 
+use evidence::EvidenceSends;
 pub use members::{Member, Members};
 pub use message::{Datagram, InstanceHash, PeerMessage};
 pub use slot::{Slot, SlotError, SlotQuery};
@@ -15,7 +17,6 @@
 use std::time::Duration;
 
 use foxtailhold::ids::{AvailabilityZone, BackendId, InstanceId, TargetName};
-use foxtailhold::quarantine::{CrashId, Fingerprint};
 use foxtailhold::rendezvous;
 use foxtailhold::slots::{
     Allocator, BackendSlots, HeldSlot, SlotDecision, SlotNotice, SlotOutcome, SlotRequest,
@@ -64,6 +65,7 @@
     slots: Mutex<LocalSlots>,
     allocator: Mutex<Allocator>,
     crashes: CrashTracker,
+    evidence_sends: Mutex<EvidenceSends>,
     /// Messages to repeat once with the next report, because datagrams may be lost.
     rebroadcasts: Mutex<Vec<PeerMessage>>,
     /// Notified when rows of instances have changed.
@@ -97,6 +99,7 @@
             slots: Mutex::new(LocalSlots::default()),
             allocator: Mutex::new(Allocator::default()),
             crashes: CrashTracker::default(),
+            evidence_sends: Mutex::default(),
             rebroadcasts: Mutex::default(),
             members_changed: Notify::new(),
             tables,
@@ -141,29 +144,6 @@
         assigned.is_none_or(|assigned| assigned == self.me())
     }
 
-    /// Records a backend server crash under a request and informs the other instances.
-    pub fn record_crash(&self, fingerprint: Fingerprint, crash: CrashId) {
-        let new_evidence =
-            self.inner
-                .crashes
-                .record_crash(fingerprint, crash, (self.now(), self.wall()));
-        if let Some(evidence) = new_evidence {
-            self.broadcast(PeerMessage::CrashEvidence {
-                fingerprint,
-                evidence,
-            });
-        }
-    }
-
-    /// Clears a request that was seen to run and informs the other instances if they hold evidence
-    /// against it.
-    pub fn clear_crashes(&self, fingerprint: Fingerprint) {
-        if self.inner.crashes.clear(fingerprint) {
-            log::info!(fingerprint:% = fingerprint; "request was seen to run, its crash evidence is dropped");
-            self.broadcast(PeerMessage::CrashesCleared { fingerprint });
-        }
-    }
-
     fn broadcast(&self, message: PeerMessage) {
         let others = self.members().others();
         for address in others {
@@ -343,6 +323,7 @@
                     members.record_message(now, &instance);
                     members.recently_heard(now)
                 };
+                self.share_evidence(from, &instance);
                 let instance = self.inner.me.clone();
                 self.send_heartbeat(from, &PeerMessage::LiveInstances { instance, live });
             }
--- a/crates/foxtailhold/src/crashes.rs
+++ b/crates/foxtailhold/src/crashes.rs
@@ -130,6 +130,16 @@
         self.records.remove(&fingerprint).is_some()
     }
 
+    /// All evidence, the newest first.
+    pub fn newest_first(&self) -> Vec<(Fingerprint, &CrashEvidence)> {
+        let records = self.records.iter();
+        let mut all: Vec<_> = records
+            .map(|(request, evidence)| (*request, evidence))
+            .collect();
+        all.sort_by_key(|(_, evidence)| std::cmp::Reverse(evidence.last_unix_ms));
+        all
+    }
+
     /// The evidence against a request.
     pub fn evidence(&self, fingerprint: Fingerprint) -> Option<&CrashEvidence> {
         self.records.get(&fingerprint)
