Count attempts with an unknown outcome in the backoff of an item; less jitter

Change: an attempt whose outcome is unknown counts like a crash in the backoff. The delays are shortened by a tenth at most, so that three of them from the third crash on last 10 s (2.25 + 4.14 + 4.14). After the item was seen to run the count begins anew.

--- a/crates/foxtailhold-relay/src/jobs/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/backoff.rs
@@ -5,8 +5,9 @@
 use foxtailhold::crashes::item_backoff_ms;
 use tokio::time::Instant;
 
-/// Delays are shortened by a random amount of up to one part in this many.
-const JITTER_DIVISOR: u64 = 4;
+/// Delays are shortened by a random amount of up to one part in this many. Three delays in a row
+/// last 10 s, which bounds how often an item comes back.
+const JITTER_DIVISOR: u64 = 10;
 
 /// Backoff of one item. Delays for several reasons run side by side.
 #[derive(Debug, Default)]
@@ -17,13 +18,13 @@
 }
 
 impl Backoff {
-    /// Begins a backoff if more backend servers have crashed under the item than at the last one,
+    /// Begins a backoff if more backend servers may have crashed under the item than at the last one,
     /// and returns its length.
     pub(crate) fn begin_after_crashes(&mut self, crashes: usize) -> Option<u64> {
-        if crashes <= self.crashes {
+        let before = std::mem::replace(&mut self.crashes, crashes);
+        if crashes <= before {
             return None;
         }
-        self.crashes = crashes;
         let delay_ms = with_jitter(item_backoff_ms(crashes)?);
         self.extend(delay_ms);
         Some(delay_ms)
--- a/crates/foxtailhold-relay/src/jobs/item/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/backoff.rs
@@ -43,7 +43,8 @@
     pub(super) async fn back_off(&mut self, job: &Job) -> bool {
         let crashes = self.jobs.relay.peers.crashes();
         if !crashes.is_empty() {
-            let crashes = crashes.crash_count(self.fingerprint(job));
+            // An attempt with an unknown outcome may have crashed its backend server as well.
+            let crashes = crashes.crash_count(self.fingerprint(job)) + self.counts.pending as usize;
             if let Some(delay_ms) = self.backoff.begin_after_crashes(crashes) {
                 log::info!(
                     job = self.id.as_str(), item = self.item.id.as_str(),
