--- a/crates/foxtailhold-relay/src/follow.rs
+++ b/crates/foxtailhold-relay/src/follow.rs
@@ -96,7 +96,7 @@
 
 /// What ends a wait for changes.
 enum FeedEvent {
-    /// The store answered, on this way.
+    /// The store answered, on this path.
     Answered(Feed, StoreAccess),
     /// The direct call failed.
     Failed(PlatformError),
@@ -104,8 +104,8 @@
     Behind(Announcement),
 }
 
-/// When the next call on a failing way is due. It outlives the wait for that call, which ends when
-/// another way answers.
+/// When the next call on a failing path is due. It outlives the wait for that call, which ends when
+/// another path answers.
 #[derive(Debug)]
 struct RetrySchedule {
     next_at: Instant,
@@ -194,14 +194,14 @@
         loop {
             let event = match is_direct {
                 true => self.follow_until_behind(after).await,
-                false => self.follow_on_all_ways(after).await,
+                false => self.follow_on_all_paths(after).await,
             };
             let (feed, access) = match event {
                 FeedEvent::Answered(feed, access) => (feed, access),
                 FeedEvent::Failed(error) => {
                     log::warn!(
                         table = name, version = after, error = error.to_string().as_str();
-                        "change feed failed, trying all ways to the store"
+                        "change feed failed, trying all paths to the store"
                     );
                     self.sink.call_ended(false);
                     is_direct = false;
@@ -211,7 +211,7 @@
                     after = self.known_up_to();
                     log::info!(
                         table = name, version = after, announced = announcement.version,
-                        from:% = announcement.from; "behind another instance, trying all ways to the store"
+                        from:% = announcement.from; "behind another instance, trying all paths to the store"
                     );
                     missing = Some(announcement);
                     is_direct = false;
@@ -279,7 +279,7 @@
 
     /// Calls the store directly, through random instances, and through one that has a change which
     /// this one lacks, side by side and each until it is answered. The first answer counts.
-    async fn follow_on_all_ways(&mut self, after: u64) -> FeedEvent {
+    async fn follow_on_all_paths(&mut self, after: u64) -> FeedEvent {
         // Without a wait for changes, an answer shows at once that the store is reachable.
         let call = self.feed_call(after, 0);
         let peer_call = self.feed_call(after, self.source.timing.peer_wait_ms);
--- a/crates/foxtailhold-relay/src/metrics.rs
+++ b/crates/foxtailhold-relay/src/metrics.rs
@@ -263,7 +263,7 @@
         registry.register_with_unit("store_call", help, Unit::Seconds, times);
         let store_call_waits =
             DurationFamily::new_with_constructor(latency_histogram as fn() -> Histogram);
-        let help = "Wait of a call to the store, by the way it took and how it ended";
+        let help = "Wait of a call to the store, by the path it took and how it ended";
         let waits = store_call_waits.clone();
         registry.register_with_unit("store_call_wait", help, Unit::Seconds, waits);
         let rejected_route_tables = Counter::default();
--- a/crates/foxtailhold-relay/src/shared_store/health.rs
+++ b/crates/foxtailhold-relay/src/shared_store/health.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 
-/// Result of the latest direct call; shared by all users of the store. It decides which way is
+/// Result of the latest direct call; shared by all users of the store. It decides which path is
 /// tried first, never which one is left out.
 #[derive(Debug, Clone, Default)]
 pub struct StoreHealth {
--- a/crates/foxtailhold-relay/src/shared_store/hedge.rs
+++ b/crates/foxtailhold-relay/src/shared_store/hedge.rs
@@ -1,4 +1,4 @@
-//! Two ways to the store side by side.
+//! Two paths to the store side by side.
 
 use std::future::Future;
 use std::pin::pin;
--- a/crates/foxtailhold-relay/src/shared_store/mod.rs
+++ b/crates/foxtailhold-relay/src/shared_store/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! The store may reject some machines, or be unreachable for them, while it serves others. A call
 //! that gets no answer in time is also made through another live instance, and no call waits for
-//! one way alone. Every commit is conditional or idempotent, so a commit that was tried twice is
+//! one path alone. Every commit is conditional or idempotent, so a commit that was tried twice is
 //! harmless: the second one finds the first.
 
 mod health;
@@ -42,7 +42,7 @@
 /// Time limit of a call through another instance, in addition to the wait that the call itself
 /// requests.
 const PEER_CALL_TIMEOUT_MS: u64 = 1_200;
-/// A write that has no response after this time is also tried the other way. A batch job must be
+/// A write that has no response after this time is also tried on the other path. A batch job must be
 /// accepted within about 400 ms, and a network partition only shows by silence.
 const WRITE_HEDGE_DELAY_MS: u64 = 220;
 /// The same for a read, which may take longer when the store is slow.
@@ -61,7 +61,7 @@
     metrics: RelayMetrics,
 }
 
-/// An answer and the way on which it came.
+/// An answer and the path on which it came.
 type Answered = (StoreAnswer, StoreAccess);
 
 /// A call of the change feed.
@@ -222,7 +222,7 @@
         answer.into_result()
     }
 
-    /// Makes a call on the way that worked last, and on the other one as well if there is no answer
+    /// Makes a call on the path that worked last, and on the other one as well if there is no answer
     /// in time.
     async fn call(&self, call: StoreCall) -> Result<Answered> {
         let hedge_delay_ms = match call {
@@ -262,7 +262,7 @@
         }
     }
 
-    /// Waits for changes of a table, only on the way given by `access`.
+    /// Waits for changes of a table, only on the path given by `access`.
     pub async fn follow_by(&self, access: StoreAccess, feed_call: &FeedCall<'_>) -> Result<Feed> {
         let call = feed_call.to_call();
         let timeout_ms = feed_call.wait_ms + feed_call.margin_ms;
--- a/crates/foxtailhold-relay/src/shared_store/observe.rs
+++ b/crates/foxtailhold-relay/src/shared_store/observe.rs
@@ -1,4 +1,4 @@
-//! Measures how long each store call waited, and on which way.
+//! Measures how long each store call waited, and on which path.
 
 use foxtailhold_platform::PlatformError;
 use tokio::time::Instant;
--- a/crates/foxtailhold-relay/src/store_access.rs
+++ b/crates/foxtailhold-relay/src/store_access.rs
@@ -1,4 +1,4 @@
-//! The ways on which an answer of the store reaches this instance.
+//! The paths on which an answer of the store reaches this instance.
 
 use std::fmt;
 use std::net::SocketAddr;
--- a/crates/foxtailhold-relay/tests/announcements.rs
+++ b/crates/foxtailhold-relay/tests/announcements.rs
@@ -13,7 +13,7 @@
 use test_case::test_case;
 
 const TABLE: FollowedTable = FollowedTable::Routes;
-/// Longer than a change may take on the usual way.
+/// Longer than a change may take on the usual path.
 const LONG: Duration = Duration::from_millis(500);
 
 fn peer(number: u16) -> SocketAddr {
