Comments: what the store's health flag decides, and one line over the width

Cause: the comment on StoreHealth said that the flag never leaves a path out; it also decides whether calls of other instances are refused, which a reader of shared_store would have missed. A comment of CrashTracker::record_crash was longer than a line.

No code changes.

--- a/crates/foxtailhold-relay/src/crashes.rs
+++ b/crates/foxtailhold-relay/src/crashes.rs
@@ -112,8 +112,8 @@
         })
     }
 
-    /// Records a crash seen by this instance, at the time `now` of both clocks. Returns the evidence to send to other instances, or
-    /// `None` if the crash was known.
+    /// Records a crash seen by this instance at the time `now` of both clocks. Returns the evidence
+    /// to send to other instances, or `None` if the crash was known.
     pub fn record_crash(
         &self,
         fingerprint: Fingerprint,
--- a/crates/foxtailhold-relay/src/shared_store/health.rs
+++ b/crates/foxtailhold-relay/src/shared_store/health.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 
 /// Result of the latest direct call; shared by all users of the store. It decides which path is
-/// tried first, never which one is left out.
+/// tried first here, and whether calls of other instances are refused.
 #[derive(Debug, Clone, Default)]
 pub struct StoreHealth {
     is_unreachable: Arc<AtomicBool>,
