--- a/crates/foxtailhold-relay/src/crash_rows.rs
+++ b/crates/foxtailhold-relay/src/crash_rows.rs
@@ -73,11 +73,10 @@
         expected: vec![(key.clone(), version)],
         ..Changes::default()
     };
-    let has_evidence = evidence.is_some();
-    match evidence {
+    match &evidence {
         None if version == 0 => return Ok(true),
         None => changes.deletes.push(key),
-        Some(evidence) => match serde_json::to_vec(&evidence) {
+        Some(evidence) => match serde_json::to_vec(evidence) {
             Ok(value) => changes.puts.push((key, value.into())),
             Err(error) => {
                 log::error!(fingerprint:% = fingerprint; "cannot encode crash evidence: {error}");
@@ -87,12 +86,12 @@
     }
     match store.commit(&changes).await? {
         Committed::At(version) => {
-            crashes.record_persisted(fingerprint, has_evidence.then_some(version));
+            crashes.record_persisted(fingerprint, version, evidence);
             Ok(true)
         }
         Committed::Conflict(rows) => {
             if rows.is_empty() {
-                crashes.record_persisted(fingerprint, None);
+                crashes.record_persisted(fingerprint, 0, None);
             }
             for row in &rows {
                 if let Some(key) = row.key.key.strip_prefix(CRASH_PREFIX) {
--- a/crates/foxtailhold-relay/src/crashes.rs
+++ b/crates/foxtailhold-relay/src/crashes.rs
@@ -4,8 +4,10 @@
 use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
-use foxtailhold::crashes::{CrashEvidence, CrashRegistry, CrashStatus, MAX_CRASHES};
-use foxtailhold::quarantine::{CrashId, Fingerprint};
+use foxtailhold::crashes::{
+    CrashEvidence, CrashRegistry, CrashStatus, EvidenceMark, Exoneration, MAX_CRASHES,
+};
+use foxtailhold::quarantine::{CrashId, Fingerprint, RequestFingerprints};
 use foxtailhold::time::{MonoMs, WallMs};
 use foxtailhold_platform::VersionedRow;
 use parking_lot::Mutex;
@@ -27,11 +29,18 @@
 /// is longer than attempts usually take.
 const PROBE_INTERVAL_MS: u64 = 5_000;
 
+/// A row of the store as last read or written.
+#[derive(Debug, Clone, Default)]
+struct KnownRow {
+    version: u64,
+    crashes: BTreeSet<CrashId>,
+}
+
 #[derive(Debug, Default)]
 struct CrashState {
     registry: CrashRegistry,
-    /// Version of each known row.
-    row_versions: HashMap<Fingerprint, u64>,
+    /// Known rows.
+    rows: HashMap<Fingerprint, KnownRow>,
     /// When this instance last admitted a probe, by request.
     last_probes: HashMap<Fingerprint, MonoMs>,
     /// Requests whose row differs from the evidence of this instance.
@@ -64,6 +73,13 @@
     }
 }
 
+fn log_removal(fingerprint: Fingerprint, cause: &str, removed: &Exoneration) {
+    let crashes = removed.before.len() + removed.during.len();
+    log::info!(
+        fingerprint:% = fingerprint, cause = cause, crashes = crashes; "crash evidence removed"
+    );
+}
+
 /// Crash evidence of all instances; cheap to clone.
 #[derive(Debug, Clone, Default)]
 pub struct CrashTracker {
@@ -77,25 +93,53 @@
         self.state.lock().registry.is_empty()
     }
 
+    /// Position in the evidence, for the start of an attempt.
+    pub fn mark(&self) -> EvidenceMark {
+        self.state.lock().registry.mark()
+    }
+
     /// Whether a request may run, may run only as a probe, or is refused.
-    pub fn status(&self, fingerprint: Fingerprint, now: WallMs) -> CrashStatus {
-        self.state.lock().registry.status(fingerprint, now)
+    pub fn status(&self, request: RequestFingerprints, now: WallMs) -> CrashStatus {
+        let state = self.state.lock();
+        let mut combined = CrashStatus::Allowed;
+        for fingerprint in request.distinct() {
+            combined = match (combined, state.registry.status(fingerprint, now)) {
+                (CrashStatus::Refused { left_ms: a }, CrashStatus::Refused { left_ms: b }) => {
+                    CrashStatus::Refused { left_ms: a.max(b) }
+                }
+                (refused @ CrashStatus::Refused { .. }, _)
+                | (_, refused @ CrashStatus::Refused { .. }) => refused,
+                (CrashStatus::Allowed, CrashStatus::Allowed) => CrashStatus::Allowed,
+                (CrashStatus::ProbeAllowed, _) | (_, CrashStatus::ProbeAllowed) => {
+                    CrashStatus::ProbeAllowed
+                }
+            };
+        }
+        combined
     }
 
     /// Admits a probe of a request whose refusal is over. At most one is admitted at a time.
-    pub fn admit_probe(&self, fingerprint: Fingerprint, now: MonoMs) -> bool {
+    pub fn admit_probe(&self, request: RequestFingerprints, now: MonoMs) -> bool {
         let mut state = self.state.lock();
-        let last_admitted = state.last_probes.get(&fingerprint);
-        if last_admitted.is_some_and(|at| now.since_ms(*at) < PROBE_INTERVAL_MS) {
-            return false;
+        for fingerprint in request.distinct() {
+            let last_admitted = state.last_probes.get(&fingerprint);
+            if last_admitted.is_some_and(|at| now.since_ms(*at) < PROBE_INTERVAL_MS) {
+                return false;
+            }
+        }
+        for fingerprint in request.distinct() {
+            if state.registry.crashes(fingerprint) >= MAX_CRASHES {
+                state.last_probes.insert(fingerprint, now);
+            }
         }
-        state.last_probes.insert(fingerprint, now);
         true
     }
 
     /// Number of backend servers that crashed under a request.
-    pub fn crash_count(&self, fingerprint: Fingerprint) -> usize {
-        self.state.lock().registry.crashes(fingerprint)
+    pub fn crash_count(&self, request: RequestFingerprints) -> usize {
+        let state = self.state.lock();
+        let counts = request.distinct().map(|key| state.registry.crashes(key));
+        counts.max().unwrap_or(0)
     }
 
     /// Admits a trial of a batch item; `None` while others are running or a backend server has just
@@ -154,19 +198,44 @@
         }
     }
 
-    /// Clears a request that was seen to run. Returns whether other instances need to know. A
-    /// single crash need not be announced: it is held against every request at the same backend
-    /// server, restricts none of them and expires.
-    pub fn clear(&self, fingerprint: Fingerprint) -> bool {
+    /// Removes the evidence that a complete response to an attempt speaks against. Returns what
+    /// other instances need to know. A single crash need not be announced: it is held against every
+    /// request at the same backend server, restricts none of them and expires.
+    pub fn completed(&self, fingerprint: Fingerprint, begun: EvidenceMark) -> Option<Exoneration> {
         let mut state = self.state.lock();
         let crashes = state.registry.crashes(fingerprint);
-        state.registry.clear(fingerprint);
+        let exoneration = state.registry.completed(fingerprint, begun);
+        if exoneration.is_empty() {
+            return None;
+        }
         state.last_probes.remove(&fingerprint);
-        if state.row_versions.contains_key(&fingerprint) {
+        if state.rows.contains_key(&fingerprint) {
             state.dirty.insert(fingerprint);
             self.dirty_added.notify_one();
         }
-        crashes >= MIN_PERSISTED_CRASHES
+        (crashes >= MIN_PERSISTED_CRASHES).then_some(exoneration)
+    }
+
+    /// Applies an exoneration by another instance.
+    pub fn exonerate(&self, fingerprint: Fingerprint, exoneration: Exoneration) {
+        let mut state = self.state.lock();
+        let removed = state.registry.exonerate(fingerprint, exoneration);
+        if !removed.is_empty() {
+            log_removal(fingerprint, "peer", &removed);
+            state.last_probes.remove(&fingerprint);
+        }
+    }
+
+    /// Applies the news of an instance of the previous version, which does not say what it knew: it
+    /// removes evidence only from a request that is not refused.
+    pub fn exonerate_unknown(&self, fingerprint: Fingerprint) {
+        let during = {
+            let state = self.state.lock();
+            let evidence = state.registry.evidence(fingerprint);
+            evidence.map_or_else(BTreeSet::new, |evidence| evidence.crashes.clone())
+        };
+        let before = BTreeSet::new();
+        self.exonerate(fingerprint, Exoneration { before, during });
     }
 
     /// Applies a row of the store; `key` has no prefix.
@@ -179,25 +248,30 @@
             }
         };
         let mut state = self.state.lock();
-        if state
-            .row_versions
-            .get(&fingerprint)
-            .is_some_and(|version| *version >= row.version)
-        {
+        let known = state.rows.get(&fingerprint);
+        if known.is_some_and(|known| known.version >= row.version) {
             return;
         }
         let Some(value) = &row.value else {
-            state.row_versions.remove(&fingerprint);
-            state.registry.clear(fingerprint);
+            // Crashes that were never in the row are newer than its deletion.
+            if let Some(known) = state.rows.remove(&fingerprint) {
+                state.registry.remove(fingerprint, &known.crashes);
+            }
             return;
         };
-        state.row_versions.insert(fingerprint, row.version);
-        match serde_json::from_slice::<CrashEvidence>(value) {
-            Ok(evidence) => {
-                state.registry.join(fingerprint, &evidence);
+        let evidence = match serde_json::from_slice::<CrashEvidence>(value) {
+            Ok(evidence) => evidence,
+            Err(error) => {
+                log::warn!("cannot decode crash evidence of {fingerprint}: {error}");
+                CrashEvidence::default()
             }
-            Err(error) => log::warn!("cannot decode crash evidence of {fingerprint}: {error}"),
-        }
+        };
+        state.registry.join(fingerprint, &evidence);
+        let known = KnownRow {
+            version: row.version,
+            crashes: evidence.crashes,
+        };
+        state.rows.insert(fingerprint, known);
     }
 
     /// Waits until a row has to be written or deleted.
@@ -214,16 +288,23 @@
     /// stored row, 0 if there is none.
     pub fn desired_row(&self, fingerprint: Fingerprint) -> (Option<CrashEvidence>, u64) {
         let state = self.state.lock();
-        let version = state.row_versions.get(&fingerprint).copied().unwrap_or(0);
+        let version = state.rows.get(&fingerprint).map_or(0, |row| row.version);
         (state.registry.evidence(fingerprint).cloned(), version)
     }
 
-    /// Records the version of a row that was written; `None` if it was deleted.
-    pub fn record_persisted(&self, fingerprint: Fingerprint, version: Option<u64>) {
+    /// Records the version of a row that was written with `evidence`, or deleted.
+    pub fn record_persisted(
+        &self,
+        fingerprint: Fingerprint,
+        version: u64,
+        evidence: Option<CrashEvidence>,
+    ) {
         let mut state = self.state.lock();
-        match version {
-            Some(version) => state.row_versions.insert(fingerprint, version),
-            None => state.row_versions.remove(&fingerprint),
+        match evidence.map(|evidence| evidence.crashes) {
+            Some(crashes) => state
+                .rows
+                .insert(fingerprint, KnownRow { version, crashes }),
+            None => state.rows.remove(&fingerprint),
         };
     }
 
@@ -231,15 +312,11 @@
     pub fn expire(&self, now: WallMs) -> Vec<Fingerprint> {
         let mut state = self.state.lock();
         for fingerprint in state.registry.expire(now) {
+            log::info!(fingerprint:% = fingerprint, cause = "expired"; "crash evidence removed");
             state.last_probes.remove(&fingerprint);
         }
         let is_empty_row =
             |fingerprint: &&Fingerprint| state.registry.evidence(**fingerprint).is_none();
-        state
-            .row_versions
-            .keys()
-            .filter(is_empty_row)
-            .copied()
-            .collect()
+        state.rows.keys().filter(is_empty_row).copied().collect()
     }
 }
--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -203,11 +203,10 @@
                 outcome: SlotOutcome::Abandoned,
             };
             let started = Instant::now();
-            let pending = self.track_attempt(request, &backend);
+            let evidence = self.begin_attempt(request.fingerprints(), &backend);
             let response = self
                 .fetch_buffered(route, request, progress, &backend)
                 .await;
-            pending.resolve();
             match response {
                 Ok(response) => {
                     let load = self.dialect.load(response.headers());
@@ -221,8 +220,9 @@
                         true => SlotOutcome::Broken,
                         false => SlotOutcome::Done { held_ms: 0 },
                     };
-                    if !has_failed {
-                        self.record_execution(|| request.fingerprint());
+                    match has_failed {
+                        true => evidence.failed(AttemptFailure::Failed),
+                        false => evidence.completed(),
                     }
                     let is_final = !has_failed
                         || !self.record_failed_attempt(
@@ -244,6 +244,7 @@
                         started,
                     );
                     in_flight.outcome = failure.outcome();
+                    evidence.failed(failure);
                     if !self.record_failed_attempt(route, request, progress, &backend, failure) {
                         let reason = NotRunReason::NotTaken;
                         return RelayOutcome::Unserved(
@@ -320,11 +321,10 @@
             };
             let started = Instant::now();
             progress.served_by = Some(backend.id.clone());
-            let pending = self.track_attempt(&request, &backend);
+            let evidence = self.begin_attempt(request.fingerprints(), &backend);
             let response = self
                 .open_response(route, &request, progress, &backend, &slot)
                 .await;
-            pending.resolve();
             match response {
                 Ok(OpenedResponse::Buffered(response)) => {
                     let has_failed = response.status().is_server_error();
@@ -336,15 +336,19 @@
                             held_ms: started.elapsed().as_millis() as u64,
                         },
                     });
-                    if !has_failed {
-                        self.record_execution(|| request.fingerprint());
-                    } else if self.record_failed_attempt(
-                        route,
-                        &request,
-                        progress,
-                        &backend,
-                        AttemptFailure::Failed,
-                    ) {
+                    match has_failed {
+                        true => evidence.failed(AttemptFailure::Failed),
+                        false => evidence.completed(),
+                    }
+                    if has_failed
+                        && self.record_failed_attempt(
+                            route,
+                            &request,
+                            progress,
+                            &backend,
+                            AttemptFailure::Failed,
+                        )
+                    {
                         continue;
                     }
                     return self.relay_response(response.map(body::whole));
@@ -364,6 +368,7 @@
                         started,
                         reader,
                         events: 0,
+                        evidence,
                     };
                     tokio::spawn(forwarder.run(sender, attempt, first));
                     let response = Response::from_parts(head, stream);
@@ -376,6 +381,7 @@
                         started,
                     );
                     slot.close(failure.outcome());
+                    evidence.failed(failure);
                     progress.served_by = None;
                     if !self.record_failed_attempt(route, &request, progress, &backend, failure) {
                         let reason = NotRunReason::NotTaken;
--- a/crates/foxtailhold-relay/src/feeds.rs
+++ b/crates/foxtailhold-relay/src/feeds.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use foxtailhold::ids::{BackendId, InstanceId};
+use foxtailhold::quarantine::CrashId;
 use foxtailhold::routes::RouteTable;
 use foxtailhold::time::MonoMs;
 use foxtailhold_platform::{Snapshot, VersionedRow};
@@ -148,16 +149,16 @@
         }
     }
 
-    /// Records the crashes that only show by a new start of the backend server.
+    /// Records the crashes that only show by what became of the backend server's entry.
     fn report_restart_crashes(&self) {
         let now = self.relay.clock.mono();
         let crashed = {
             let table = self.table();
-            let newest_start = |identity: &BackendId| table.newest_start(identity);
-            self.relay.pending_attempts.take_crashed(now, newest_start)
+            let fate = |identity: &BackendId, crash: &CrashId| table.fate(identity, crash);
+            self.relay.pending_attempts.take_crashed(now, fate)
         };
-        for (fingerprint, crash) in crashed {
-            self.relay.peers.record_crash(fingerprint, crash);
+        for (request, crash) in crashed {
+            self.relay.peers.record_crash(request, &crash);
         }
     }
 
--- a/crates/foxtailhold-relay/src/fleet.rs
+++ b/crates/foxtailhold-relay/src/fleet.rs
@@ -50,6 +50,17 @@
     }
 }
 
+/// What became of one start of a backend server, according to the entries of the platform.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BackendFate {
+    /// Nothing shows that it has ended, or it was leaving.
+    Unchanged,
+    /// Its identity or its address has a newer start.
+    Restarted,
+    /// Its entry is gone.
+    Gone,
+}
+
 /// Snapshot of the backend servers that accept new work.
 #[derive(Debug, Clone, Default)]
 pub struct Backends {
@@ -159,6 +170,19 @@
         self.entries.insert(entry.backend.identity.clone(), entry);
     }
 
+    fn drop_entry(&mut self, identity: &BackendId) {
+        self.entries.remove(identity);
+    }
+
+    /// What became of the start `crash` of `identity`.
+    pub fn fate(&self, identity: &BackendId, crash: &CrashId) -> BackendFate {
+        let newest = self.newest_start(identity);
+        if newest.is_some_and(|start| start > crash.started_unix_ms) {
+            return BackendFate::Restarted;
+        }
+        BackendFate::Unchanged
+    }
+
     /// Unix milliseconds of the newest known start of an identity.
     pub fn newest_start(&self, identity: &BackendId) -> Option<u64> {
         self.newest_starts
@@ -174,7 +198,7 @@
     /// Applies a deletion: at once if the store is healthy, otherwise after a delay.
     pub fn remove(&mut self, now: MonoMs, identity: &BackendId) {
         if self.is_store_healthy(now) {
-            self.entries.remove(identity);
+            self.drop_entry(identity);
             return;
         }
         if let Some(entry) = self.entries.get_mut(identity) {
@@ -208,14 +232,18 @@
         let Some(healthy_since) = self.healthy_since else {
             return false;
         };
-        let before = self.entries.len();
-        self.entries.retain(|_, entry| {
+        let is_expired = |entry: &FleetEntry| {
             let since = entry
                 .missing_since
                 .map(|missing| missing.max(healthy_since));
-            since.is_none_or(|since| now.since_ms(since) < MISSING_ENTRY_TTL_MS)
-        });
-        self.entries.len() != before
+            since.is_some_and(|since| now.since_ms(since) >= MISSING_ENTRY_TTL_MS)
+        };
+        let expired = self.entries.iter().filter(|(_, entry)| is_expired(entry));
+        let expired: Vec<BackendId> = expired.map(|(identity, _)| identity.clone()).collect();
+        for identity in &expired {
+            self.drop_entry(identity);
+        }
+        !expired.is_empty()
     }
 
     /// Returns the backend servers that accept new work. If some backend servers of a service state
--- a/crates/foxtailhold-relay/src/jobs/item/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/backoff.rs
@@ -20,6 +20,8 @@
 /// Delay before an attempt at an item of which too many attempts have an unknown outcome. Each of
 /// them may have been answered that it can never be completed.
 const PENDING_BACKOFF_MS: u64 = 10_000;
+/// Least number of events after which a trial ends.
+const MIN_TRIAL_EVENTS: u64 = 8;
 /// Interval at which an item asks again to be tried.
 const TRIAL_CHECK_MS: u64 = 100;
 
@@ -44,7 +46,8 @@
         let crashes = self.jobs.relay.peers.crashes();
         if !crashes.is_empty() {
             // An attempt with an unknown outcome may have crashed its backend server as well.
-            let crashes = crashes.crash_count(self.fingerprint(job)) + self.counts.pending as usize;
+            let crashes =
+                crashes.crash_count(self.fingerprints(job)) + self.counts.pending as usize;
             if let Some(delay_ms) = self.backoff.begin_after_crashes(crashes) {
                 log::info!(
                     job = self.id.as_str(), item = self.item.id.as_str(),
@@ -65,7 +68,7 @@
     pub(super) async fn is_admitted(&self, job: &Job) -> bool {
         let relay = &self.jobs.relay;
         let crashes = relay.peers.crashes();
-        if crashes.is_empty() || crashes.crash_count(self.fingerprint(job)) < MAX_CRASHES {
+        if crashes.is_empty() || crashes.crash_count(self.fingerprints(job)) < MAX_CRASHES {
             return true;
         }
         let permit = crashes.admit_trial(relay.clock.mono());
@@ -77,6 +80,12 @@
         is_admitted
     }
 
+    /// Events of one attempt after which its trial ends: clearly more than the attempts before it
+    /// came to.
+    pub(super) fn trial_events(&self) -> u64 {
+        MIN_TRIAL_EVENTS.max(2 * self.interrupted_after)
+    }
+
     /// Ends the trial of an item that has shown that it runs, or whose attempt has ended.
     pub(super) fn end_trial(&self) {
         self.trial.lock().take();
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -2,14 +2,12 @@
 
 mod backoff;
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use foxtailhold::attempt_counts::{AttemptCounts, AttemptDecision};
-use foxtailhold::crashes::STABLE_AFTER_EVENTS;
 use foxtailhold::ids::{BackendId, JobId};
-use foxtailhold::quarantine::Fingerprint;
+use foxtailhold::quarantine::RequestFingerprints;
 use foxtailhold::routes::Route;
 use foxtailhold::slots::{SlotOutcome, Urgency};
 use foxtailhold_engine::sse::RawEvent;
@@ -75,7 +73,8 @@
     /// Consecutive interruptions without a new event.
     interruptions: u32,
     avoided_backends: Vec<BackendId>,
-    last_backend: Option<Arc<BackendServer>>,
+    /// Largest number of events after which an attempt was interrupted.
+    interrupted_after: u64,
     backoff: Backoff,
     /// Whether the delay because of attempts with an unknown outcome is over for the next attempt.
     is_pending_backoff_over: bool,
@@ -99,7 +98,7 @@
             is_start_saved: false,
             interruptions: 0,
             avoided_backends: Vec::new(),
-            last_backend: None,
+            interrupted_after: 0,
             backoff: Backoff::default(),
             is_pending_backoff_over: false,
             trial: Mutex::default(),
@@ -156,6 +155,7 @@
                 AttemptEnd::Impossible => return Some(self.into_result(ItemState::GivenUp)),
                 AttemptEnd::Suspended => {}
                 AttemptEnd::Interrupted(failure) => {
+                    self.interrupted_after = self.interrupted_after.max(self.events() - events);
                     self.is_pending_backoff_over = false;
                     self.jobs.relay.metrics.attempt_failed(failure.as_str());
                     log::info!(
@@ -165,7 +165,6 @@
                         cause:? = failure;
                         "attempt of an item interrupted, resuming at another backend server"
                     );
-                    self.record_possible_crash(job, failure, self.events() - events);
                     self.delay_after_failure(failure);
                 }
                 AttemptEnd::ServerError => {
@@ -200,15 +199,8 @@
         log::info!(job = self.id.as_str(), item = self.item.id.as_str(); "attempt counts not written, item continues: {error}");
     }
 
-    fn fingerprint(&self, job: &Job) -> Fingerprint {
-        Fingerprint::of_opaque(&job.host, &self.item.target, &self.item.body)
-    }
-
-    fn record_possible_crash(&self, job: &Job, failure: AttemptFailure, events: u64) {
-        if let Some(backend) = &self.last_backend {
-            let relay = &self.jobs.relay;
-            relay.record_possible_crash(self.fingerprint(job), backend, failure, events);
-        }
+    fn fingerprints(&self, job: &Job) -> RequestFingerprints {
+        RequestFingerprints::of_opaque(&job.host, &self.item.target, &self.item.body)
     }
 
     fn events(&self) -> u64 {
@@ -304,8 +296,8 @@
             return AttemptEnd::Suspended;
         }
         self.avoided_backends.clear();
-        self.last_backend = Some(Arc::clone(&backend));
         let (started, events) = (Instant::now(), self.events());
+        let evidence = relay.begin_attempt(self.fingerprints(job), &backend);
         let result = self.send(job, target, headers, &backend, &slot).await;
         relay
             .metrics
@@ -314,24 +306,27 @@
         self.jobs
             .item_durations()
             .record_attempt(self.events() - events, took_ms);
-        if matches!(result, AttemptEnd::Suspended) && self.events() - events < STABLE_AFTER_EVENTS {
-            relay.record_unresolved_attempt(self.fingerprint(job), &backend);
-        }
         let outcome = match &result {
             AttemptEnd::Complete => {
-                relay.record_execution(|| self.fingerprint(job));
+                evidence.completed();
                 self.jobs.item_durations().record_finished(self.events());
                 SlotOutcome::Done { held_ms: took_ms }
             }
             AttemptEnd::Interrupted(failure) => {
                 self.avoided_backends.push(backend.id.clone());
+                evidence.failed(*failure);
                 failure.outcome()
             }
             AttemptEnd::ServerError => {
                 self.avoided_backends.push(backend.id.clone());
+                evidence.failed(AttemptFailure::Failed);
                 SlotOutcome::Abandoned
             }
-            AttemptEnd::Impossible | AttemptEnd::Suspended => SlotOutcome::Abandoned,
+            AttemptEnd::Impossible => {
+                evidence.completed();
+                SlotOutcome::Abandoned
+            }
+            AttemptEnd::Suspended => SlotOutcome::Abandoned,
         };
         slot.close(outcome);
         result
@@ -378,7 +373,7 @@
             }
             Ok((response, connection)) if response.status().is_success() => {
                 let body = response.into_body();
-                self.read(job, body, connection, slot, deadline).await
+                self.read(body, connection, slot, deadline).await
             }
             Ok((response, connection)) => {
                 let status = response.status();
@@ -404,7 +399,6 @@
 
     async fn read(
         &self,
-        job: &Job,
         body: hyper::body::Incoming,
         connection: BusyConnection,
         slot: &Slot,
@@ -434,9 +428,8 @@
                         counts.record_events();
                         self.write_counts(counts).await;
                     }
-                    if events == STABLE_AFTER_EVENTS {
+                    if events == self.trial_events() {
                         self.end_trial();
-                        self.jobs.relay.record_execution(|| self.fingerprint(job));
                     }
                 }
                 StreamRead::End => {
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -1,6 +1,7 @@
 //! Forwards opaque requests and runs ordered batch jobs at backend servers chosen by routes.
 #![warn(clippy::unwrap_used)]
 
+pub mod attempt_evidence;
 pub mod attempts;
 pub mod connections;
 pub mod crash_rows;
--- a/crates/foxtailhold-relay/src/peers/evidence.rs
+++ b/crates/foxtailhold-relay/src/peers/evidence.rs
@@ -3,8 +3,9 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use foxtailhold::crashes::EvidenceMark;
 use foxtailhold::ids::InstanceId;
-use foxtailhold::quarantine::{CrashId, Fingerprint};
+use foxtailhold::quarantine::{CrashId, RequestFingerprints};
 
 use super::{PeerMessage, Peers};
 
@@ -34,12 +35,13 @@
 
 impl Peers {
     /// Records a backend server crash under a request and informs the other instances.
-    pub fn record_crash(&self, fingerprint: Fingerprint, crash: CrashId) {
-        let new_evidence =
-            self.inner
-                .crashes
-                .record_crash(fingerprint, crash, (self.now(), self.wall()));
-        if let Some(evidence) = new_evidence {
+    pub fn record_crash(&self, request: RequestFingerprints, crash: &CrashId) {
+        let now = (self.now(), self.wall());
+        for fingerprint in request.distinct() {
+            let crashes = &self.inner.crashes;
+            let Some(evidence) = crashes.record_crash(fingerprint, crash.clone(), now) else {
+                continue;
+            };
             self.broadcast(PeerMessage::CrashEvidence {
                 fingerprint,
                 evidence,
@@ -47,12 +49,22 @@
         }
     }
 
-    /// Clears a request that was seen to run and informs the other instances if they hold evidence
-    /// against it.
-    pub fn clear_crashes(&self, fingerprint: Fingerprint) {
-        if self.inner.crashes.clear(fingerprint) {
-            log::info!(fingerprint:% = fingerprint; "request was seen to run, its crash evidence is dropped");
-            self.broadcast(PeerMessage::CrashesCleared { fingerprint });
+    /// Removes the evidence that a complete response to an attempt speaks against, and informs the
+    /// other instances.
+    pub fn record_completion(&self, request: RequestFingerprints, begun: EvidenceMark) {
+        for fingerprint in request.distinct() {
+            let Some(exoneration) = self.inner.crashes.completed(fingerprint, begun) else {
+                continue;
+            };
+            log::info!(
+                fingerprint:% = fingerprint, before = exoneration.before.len(),
+                during = exoneration.during.len();
+                "request was seen to run, its crash evidence is dropped"
+            );
+            self.broadcast(PeerMessage::Exonerated {
+                fingerprint,
+                exoneration,
+            });
         }
     }
 
--- a/crates/foxtailhold-relay/src/peers/message.rs
+++ b/crates/foxtailhold-relay/src/peers/message.rs
@@ -4,7 +4,7 @@
 //! and a peer that disappears leaves no connection that has to time out.
 
 use bytes::{Bytes, BytesMut};
-use foxtailhold::crashes::CrashEvidence;
+use foxtailhold::crashes::{CrashEvidence, Exoneration};
 use foxtailhold::ids::{InstanceId, TargetName};
 use foxtailhold::quarantine::Fingerprint;
 use foxtailhold::slots::{HeldSlot, SlotDecision, SlotOutcome, SlotRequest, SlotRequestId};
@@ -109,9 +109,17 @@
         /// Evidence known to the sender.
         evidence: CrashEvidence,
     },
-    /// States that a request was seen to run, which clears its evidence.
+    /// States that a request was seen to run. Sent by the previous version, which does not name the
+    /// crashes.
     CrashesCleared {
         /// Fingerprint of the request.
         fingerprint: Fingerprint,
     },
+    /// Removes crashes from the evidence against a request that was seen to run.
+    Exonerated {
+        /// Fingerprint of the request.
+        fingerprint: Fingerprint,
+        /// The crashes.
+        exoneration: Exoneration,
+    },
 }
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -337,8 +337,12 @@
                 evidence,
             } => self.inner.crashes.merge(fingerprint, &evidence, now),
             PeerMessage::CrashesCleared { fingerprint } => {
-                self.inner.crashes.clear(fingerprint);
+                self.inner.crashes.exonerate_unknown(fingerprint);
             }
+            PeerMessage::Exonerated {
+                fingerprint,
+                exoneration,
+            } => self.inner.crashes.exonerate(fingerprint, exoneration),
         }
     }
 
--- a/crates/foxtailhold-relay/src/pending_attempts.rs
+++ b/crates/foxtailhold-relay/src/pending_attempts.rs
@@ -1,15 +1,16 @@
 //! Attempts that are in flight or ended here without a result, so that it is not known yet
 //! whether they crashed their backend server. A backend server may crash without closing its
-//! connections; the crash then shows only by its next start.
+//! connections; the crash then shows only by what becomes of its entry.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
 use foxtailhold::ids::BackendId;
-use foxtailhold::quarantine::{CrashId, Fingerprint};
+use foxtailhold::quarantine::{CrashId, RequestFingerprints};
 use foxtailhold::time::MonoMs;
 use parking_lot::Mutex;
 
-use crate::fleet::BackendServer;
+use crate::fleet::{BackendFate, BackendServer};
 
 /// A backend server that crashed has restarted, and its new entry has been read, within this time
 /// after the attempt ended here.
@@ -17,13 +18,36 @@
 /// Limit of tracked attempts.
 const MAX_PENDING_ATTEMPTS: usize = 4_096;
 
+/// How an attempt without a result ended here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndWithoutResult {
+    /// The backend server sent nothing more.
+    Silent,
+    /// It was ended here, as when its caller disconnects or its slot is preempted.
+    Abandoned,
+}
+
 #[derive(Debug, Clone)]
 struct PendingAttempt {
-    fingerprint: Fingerprint,
+    request: RequestFingerprints,
     identity: BackendId,
     crash: CrashId,
-    /// When the attempt ended here; `None` while it is in flight.
-    ended: Option<MonoMs>,
+    /// When and how the attempt ended here; `None` while it is in flight.
+    ended: Option<(MonoMs, EndWithoutResult)>,
+}
+
+impl PendingAttempt {
+    /// Whether the attempt counts as a crash, given what became of its backend server. An entry that
+    /// is gone may also belong to a backend server that goes on with what it has; only its silence
+    /// shows that it does not.
+    fn has_crashed(&self, fate: BackendFate) -> bool {
+        let was_silent = matches!(self.ended, Some((_, EndWithoutResult::Silent)));
+        match fate {
+            BackendFate::Unchanged => false,
+            BackendFate::Restarted => true,
+            BackendFate::Gone => was_silent,
+        }
+    }
 }
 
 #[derive(Debug, Default)]
@@ -32,19 +56,19 @@
     by_number: HashMap<u64, PendingAttempt>,
 }
 
-/// Pending attempts of one instance.
-#[derive(Debug, Default)]
-pub struct PendingAttempts(Mutex<PendingAttemptMap>);
+/// Pending attempts of one instance; cheap to clone.
+#[derive(Debug, Clone, Default)]
+pub struct PendingAttempts(Arc<Mutex<PendingAttemptMap>>);
 
 impl PendingAttempts {
     /// Starts tracking an attempt and returns its number.
-    pub fn begin(&self, fingerprint: Fingerprint, backend: &BackendServer) -> u64 {
+    pub fn begin(&self, request: RequestFingerprints, backend: &BackendServer) -> u64 {
         let mut attempts = self.0.lock();
         attempts.last_number += 1;
         let number = attempts.last_number;
         if attempts.by_number.len() < MAX_PENDING_ATTEMPTS {
             let attempt = PendingAttempt {
-                fingerprint,
+                request,
                 identity: backend.identity.clone(),
                 crash: backend.crash_id(),
                 ended: None,
@@ -59,32 +83,31 @@
         self.0.lock().by_number.remove(&number);
     }
 
-    /// Records that an attempt ended here without a result.
-    pub fn end(&self, number: u64, now: MonoMs) {
+    /// Records that an attempt ended here without a result. The first end counts.
+    pub fn end(&self, number: u64, now: MonoMs, end: EndWithoutResult) {
         if let Some(attempt) = self.0.lock().by_number.get_mut(&number) {
-            attempt.ended = Some(now);
+            attempt.ended.get_or_insert((now, end));
         }
     }
 
-    /// Removes and returns the attempts whose backend server has restarted since, which counts as a
-    /// crash. `newest_start` gives the newest known start of an identity in Unix milliseconds.
+    /// Removes and returns the attempts whose backend server has crashed since. `fate` says what
+    /// became of a start of an identity.
     pub fn take_crashed(
         &self,
         now: MonoMs,
-        newest_start: impl Fn(&BackendId) -> Option<u64>,
-    ) -> Vec<(Fingerprint, CrashId)> {
+        fate: impl Fn(&BackendId, &CrashId) -> BackendFate,
+    ) -> Vec<(RequestFingerprints, CrashId)> {
         let mut crashed = Vec::new();
         self.0.lock().by_number.retain(|_, attempt| {
-            let is_over = |ended| now.since_ms(ended) >= RESTART_WINDOW_MS;
+            let is_over = |(ended, _)| now.since_ms(ended) >= RESTART_WINDOW_MS;
             if attempt.ended.is_some_and(is_over) {
                 return false;
             }
-            let newest = newest_start(&attempt.identity);
-            let has_restarted = newest.is_some_and(|at| at > attempt.crash.started_unix_ms);
-            if has_restarted {
-                crashed.push((attempt.fingerprint, attempt.crash.clone()));
+            let has_crashed = attempt.has_crashed(fate(&attempt.identity, &attempt.crash));
+            if has_crashed {
+                crashed.push((attempt.request, attempt.crash.clone()));
             }
-            !has_restarted
+            !has_crashed
         });
         crashed
     }
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use arc_swap::ArcSwap;
-use foxtailhold::crashes::{CrashStatus, MAX_CRASHES, STABLE_AFTER_EVENTS};
-use foxtailhold::quarantine::Fingerprint;
+use foxtailhold::crashes::CrashStatus;
+use foxtailhold::quarantine::RequestFingerprints;
 use foxtailhold::routes::{Route, RouteTable};
 use foxtailhold::slots::SlotOutcome;
 use foxtailhold_http::clock::Clock;
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use crate::attempt_evidence::AttemptEvidence;
 use crate::attempts::AttemptBudget;
 use crate::connections::{BusyConnection, Connections};
 use crate::dialect::Dialect;
@@ -99,11 +100,10 @@
         attempts: &AttemptBudget,
     ) {
         self.metrics.attempt_failed(failed.cause.as_str());
-        let fingerprint = request.fingerprint();
         let remaining = attempts.deadline.saturating_duration_since(Instant::now());
         log::info!(
             request = request.id.as_str(),
-            fingerprint:% = fingerprint,
+            fingerprint:% = request.fingerprints().path,
             backend = failed.backend.id.as_str(),
             cause = failed.cause.as_str(),
             events = failed.events,
@@ -111,67 +111,22 @@
             left_ms = remaining.as_millis() as u64;
             "attempt failed"
         );
-        self.record_possible_crash(fingerprint, failed.backend, failed.cause, failed.events);
     }
 
-    /// Records that a backend server may have crashed under a request that it had just begun to
-    /// run, and closes its idle connections if it was silent. For a request that has already reached the crash limit, silence and broken responses
-    /// count as crashes too, because each further attempt can cost a backend server.
-    pub(crate) fn record_possible_crash(
+    /// Begins an attempt that is about to be sent.
+    pub(crate) fn begin_attempt(
         &self,
-        fingerprint: Fingerprint,
-        backend: &BackendServer,
-        cause: AttemptFailure,
-        events: u64,
-    ) {
-        if cause == AttemptFailure::Silent {
-            self.connections.close_idle(&backend.id);
-        }
-        if events >= STABLE_AFTER_EVENTS {
-            return;
-        }
-        let is_at_limit = self.peers.crashes().crash_count(fingerprint) >= MAX_CRASHES;
-        match cause {
-            AttemptFailure::Closed => self.peers.record_crash(fingerprint, backend.crash_id()),
-            AttemptFailure::Silent | AttemptFailure::Broken if is_at_limit => {
-                self.peers.record_crash(fingerprint, backend.crash_id());
-            }
-            AttemptFailure::Silent => self.record_unresolved_attempt(fingerprint, backend),
-            AttemptFailure::Unreachable
-            | AttemptFailure::NotRun
-            | AttemptFailure::Broken
-            | AttemptFailure::Failed => {}
-        }
-    }
-
-    /// Tracks an attempt that ended here before it was known whether it crashes its backend server.
-    pub(crate) fn record_unresolved_attempt(
-        &self,
-        fingerprint: Fingerprint,
-        backend: &BackendServer,
-    ) {
-        let number = self.pending_attempts.begin(fingerprint, backend);
-        self.pending_attempts.end(number, self.clock.mono());
-    }
-
-    /// Tracks an attempt until the returned guard is resolved or dropped.
-    pub(crate) fn track_attempt(
-        &self,
-        request: &OpaqueRequest,
-        backend: &BackendServer,
-    ) -> PendingAttemptGuard<'_, D> {
-        PendingAttemptGuard {
-            relay: self,
-            number: self.pending_attempts.begin(request.fingerprint(), backend),
-        }
-    }
-
-    /// Clears the crash records of a request that was seen to run. The fingerprint is only computed
-    /// if there are any crash records.
-    pub(crate) fn record_execution(&self, fingerprint: impl FnOnce() -> Fingerprint) {
-        if !self.peers.crashes().is_empty() {
-            self.peers.clear_crashes(fingerprint());
-        }
+        request: RequestFingerprints,
+        backend: &Arc<BackendServer>,
+    ) -> AttemptEvidence {
+        AttemptEvidence::begin(
+            &self.peers,
+            &self.pending_attempts,
+            &self.connections,
+            self.clock,
+            request,
+            backend,
+        )
     }
 
     /// Time for which a request is refused because it crashes backend servers; `None` if it may
@@ -181,13 +136,13 @@
         if crashes.is_empty() {
             return None;
         }
-        let fingerprint = request.fingerprint();
-        match crashes.status(fingerprint, self.clock.wall()) {
+        let fingerprints = request.fingerprints();
+        match crashes.status(fingerprints, self.clock.wall()) {
             CrashStatus::Allowed => None,
             CrashStatus::Refused { left_ms } => Some(left_ms),
             CrashStatus::ProbeAllowed => {
-                let may_run = self.peers.is_assigned(&fingerprint.0.to_be_bytes())
-                    && crashes.admit_probe(fingerprint, self.clock.mono());
+                let may_run = self.peers.is_assigned(&fingerprints.path.0.to_be_bytes())
+                    && crashes.admit_probe(fingerprints, self.clock.mono());
                 (!may_run).then_some(PROBE_RETRY_AFTER_MS)
             }
         }
@@ -221,28 +176,6 @@
     }
 }
 
-/// Guard of an attempt that has neither a response nor a failure yet. Dropping it, as when the
-/// caller disconnects, records that the attempt ended without a known result.
-#[derive(Debug)]
-pub(crate) struct PendingAttemptGuard<'a, D: Dialect> {
-    relay: &'a Relay<D>,
-    number: u64,
-}
-
-impl<D: Dialect> PendingAttemptGuard<'_, D> {
-    /// Ends the tracking: the attempt has a response or is known to have failed.
-    pub(crate) fn resolve(self) {
-        self.relay.pending_attempts.resolve(self.number);
-    }
-}
-
-impl<D: Dialect> Drop for PendingAttemptGuard<'_, D> {
-    fn drop(&mut self) {
-        let now = self.relay.clock.mono();
-        self.relay.pending_attempts.end(self.number, now);
-    }
-}
-
 /// Builds the upstream request of a caller's request; a stream resumes after the event `after`.
 pub fn upstream_request<'a>(
     request: &'a OpaqueRequest,
--- a/crates/foxtailhold-relay/src/request.rs
+++ b/crates/foxtailhold-relay/src/request.rs
@@ -1,7 +1,7 @@
 //! Opaque requests and their results.
 
 use bytes::Bytes;
-use foxtailhold::quarantine::Fingerprint;
+use foxtailhold::quarantine::RequestFingerprints;
 use foxtailhold_http::body::AnswerBody;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Method, Response, header};
@@ -29,12 +29,12 @@
 }
 
 impl OpaqueRequest {
-    /// Hash of host, path and body, the same when the caller repeats the request through any
+    /// Hashes of host, path and body, the same when the caller repeats the request through any
     /// instance.
-    pub fn fingerprint(&self) -> Fingerprint {
+    pub fn fingerprints(&self) -> RequestFingerprints {
         let host = self.headers.get(header::HOST).map(HeaderValue::as_bytes);
         let host = String::from_utf8_lossy(host.unwrap_or_default());
-        Fingerprint::of_opaque(&host, self.target.as_str(), &self.body)
+        RequestFingerprints::of_opaque(&host, self.target.as_str(), &self.body)
     }
 }
 
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use foxtailhold::crashes::STABLE_AFTER_EVENTS;
 use foxtailhold::ids::{BackendId, TargetName};
 use foxtailhold::routes::Route;
 use foxtailhold::slots::{SlotOutcome, Urgency};
 use foxtailhold_http::body::AnswerSender;
 use tokio::time::Instant;
 
+use crate::attempt_evidence::AttemptEvidence;
 use crate::attempts::AttemptBudget;
 use crate::dialect::Dialect;
 use crate::events::{EventReader, StreamRead};
@@ -51,6 +51,8 @@
     pub reader: Box<EventReader>,
     /// Events received in this attempt.
     pub events: u64,
+    /// What the attempt shows about its request.
+    pub evidence: AttemptEvidence,
 }
 
 /// How one attempt of the stream ended.
@@ -92,19 +94,12 @@
                 AttemptOutcome::from(&end),
                 attempt.started,
             );
-            if matches!(end, StreamEnd::CallerGone | StreamEnd::DeadlinePassed)
-                && attempt.events < STABLE_AFTER_EVENTS
-            {
-                let fingerprint = self.request.fingerprint();
-                self.relay
-                    .record_unresolved_attempt(fingerprint, &attempt.backend);
-            }
             let failure = match end {
                 StreamEnd::Complete => {
                     let held_ms = attempt.started.elapsed().as_millis() as u64;
                     attempt.slot.close(SlotOutcome::Done { held_ms });
                     attempt.reader.close();
-                    self.relay.record_execution(|| self.request.fingerprint());
+                    attempt.evidence.completed();
                     return;
                 }
                 StreamEnd::CallerGone => {
@@ -166,9 +161,6 @@
                 StreamRead::Event(event) => {
                     attempt.slot.record_activity();
                     attempt.events += 1;
-                    if attempt.events == STABLE_AFTER_EVENTS {
-                        self.relay.record_execution(|| self.request.fingerprint());
-                    }
                     if !self.send(sender, event.raw).await {
                         return StreamEnd::CallerGone;
                     }
@@ -216,6 +208,7 @@
         failure: AttemptFailure,
     ) -> Option<StreamAttempt> {
         let after = failed.reader.last_id();
+        failed.evidence.failed(failure);
         let mut may_retry = self.record_failed_attempt(&failed.backend, failure, failed.events);
         failed.slot.close(failure.outcome());
         drop(failed.reader);
@@ -230,7 +223,7 @@
             let (slot, backend) = self.acquire_slot().await?;
             let started = Instant::now();
             match self.resume(&backend, after).await {
-                Ok(reader) => {
+                Ok((reader, evidence)) => {
                     self.attempts.record_running();
                     return Some(StreamAttempt {
                         slot,
@@ -238,6 +231,7 @@
                         started,
                         reader,
                         events: 0,
+                        evidence,
                     });
                 }
                 Err(failure) => {
@@ -264,23 +258,28 @@
 
     async fn resume(
         &self,
-        backend: &BackendServer,
+        backend: &Arc<BackendServer>,
         after: Option<u64>,
-    ) -> Result<Box<EventReader>, AttemptFailure> {
+    ) -> Result<(Box<EventReader>, AttemptEvidence), AttemptFailure> {
         let to_send = upstream_request(&self.request, &self.route, after);
         let timeout = Duration::from_millis(FIRST_EVENT_TIMEOUT_MS);
         let response_deadline = self.attempts.deadline.min(Instant::now() + timeout);
-        let pending = self.relay.track_attempt(&self.request, backend);
+        let evidence = self
+            .relay
+            .begin_attempt(self.request.fingerprints(), backend);
         let sent = self
             .relay
             .send_to(backend, &to_send, self.attempts.deadline, response_deadline)
             .await;
-        pending.resolve();
-        let (response, connection) = sent?;
-        if !response.status().is_success() {
-            return Err(AttemptFailure::Failed);
-        }
-        let reader = EventReader::new(response.into_body(), connection, after);
-        Ok(Box::new(reader))
+        let failure = match sent {
+            Ok((response, connection)) if response.status().is_success() => {
+                let reader = EventReader::new(response.into_body(), connection, after);
+                return Ok((Box::new(reader), evidence));
+            }
+            Ok(_) => AttemptFailure::Failed,
+            Err(failure) => failure,
+        };
+        evidence.failed(failure);
+        Err(failure)
     }
 }
--- a/crates/foxtailhold-relay/tests/pending_attempts.rs
+++ b/crates/foxtailhold-relay/tests/pending_attempts.rs
@@ -1,18 +1,21 @@
-//! Crashes that show only by a restart of the backend server. When the machine of a backend server
+//! Crashes that show only by what becomes of the backend server's entry. When the machine of a backend server
 //! fails its connections are not closed, so the request that crashed it would not be held
 //! responsible.
 
 use foxtailhold::ids::BackendId;
-use foxtailhold::quarantine::Fingerprint;
+use foxtailhold::quarantine::RequestFingerprints;
 use foxtailhold::time::MonoMs;
-use foxtailhold_relay::fleet::BackendServer;
-use foxtailhold_relay::pending_attempts::PendingAttempts;
+use foxtailhold_relay::fleet::{BackendFate, BackendServer};
+use foxtailhold_relay::pending_attempts::{EndWithoutResult, PendingAttempts};
 use test_case::test_case;
 
-const REQUEST: Fingerprint = Fingerprint(7);
 const START: u64 = 1_796_000_000_000;
 const NOW: MonoMs = MonoMs(100_000);
 
+fn request() -> RequestFingerprints {
+    RequestFingerprints::of_opaque("host", "/path", b"body")
+}
+
 fn backend() -> BackendServer {
     let identity = BackendId::try_from("engine-1").unwrap();
     BackendServer {
@@ -27,43 +30,52 @@
     }
 }
 
-/// State of the attempt when the backend server restarts.
+/// State of the attempt when the entries change.
 #[derive(Debug, Clone, Copy)]
 enum AttemptState {
     InFlight,
     Resolved,
-    Ended { ms_ago: u64 },
+    Silent { ms_ago: u64 },
+    Abandoned { ms_ago: u64 },
 }
 
-#[test_case(AttemptState::InFlight, Some(START + 1), true; "a new start while the attempt is in flight")]
-#[test_case(AttemptState::InFlight, Some(START), false; "the same start")]
-#[test_case(AttemptState::InFlight, Some(0), false; "an entry that does not state its start")]
-#[test_case(AttemptState::InFlight, None, false; "an identity that is not listed any more")]
-#[test_case(AttemptState::Resolved, Some(START + 1), false; "a new start after the response")]
-#[test_case(AttemptState::Ended { ms_ago: 9_999 }, Some(START + 1), true; "a new start soon after the attempt")]
-#[test_case(AttemptState::Ended { ms_ago: 10_001 }, Some(START + 1), false; "a new start long after the attempt")]
-fn an_attempt_counts_as_a_crash_if_its_backend_server_restarted(
+#[test_case(AttemptState::InFlight, BackendFate::Restarted, true; "a new start while the attempt is in flight")]
+#[test_case(AttemptState::InFlight, BackendFate::Unchanged, false; "the same start")]
+#[test_case(AttemptState::InFlight, BackendFate::Gone, false; "an entry that is gone while the attempt is in flight")]
+#[test_case(AttemptState::Resolved, BackendFate::Restarted, false; "a new start after the response")]
+#[test_case(AttemptState::Abandoned { ms_ago: 9_999 }, BackendFate::Restarted, true; "a new start soon after the attempt")]
+#[test_case(AttemptState::Abandoned { ms_ago: 10_001 }, BackendFate::Restarted, false; "a new start long after the attempt")]
+#[test_case(AttemptState::Silent { ms_ago: 9_999 }, BackendFate::Gone, true; "an entry that is gone soon after the silence")]
+#[test_case(AttemptState::Silent { ms_ago: 10_001 }, BackendFate::Gone, false; "an entry that is gone long after the silence")]
+#[test_case(AttemptState::Abandoned { ms_ago: 1 }, BackendFate::Gone, false; "an entry that is gone after the caller left")]
+fn an_attempt_counts_as_a_crash_if_its_backend_server_ended(
     state: AttemptState,
-    newest_start: Option<u64>,
+    fate: BackendFate,
     expected: bool,
 ) {
     let pending = PendingAttempts::default();
-    let number = pending.begin(REQUEST, &backend());
+    let number = pending.begin(request(), &backend());
     match state {
         AttemptState::InFlight => {}
         AttemptState::Resolved => pending.resolve(number),
-        AttemptState::Ended { ms_ago } => pending.end(number, MonoMs(NOW.0 - ms_ago)),
+        AttemptState::Silent { ms_ago } => {
+            pending.end(number, MonoMs(NOW.0 - ms_ago), EndWithoutResult::Silent);
+            pending.end(number, NOW, EndWithoutResult::Abandoned);
+        }
+        AttemptState::Abandoned { ms_ago } => {
+            pending.end(number, MonoMs(NOW.0 - ms_ago), EndWithoutResult::Abandoned);
+        }
     }
-    // The table is also checked before the restart, as happens whenever entries change.
-    let before = pending.take_crashed(MonoMs(NOW.0 - 5_000), |_| Some(START));
+    // The table is also checked before, as happens whenever entries change.
+    let before = pending.take_crashed(MonoMs(NOW.0 - 5_000), |_, _| BackendFate::Unchanged);
     assert!(before.is_empty());
-    let crashed = pending.take_crashed(NOW, |_| newest_start);
-    let crash = backend().crash_id();
+    let crashed = pending.take_crashed(NOW, |_, _| fate);
     let expected = if expected {
-        vec![(REQUEST, crash)]
+        vec![(request(), backend().crash_id())]
     } else {
         Vec::new()
     };
     assert_eq!(crashed, expected);
-    assert!(pending.take_crashed(NOW, |_| Some(START + 1)).len() <= 1);
+    let again = pending.take_crashed(NOW, |_, _| BackendFate::Restarted);
+    assert!(again.len() <= 1);
 }
--- a/crates/foxtailhold/src/crashes.rs
+++ b/crates/foxtailhold/src/crashes.rs
@@ -3,10 +3,18 @@
 //! A backend server crashes at most once per start, so the evidence against a request is a set of
 //! starts. The sets of several instances and of the store are merged by union: learning of a crash
 //! twice, late or in another order changes nothing, and many copies of a request in flight at one
-//! crash count once. A request that merely ran beside a crashing one collects evidence too, until
-//! it is seen to run.
+//! crash count once. How far an attempt had come does not matter: a request may crash its backend
+//! server at any point of its run.
+//!
+//! A request that merely ran beside a crashing one collects evidence too. Only a complete response
+//! speaks for a request, and what it removes is named crash by crash, so that news of an old
+//! response cannot remove newer crashes:
+//!
+//! - It removes the crashes that were known when its attempt began.
+//! - It also removes crashes that became known during the attempt, as long as there are fewer than
+//!   [`MAX_CRASHES`]. A request that is already refused is cleared by a later attempt only.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use serde::{Deserialize, Serialize};
 
@@ -25,8 +33,15 @@
 /// short, so that an innocent request is soon served again. After the last probe no caller waits
 /// for the end.
 pub const REFUSAL_MS: [u64; MAX_PROBES + 1] = [10_000, 60_000, 86_400_000];
-/// Events after which an attempt has shown that its request does not crash the backend server.
-pub const STABLE_AFTER_EVENTS: u64 = 8;
+/// Duration of the first refusal of requests that the same crashes are held against: at most one of
+/// them is the cause.
+pub const DOUBTFUL_REFUSAL_MS: u64 = 2_500;
+/// Crashes that two refused requests have in common where at most one of them is the cause.
+const MIN_SHARED_CRASHES: usize = MAX_CRASHES - 1;
+/// Time for which a removed crash is remembered, longer than evidence is under way.
+const REMOVED_TTL_MS: u64 = 600_000;
+/// The probes of such requests are spread over this time, so that they do not run side by side.
+pub const PROBE_SPREAD_MS: u64 = 1_500;
 
 /// Status of a request, given its crash evidence.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -60,26 +75,83 @@
         self.last_unix_ms = self.last_unix_ms.max(other.last_unix_ms);
         self.crashes.len() > before
     }
+}
+
+/// Crashes that a complete response removes from the evidence against its request.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Exoneration {
+    /// Crashes that were known when the attempt began.
+    pub before: BTreeSet<CrashId>,
+    /// Crashes that became known during the attempt. They are only removed where the request is not
+    /// refused yet.
+    pub during: BTreeSet<CrashId>,
+}
+
+impl Exoneration {
+    /// Whether it removes no crash.
+    pub fn is_empty(&self) -> bool {
+        self.before.is_empty() && self.during.is_empty()
+    }
+}
+
+/// Position in the order in which one instance learned of crashes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct EvidenceMark(u64);
+
+#[derive(Debug, Clone, Default)]
+struct CrashRecord {
+    evidence: CrashEvidence,
+    learned: BTreeMap<CrashId, EvidenceMark>,
+    /// Whether the same crashes are held against another request.
+    is_doubtful: bool,
+}
+
+impl CrashRecord {
+    fn count(&self) -> usize {
+        self.evidence.crashes.len()
+    }
+
+    fn remove(&mut self, crashes: &BTreeSet<CrashId>) {
+        for crash in crashes {
+            self.evidence.crashes.remove(crash);
+            self.learned.remove(crash);
+        }
+    }
 
     /// Time in Unix ms until which the request is refused; `None` below [`MAX_CRASHES`] crashes.
-    fn refused_until(&self) -> Option<u64> {
-        let probes = self.crashes.len().checked_sub(MAX_CRASHES)?;
-        let refused_ms = REFUSAL_MS[probes.min(MAX_PROBES)];
-        Some(self.last_unix_ms.saturating_add(refused_ms))
+    fn refused_until(&self, fingerprint: Fingerprint) -> Option<u64> {
+        let probes = self.count().checked_sub(MAX_CRASHES)?;
+        let refused_ms = match probes {
+            0 if self.is_doubtful => {
+                DOUBTFUL_REFUSAL_MS + (fingerprint.0 % u128::from(PROBE_SPREAD_MS)) as u64
+            }
+            probes => REFUSAL_MS[probes.min(MAX_PROBES)],
+        };
+        Some(self.evidence.last_unix_ms.saturating_add(refused_ms))
     }
 
-    fn expires(&self) -> u64 {
-        match self.refused_until() {
+    fn expires(&self, fingerprint: Fingerprint) -> u64 {
+        match self.refused_until(fingerprint) {
             Some(until) => until.saturating_add(PROBATION_MS),
-            None => self.last_unix_ms.saturating_add(SUSPECT_TTL_MS),
+            None => self.evidence.last_unix_ms.saturating_add(SUSPECT_TTL_MS),
         }
     }
 }
 
+/// Crashes that were removed from the evidence against a request.
+#[derive(Debug, Clone, Default)]
+struct RemovedCrashes {
+    crashes: BTreeSet<CrashId>,
+    last_unix_ms: u64,
+}
+
 /// The crash evidence known to one instance.
 #[derive(Debug, Clone, Default)]
 pub struct CrashRegistry {
-    records: HashMap<Fingerprint, CrashEvidence>,
+    records: HashMap<Fingerprint, CrashRecord>,
+    /// Removed crashes by request; late evidence must not bring them back.
+    removed: HashMap<Fingerprint, RemovedCrashes>,
+    last_mark: EvidenceMark,
 }
 
 impl CrashRegistry {
@@ -88,6 +160,11 @@
         self.records.is_empty()
     }
 
+    /// The position now, for the start of an attempt.
+    pub fn mark(&self) -> EvidenceMark {
+        self.last_mark
+    }
+
     /// Records a crash that this instance saw. Returns the updated evidence, or `None` if the crash
     /// was already known.
     pub fn crashed(
@@ -103,38 +180,132 @@
         if !self.join(fingerprint, &new) {
             return None;
         }
-        self.records.get(&fingerprint)
+        self.evidence(fingerprint)
     }
 
     /// Merges evidence of another instance or of the store. Returns whether it added a crash.
     pub fn join(&mut self, fingerprint: Fingerprint, evidence: &CrashEvidence) -> bool {
-        let is_new = self.records.entry(fingerprint).or_default().join(evidence);
+        let mut new = evidence.clone();
+        if let Some(removed) = self.removed.get(&fingerprint) {
+            new.crashes.retain(|crash| !removed.crashes.contains(crash));
+        }
+        if new.crashes.is_empty() {
+            return false;
+        }
+        let record = self.records.entry(fingerprint).or_default();
+        if !record.evidence.join(&new) {
+            return false;
+        }
+        self.last_mark.0 += 1;
+        for crash in new.crashes {
+            record.learned.entry(crash).or_insert(self.last_mark);
+        }
+        if record.count() >= MAX_CRASHES {
+            self.find_doubts(fingerprint);
+        }
         if self.records.len() > MAX_ENTRIES {
             self.drop_oldest();
         }
-        is_new
+        true
+    }
+
+    /// Marks a request that has reached the limit and the others that most of its crashes are held
+    /// against.
+    fn find_doubts(&mut self, fingerprint: Fingerprint) {
+        let Some(record) = self.records.get(&fingerprint) else {
+            return;
+        };
+        let crashes = record.evidence.crashes.clone();
+        let mut is_doubtful = record.is_doubtful;
+        for (other, record) in &mut self.records {
+            let shared = record.evidence.crashes.intersection(&crashes).count();
+            let is_shared = record.count() >= MAX_CRASHES && shared >= MIN_SHARED_CRASHES;
+            if *other == fingerprint || !is_shared {
+                continue;
+            }
+            record.is_doubtful = true;
+            is_doubtful = true;
+        }
+        if let Some(record) = self.records.get_mut(&fingerprint) {
+            record.is_doubtful = is_doubtful;
+        }
     }
 
     fn drop_oldest(&mut self) {
         let by_end = self
             .records
             .iter()
-            .min_by_key(|(_, evidence)| evidence.expires());
+            .min_by_key(|(fingerprint, record)| record.expires(**fingerprint));
         if let Some(oldest) = by_end.map(|(fingerprint, _)| *fingerprint) {
             self.records.remove(&oldest);
         }
     }
 
-    /// Drops the evidence against a request that was seen to run. Returns whether there was any.
-    pub fn clear(&mut self, fingerprint: Fingerprint) -> bool {
-        self.records.remove(&fingerprint).is_some()
+    /// Removes the evidence that a complete response speaks against, given the position at the start
+    /// of its attempt. Returns what was removed.
+    pub fn completed(&mut self, fingerprint: Fingerprint, begun: EvidenceMark) -> Exoneration {
+        let Some(record) = self.records.get(&fingerprint) else {
+            return Exoneration::default();
+        };
+        let is_before = |crash: &&CrashId| record.learned.get(*crash) <= Some(&begun);
+        let all = record.evidence.crashes.iter();
+        let (before, during): (BTreeSet<CrashId>, BTreeSet<CrashId>) =
+            all.cloned().partition(|crash| is_before(&crash));
+        let exoneration = Exoneration { before, during };
+        self.exonerate(fingerprint, exoneration)
+    }
+
+    /// Applies the exoneration of a request, also one from another instance. Returns what was
+    /// removed.
+    pub fn exonerate(
+        &mut self,
+        fingerprint: Fingerprint,
+        mut exoneration: Exoneration,
+    ) -> Exoneration {
+        if !exoneration.before.is_empty() {
+            let removed = self.removed.entry(fingerprint).or_default();
+            removed.crashes.extend(exoneration.before.iter().cloned());
+        }
+        if self.removed.len() > MAX_ENTRIES {
+            self.removed.clear();
+        }
+        let Some(record) = self.records.get_mut(&fingerprint) else {
+            return Exoneration::default();
+        };
+        let is_refused = record.count() >= MAX_CRASHES;
+        let held = record.evidence.crashes.clone();
+        if let Some(removed) = self.removed.get_mut(&fingerprint) {
+            removed.last_unix_ms = removed.last_unix_ms.max(record.evidence.last_unix_ms);
+        }
+        record.remove(&exoneration.before);
+        match is_refused {
+            true => exoneration.during.clear(),
+            false => record.remove(&exoneration.during),
+        }
+        if record.evidence.crashes.is_empty() {
+            self.records.remove(&fingerprint);
+        }
+        exoneration.before.retain(|crash| held.contains(crash));
+        exoneration.during.retain(|crash| held.contains(crash));
+        exoneration
+    }
+
+    /// Removes crashes whose row in the store was deleted.
+    pub fn remove(&mut self, fingerprint: Fingerprint, crashes: &BTreeSet<CrashId>) {
+        let Some(record) = self.records.get_mut(&fingerprint) else {
+            return;
+        };
+        record.remove(crashes);
+        if record.evidence.crashes.is_empty() {
+            self.records.remove(&fingerprint);
+        }
     }
 
     /// All evidence, the newest first.
     pub fn newest_first(&self) -> Vec<(Fingerprint, &CrashEvidence)> {
         let records = self.records.iter();
         let mut all: Vec<_> = records
-            .map(|(request, evidence)| (*request, evidence))
+            .map(|(request, record)| (*request, &record.evidence))
             .collect();
         all.sort_by_key(|(_, evidence)| std::cmp::Reverse(evidence.last_unix_ms));
         all
@@ -142,20 +313,20 @@
 
     /// The evidence against a request.
     pub fn evidence(&self, fingerprint: Fingerprint) -> Option<&CrashEvidence> {
-        self.records.get(&fingerprint)
+        self.records
+            .get(&fingerprint)
+            .map(|record| &record.evidence)
     }
 
     /// Number of crashes that occurred under a request.
     pub fn crashes(&self, fingerprint: Fingerprint) -> usize {
-        self.records
-            .get(&fingerprint)
-            .map_or(0, |e| e.crashes.len())
+        self.records.get(&fingerprint).map_or(0, CrashRecord::count)
     }
 
     /// The status of a request.
     pub fn status(&self, fingerprint: Fingerprint, now: WallMs) -> CrashStatus {
-        let evidence = self.records.get(&fingerprint);
-        match evidence.and_then(CrashEvidence::refused_until) {
+        let record = self.records.get(&fingerprint);
+        match record.and_then(|record| record.refused_until(fingerprint)) {
             None => CrashStatus::Allowed,
             Some(until) if until > now.0 => CrashStatus::Refused {
                 left_ms: until - now.0,
@@ -166,15 +337,16 @@
 
     /// Drops expired evidence and returns the requests concerned.
     pub fn expire(&mut self, now: WallMs) -> Vec<Fingerprint> {
-        let is_expired = |evidence: &CrashEvidence| evidence.expires() <= now.0;
-        let expired = self
-            .records
-            .iter()
-            .filter(|(_, evidence)| is_expired(evidence));
+        let is_expired = |(fingerprint, record): &(&Fingerprint, &CrashRecord)| {
+            record.expires(**fingerprint) <= now.0
+        };
+        let expired = self.records.iter().filter(is_expired);
         let expired: Vec<Fingerprint> = expired.map(|(fingerprint, _)| *fingerprint).collect();
         for fingerprint in &expired {
             self.records.remove(fingerprint);
         }
+        self.removed
+            .retain(|_, removed| removed.last_unix_ms.saturating_add(REMOVED_TTL_MS) > now.0);
         expired
     }
 }
--- a/crates/foxtailhold/src/quarantine.rs
+++ b/crates/foxtailhold/src/quarantine.rs
@@ -56,7 +56,8 @@
         Fingerprint(hash.digest128())
     }
 
-    /// The fingerprint of an opaque request, where the host stands for the customer.
+    /// The fingerprint of an opaque request, where the host stands for the customer. `target` is
+    /// the path, with or without the query.
     pub fn of_opaque(host: &str, target: &str, body: &[u8]) -> Self {
         let mut hash = Xxh3::new();
         for part in [host, target] {
@@ -68,6 +69,34 @@
     }
 }
 
+/// The fingerprints under which evidence against an opaque request is kept. A caller may repeat a
+/// request with another query, and another query may be another request; so it is refused if either
+/// of them is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct RequestFingerprints {
+    /// Host, path and body.
+    pub path: Fingerprint,
+    /// Host, path with query, and body; the same as `path` if there is no query.
+    pub target: Fingerprint,
+}
+
+impl RequestFingerprints {
+    /// The fingerprints of a request to `target`, a path with an optional query.
+    pub fn of_opaque(host: &str, target: &str, body: &[u8]) -> Self {
+        let target = Fingerprint::of_opaque(host, target, body);
+        RequestFingerprints {
+            path: target,
+            target,
+        }
+    }
+
+    /// The fingerprints without repetition.
+    pub fn distinct(&self) -> impl Iterator<Item = Fingerprint> + use<> {
+        let target = Some(self.target).filter(|target| *target != self.path);
+        std::iter::once(self.path).chain(target)
+    }
+}
+
 impl FromStr for Fingerprint {
     type Err = ParseIntError;
 
--- a/crates/foxtailhold/tests/crashes.rs
+++ b/crates/foxtailhold/tests/crashes.rs
@@ -1,8 +1,11 @@
 //! Crash evidence against requests. Guards against evidence that depends on the order or number of
 //! reports, and against a crashing request that runs more often than the contract allows.
 
+use std::collections::BTreeSet;
+
 use foxtailhold::crashes::{
-    CrashEvidence, CrashRegistry, CrashStatus, MAX_CRASHES, MAX_PROBES, REFUSAL_MS, item_backoff_ms,
+    CrashEvidence, CrashRegistry, CrashStatus, DOUBTFUL_REFUSAL_MS, MAX_CRASHES, MAX_PROBES,
+    REFUSAL_MS, item_backoff_ms,
 };
 use foxtailhold::ids::BackendId;
 use foxtailhold::quarantine::{CrashId, Fingerprint, SUSPECT_TTL_MS};
@@ -101,15 +104,98 @@
     );
 }
 
+fn ids(crashes: &[CrashId]) -> BTreeSet<CrashId> {
+    crashes.iter().cloned().collect()
+}
+
 #[test]
 fn a_request_that_was_seen_to_run_is_cleared() {
     let mut registry = registry(&[crash("a", 1), crash("b", 1)]);
-    assert!(registry.clear(REQUEST));
-    assert!(!registry.clear(REQUEST));
+    let begun = registry.mark();
+    assert_eq!(registry.completed(REQUEST, begun).before.len(), 2);
+    assert!(registry.is_empty());
+    assert!(registry.completed(REQUEST, begun).is_empty());
     registry.crashed(REQUEST, crash("c", 1), NOW);
     assert_eq!(registry.status(REQUEST, NOW), CrashStatus::Allowed);
 }
 
+/// An attempt that begins after `known` crashes, and completes after all of them.
+#[test_case(2, 0, 0; "a bystander of two crashes is cleared")]
+#[test_case(3, 0, 3; "one that is refused is not, by an attempt that began before the crashes")]
+#[test_case(3, 2, 1; "the crashes known at the start of the attempt are removed")]
+#[test_case(4, 4, 0; "a probe clears a refused request")]
+fn a_response_removes_the_crashes_that_it_speaks_against(
+    crashes: usize,
+    known: usize,
+    expected: usize,
+) {
+    let all: Vec<CrashId> = (0..crashes).map(|n| crash("a", n as u64 + 1)).collect();
+    let mut registry = registry(&all[..known]);
+    let begun = registry.mark();
+    for crash in &all[known..] {
+        registry.crashed(REQUEST, crash.clone(), NOW);
+    }
+    registry.completed(REQUEST, begun);
+    assert_eq!(registry.crashes(REQUEST), expected);
+}
+
+/// Guards against news of an old response that drops newer crashes at another instance.
+#[test]
+fn news_of_a_response_removes_only_the_crashes_that_it_names() {
+    let old = [crash("a", 1), crash("b", 1)];
+    let mut first = registry(&old);
+    let begun = first.mark();
+    let news = first.completed(REQUEST, begun);
+    let mut second = registry(&old);
+    let newer = [crash("c", 1), crash("d", 1), crash("e", 1)];
+    for crash in &newer {
+        second.crashed(REQUEST, crash.clone(), NOW);
+    }
+    second.exonerate(REQUEST, news);
+    assert_eq!(second.evidence(REQUEST).unwrap().crashes, ids(&newer));
+    assert!(matches!(
+        second.status(REQUEST, NOW),
+        CrashStatus::Refused { .. }
+    ));
+}
+
+#[test]
+fn late_evidence_does_not_bring_removed_crashes_back() {
+    let late = registry(&[crash("a", 1), crash("b", 1)]);
+    let late = late.evidence(REQUEST).unwrap().clone();
+    let mut registry = registry(&[crash("a", 1), crash("b", 1)]);
+    let begun = registry.mark();
+    registry.completed(REQUEST, begun);
+    assert!(!registry.join(REQUEST, &late));
+    registry.crashed(REQUEST, crash("c", 1), NOW);
+    assert_eq!(registry.crashes(REQUEST), 1);
+}
+
+#[test]
+fn requests_with_the_same_crashes_are_soon_probed_one_after_the_other() {
+    let other = Fingerprint(1_000);
+    let crashes = [crash("a", 1), crash("b", 1), crash("c", 1)];
+    let mut registry = registry(&crashes);
+    let alone = registry.status(REQUEST, NOW);
+    assert_eq!(
+        alone,
+        CrashStatus::Refused {
+            left_ms: REFUSAL_MS[0]
+        }
+    );
+    for crash in &crashes {
+        registry.crashed(other, crash.clone(), NOW);
+    }
+    let refused = |left_ms| CrashStatus::Refused { left_ms };
+    let first = DOUBTFUL_REFUSAL_MS + 7;
+    let second = DOUBTFUL_REFUSAL_MS + 1_000;
+    assert_eq!(registry.status(REQUEST, NOW), refused(first));
+    assert_eq!(registry.status(other, NOW), refused(second));
+    registry.crashed(REQUEST, crash("probe", 1), later(first));
+    let status = registry.status(REQUEST, later(first));
+    assert_eq!(status, refused(REFUSAL_MS[1]));
+}
+
 #[test]
 fn evidence_expires_unless_the_request_is_refused() {
     let mut few = registry(&[crash("a", 1), crash("b", 1)]);
