A backend server that fell silent has ended once its entry is gone or its address has a newer one

Callers saw 17 to 24 runs of a request in 9 s, 11 of an item in 10 s, where replicas that crash say nothing more and come back under a new identity: such a crash was known by a newer start of the same identity only, so it was none.

Now the table of the fleet tells what became of a start. An identity that appears at its address ends it. An entry that is gone counts for attempts that were given up in silence, since some backend servers leave without saying so and go on with what they have. One that was leaving has not crashed.

--- a/crates/foxtailhold-relay/src/fleet.rs
+++ b/crates/foxtailhold-relay/src/fleet.rs
@@ -105,6 +105,15 @@
     backend: Arc<BackendServer>,
     /// When the entry was deleted or was missing from a complete list.
     missing_since: Option<MonoMs>,
+    /// Number of the update with which the identity appeared.
+    appeared_in: u64,
+}
+
+/// A start whose entry is gone or whose address has a newer one.
+#[derive(Debug)]
+struct EndedStart {
+    fate: BackendFate,
+    seen_at: MonoMs,
 }
 
 /// Newest known start of one identity.
@@ -119,6 +128,8 @@
 pub struct FleetTable {
     entries: BTreeMap<BackendId, FleetEntry>,
     newest_starts: HashMap<BackendId, NewestStart>,
+    ended_starts: HashMap<BackendId, EndedStart>,
+    updates: u64,
     healthy_since: Option<MonoMs>,
     /// Whether a store call has failed since the start of this process.
     has_failed: bool,
@@ -149,6 +160,11 @@
     /// late and is ignored. An entry without a start, of an identity that has stated one, was not
     /// written by the backend server and removes the entry.
     pub fn put(&mut self, now: MonoMs, backend: BackendServer) {
+        self.updates += 1;
+        self.put_in_update(now, backend);
+    }
+
+    fn put_in_update(&mut self, now: MonoMs, backend: BackendServer) {
         let started_unix_ms = backend.started_unix_ms;
         let newest = self.newest_starts.get(&backend.identity);
         let newest_unix_ms = newest.map_or(0, |start| start.started_unix_ms);
@@ -163,15 +179,47 @@
             seen_at: now,
         };
         self.newest_starts.insert(backend.identity.clone(), start);
+        self.ended_starts.remove(&backend.id);
+        let known = self.entries.get(&backend.identity);
+        let appeared_in = known.map_or(self.updates, |entry| entry.appeared_in);
+        if known.is_none() {
+            self.end_former_starts(now, &backend);
+        }
         let entry = FleetEntry {
             backend: Arc::new(backend),
             missing_since: None,
+            appeared_in,
         };
         self.entries.insert(entry.backend.identity.clone(), entry);
     }
 
-    fn drop_entry(&mut self, identity: &BackendId) {
-        self.entries.remove(identity);
+    /// Records that the starts listed earlier at the address of a new identity have ended.
+    fn end_former_starts(&mut self, now: MonoMs, new: &BackendServer) {
+        for entry in self.entries.values() {
+            let former = &entry.backend;
+            let is_earlier = entry.appeared_in < self.updates;
+            if former.address != new.address || !is_earlier || former.is_leaving {
+                continue;
+            }
+            let ended = EndedStart {
+                fate: BackendFate::Restarted,
+                seen_at: now,
+            };
+            self.ended_starts.insert(former.id.clone(), ended);
+        }
+    }
+
+    fn drop_entry(&mut self, now: MonoMs, identity: &BackendId) {
+        let Some(entry) = self.entries.remove(identity) else {
+            return;
+        };
+        if !entry.backend.is_leaving {
+            let ended = self.ended_starts.entry(entry.backend.id.clone());
+            ended.or_insert(EndedStart {
+                fate: BackendFate::Gone,
+                seen_at: now,
+            });
+        }
     }
 
     /// What became of the start `crash` of `identity`.
@@ -180,7 +228,8 @@
         if newest.is_some_and(|start| start > crash.started_unix_ms) {
             return BackendFate::Restarted;
         }
-        BackendFate::Unchanged
+        let ended = self.ended_starts.get(&crash.backend);
+        ended.map_or(BackendFate::Unchanged, |ended| ended.fate)
     }
 
     /// Unix milliseconds of the newest known start of an identity.
@@ -198,7 +247,7 @@
     /// Applies a deletion: at once if the store is healthy, otherwise after a delay.
     pub fn remove(&mut self, now: MonoMs, identity: &BackendId) {
         if self.is_store_healthy(now) {
-            self.drop_entry(identity);
+            self.drop_entry(now, identity);
             return;
         }
         if let Some(entry) = self.entries.get_mut(identity) {
@@ -217,8 +266,9 @@
         for identity in missing {
             self.remove(now, &identity);
         }
+        self.updates += 1;
         for backend in all {
-            self.put(now, backend);
+            self.put_in_update(now, backend);
         }
     }
 
@@ -229,6 +279,8 @@
         self.newest_starts.retain(|identity, start| {
             entries.contains_key(identity) || now.since_ms(start.seen_at) < START_RETENTION_MS
         });
+        self.ended_starts
+            .retain(|_, ended| now.since_ms(ended.seen_at) < START_RETENTION_MS);
         let Some(healthy_since) = self.healthy_since else {
             return false;
         };
@@ -241,7 +293,7 @@
         let expired = self.entries.iter().filter(|(_, entry)| is_expired(entry));
         let expired: Vec<BackendId> = expired.map(|(identity, _)| identity.clone()).collect();
         for identity in &expired {
-            self.drop_entry(identity);
+            self.drop_entry(now, identity);
         }
         !expired.is_empty()
     }
--- a/crates/foxtailhold-relay/tests/pending_attempts.rs
+++ b/crates/foxtailhold-relay/tests/pending_attempts.rs
@@ -2,10 +2,12 @@
 //! fails its connections are not closed, so the request that crashed it would not be held
 //! responsible.
 
+use std::net::SocketAddr;
+
 use foxtailhold::ids::BackendId;
 use foxtailhold::quarantine::RequestFingerprints;
 use foxtailhold::time::MonoMs;
-use foxtailhold_relay::fleet::{BackendFate, BackendServer};
+use foxtailhold_relay::fleet::{BackendFate, BackendServer, FleetTable};
 use foxtailhold_relay::pending_attempts::{EndWithoutResult, PendingAttempts};
 use test_case::test_case;
 
@@ -79,3 +81,67 @@
     let again = pending.take_crashed(NOW, |_, _| BackendFate::Restarted);
     assert!(again.len() <= 1);
 }
+
+fn listed(name: &str, started_unix_ms: u64, port: u16) -> BackendServer {
+    let identity = BackendId::try_from(name).unwrap();
+    BackendServer {
+        id: BackendId::for_start(&identity, started_unix_ms).unwrap(),
+        identity,
+        address: SocketAddr::from(([127, 0, 0, 1], port)),
+        started_unix_ms,
+        ..backend()
+    }
+}
+
+fn leaving(name: &str) -> BackendServer {
+    BackendServer {
+        is_leaving: true,
+        ..listed(name, START, 9)
+    }
+}
+
+/// Entries of the platform after that of `engine-1` at port 9; an empty update is its deletion.
+#[test_case(&[listed("engine-1", START, 9)], BackendFate::Unchanged; "its entry again")]
+#[test_case(&[listed("engine-1", START + 1, 9)], BackendFate::Restarted; "a new start of its identity")]
+#[test_case(&[listed("engine-1", 0, 9)], BackendFate::Unchanged; "an entry that does not state its start")]
+#[test_case(&[listed("engine-2", START + 1, 9)], BackendFate::Restarted; "another identity at its address")]
+#[test_case(&[listed("engine-2", START + 1, 10)], BackendFate::Unchanged; "another identity elsewhere")]
+#[test_case(&[], BackendFate::Gone; "its entry is deleted")]
+#[test_case(&[leaving("engine-1"), listed("engine-2", START + 1, 9)], BackendFate::Unchanged; "it left and its address is used again")]
+fn the_entries_tell_what_became_of_a_start(updates: &[BackendServer], expected: BackendFate) {
+    let mut table = FleetTable::default();
+    table.store_answered(MonoMs(0));
+    table.replace(MonoMs(0), vec![listed("engine-1", START, 9)]);
+    let crash = backend().crash_id();
+    for update in updates {
+        table.put(NOW, update.clone());
+    }
+    if updates.is_empty() {
+        table.remove(NOW, &backend().identity);
+    }
+    assert_eq!(table.fate(&backend().identity, &crash), expected);
+}
+
+/// Both rows of a restart under a new identity may be in the first list that is read.
+#[test]
+fn identities_listed_together_at_one_address_do_not_end_each_other() {
+    let mut table = FleetTable::default();
+    let both = vec![listed("engine-1", START, 9), listed("engine-2", START, 9)];
+    table.replace(MonoMs(0), both);
+    for name in ["engine-1", "engine-2"] {
+        let backend = listed(name, START, 9);
+        let fate = table.fate(&backend.identity, &backend.crash_id());
+        assert_eq!(fate, BackendFate::Unchanged);
+    }
+}
+
+#[test]
+fn an_entry_that_is_listed_again_has_not_ended() {
+    let mut table = FleetTable::default();
+    table.store_answered(MonoMs(0));
+    table.put(MonoMs(0), backend());
+    table.remove(NOW, &backend().identity);
+    table.put(NOW, backend());
+    let fate = table.fate(&backend().identity, &backend().crash_id());
+    assert_eq!(fate, BackendFate::Unchanged);
+}
