A request is the same whatever its query

Callers saw 24 runs in 9 s of a request that crashes replicas and comes with another query each time: the fingerprint held the query, the contract tells requests by path, caller and body.

Another query may also be another request. So evidence is kept under both, and a request is refused if either is: sound requests to the same path can no longer hide a query that crashes replicas, nor the other way round. Rows and messages of requests without a query are as before.

--- a/crates/foxtailhold/src/quarantine.rs
+++ b/crates/foxtailhold/src/quarantine.rs
@@ -83,10 +83,15 @@
 impl RequestFingerprints {
     /// The fingerprints of a request to `target`, a path with an optional query.
     pub fn of_opaque(host: &str, target: &str, body: &[u8]) -> Self {
-        let target = Fingerprint::of_opaque(host, target, body);
+        let path = target.split_once('?').map_or(target, |(path, _)| path);
+        let by_path = Fingerprint::of_opaque(host, path, body);
+        let by_target = match path.len() == target.len() {
+            true => by_path,
+            false => Fingerprint::of_opaque(host, target, body),
+        };
         RequestFingerprints {
-            path: target,
-            target,
+            path: by_path,
+            target: by_target,
         }
     }
 
--- a/crates/foxtailhold/tests/crashes.rs
+++ b/crates/foxtailhold/tests/crashes.rs
@@ -8,7 +8,7 @@
     REFUSAL_MS, item_backoff_ms,
 };
 use foxtailhold::ids::BackendId;
-use foxtailhold::quarantine::{CrashId, Fingerprint, SUSPECT_TTL_MS};
+use foxtailhold::quarantine::{CrashId, Fingerprint, RequestFingerprints, SUSPECT_TTL_MS};
 use foxtailhold::time::WallMs;
 use proptest::prelude::*;
 use test_case::test_case;
@@ -196,6 +196,27 @@
     assert_eq!(status, refused(REFUSAL_MS[1]));
 }
 
+#[test_case("/a", "/a", true, true; "without a query")]
+#[test_case("/a?b=1", "/a?b=1", true, true; "the same query")]
+#[test_case("/a?b=1", "/a?b=2", true, false; "another query")]
+#[test_case("/a", "/a?b=2", true, false; "a query added")]
+#[test_case("/a?b=1", "/c?b=1", false, false; "another path")]
+fn requests_are_told_by_their_path_and_by_their_whole_target(
+    first: &str,
+    second: &str,
+    same_path: bool,
+    same_target: bool,
+) {
+    let of = |target| RequestFingerprints::of_opaque("host", target, b"body");
+    let (first, second) = (of(first), of(second));
+    assert_eq!(first.path == second.path, same_path);
+    assert_eq!(first.target == second.target, same_target);
+    assert_ne!(
+        first.path,
+        RequestFingerprints::of_opaque("host", "/a", b"other").path
+    );
+}
+
 #[test]
 fn evidence_expires_unless_the_request_is_refused() {
     let mut few = registry(&[crash("a", 1), crash("b", 1)]);
