OpenAI form: a request that crashes engines after twelve tokens, tested

The quarantine there already probes a request that was cleared once until its end, so the test is green without a fix: at most four crashes through three instances.

--- a/crates/foxtailhold-standin/src/cli.rs
+++ b/crates/foxtailhold-standin/src/cli.rs
@@ -78,6 +78,9 @@
     /// crash on a prompt that contains this text
     #[argh(option)]
     pub crash_on: Option<String>,
+    /// tokens generated for such a prompt before the crash; default 0
+    #[argh(option, default = "0")]
+    pub crash_after_tokens: u64,
     /// time added to a step by each running request in µs; default 250
     #[argh(option, default = "250")]
     pub step_per_request_us: u64,
--- a/crates/foxtailhold-standin/src/command.rs
+++ b/crates/foxtailhold-standin/src/command.rs
@@ -75,6 +75,7 @@
     let engine = EngineStandin::new(shape).with_orders(orders);
     engine.set_faults(EngineFaults {
         crash_on: command.crash_on.clone(),
+        crash_after_tokens: command.crash_after_tokens,
         ..EngineFaults::default()
     });
     let server = engine.serve(at).await?;
--- a/crates/foxtailhold-standin/src/engine/faults.rs
+++ b/crates/foxtailhold-standin/src/engine/faults.rs
@@ -8,6 +8,8 @@
 pub struct EngineFaults {
     /// The engine crashes when it admits a prompt that contains this text.
     pub crash_on: Option<String>,
+    /// Tokens that the engine generates for such a prompt before it crashes.
+    pub crash_after_tokens: u64,
     /// The connection of a stream is broken after this many tokens.
     pub cut_after_tokens: Option<u64>,
     /// Every event of a stream is sent twice.
--- a/crates/foxtailhold-standin/src/engine/scheduler.rs
+++ b/crates/foxtailhold-standin/src/engine/scheduler.rs
@@ -270,16 +270,35 @@
         self.running.retain(&mut keep);
     }
 
+    fn crashes_on(&self, active: &ActiveRequest) -> bool {
+        let crash_on = self.faults.crash_on.as_deref();
+        crash_on.is_some_and(|text| active.request.prompt.contains(text))
+    }
+
+    fn crash(&mut self) {
+        self.crashed = true;
+        self.running.clear();
+        self.waiting.clear();
+    }
+
+    /// Crashes if a request that does so has got all the tokens before it.
+    fn crash_if_due(&mut self) {
+        let is_due = |active: &ActiveRequest| {
+            let tokens = self.record[active.record_index].tokens;
+            self.crashes_on(active) && tokens >= self.faults.crash_after_tokens
+        };
+        if self.running.iter().any(is_due) {
+            self.crash();
+        }
+    }
+
     fn admit(&mut self) {
         while self.running.len() < self.shape.slots {
             let Some(active) = self.waiting.pop_front() else {
                 return;
             };
-            let crash_on = self.faults.crash_on.as_deref();
-            if crash_on.is_some_and(|text| active.request.prompt.contains(text)) {
-                self.crashed = true;
-                self.running.clear();
-                self.waiting.clear();
+            if self.crashes_on(&active) && self.faults.crash_after_tokens == 0 {
+                self.crash();
                 return;
             }
             self.record[active.record_index].admitted_unix_ms = Some(unix_ms());
@@ -318,6 +337,7 @@
             }
             !finished
         });
+        self.crash_if_due();
     }
 }
 
--- a/crates/foxtailhold-standin/tests/crashing_request.rs
+++ b/crates/foxtailhold-standin/tests/crashing_request.rs
@@ -22,6 +22,8 @@
 use tokio::task::JoinHandle;
 
 const POISON: &str = "poison";
+/// More tokens than any attempt gets.
+const POISON_TOKENS: u64 = 60;
 const ENGINES: usize = 6;
 const ZONES: [&str; 3] = ["concord-hall", "nashua-hall", "keene-hall"];
 
@@ -55,26 +57,32 @@
 struct SupervisedEngines {
     stop: Arc<AtomicBool>,
     crashes: Arc<AtomicUsize>,
+    crash_after_tokens: u64,
     supervisor: Option<std::thread::JoinHandle<()>>,
 }
 
-fn start_engine(platform: &str, index: usize) -> Process {
+fn start_engine(platform: &str, index: usize, crash_after_tokens: u64) -> Process {
     let id = format!("engine-{index}");
     let zone = ZONES[index % 3];
     let mut arguments = vec!["engine", "--id", &id, "--availability-zone", zone];
     arguments.extend(["--platform-address", platform, "--crash-on", POISON]);
+    let tokens = crash_after_tokens.to_string();
+    arguments.extend(["--crash-after-tokens", &tokens]);
     Process::start("foxtailhold-standin", &arguments)
 }
 
 impl SupervisedEngines {
-    fn start(deployment: &mut Deployment) -> Self {
+    fn start(deployment: &mut Deployment, crash_after_tokens: u64) -> Self {
         let platform = deployment.platform_address();
         for index in 0..ENGINES {
-            deployment.engines.push(start_engine(&platform, index));
+            deployment
+                .engines
+                .push(start_engine(&platform, index, crash_after_tokens));
         }
         SupervisedEngines {
             stop: Arc::default(),
             crashes: Arc::default(),
+            crash_after_tokens,
             supervisor: None,
         }
     }
@@ -83,6 +91,7 @@
         let platform = deployment.platform_address();
         let mut engines: Vec<Process> = deployment.engines.drain(..).collect();
         let (stop, crashes) = (self.stop.clone(), self.crashes.clone());
+        let crash_after_tokens = self.crash_after_tokens;
         self.supervisor = Some(std::thread::spawn(move || {
             while !stop.load(Ordering::Relaxed) {
                 for (index, engine) in engines.iter_mut().enumerate() {
@@ -91,7 +100,7 @@
                     };
                     assert_eq!(status.code(), Some(CRASH_STATUS));
                     crashes.fetch_add(1, Ordering::Relaxed);
-                    *engine = start_engine(&platform, index);
+                    *engine = start_engine(&platform, index, crash_after_tokens);
                 }
                 std::thread::sleep(Duration::from_millis(10));
             }
@@ -112,9 +121,12 @@
     }
 }
 
-async fn start_deployment(instances: usize) -> (Deployment, SupervisedEngines) {
+async fn start_deployment(
+    instances: usize,
+    crash_after_tokens: u64,
+) -> (Deployment, SupervisedEngines) {
     let mut deployment = Deployment::start(0, 0).await;
-    let mut engines = SupervisedEngines::start(&mut deployment);
+    let mut engines = SupervisedEngines::start(&mut deployment, crash_after_tokens);
     for index in 0..instances {
         deployment.add_entry(&format!("entry-{index}"), ZONES[index % 3], &[]);
     }
@@ -157,7 +169,7 @@
 /// Sends the poison request again and again, like a caller that retries at once, until it is
 /// refused as quarantined. Returns the number of sends and the refusal.
 async fn resend(address: SocketAddr) -> (usize, ChatResponse) {
-    let body = chat(POISON, 12, false);
+    let body = chat(POISON, POISON_TOKENS, false);
     for sends in 1..200 {
         let refused = send(address, &body).await;
         assert_ne!(refused.status, StatusCode::OK);
@@ -169,8 +181,12 @@
     panic!("the poison was never quarantined");
 }
 
-async fn poison_through_every_instance(instances: usize, max_crashes: usize) {
-    let (deployment, engines) = start_deployment(instances).await;
+async fn poison_through_every_instance(
+    instances: usize,
+    crash_after_tokens: u64,
+    max_crashes: usize,
+) {
+    let (deployment, engines) = start_deployment(instances, crash_after_tokens).await;
     let stop = Arc::<AtomicBool>::default();
     let mut neighbours = Vec::new();
     for index in 0..instances {
@@ -202,7 +218,11 @@
     tokio::time::sleep(Duration::from_millis(1_000)).await;
     let crashes = engines.crashes();
     for index in 0..instances {
-        let refused = send(deployment.caller_address(index), &chat(POISON, 12, false)).await;
+        let refused = send(
+            deployment.caller_address(index),
+            &chat(POISON, POISON_TOKENS, false),
+        )
+        .await;
         assert_eq!(refused.body["error"]["code"], "quarantined");
         assert_eq!(refused.body["error"]["ran"], "not_run");
         assert!(refused.retry_after);
@@ -224,17 +244,22 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn one_request_through_3_instances_at_once_causes_few_crashes() {
-    poison_through_every_instance(3, 4).await;
+    poison_through_every_instance(3, 0, 4).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn one_request_through_11_instances_at_once_causes_few_crashes() {
-    poison_through_every_instance(11, 4).await;
+    poison_through_every_instance(11, 0, 4).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn one_request_that_crashes_engines_after_twelve_tokens_causes_few_crashes() {
+    poison_through_every_instance(3, 12, 4).await;
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn crashing_batch_item_fails_and_its_neighbours_complete() {
-    let (deployment, engines) = start_deployment(3).await;
+    let (deployment, engines) = start_deployment(3, 0).await;
     let mut input = batch_input(60);
     let line = json!({
         "custom_id": "poison", "method": "POST", "url": CHAT, "body": chat(POISON, 8, false),
