Bound the memory for responses without an end

Users announce servers in trouble that send bytes until their caller closes.

Each response had its limit, all together had none, refusals had no limit and items no bound on their output. Now the responses that one client reads share a budget, beyond 64 KiB each; bodies of errors and refusals are read for 200 ms and 64 KiB; an item's output ends at 1 MiB, as much as one read returns, and its last attempt is dropped. What is too large or no HTTP is a broken response, not a crash.

--- a/crates/foxtailhold-engine/src/client.rs
+++ b/crates/foxtailhold-engine/src/client.rs
@@ -27,6 +27,10 @@
 
 /// Maximum size of an unstreamed answer.
 pub const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Memory for all answers that are being read.
+pub const MAX_READ_BYTES: usize = 32 << 20;
+/// Size limit of a load report.
+const MAX_LOAD_BYTES: usize = 64 << 10;
 /// Request header that carries the request identifier.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Timeout for reading a load report.
@@ -89,7 +93,7 @@
 impl Default for EngineClient {
     fn default() -> Self {
         EngineClient {
-            http: BodyClient::new(Reuse::Pooled),
+            http: BodyClient::with_read_budget(Reuse::Pooled, MAX_READ_BYTES),
         }
     }
 }
@@ -146,7 +150,7 @@
             let stream = EngineStream::new(body, expected_id, first);
             return Ok(EngineAnswer::Stream(stream));
         }
-        let body = read_body(body).await?;
+        let body = self.read_body(body).await?;
         if head.status.is_success() {
             check_unstreamed(&expected_id, &body)?;
         }
@@ -157,10 +161,19 @@
         }))
     }
 
+    async fn read_body(&self, body: Incoming) -> Result<Bytes> {
+        body::read_within(body, MAX_ANSWER_BYTES, self.http.budget())
+            .await
+            .map_err(|error| EngineError::Cut {
+                detail: error.to_string(),
+            })
+    }
+
     /// Reads the engine's load report.
     pub async fn load(&self, address: SocketAddr) -> Result<LoadReport> {
         let mut call = Call::new(Method::GET, address, "/load");
         call.timeout_ms = LOAD_TIMEOUT_MS;
+        call.limit_bytes = MAX_LOAD_BYTES;
         let (status, bytes) = self.http.call::<()>(&call, None).await?;
         if !status.is_success() {
             return Err(EngineError::Failed {
@@ -173,14 +186,6 @@
     }
 }
 
-async fn read_body(body: Incoming) -> Result<Bytes> {
-    body::read_whole(body, MAX_ANSWER_BYTES)
-        .await
-        .map_err(|error| EngineError::Cut {
-            detail: error.to_string(),
-        })
-}
-
 fn build_request(
     address: SocketAddr,
     request: &EngineRequest<'_>,
--- a/crates/foxtailhold-engine/src/orders.rs
+++ b/crates/foxtailhold-engine/src/orders.rs
@@ -16,6 +16,8 @@
 /// Timeout for one call. It is well below the longest time that an order is assumed to be in
 /// transit.
 pub const CALL_TIMEOUT_MS: u64 = 2_000;
+/// Size limit of the state of an engine.
+const MAX_STATE_BYTES: usize = 1 << 20;
 
 /// Sends orders to engines and reads their state. Each call opens a new connection.
 #[derive(Debug, Clone)]
@@ -37,6 +39,7 @@
     pub async fn order(&self, address: SocketAddr, order: &Order) -> OrderOutcome {
         let mut call = Call::new(Method::POST, address, ORDERS_PATH);
         call.timeout_ms = CALL_TIMEOUT_MS;
+        call.limit_bytes = MAX_STATE_BYTES;
         match self.http.call(&call, Some(order)).await {
             Ok((StatusCode::CONFLICT, _)) => OrderOutcome::Refused,
             Ok((status, _)) if status.is_success() => OrderOutcome::Taken,
@@ -50,6 +53,7 @@
     pub async fn state(&self, address: SocketAddr) -> Result<EngineState> {
         let mut call = Call::new(Method::GET, address, ORDERS_PATH);
         call.timeout_ms = CALL_TIMEOUT_MS;
+        call.limit_bytes = MAX_STATE_BYTES;
         let (status, bytes) = self.http.call::<()>(&call, None).await?;
         if !status.is_success() {
             let status = status.as_u16();
--- a/crates/foxtailhold-http/src/body.rs
+++ b/crates/foxtailhold-http/src/body.rs
@@ -1,6 +1,8 @@
 //! Request and response bodies.
 
 use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -82,7 +84,7 @@
 /// Why a body could not be read.
 #[derive(Debug, Error)]
 pub enum BodyError {
-    /// The body is larger than the limit.
+    /// The body is larger than the limit, or than what a shared budget has left.
     #[error("the body is over {limit_bytes} bytes")]
     TooLarge {
         /// Size limit.
@@ -99,6 +101,91 @@
     Ended(String),
 }
 
+/// Bytes that each body may have without a reservation.
+pub const FREE_BYTES: usize = 64 << 10;
+
+/// Memory for bodies that are being read at the same time; clones share it.
+#[derive(Debug, Clone)]
+pub struct ReadBudget {
+    free_bytes: Arc<AtomicUsize>,
+}
+
+impl ReadBudget {
+    /// A budget of `total_bytes`.
+    pub fn new(total_bytes: usize) -> Self {
+        ReadBudget {
+            free_bytes: Arc::new(AtomicUsize::new(total_bytes)),
+        }
+    }
+
+    /// Takes `bytes`; returns `false` if fewer are left.
+    fn take(&self, bytes: usize) -> bool {
+        let take = |free: usize| free.checked_sub(bytes);
+        let taken = self
+            .free_bytes
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
+        taken.is_ok()
+    }
+}
+
+/// Reservation of one body, returned to the budget when dropped.
+#[derive(Debug)]
+struct Reservation<'a> {
+    budget: &'a ReadBudget,
+    reserved_bytes: usize,
+}
+
+impl Reservation<'_> {
+    fn grow_to(&mut self, body_bytes: usize) -> Result<()> {
+        let needed = body_bytes.saturating_sub(FREE_BYTES);
+        let missing = needed.saturating_sub(self.reserved_bytes);
+        if !self.budget.take(missing) {
+            let limit_bytes = FREE_BYTES + self.reserved_bytes;
+            return Err(BodyError::TooLarge { limit_bytes });
+        }
+        self.reserved_bytes += missing;
+        Ok(())
+    }
+}
+
+impl Drop for Reservation<'_> {
+    fn drop(&mut self) {
+        self.budget
+            .free_bytes
+            .fetch_add(self.reserved_bytes, Ordering::Relaxed);
+    }
+}
+
+/// Reads a body of at most `limit_bytes` to its end, with memory from `budget`.
+pub async fn read_within<B>(mut body: B, limit_bytes: usize, budget: &ReadBudget) -> Result<Bytes>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let mut reservation = Reservation {
+        budget,
+        reserved_bytes: 0,
+    };
+    let mut frames = Vec::new();
+    let mut total_bytes = 0;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| BodyError::Ended(error.into().to_string()))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        total_bytes += data.len();
+        if total_bytes > limit_bytes {
+            return Err(BodyError::TooLarge { limit_bytes });
+        }
+        reservation.grow_to(total_bytes)?;
+        frames.push(data);
+    }
+    match frames.as_slice() {
+        [whole] => Ok(whole.clone()),
+        frames => Ok(Bytes::from(frames.concat())),
+    }
+}
+
 /// Reads a body of at most `limit_bytes` to its end.
 pub async fn read_whole<B>(body: B, limit_bytes: usize) -> Result<Bytes>
 where
--- a/crates/foxtailhold-http/src/client.rs
+++ b/crates/foxtailhold-http/src/client.rs
@@ -17,13 +17,15 @@
 use serde::Serialize;
 use thiserror::Error;
 
-use crate::body;
+use crate::body::{self, ReadBudget};
 
 /// Result of sending a request.
 pub type Result<T> = std::result::Result<T, SendError>;
 
 /// Time limit for making a connection.
 pub const CONNECT_TIMEOUT_MS: u64 = 1_000;
+/// Memory for the responses that one client reads at the same time.
+pub const MAX_READ_BYTES: usize = 64 << 20;
 /// Idle connections are closed after this time, which is shorter than the idle time-out of usual
 /// servers. A request then does not run into a connection that the server is closing.
 const IDLE_TIMEOUT_MS: u64 = 20_000;
@@ -90,6 +92,7 @@
 #[derive(Debug, Clone)]
 pub struct BodyClient<B> {
     reuse: Reuse,
+    budget: ReadBudget,
     pool: Arc<Mutex<Pool<B>>>,
 }
 
@@ -105,18 +108,29 @@
     B: Body<Data = Bytes> + From<Bytes> + Send + Unpin + 'static,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    /// Creates a client with its own connection pool.
+    /// Creates a client with its own connection pool and a budget of [`MAX_READ_BYTES`].
     pub fn new(reuse: Reuse) -> Self {
+        Self::with_read_budget(reuse, MAX_READ_BYTES)
+    }
+
+    /// Creates a client that reads responses of `read_bytes` at the same time.
+    pub fn with_read_budget(reuse: Reuse, read_bytes: usize) -> Self {
         let pool = Pool {
             client: BodyClient::new_pool(reuse),
             generation: 0,
         };
         BodyClient {
             reuse,
+            budget: ReadBudget::new(read_bytes),
             pool: Arc::new(Mutex::new(pool)),
         }
     }
 
+    /// Memory for the responses that this client reads.
+    pub fn budget(&self) -> &ReadBudget {
+        &self.budget
+    }
+
     fn new_pool(reuse: Reuse) -> Client<HttpConnector, B> {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
@@ -211,7 +225,7 @@
         let whole = async {
             let response = self.send(call.address, request, call.timeout_ms).await?;
             let status = response.status();
-            let bytes = body::read_whole(response.into_body(), call.limit_bytes)
+            let bytes = body::read_within(response.into_body(), call.limit_bytes, &self.budget)
                 .await
                 .map_err(|error| SendError::Failed {
                     address: call.address,
@@ -252,7 +266,8 @@
 }
 
 impl<'a> Call<'a> {
-    /// A call with a limit of five seconds and 64 MiB of response body, and without a token.
+    /// A call with a limit of five seconds and [`MAX_READ_BYTES`] of response body, and without a
+    /// token.
     pub fn new(method: Method, address: SocketAddr, path_and_query: &'a str) -> Self {
         Call {
             method,
@@ -260,7 +275,7 @@
             path_and_query,
             bearer: None,
             timeout_ms: 5_000,
-            limit_bytes: 64 << 20,
+            limit_bytes: MAX_READ_BYTES,
         }
     }
 }
--- a/crates/foxtailhold-relay/src/connections.rs
+++ b/crates/foxtailhold-relay/src/connections.rs
@@ -46,6 +46,14 @@
         /// Error of the HTTP library.
         detail: String,
     },
+    /// The response is not HTTP or its head is too large. The request may have run.
+    #[error("no valid response head from {address}: {detail}")]
+    NotHttp {
+        /// Address of the backend server.
+        address: SocketAddr,
+        /// Error of the HTTP library.
+        detail: String,
+    },
     /// The request may have run.
     #[error("the connection to {address} failed after sending: {detail}")]
     MayHaveRun {
@@ -157,8 +165,12 @@
                     Some(_) if is_reused => {}
                     Some(_) => return Err(not_sent(error.into_error().to_string())),
                     None => {
-                        let detail = error.into_error().to_string();
-                        return Err(SendFailure::MayHaveRun { address, detail });
+                        let error = error.into_error();
+                        let detail = error.to_string();
+                        return Err(match error.is_parse() {
+                            true => SendFailure::NotHttp { address, detail },
+                            false => SendFailure::MayHaveRun { address, detail },
+                        });
                     }
                 },
             }
--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -274,7 +274,7 @@
                 response_deadline,
             )
             .await?;
-        upstream::read_buffered(response, connection, response_deadline).await
+        upstream::read_buffered(response, connection, response_deadline, &self.read_budget).await
     }
 
     /// Removes the headers meant for this process and passes the response on to the caller.
@@ -416,8 +416,13 @@
             .await?;
         slot.record_activity();
         if !route.kind.is_stream() || !response.status().is_success() {
-            let buffered =
-                upstream::read_buffered(response, connection, progress.attempts.deadline).await?;
+            let buffered = upstream::read_buffered(
+                response,
+                connection,
+                progress.attempts.deadline,
+                &self.read_budget,
+            )
+            .await?;
             return Ok(OpenedResponse::Buffered(buffered));
         }
         self.first_event(response, connection, request.after_event, response_deadline)
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -32,6 +32,8 @@
 use crate::shared_store::SharedStore;
 use crate::tables::FollowedTable;
 use crate::timers::watch_timers;
+use crate::upstream::BUFFERED_TOTAL_BYTES;
+use foxtailhold_http::body::ReadBudget;
 use foxtailhold_http::clock::Clock;
 
 /// Result of starting an instance.
@@ -119,6 +121,7 @@
             routes: Arc::new(ArcSwap::from_pointee(RouteTable::default())),
             clock,
             pending_attempts: PendingAttempts::default(),
+            read_budget: ReadBudget::new(BUFFERED_TOTAL_BYTES),
             metrics,
         });
         let cache = Arc::new(JobCache::default());
--- a/crates/foxtailhold-relay/src/jobs/checkpoint.rs
+++ b/crates/foxtailhold-relay/src/jobs/checkpoint.rs
@@ -60,6 +60,19 @@
         output
     }
 
+    /// Number of bytes and last event.
+    pub fn position(&self) -> (usize, u64) {
+        (self.text.len(), self.last)
+    }
+
+    /// Drops what came after `position`.
+    pub fn truncate(&mut self, position: (usize, u64)) {
+        let (bytes, last) = position;
+        self.text.truncate(bytes);
+        self.last = last;
+        self.saved = self.saved.min((last, bytes));
+    }
+
     /// Next checkpoint to write; `None` if there are fewer than `min_events` new events.
     fn next_checkpoint(&self, min_events: u64) -> Option<Checkpoint> {
         let (after, bytes) = self.saved;
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -23,7 +23,7 @@
 use crate::events::{EventReader, StreamRead, push_data};
 use crate::fleet::BackendServer;
 use crate::jobs::backoff::Backoff;
-use crate::jobs::{Item, ItemState, Job, Jobs, ListedResult, PartialOutputs};
+use crate::jobs::{Item, ItemState, Job, Jobs, ListedResult, PartialOutput, PartialOutputs};
 use crate::metrics::AttemptOutcome;
 use crate::peers::{Slot, SlotError, SlotQuery};
 use crate::upstream::{self, AttemptFailure, UpstreamRequest};
@@ -36,6 +36,8 @@
 const NO_ROUTE_MS: u64 = 5_000;
 /// Time limit for writing attempt counts, many times the store's usual latency; the slot is held.
 const WRITE_LIMIT_MS: u64 = 300;
+/// Size limit of the output of an item, as much as one read of results returns.
+const MAX_OUTPUT_BYTES: usize = 1 << 20;
 /// Time limit of one slot request; afterwards route, job and deadline are checked again.
 const SLOT_TIMEOUT_MS: u64 = 2_000;
 
@@ -383,12 +385,7 @@
                     failures = self.counts.failed, open = self.counts.pending;
                     "attempt of an item failed with a server error status"
                 );
-                if upstream::read_buffered(response, connection, deadline)
-                    .await
-                    .is_err()
-                {
-                    log::debug!("connection ended while reading the error response to an item");
-                }
+                upstream::drain_and_put_back(response.into_body(), connection);
                 match status {
                     StatusCode::INTERNAL_SERVER_ERROR => AttemptEnd::ServerError,
                     _ => AttemptEnd::Interrupted(AttemptFailure::Broken),
@@ -405,6 +402,7 @@
         deadline: Instant,
     ) -> AttemptEnd {
         let mut reader = EventReader::new(body, connection, self.resume_after());
+        let start = self.partial_outputs.get(&self.item.id).position();
         let mut events = 0;
         loop {
             let read = tokio::select! {
@@ -421,7 +419,10 @@
             match read {
                 StreamRead::Event(event) => {
                     slot.record_activity();
-                    self.append_event(&event, reader.last_id());
+                    if !self.append_event(&event, reader.last_id()) {
+                        self.drop_output_after(start);
+                        return AttemptEnd::Interrupted(AttemptFailure::Broken);
+                    }
                     events += 1;
                     if events == 1 && self.is_start_saved {
                         let mut counts = self.counts;
@@ -443,10 +444,24 @@
         }
     }
 
-    fn append_event(&self, event: &RawEvent, id: Option<u64>) {
+    /// Appends an event to the output. Returns `false` if the output has become too large.
+    fn append_event(&self, event: &RawEvent, id: Option<u64>) -> bool {
+        let mut is_within = true;
         self.partial_outputs.update(&self.item.id, |output| {
             push_data(&mut output.text, event, output.last == 0);
             output.last = id.unwrap_or(output.last + 1);
+            is_within = output.text.len() <= MAX_OUTPUT_BYTES;
         });
+        is_within
+    }
+
+    /// Drops what an attempt has added, because its backend server does not end its response.
+    fn drop_output_after(&self, start: (usize, u64)) {
+        log::warn!(
+            job = self.id.as_str(), item = self.item.id.as_str();
+            "output of an item exceeds {MAX_OUTPUT_BYTES} bytes, dropping its last attempt"
+        );
+        let drop_tail = |output: &mut PartialOutput| output.truncate(start);
+        self.partial_outputs.update(&self.item.id, drop_tail);
     }
 }
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -8,6 +8,7 @@
 use foxtailhold::quarantine::RequestFingerprints;
 use foxtailhold::routes::{Route, RouteTable};
 use foxtailhold::slots::SlotOutcome;
+use foxtailhold_http::body::ReadBudget;
 use foxtailhold_http::clock::Clock;
 use http::Response;
 use hyper::body::Incoming;
@@ -63,6 +64,8 @@
     pub clock: Clock,
     /// Attempts for which it is not known yet whether their backend server crashed.
     pub pending_attempts: PendingAttempts,
+    /// Memory for responses that are being buffered.
+    pub read_budget: ReadBudget,
     /// Counters and histograms of this instance.
     pub metrics: RelayMetrics,
 }
--- a/crates/foxtailhold-relay/src/shared_store/mod.rs
+++ b/crates/foxtailhold-relay/src/shared_store/mod.rs
@@ -39,6 +39,8 @@
 const STORE_PATH: &str = "/store";
 /// Size limit of a call or answer: the largest object, with room.
 const MAX_MESSAGE_BYTES: usize = 10 << 20;
+/// Memory for the answers of other instances that are read at the same time.
+const MAX_READ_BYTES: usize = 24 << 20;
 /// Time limit of a call through another instance, in addition to the wait that the call itself
 /// requests.
 const PEER_CALL_TIMEOUT_MS: u64 = 1_200;
@@ -108,7 +110,7 @@
             direct,
             health: StoreHealth::default(),
             peers,
-            http: HttpClient::new(Reuse::PooledUntilTimeout),
+            http: HttpClient::with_read_budget(Reuse::PooledUntilTimeout, MAX_READ_BYTES),
             metrics,
         }
     }
--- a/crates/foxtailhold-relay/src/upstream.rs
+++ b/crates/foxtailhold-relay/src/upstream.rs
@@ -5,9 +5,10 @@
 use bytes::Bytes;
 use foxtailhold::ids::BackendId;
 use foxtailhold::slots::SlotOutcome;
+use foxtailhold_http::body::{self, BodyError, ReadBudget};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request, Response, Uri};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
@@ -17,6 +18,8 @@
 
 /// Size limit of a response that is buffered until it is known to be complete.
 pub const MAX_BUFFERED_BYTES: usize = 32 << 20;
+/// Memory for all responses that are being buffered.
+pub const BUFFERED_TOTAL_BYTES: usize = 32 << 20;
 
 /// Why an attempt gave no response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -136,6 +139,10 @@
                 log::debug!("{failure}");
                 return Err(AttemptFailure::Unreachable);
             }
+            Err(failure @ SendFailure::NotHttp { .. }) => {
+                log::info!("{failure}");
+                return Err(AttemptFailure::Broken);
+            }
             Err(failure @ SendFailure::MayHaveRun { .. }) => {
                 log::debug!("{failure}");
                 return Err(AttemptFailure::Closed);
@@ -156,11 +163,15 @@
 /// Time limit for reading the body of a refusal.
 const REFUSAL_BODY_TIMEOUT_MS: u64 = 200;
 
+/// Size limit of the body of a refusal.
+const REFUSAL_BODY_BYTES: usize = 64 << 10;
+
 /// Returns the connection of an unused response to the pool once its body has been read.
-fn drain_and_put_back(body: Incoming, connection: BusyConnection) {
+pub(crate) fn drain_and_put_back(body: Incoming, connection: BusyConnection) {
     tokio::spawn(async move {
         let limit = Duration::from_millis(REFUSAL_BODY_TIMEOUT_MS);
-        if let Ok(Ok(_)) = tokio::time::timeout(limit, body.collect()).await {
+        let reading = body::read_whole(body, REFUSAL_BODY_BYTES);
+        if let Ok(Ok(_)) = tokio::time::timeout(limit, reading).await {
             connection.put_back();
         }
     });
@@ -171,15 +182,20 @@
     response: Response<Incoming>,
     connection: BusyConnection,
     deadline: Instant,
+    budget: &ReadBudget,
 ) -> Result<Response<Bytes>, AttemptFailure> {
     let (head, body) = response.into_parts();
-    let reading = foxtailhold_http::body::read_whole(body, MAX_BUFFERED_BYTES);
+    let reading = body::read_within(body, MAX_BUFFERED_BYTES, budget);
     match tokio::time::timeout_at(deadline, reading).await {
         Err(_) => Err(AttemptFailure::Silent),
-        Ok(Err(error)) => {
-            log::debug!("response truncated: {error}");
+        Ok(Err(BodyError::Ended(detail))) => {
+            log::debug!("response truncated: {detail}");
             Err(AttemptFailure::Closed)
         }
+        Ok(Err(error)) => {
+            log::info!("response given up: {error}");
+            Err(AttemptFailure::Broken)
+        }
         Ok(Ok(bytes)) => {
             connection.put_back();
             Ok(Response::from_parts(head, bytes))
--- a/crates/foxtailhold-service/src/lib.rs
+++ b/crates/foxtailhold-service/src/lib.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use foxtailhold::replicas::LoadReport;
-use foxtailhold_http::body;
+use foxtailhold_http::body::{self, ReadBudget};
 use foxtailhold_http::client::{Call, HttpClient, Reuse, SendError, uri};
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::Full;
@@ -14,6 +14,10 @@
 
 /// Maximum size of an answer.
 pub const MAX_ANSWER_BYTES: usize = 16 << 20;
+/// Memory for all answers that are being read.
+pub const MAX_READ_BYTES: usize = 32 << 20;
+/// Size limit of a load report.
+const MAX_LOAD_BYTES: usize = 64 << 10;
 
 /// Result of a call to a plain service.
 pub type Result<T> = std::result::Result<T, ServiceError>;
@@ -78,6 +82,7 @@
 pub struct ServiceClient {
     pooled: HttpClient,
     fresh: HttpClient,
+    read_budget: ReadBudget,
 }
 
 impl Default for ServiceClient {
@@ -85,6 +90,7 @@
         ServiceClient {
             pooled: HttpClient::new(Reuse::Pooled),
             fresh: HttpClient::new(Reuse::Fresh),
+            read_budget: ReadBudget::new(MAX_READ_BYTES),
         }
     }
 }
@@ -124,7 +130,7 @@
         };
         let response = client.send(address, request, call.timeout_ms).await?;
         let (head, incoming) = response.into_parts();
-        let body = body::read_whole(incoming, MAX_ANSWER_BYTES)
+        let body = body::read_within(incoming, MAX_ANSWER_BYTES, &self.read_budget)
             .await
             .map_err(|error| ServiceError::Cut {
                 detail: error.to_string(),
@@ -140,6 +146,7 @@
     pub async fn load(&self, address: SocketAddr) -> Result<LoadReport> {
         let mut call = Call::new(Method::GET, address, "/load");
         call.timeout_ms = 1_000;
+        call.limit_bytes = MAX_LOAD_BYTES;
         let (_, bytes) = self.pooled.call::<()>(&call, None).await?;
         foxtailhold_http::client::from_json(&bytes).map_err(|error| ServiceError::Malformed {
             detail: error.to_string(),
--- a/crates/foxtailhold/src/lib.rs
+++ b/crates/foxtailhold/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod contract_registry;
 pub mod contract_sync;
 pub mod crashes;
+pub mod fingerprint;
 pub mod idempotency;
 pub mod ids;
 pub mod item_duration;
