--- a/crates/foxtailhold-relay/src/crashes.rs
+++ b/crates/foxtailhold-relay/src/crashes.rs
@@ -93,6 +93,17 @@
         self.state.lock().registry.is_empty()
     }
 
+    /// Number of requests with evidence, and of those that are refused.
+    pub fn suspected_requests(&self, now: WallMs) -> (usize, usize) {
+        let state = self.state.lock();
+        let all = state.registry.newest_first();
+        let is_refused = |(fingerprint, _): &&(Fingerprint, &CrashEvidence)| {
+            let status = state.registry.status(*fingerprint, now);
+            matches!(status, CrashStatus::Refused { .. })
+        };
+        (all.len(), all.iter().filter(is_refused).count())
+    }
+
     /// Position in the evidence, for the start of an attempt.
     pub fn mark(&self) -> EvidenceMark {
         self.state.lock().registry.mark()
--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use foxtailhold::ids::{BackendId, TargetName};
+use foxtailhold::quarantine::Fingerprint;
 use foxtailhold::routes::Route;
 use foxtailhold::slots::{SlotOutcome, Urgency};
 use foxtailhold_http::body;
@@ -44,6 +45,8 @@
     pub served_by: Option<BackendId>,
     /// Total time spent waiting for slots.
     pub waited_ms: u64,
+    /// Fingerprint under which the request is refused because it crashes backend servers.
+    pub refused_as: Option<Fingerprint>,
 }
 
 impl RequestProgress {
@@ -59,6 +62,7 @@
             attempts: AttemptBudget::new(request.received + Duration::from_millis(left_ms)),
             served_by: None,
             waited_ms: 0,
+            refused_as: None,
         }
     }
 
@@ -82,6 +86,7 @@
         let mut progress = RequestProgress::new(&request, route);
         if let Some(retry_after_ms) = self.refusal_ms(&request) {
             let reason = NotRunReason::Crashing;
+            progress.refused_as = Some(request.fingerprints().path);
             let result = RelayOutcome::Unserved(progress.unserved(reason, retry_after_ms));
             self.record_outcome(route, &request.id, request.received, &progress, &result);
             return result;
@@ -145,6 +150,7 @@
             waited_ms = progress.waited_ms,
             backend = progress.served_by.as_ref().map(BackendId::as_str),
             retry_after_ms = retry_after_ms,
+            fingerprint = progress.refused_as.map(|fingerprint| fingerprint.to_string()),
             allocator = allocator.as_ref().map_or("self", |instance| instance.as_str()),
             attempts = progress.attempts.maybe_executed,
             not_run = progress.attempts.not_executed,
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -301,6 +301,11 @@
             requests_waiting,
             batch_jobs_open: self.jobs.cache.open().len(),
             config_version: self.relay.routes.load().version(),
+            suspected_requests: self
+                .relay
+                .peers
+                .crashes()
+                .suspected_requests(self.relay.peers.wall()),
         }
     }
 
--- a/crates/foxtailhold-relay/src/metrics.rs
+++ b/crates/foxtailhold-relay/src/metrics.rs
@@ -128,6 +128,8 @@
     pub batch_jobs_open: usize,
     /// Version of the route table in effect.
     pub config_version: u64,
+    /// Requests with crash evidence, and those of them that are refused for it.
+    pub suspected_requests: (usize, usize),
 }
 
 #[derive(Debug, Clone, Default)]
@@ -136,6 +138,8 @@
     requests_waiting: Gauge,
     batch_jobs_open: Gauge,
     config_version: Gauge,
+    requests_suspected: Gauge,
+    requests_quarantined: Gauge,
     config_age: Gauge<f64, AtomicU64>,
     table_ages: Family<TableLabel, Gauge<f64, AtomicU64>>,
     table_versions: Family<TableLabel, Gauge>,
@@ -153,6 +157,11 @@
         registry.register("batch_jobs_open", help, self.batch_jobs_open.clone());
         let help = "Version of the configuration in force";
         registry.register("config_version", help, self.config_version.clone());
+        let help = "Requests with crash evidence at this instance";
+        registry.register("requests_suspected", help, self.requests_suspected.clone());
+        let help = "Requests that this instance refuses because they crash backend servers";
+        let quarantined = self.requests_quarantined.clone();
+        registry.register("requests_quarantined", help, quarantined);
         let help = "Time since the store last answered about the configuration";
         let age = self.config_age.clone();
         registry.register_with_unit("config_age", help, Unit::Seconds, age);
@@ -174,6 +183,9 @@
         self.requests_waiting.set(values.requests_waiting as i64);
         self.batch_jobs_open.set(values.batch_jobs_open as i64);
         self.config_version.set(values.config_version as i64);
+        let (suspected, quarantined) = values.suspected_requests;
+        self.requests_suspected.set(suspected as i64);
+        self.requests_quarantined.set(quarantined as i64);
         for table in FollowedTable::ALL {
             let label = TableLabel {
                 table: table.as_str(),
