Items pass a trial once for the crashes that they have met

Since progress no longer clears an item, each attempt under three crashes was a trial, also after a preemption, and a trial lasted for twice the events of the longest interrupted attempt, which for a bystander is its whole run; the items of one owner waited for each other.

Now a trial is passed after eight events; if a trial itself is interrupted, after twice its events, 64 at most. An item that has passed needs no other until a backend server crashes under it again.

long_items_of_one_owner_are_placed_again_after_crashes_in_the_middle: 4 of 16 listed 10 s after calm on; now green, as are the bounds on items that crash engines.

--- a/crates/foxtailhold-relay/src/jobs/item/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/backoff.rs
@@ -1,6 +1,7 @@
 //! When a batch item may be tried again. Its attempts have no end before the item is given up; these
 //! delays bound how often it comes back.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use foxtailhold::crashes::MAX_CRASHES;
@@ -8,6 +9,7 @@
 use tokio::time::Instant;
 
 use super::{ItemRunner, RETRY_DELAY_MS};
+use crate::crashes::TrialPermit;
 use crate::dialect::Dialect;
 use crate::jobs::Job;
 use crate::upstream::AttemptFailure;
@@ -20,11 +22,19 @@
 /// Delay before an attempt at an item of which too many attempts have an unknown outcome. Each of
 /// them may have been answered that it can never be completed.
 const PENDING_BACKOFF_MS: u64 = 10_000;
-/// Least number of events after which a trial ends.
-const MIN_TRIAL_EVENTS: u64 = 8;
+/// Least and largest number of events after which a trial is passed. Other items wait meanwhile.
+const TRIAL_EVENTS: (u64, u64) = (8, 64);
 /// Interval at which an item asks again to be tried.
 const TRIAL_CHECK_MS: u64 = 100;
 
+/// A trial of an item.
+#[derive(Debug)]
+pub(super) struct Trial {
+    /// Crashes that were known when it began.
+    crashes: usize,
+    _permit: TrialPermit,
+}
+
 impl<S: RowStore + ObjectStore, D: Dialect> ItemRunner<'_, S, D> {
     /// Waits before the next attempt, because too many have an unknown outcome.
     pub(super) async fn back_off_after_pending_attempts(&mut self, job: &Job) {
@@ -63,32 +73,42 @@
         true
     }
 
-    /// Whether the item may run now. One under which too many backend servers crashed needs a permit;
-    /// without one this waits a little.
+    /// Whether the item may run now. One under which too many backend servers crashed needs a permit,
+    /// unless it has passed a trial since; without one this waits a little.
     pub(super) async fn is_admitted(&self, job: &Job) -> bool {
         let relay = &self.jobs.relay;
-        let crashes = relay.peers.crashes();
-        if crashes.is_empty() || crashes.crash_count(self.fingerprints(job)) < MAX_CRASHES {
+        let evidence = relay.peers.crashes();
+        if evidence.is_empty() {
             return true;
         }
-        let permit = crashes.admit_trial(relay.clock.mono());
+        let crashes = evidence.crash_count(self.fingerprints(job));
+        if crashes < MAX_CRASHES || crashes <= self.passed_crashes.load(Ordering::Relaxed) {
+            return true;
+        }
+        let permit = evidence.admit_trial(relay.clock.mono());
         let is_admitted = permit.is_some();
-        *self.trial.lock() = permit;
+        *self.trial.lock() = permit.map(|permit| Trial {
+            crashes,
+            _permit: permit,
+        });
         if !is_admitted {
             tokio::time::sleep(Duration::from_millis(TRIAL_CHECK_MS)).await;
         }
         is_admitted
     }
 
-    /// Events of one attempt after which its trial ends: clearly more than the attempts before it
-    /// came to.
+    /// Events of one attempt after which its trial is passed: clearly more than those of the trials
+    /// before it that were interrupted.
     pub(super) fn trial_events(&self) -> u64 {
-        MIN_TRIAL_EVENTS.max(2 * self.interrupted_after)
+        let (least, most) = TRIAL_EVENTS;
+        (2 * self.trial_interrupted_after).clamp(least, most)
     }
 
-    /// Ends the trial of an item that has shown that it runs, or whose attempt has ended.
-    pub(super) fn end_trial(&self) {
-        self.trial.lock().take();
+    /// Ends the trial of an item that has shown that it runs.
+    pub(super) fn pass_trial(&self) {
+        if let Some(trial) = self.trial.lock().take() {
+            self.passed_crashes.store(trial.crashes, Ordering::Relaxed);
+        }
     }
 
     /// Delays the next attempt, for longer the more often in a row engines broke off without giving
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -2,6 +2,7 @@
 
 mod backoff;
 
+use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,7 +19,6 @@
 use tokio::time::Instant;
 
 use crate::connections::BusyConnection;
-use crate::crashes::TrialPermit;
 use crate::dialect::Dialect;
 use crate::events::{EventReader, StreamRead, push_data};
 use crate::fleet::BackendServer;
@@ -27,6 +27,7 @@
 use crate::metrics::AttemptOutcome;
 use crate::peers::{Slot, SlotError, SlotQuery};
 use crate::upstream::{self, AttemptFailure, UpstreamRequest};
+use backoff::Trial;
 
 /// An engine without an event for this time counts as silent; the item is resumed elsewhere.
 const EVENT_TIMEOUT_MS: u64 = 900;
@@ -75,12 +76,14 @@
     /// Consecutive interruptions without a new event.
     interruptions: u32,
     avoided_backends: Vec<BackendId>,
-    /// Largest number of events after which an attempt was interrupted.
-    interrupted_after: u64,
+    /// Largest number of events after which a trial was interrupted.
+    trial_interrupted_after: u64,
     backoff: Backoff,
     /// Whether the delay because of attempts with an unknown outcome is over for the next attempt.
     is_pending_backoff_over: bool,
-    trial: Mutex<Option<TrialPermit>>,
+    trial: Mutex<Option<Trial>>,
+    /// Number of crashes with which the item has passed a trial.
+    passed_crashes: AtomicUsize,
 }
 
 impl<'a, S: RowStore + ObjectStore, D: Dialect> ItemRunner<'a, S, D> {
@@ -100,10 +103,11 @@
             is_start_saved: false,
             interruptions: 0,
             avoided_backends: Vec::new(),
-            interrupted_after: 0,
+            trial_interrupted_after: 0,
             backoff: Backoff::default(),
             is_pending_backoff_over: false,
             trial: Mutex::default(),
+            passed_crashes: AtomicUsize::new(0),
         }
     }
 
@@ -146,8 +150,9 @@
                 continue;
             }
             let events = self.events();
+            let is_trial = self.trial.lock().is_some();
             let result = self.attempt_once(route, job, &target, &headers).await;
-            self.end_trial();
+            self.trial.lock().take();
             if self.events() > events {
                 self.interruptions = 0;
                 self.counts.record_events();
@@ -157,7 +162,11 @@
                 AttemptEnd::Impossible => return Some(self.into_result(ItemState::GivenUp)),
                 AttemptEnd::Suspended => {}
                 AttemptEnd::Interrupted(failure) => {
-                    self.interrupted_after = self.interrupted_after.max(self.events() - events);
+                    if is_trial {
+                        let interrupted_after = self.events() - events;
+                        self.trial_interrupted_after =
+                            self.trial_interrupted_after.max(interrupted_after);
+                    }
                     self.is_pending_backoff_over = false;
                     self.jobs.relay.metrics.attempt_failed(failure.as_str());
                     log::info!(
@@ -430,7 +439,7 @@
                         self.write_counts(counts).await;
                     }
                     if events == self.trial_events() {
-                        self.end_trial();
+                        self.pass_trial();
                     }
                 }
                 StreamRead::End => {
