Crashes of one burst do not lengthen a refusal; probes through any instance in turn

Now only a crash more than 2 s after the limit counts as that of a probe. Instances probe in their order for the request, 5 s apart, if no caller asks those before them.

--- a/crates/foxtailhold-relay/src/crashes.rs
+++ b/crates/foxtailhold-relay/src/crashes.rs
@@ -27,7 +27,7 @@
 const TRIAL_GAP_MS: u64 = 1_000;
 /// Time after which the next probe of a request is admitted if the previous one gave no result. It
 /// is longer than attempts usually take.
-const PROBE_INTERVAL_MS: u64 = 5_000;
+pub const PROBE_INTERVAL_MS: u64 = 5_000;
 
 /// A row of the store as last read or written.
 #[derive(Debug, Clone, Default)]
@@ -112,21 +112,25 @@
     /// Whether a request may run, may run only as a probe, or is refused.
     pub fn status(&self, request: RequestFingerprints, now: WallMs) -> CrashStatus {
         let state = self.state.lock();
-        let mut combined = CrashStatus::Allowed;
-        for fingerprint in request.distinct() {
-            combined = match (combined, state.registry.status(fingerprint, now)) {
-                (CrashStatus::Refused { left_ms: a }, CrashStatus::Refused { left_ms: b }) => {
-                    CrashStatus::Refused { left_ms: a.max(b) }
-                }
-                (refused @ CrashStatus::Refused { .. }, _)
-                | (_, refused @ CrashStatus::Refused { .. }) => refused,
-                (CrashStatus::Allowed, CrashStatus::Allowed) => CrashStatus::Allowed,
-                (CrashStatus::ProbeAllowed, _) | (_, CrashStatus::ProbeAllowed) => {
-                    CrashStatus::ProbeAllowed
+        let of = |fingerprint| state.registry.status(fingerprint, now);
+        match (of(request.path), of(request.target)) {
+            (CrashStatus::Refused { left_ms }, CrashStatus::Refused { left_ms: other_ms }) => {
+                CrashStatus::Refused {
+                    left_ms: left_ms.max(other_ms),
                 }
-            };
+            }
+            (refused @ CrashStatus::Refused { .. }, _)
+            | (_, refused @ CrashStatus::Refused { .. }) => refused,
+            (
+                CrashStatus::ProbeAllowed { for_ms },
+                CrashStatus::ProbeAllowed { for_ms: other_ms },
+            ) => CrashStatus::ProbeAllowed {
+                for_ms: for_ms.min(other_ms),
+            },
+            (probe @ CrashStatus::ProbeAllowed { .. }, _)
+            | (_, probe @ CrashStatus::ProbeAllowed { .. }) => probe,
+            (CrashStatus::Allowed, CrashStatus::Allowed) => CrashStatus::Allowed,
         }
-        combined
     }
 
     /// Admits a probe of a request whose refusal is over. At most one is admitted at a time.
@@ -179,7 +183,7 @@
         let backend = crash.backend.clone();
         let evidence = state.registry.crashed(fingerprint, crash, now.1)?.clone();
         state.delay_trials(fingerprint, now.0);
-        let crashes = evidence.crashes.len();
+        let crashes = evidence.count();
         log::warn!(
             fingerprint:% = fingerprint, backend = backend.as_str(), crashes = crashes,
             refused = crashes >= MAX_CRASHES;
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -136,12 +136,12 @@
         &self.inner.crashes
     }
 
-    /// Whether this instance is the live one responsible for `key`.
-    pub fn is_assigned(&self, key: &[u8]) -> bool {
+    /// Position of this instance among the live ones in their order for `key`. The first is the one
+    /// that a probe belongs to; the others take their turn if no caller asks it.
+    pub fn rank(&self, key: &[u8]) -> usize {
         let members = self.members();
         let live = members.live(self.now());
-        let assigned = rendezvous::select(live.iter().map(|member| &member.instance), key);
-        assigned.is_none_or(|assigned| assigned == self.me())
+        rendezvous::rank(live.iter().map(|member| &member.instance), key, self.me())
     }
 
     fn broadcast(&self, message: PeerMessage) {
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -17,6 +17,7 @@
 use crate::attempt_evidence::AttemptEvidence;
 use crate::attempts::AttemptBudget;
 use crate::connections::{BusyConnection, Connections};
+use crate::crashes::PROBE_INTERVAL_MS;
 use crate::dialect::Dialect;
 use crate::fleet::{BackendServer, Backends};
 use crate::metrics::RelayMetrics;
@@ -143,8 +144,9 @@
         match crashes.status(fingerprints, self.clock.wall()) {
             CrashStatus::Allowed => None,
             CrashStatus::Refused { left_ms } => Some(left_ms),
-            CrashStatus::ProbeAllowed => {
-                let may_run = self.peers.is_assigned(&fingerprints.path.0.to_be_bytes())
+            CrashStatus::ProbeAllowed { for_ms } => {
+                let rank = self.peers.rank(&fingerprints.path.0.to_be_bytes());
+                let may_run = rank as u64 * PROBE_INTERVAL_MS <= for_ms
                     && crashes.admit_probe(fingerprints, self.clock.mono());
                 (!may_run).then_some(PROBE_RETRY_AFTER_MS)
             }
--- a/crates/foxtailhold/src/crashes.rs
+++ b/crates/foxtailhold/src/crashes.rs
@@ -13,6 +13,10 @@
 //! - It removes the crashes that were known when its attempt began.
 //! - It also removes crashes that became known during the attempt, as long as there are fewer than
 //!   [`MAX_CRASHES`]. A request that is already refused is cleared by a later attempt only.
+//!
+//! Many backend servers may crash together under an innocent request that runs at all of them. Only
+//! a crash well after the limit was reached was met by a probe and makes the next refusal longer.
+//! Such a crash is in the set a second time, marked, so that all instances agree on it.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
@@ -36,6 +40,11 @@
 /// Duration of the first refusal of requests that the same crashes are held against: at most one of
 /// them is the cause.
 pub const DOUBTFUL_REFUSAL_MS: u64 = 2_500;
+/// Crashes within this time after the limit was reached belong to the attempts that were in flight
+/// then.
+const BURST_MS: u64 = 2_000;
+/// Set in the start of a crash that is in the set a second time, because it came after the burst.
+const AFTER_BURST: u64 = 1 << 63;
 /// Crashes that two refused requests have in common where at most one of them is the cause.
 const MIN_SHARED_CRASHES: usize = MAX_CRASHES - 1;
 /// Time for which a removed crash is remembered, longer than evidence is under way.
@@ -50,7 +59,10 @@
     Allowed,
     /// The refusal is over. The request may run once, alone, as a probe that shows whether it is
     /// innocent.
-    ProbeAllowed,
+    ProbeAllowed {
+        /// Time in ms since the end of the refusal.
+        for_ms: u64,
+    },
     /// The request is refused.
     Refused {
         /// Remaining duration of the refusal in ms.
@@ -61,13 +73,35 @@
 /// The crashes that occurred under one request.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashEvidence {
-    /// Starts of backend servers that ended while the request was in flight there.
+    /// Starts of backend servers that ended while the request was in flight there. Those that ended
+    /// after the burst are in the set twice.
     pub crashes: BTreeSet<CrashId>,
     /// Time of the last crash in Unix ms, by the clock of the instance that saw it.
     pub last_unix_ms: u64,
 }
 
+fn is_after_burst(crash: &CrashId) -> bool {
+    crash.started_unix_ms & AFTER_BURST != 0
+}
+
+fn after_burst(crash: &CrashId) -> CrashId {
+    CrashId {
+        backend: crash.backend.clone(),
+        started_unix_ms: crash.started_unix_ms | AFTER_BURST,
+    }
+}
+
 impl CrashEvidence {
+    /// Number of crashes.
+    pub fn count(&self) -> usize {
+        self.crashes.len() - self.count_after_burst()
+    }
+
+    fn count_after_burst(&self) -> usize {
+        let marked = self.crashes.iter().filter(|crash| is_after_burst(crash));
+        marked.count()
+    }
+
     /// Merges the evidence of another instance or of the store. Returns whether it added a crash.
     pub fn join(&mut self, other: &CrashEvidence) -> bool {
         let before = self.crashes.len();
@@ -102,13 +136,36 @@
 struct CrashRecord {
     evidence: CrashEvidence,
     learned: BTreeMap<CrashId, EvidenceMark>,
+    /// Time of the crash with which the limit was reached, in Unix ms; `None` below it.
+    limit_unix_ms: Option<u64>,
     /// Whether the same crashes are held against another request.
     is_doubtful: bool,
 }
 
 impl CrashRecord {
     fn count(&self) -> usize {
-        self.evidence.crashes.len()
+        self.evidence.count()
+    }
+
+    /// Adds crashes and marks those that came after the burst. Returns whether any is new.
+    fn add(&mut self, mut new: CrashEvidence, mark: EvidenceMark) -> bool {
+        let burst_end = self.limit_unix_ms.map(|at| at.saturating_add(BURST_MS));
+        if burst_end.is_some_and(|end| new.last_unix_ms > end) {
+            let is_new = |crash: &&CrashId| !self.evidence.crashes.contains(*crash);
+            let late: Vec<CrashId> = new.crashes.iter().filter(is_new).map(after_burst).collect();
+            new.crashes.extend(late);
+        }
+        if !self.evidence.join(&new) {
+            return false;
+        }
+        for crash in new.crashes {
+            self.learned.entry(crash).or_insert(mark);
+        }
+        if self.count() >= MAX_CRASHES {
+            let last_unix_ms = self.evidence.last_unix_ms;
+            self.limit_unix_ms.get_or_insert(last_unix_ms);
+        }
+        true
     }
 
     fn remove(&mut self, crashes: &BTreeSet<CrashId>) {
@@ -116,12 +173,18 @@
             self.evidence.crashes.remove(crash);
             self.learned.remove(crash);
         }
+        if self.count() < MAX_CRASHES {
+            self.limit_unix_ms = None;
+            self.is_doubtful = false;
+        }
     }
 
     /// Time in Unix ms until which the request is refused; `None` below [`MAX_CRASHES`] crashes.
     fn refused_until(&self, fingerprint: Fingerprint) -> Option<u64> {
-        let probes = self.count().checked_sub(MAX_CRASHES)?;
-        let refused_ms = match probes {
+        if self.count() < MAX_CRASHES {
+            return None;
+        }
+        let refused_ms = match self.evidence.count_after_burst() {
             0 if self.is_doubtful => {
                 DOUBTFUL_REFUSAL_MS + (fingerprint.0 % u128::from(PROBE_SPREAD_MS)) as u64
             }
@@ -156,7 +219,7 @@
     /// Drops what was removed from evidence of another instance. Where that one refuses the request,
     /// crashes during a complete attempt count again.
     fn filter(&self, evidence: &mut CrashEvidence) {
-        let is_refused = evidence.crashes.len() >= MAX_CRASHES;
+        let is_refused = evidence.count() >= MAX_CRASHES;
         let Exoneration { before, during } = &self.exoneration;
         let is_removed =
             |crash: &CrashId| before.contains(crash) || !is_refused && during.contains(crash);
@@ -212,13 +275,11 @@
             return false;
         }
         let record = self.records.entry(fingerprint).or_default();
-        if !record.evidence.join(&new) {
+        let mark = EvidenceMark(self.last_mark.0 + 1);
+        if !record.add(new, mark) {
             return false;
         }
-        self.last_mark.0 += 1;
-        for crash in new.crashes {
-            record.learned.entry(crash).or_insert(self.last_mark);
-        }
+        self.last_mark = mark;
         if record.count() >= MAX_CRASHES {
             self.find_doubts(fingerprint);
         }
@@ -351,7 +412,9 @@
             Some(until) if until > now.0 => CrashStatus::Refused {
                 left_ms: until - now.0,
             },
-            Some(_) => CrashStatus::ProbeAllowed,
+            Some(until) => CrashStatus::ProbeAllowed {
+                for_ms: now.0 - until,
+            },
         }
     }
 
--- a/crates/foxtailhold/src/rendezvous.rs
+++ b/crates/foxtailhold/src/rendezvous.rs
@@ -19,3 +19,14 @@
         .into_iter()
         .max_by_key(|member| (weight(member, key), *member))
 }
+
+/// Number of members with a higher weight for `key` than `member`.
+pub fn rank<'a>(
+    members: impl IntoIterator<Item = &'a InstanceId>,
+    key: &[u8],
+    member: &InstanceId,
+) -> usize {
+    let own = (weight(member, key), member);
+    let is_before = |other: &&InstanceId| (weight(other, key), *other) > own;
+    members.into_iter().filter(is_before).count()
+}
--- a/crates/foxtailhold/tests/crashes.rs
+++ b/crates/foxtailhold/tests/crashes.rs
@@ -65,7 +65,8 @@
         let last = CrashStatus::Refused { left_ms: 1 };
         assert_eq!(registry.status(REQUEST, now), last);
         now = WallMs(now.0 + 1);
-        assert_eq!(registry.status(REQUEST, now), CrashStatus::ProbeAllowed);
+        let allowed = CrashStatus::ProbeAllowed { for_ms: 0 };
+        assert_eq!(registry.status(REQUEST, now), allowed);
         registry.crashed(REQUEST, crash("late", probe as u64), now);
     }
     let left_ms = REFUSAL_MS[MAX_PROBES];
@@ -171,6 +172,32 @@
     assert_eq!(registry.crashes(REQUEST), 1);
 }
 
+/// Guards against an innocent request that runs at all backend servers and is refused for a day when
+/// they crash together.
+#[test_case(&[0, 10, 20, 30, 40, 50], 0; "all at once")]
+#[test_case(&[0, 10, 20, 2_020], 0; "one that was in flight at the limit")]
+#[test_case(&[0, 10, 20, 2_021], 1; "one that came later")]
+#[test_case(&[0, 10, 20, 30, 12_000, 80_000], 2; "two probes")]
+fn only_crashes_after_the_burst_make_the_refusal_longer(at_ms: &[u64], level: usize) {
+    let mut seen = CrashRegistry::default();
+    let mut told = CrashRegistry::default();
+    for (number, at) in at_ms.iter().enumerate() {
+        seen.crashed(REQUEST, crash("a", number as u64 + 1), later(*at));
+        told.join(REQUEST, seen.evidence(REQUEST).unwrap());
+    }
+    let mut restarted = CrashRegistry::default();
+    restarted.join(REQUEST, seen.evidence(REQUEST).unwrap());
+    let left_ms = REFUSAL_MS[level];
+    let now = later(*at_ms.last().unwrap());
+    for registry in [seen, told, restarted] {
+        assert_eq!(registry.crashes(REQUEST), at_ms.len());
+        assert_eq!(
+            registry.status(REQUEST, now),
+            CrashStatus::Refused { left_ms }
+        );
+    }
+}
+
 /// A crash during a complete attempt was removed here. Other instances still hold it.
 #[test_case(2, 1; "evidence below the limit does not bring it back")]
 #[test_case(3, 3; "evidence of an instance that refuses the request does")]
