--- a/crates/foxtailhold-relay/src/attempt_evidence.rs
+++ b/crates/foxtailhold-relay/src/attempt_evidence.rs
@@ -23,11 +23,13 @@
     request: RequestFingerprints,
     backend: Arc<BackendServer>,
     begun: EvidenceMark,
+    is_resumed: bool,
     number: u64,
 }
 
 impl AttemptEvidence {
-    /// Begins to track an attempt that is about to be sent.
+    /// Begins to track an attempt that is about to be sent, and resumes after an event if
+    /// `is_resumed`.
     pub fn begin(
         peers: &Peers,
         pending: &PendingAttempts,
@@ -35,6 +37,7 @@
         clock: Clock,
         request: RequestFingerprints,
         backend: &Arc<BackendServer>,
+        is_resumed: bool,
     ) -> Self {
         AttemptEvidence {
             number: pending.begin(request, backend),
@@ -45,13 +48,15 @@
             clock,
             request,
             backend: Arc::clone(backend),
+            is_resumed,
         }
     }
 
-    /// Records a complete response.
+    /// Records a complete response. That of a resumed attempt says nothing about the part before it,
+    /// in which the request may crash backend servers.
     pub fn completed(self) {
         self.pending.resolve(self.number);
-        if !self.peers.crashes().is_empty() {
+        if !self.is_resumed && !self.peers.crashes().is_empty() {
             self.peers.record_completion(self.request, self.begun);
         }
     }
--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -209,7 +209,8 @@
                 outcome: SlotOutcome::Abandoned,
             };
             let started = Instant::now();
-            let evidence = self.begin_attempt(request.fingerprints(), &backend);
+            let evidence =
+                self.begin_attempt(request.fingerprints(), &backend, request.after_event);
             let response = self
                 .fetch_buffered(route, request, progress, &backend)
                 .await;
@@ -327,7 +328,8 @@
             };
             let started = Instant::now();
             progress.served_by = Some(backend.id.clone());
-            let evidence = self.begin_attempt(request.fingerprints(), &backend);
+            let evidence =
+                self.begin_attempt(request.fingerprints(), &backend, request.after_event);
             let response = self
                 .open_response(route, &request, progress, &backend, &slot)
                 .await;
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -308,7 +308,7 @@
         }
         self.avoided_backends.clear();
         let (started, events) = (Instant::now(), self.events());
-        let evidence = relay.begin_attempt(self.fingerprints(job), &backend);
+        let evidence = relay.begin_attempt(self.fingerprints(job), &backend, self.resume_after());
         let result = self.send(job, target, headers, &backend, &slot).await;
         relay
             .metrics
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -117,11 +117,12 @@
         );
     }
 
-    /// Begins an attempt that is about to be sent.
+    /// Begins an attempt that is about to be sent, from the start or after the event `after`.
     pub(crate) fn begin_attempt(
         &self,
         request: RequestFingerprints,
         backend: &Arc<BackendServer>,
+        after: Option<u64>,
     ) -> AttemptEvidence {
         AttemptEvidence::begin(
             &self.peers,
@@ -130,6 +131,7 @@
             self.clock,
             request,
             backend,
+            after.is_some(),
         )
     }
 
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -266,7 +266,7 @@
         let response_deadline = self.attempts.deadline.min(Instant::now() + timeout);
         let evidence = self
             .relay
-            .begin_attempt(self.request.fingerprints(), backend);
+            .begin_attempt(self.request.fingerprints(), backend, after);
         let sent = self
             .relay
             .send_to(backend, &to_send, self.attempts.deadline, response_deadline)
