An item that crashes a server is held back though the start is not known yet

The first of the two crashed a server whose new start had not been read: the crash went to the start that was known to have crashed, so the count did not grow and the item came back at once.

Now each closed connection of an item with three crashes begins the backoff again.

--- a/crates/foxtailhold-relay/src/jobs/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/backoff.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use foxtailhold::crashes::item_backoff_ms;
+use foxtailhold::crashes::{MAX_CRASHES, item_backoff_ms};
 use tokio::time::Instant;
 
 /// Delays are shortened by a random amount of up to one part in this many. Three delays in a row
@@ -30,6 +30,17 @@
         Some(delay_ms)
     }
 
+    /// Begins a backoff after another crash of an item under which `crashes` backend servers are known
+    /// to have crashed. The crash may have been that of a start which is not known yet.
+    pub(crate) fn begin_after_failure(&mut self, crashes: usize) {
+        if crashes < MAX_CRASHES {
+            return;
+        }
+        if let Some(delay_ms) = item_backoff_ms(crashes) {
+            self.extend(with_jitter(delay_ms));
+        }
+    }
+
     /// Ends the backoff no earlier than in `delay_ms`.
     pub(crate) fn extend(&mut self, delay_ms: u64) {
         let ends_at = Instant::now() + Duration::from_millis(delay_ms);
--- a/crates/foxtailhold-relay/src/jobs/item/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/backoff.rs
@@ -112,11 +112,16 @@
     }
 
     /// Delays the next attempt, for longer the more often in a row engines broke off without giving
-    /// an event.
-    pub(super) fn delay_after_failure(&mut self, failure: AttemptFailure) {
+    /// an event, and at least for the backoff of an item that may crash them.
+    pub(super) fn delay_after_failure(&mut self, job: &Job, failure: AttemptFailure) {
         if !matches!(failure, AttemptFailure::Closed | AttemptFailure::Broken) {
             return;
         }
+        if failure == AttemptFailure::Closed {
+            let crashes = self.jobs.relay.peers.crashes();
+            let crashes = crashes.crash_count(self.fingerprints(job));
+            self.backoff.begin_after_failure(crashes);
+        }
         self.interruptions += 1;
         if self.interruptions < 2 {
             return;
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -176,7 +176,7 @@
                         cause:? = failure;
                         "attempt of an item interrupted, resuming at another backend server"
                     );
-                    self.delay_after_failure(failure);
+                    self.delay_after_failure(job, failure);
                 }
                 AttemptEnd::ServerError => {
                     self.counts.record_failure();
