--- a/crates/foxtailhold-relay/src/crashes.rs
+++ b/crates/foxtailhold-relay/src/crashes.rs
@@ -27,7 +27,9 @@
 const TRIAL_GAP_MS: u64 = 1_000;
 /// Time after which the next probe of a request is admitted if the previous one gave no result. It
 /// is longer than attempts usually take.
-pub const PROBE_INTERVAL_MS: u64 = 5_000;
+const PROBE_INTERVAL_MS: u64 = 5_000;
+/// Time after which the next instance in order may probe, if no caller asks those before it.
+pub const PROBE_TURN_MS: u64 = 2_000;
 
 /// A row of the store as last read or written.
 #[derive(Debug, Clone, Default)]
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -17,7 +17,7 @@
 use crate::attempt_evidence::AttemptEvidence;
 use crate::attempts::AttemptBudget;
 use crate::connections::{BusyConnection, Connections};
-use crate::crashes::PROBE_INTERVAL_MS;
+use crate::crashes::PROBE_TURN_MS;
 use crate::dialect::Dialect;
 use crate::fleet::{BackendServer, Backends};
 use crate::metrics::RelayMetrics;
@@ -148,7 +148,7 @@
             CrashStatus::Refused { left_ms } => Some(left_ms),
             CrashStatus::ProbeAllowed { for_ms } => {
                 let rank = self.peers.rank(&fingerprints.path.0.to_be_bytes());
-                let may_run = rank as u64 * PROBE_INTERVAL_MS <= for_ms
+                let may_run = rank as u64 * PROBE_TURN_MS <= for_ms
                     && crashes.admit_probe(fingerprints, self.clock.mono());
                 (!may_run).then_some(PROBE_RETRY_AFTER_MS)
             }
--- a/crates/foxtailhold/tests/crashes.rs
+++ b/crates/foxtailhold/tests/crashes.rs
@@ -214,7 +214,7 @@
 
 #[test]
 fn requests_with_the_same_crashes_are_soon_probed_one_after_the_other() {
-    let other = Fingerprint(1_000);
+    let other = Fingerprint(999);
     let crashes = [crash("a", 1), crash("b", 1), crash("c", 1)];
     let mut registry = registry(&crashes);
     let alone = registry.status(REQUEST, NOW);
@@ -229,7 +229,7 @@
     }
     let refused = |left_ms| CrashStatus::Refused { left_ms };
     let first = DOUBTFUL_REFUSAL_MS + 7;
-    let second = DOUBTFUL_REFUSAL_MS + 1_000;
+    let second = DOUBTFUL_REFUSAL_MS + 999;
     assert_eq!(registry.status(REQUEST, NOW), refused(first));
     assert_eq!(registry.status(other, NOW), refused(second));
     registry.crashed(REQUEST, crash("probe", 1), later(first));
