Copy the frames of a body that is read within a budget

The budget counts the bytes of a body, but each frame was kept as a handle into the receive buffer: with chunks of one byte the framing and the handles take many times what is counted. Found by reading; callers saw nothing. Now the frames are copied into one buffer, as bodies of callers are.

Two cases of chunks of one byte, from replicas and from the store, are added.

--- a/crates/foxtailhold-http/src/body.rs
+++ b/crates/foxtailhold-http/src/body.rs
@@ -166,24 +166,20 @@
         budget,
         reserved_bytes: 0,
     };
-    let mut frames = Vec::new();
-    let mut total_bytes = 0;
+    let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| BodyError::Ended(error.into().to_string()))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        total_bytes += data.len();
+        let total_bytes = whole.len() + data.len();
         if total_bytes > limit_bytes {
             return Err(BodyError::TooLarge { limit_bytes });
         }
         reservation.grow_to(total_bytes)?;
-        frames.push(data);
-    }
-    match frames.as_slice() {
-        [whole] => Ok(whole.clone()),
-        frames => Ok(Bytes::from(frames.concat())),
+        whole.extend_from_slice(&data);
     }
+    Ok(whole.freeze())
 }
 
 /// Reads a body of at most `limit_bytes` to its end.
