--- a/crates/foxtailhold/src/crashes.rs
+++ b/crates/foxtailhold/src/crashes.rs
@@ -40,6 +40,8 @@
 /// Duration of the first refusal of requests that the same crashes are held against: at most one of
 /// them is the cause.
 pub const DOUBTFUL_REFUSAL_MS: u64 = 2_000;
+/// The probes of such requests are spread over this time, so that they do not run side by side.
+pub const PROBE_SPREAD_MS: u64 = 1_000;
 /// Crashes within this time after the limit was reached belong to the attempts that were in flight
 /// then.
 const BURST_MS: u64 = 2_000;
@@ -49,8 +51,6 @@
 const MIN_SHARED_CRASHES: usize = MAX_CRASHES - 1;
 /// Time for which a removed crash is remembered, longer than evidence is under way.
 const REMOVED_TTL_MS: u64 = 600_000;
-/// The probes of such requests are spread over this time, so that they do not run side by side.
-pub const PROBE_SPREAD_MS: u64 = 1_000;
 
 /// Status of a request, given its crash evidence.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
