Say why a stream was cut, and which requests end without an answer

Change: reason, cause of the last failure and version of the configuration in the line; the reason as a label of cut_streams_total; a line for a request that ends without an answer. No change of behaviour.

--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -24,7 +24,7 @@
 use crate::relay::{
     FIRST_EVENT_TIMEOUT_MS, FailedAttempt, PLAIN_RETRY_AFTER_MS, Relay, upstream_request,
 };
-use crate::request::{NotRunReason, OpaqueRequest, RelayOutcome, Unserved};
+use crate::request::{NotRunReason, OpaqueRequest, RelayOutcome, UnansweredRequest, Unserved};
 use crate::stream::{StreamAttempt, StreamForwarder};
 use crate::upstream::{self, AttemptFailure};
 
@@ -98,6 +98,12 @@
             .service(&service)
             .is_some_and(|limits| limits.is_engine);
         let (id, received) = (request.id.clone(), request.received);
+        let unanswered = UnansweredRequest {
+            id: &id,
+            route: &route.name,
+            received,
+            config: self.routes.load().version(),
+        };
         let result = if is_engine {
             self.serve_engine(route, &service, request, &mut progress)
                 .await
@@ -105,6 +111,7 @@
             self.serve_plain(route, &service, &request, &mut progress)
                 .await
         };
+        unanswered.close();
         self.record_outcome(route, &id, received, &progress, &result);
         result
     }
--- a/crates/foxtailhold-relay/src/metrics.rs
+++ b/crates/foxtailhold-relay/src/metrics.rs
@@ -61,6 +61,37 @@
     route: String,
 }
 
+/// Why a stream ended before its last event.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CutReason {
+    /// Its deadline passed.
+    DeadlinePassed,
+    /// Its attempts failed and the route allows no further one.
+    NoAttempt,
+    /// Its attempts failed and no slot was granted for another one.
+    NoSlot,
+    /// Its attempts failed and its request crashes backend servers.
+    Crashing,
+}
+
+impl CutReason {
+    /// Name in log lines and metric labels.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            CutReason::DeadlinePassed => "time_over",
+            CutReason::NoAttempt => "no_attempt",
+            CutReason::NoSlot => "no_place",
+            CutReason::Crashing => "crashing",
+        }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct CutLabels {
+    route: String,
+    reason: &'static str,
+}
+
 /// Each start of a backend server has a label value of its own.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct BackendLabel {
@@ -216,7 +247,7 @@
     registry: Arc<Mutex<Registry>>,
     responses: Family<ResponseLabels, Counter>,
     response_times: DurationFamily<RouteLabel>,
-    streams_cut: Family<RouteLabel, Counter>,
+    streams_cut: Family<CutLabels, Counter>,
     store_calls: Family<CallLabels, Counter>,
     items: Family<ItemLabel, Counter>,
     failed_attempts: Family<CauseLabel, Counter>,
@@ -321,9 +352,12 @@
     }
 
     /// Counts a stream that ended before its last event.
-    pub fn stream_cut(&self, route: &str) {
-        let route = route.to_owned();
-        self.streams_cut.get_or_create(&RouteLabel { route }).inc();
+    pub fn stream_cut(&self, route: &str, reason: CutReason) {
+        let labels = CutLabels {
+            route: route.to_owned(),
+            reason: reason.as_str(),
+        };
+        self.streams_cut.get_or_create(&labels).inc();
     }
 
     /// Counts a store call that was refused or not answered.
--- a/crates/foxtailhold-relay/src/request.rs
+++ b/crates/foxtailhold-relay/src/request.rs
@@ -96,3 +96,29 @@
     /// There is no response of a backend server.
     Unserved(Unserved),
 }
+
+/// A request without an answer. Dropping it, as when the caller disconnects, leaves a log line.
+#[derive(Debug)]
+pub(crate) struct UnansweredRequest<'a> {
+    pub(crate) id: &'a str,
+    pub(crate) route: &'a str,
+    pub(crate) received: Instant,
+    pub(crate) config: u64,
+}
+
+impl UnansweredRequest<'_> {
+    /// Records that there is an answer or a refusal.
+    pub(crate) fn close(self) {
+        std::mem::forget(self);
+    }
+}
+
+impl Drop for UnansweredRequest<'_> {
+    fn drop(&mut self) {
+        let took_ms = self.received.elapsed().as_millis() as u64;
+        log::info!(
+            request = self.id, route = self.route, took_ms = took_ms, config = self.config;
+            "caller disconnected before its answer"
+        );
+    }
+}
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -15,7 +15,7 @@
 use crate::dialect::Dialect;
 use crate::events::{EventReader, StreamRead};
 use crate::fleet::BackendServer;
-use crate::metrics::AttemptOutcome;
+use crate::metrics::{AttemptOutcome, CutReason};
 use crate::peers::{Slot, SlotQuery};
 use crate::relay::{
     FIRST_EVENT_TIMEOUT_MS, FailedAttempt, Relay, event_gap_timeout_ms, upstream_request,
@@ -107,33 +107,33 @@
                     return;
                 }
                 StreamEnd::DeadlinePassed => {
-                    self.cut(sender, "deadline passed").await;
+                    self.cut(sender, CutReason::DeadlinePassed, None).await;
                     return;
                 }
                 StreamEnd::Failed(failure) => failure,
             };
             match self.resume_elsewhere(attempt, failure).await {
-                Some(next) => attempt = next,
-                None => {
-                    self.cut(
-                        sender,
-                        "backend server failed and no attempt or slot is left",
-                    )
-                    .await;
+                Ok(next) => attempt = next,
+                Err(reason) => {
+                    self.cut(sender, reason, Some(failure)).await;
                     return;
                 }
             }
         }
     }
 
-    async fn cut(&self, sender: AnswerSender, cause: &str) {
-        self.relay.metrics.stream_cut(&self.route.name);
+    /// Cuts the stream off after `failure`, its last one.
+    async fn cut(&self, sender: AnswerSender, reason: CutReason, failure: Option<AttemptFailure>) {
+        self.relay.metrics.stream_cut(&self.route.name, reason);
         log::warn!(
             request = self.request.id.as_str(),
             route = self.route.name.as_str(),
             attempts = self.attempts.maybe_executed,
-            tried = self.attempts.failed_backend_names();
-            "stream cut off: {cause}"
+            tried = self.attempts.failed_backend_names(),
+            reason = reason.as_str(),
+            cause = failure.map(AttemptFailure::as_str),
+            config = self.relay.routes.load().version();
+            "stream cut off"
         );
         sender.cut().await;
     }
@@ -181,13 +181,13 @@
         sent.unwrap_or(false)
     }
 
-    /// Records a failed attempt. Returns whether the stream may be resumed elsewhere.
+    /// Records a failed attempt, and returns why the stream may not be resumed elsewhere.
     fn record_failed_attempt(
         &mut self,
         backend: &BackendServer,
         cause: AttemptFailure,
         events: u64,
-    ) -> bool {
+    ) -> Result<(), CutReason> {
         let failed = FailedAttempt {
             backend,
             cause,
@@ -198,21 +198,26 @@
         let may_retry = self
             .attempts
             .record_failure(cause, &backend.id, &self.route);
-        may_retry && relay.refusal_ms(request).is_none()
+        match may_retry {
+            false => Err(CutReason::NoAttempt),
+            true if relay.refusal_ms(request).is_some() => Err(CutReason::Crashing),
+            true => Ok(()),
+        }
     }
 
-    /// Starts the next attempt after a failed one. `None`: no attempt or slot is left.
+    /// Starts the next attempt after a failed one.
     async fn resume_elsewhere(
         &mut self,
         failed: StreamAttempt,
         failure: AttemptFailure,
-    ) -> Option<StreamAttempt> {
+    ) -> Result<StreamAttempt, CutReason> {
         let after = failed.reader.last_id();
         failed.evidence.failed(failure);
-        let mut may_retry = self.record_failed_attempt(&failed.backend, failure, failed.events);
+        let mut may_resume = self.record_failed_attempt(&failed.backend, failure, failed.events);
         failed.slot.close(failure.outcome());
         drop(failed.reader);
-        while may_retry {
+        loop {
+            may_resume?;
             log::info!(
                 request = self.request.id.as_str(),
                 after = after,
@@ -220,12 +225,12 @@
                 lost = self.attempts.failed_backends.last().map(BackendId::as_str);
                 "resuming a stream at another backend server"
             );
-            let (slot, backend) = self.acquire_slot().await?;
+            let (slot, backend) = self.acquire_slot().await.ok_or(CutReason::NoSlot)?;
             let started = Instant::now();
             match self.resume(&backend, after).await {
                 Ok((reader, evidence)) => {
                     self.attempts.record_running();
-                    return Some(StreamAttempt {
+                    return Ok(StreamAttempt {
                         slot,
                         backend,
                         started,
@@ -238,11 +243,10 @@
                     let metrics = &self.relay.metrics;
                     metrics.attempt_ended(&backend.id, AttemptOutcome::Failed(failure), started);
                     slot.close(failure.outcome());
-                    may_retry = self.record_failed_attempt(&backend, failure, 0);
+                    may_resume = self.record_failed_attempt(&backend, failure, 0);
                 }
             }
         }
-        None
     }
 
     async fn acquire_slot(&self) -> Option<(Slot, Arc<BackendServer>)> {
