Keep a silent attempt open while another backend server is sought

Cause: silence was taken for an end. A run without an event for 600 ms, or without its first one for 650 ms, was closed before anything else was found, and the answer was cut if no slot or attempt was left. The allocator ejected every engine with one silent request, so that after a common silence nothing was left to grant. The retry did the harm: requests that may not be repeated waited and were whole.

Change, for streams before and after their first event and for plain requests: the silent attempt stays open while another is sought beside it; whichever goes on first is passed on and the other is closed. Two at most, both counted against the attempts of the route. Without a slot the slot is asked for again while an attempt is open, and for 2 s while none is. The allocator withholds new requests from an engine that has sent nothing to any of its requests for 550 ms, until it goes on, and ejects it only if a request of it went on elsewhere or was given up and most engines were not silent. A crash in silence is recognized while its attempt is open.

--- a/crates/foxtailhold-relay/src/attempt_evidence.rs
+++ b/crates/foxtailhold-relay/src/attempt_evidence.rs
@@ -61,6 +61,15 @@
         }
     }
 
+    /// Records whether the backend server is silent while the attempt is open. It may go on; only
+    /// what becomes of its entry shows that it has crashed. Idle connections to it may be dead.
+    pub fn set_silent(&self, is_silent: bool) {
+        if is_silent {
+            self.connections.close_idle(&self.backend.id);
+        }
+        self.pending.set_silent(self.number, is_silent);
+    }
+
     /// Records a failure, and closes the idle connections of a backend server that was silent. For a
     /// request that has already reached the crash limit, silence and broken responses count as
     /// crashes too, because each further attempt can cost a backend server.
--- a/crates/foxtailhold-relay/src/attempts.rs
+++ b/crates/foxtailhold-relay/src/attempts.rs
@@ -59,6 +59,12 @@
         may_retry && Instant::now() < self.deadline
     }
 
+    /// Records an attempt that was closed here because another one went on first. It may have run.
+    pub fn record_superseded(&mut self, backend: &BackendId) {
+        self.failed_backends.push(backend.clone());
+        self.maybe_executed += 1;
+    }
+
     /// Records that the request is running, which resets the count of attempts in which it did not
     /// run.
     pub fn record_running(&mut self) {
@@ -67,7 +73,12 @@
 
     /// Whether the request may be retried if the current attempt fails.
     pub fn may_retry(&self, route: &Route) -> bool {
-        route.kind.is_idempotent() && self.maybe_executed + 1 < route.attempts.max(1)
+        self.may_start(route, 1)
+    }
+
+    /// Whether another attempt may be started beside `open` ones.
+    pub fn may_start(&self, route: &Route, open: u32) -> bool {
+        route.kind.is_idempotent() && self.maybe_executed + open < route.attempts.max(1)
     }
 
     /// Deadline for the next backend server to respond. It is earlier than the deadline of the
--- a/crates/foxtailhold-relay/src/events.rs
+++ b/crates/foxtailhold-relay/src/events.rs
@@ -51,7 +51,12 @@
 
     /// Reads the next event, for at most `timeout_ms` and not beyond `deadline`.
     pub async fn read_event(&mut self, timeout_ms: u64, deadline: Instant) -> StreamRead {
-        let read_deadline = deadline.min(Instant::now() + Duration::from_millis(timeout_ms));
+        let until = deadline.min(Instant::now() + Duration::from_millis(timeout_ms));
+        self.read_until(until).await
+    }
+
+    /// Reads the next event until `until`.
+    pub async fn read_until(&mut self, until: Instant) -> StreamRead {
         loop {
             if let Some(event) = self.splitter.next_event() {
                 return self.check_order(event);
@@ -59,7 +64,7 @@
             if self.splitter.is_oversized() {
                 return StreamRead::Broken;
             }
-            let frame = match tokio::time::timeout_at(read_deadline, self.body.frame()).await {
+            let frame = match tokio::time::timeout_at(until, self.body.frame()).await {
                 Err(_) => return StreamRead::Silent,
                 Ok(None) if self.splitter.pending_bytes() > 0 => return StreamRead::Closed,
                 Ok(None) => return StreamRead::End,
--- a/crates/foxtailhold-relay/src/metrics.rs
+++ b/crates/foxtailhold-relay/src/metrics.rs
@@ -30,6 +30,8 @@
     DeadlinePassed,
     /// The batch item was preempted.
     Preempted,
+    /// Another attempt of the stream or request went on first.
+    Superseded,
     /// The batch item can never be completed.
     Impossible,
     /// There was no response that could be passed on.
@@ -44,6 +46,7 @@
             AttemptOutcome::CallerGone => "caller_gone",
             AttemptOutcome::DeadlinePassed => "time_over",
             AttemptOutcome::Preempted => "cut",
+            AttemptOutcome::Superseded => "superseded",
             AttemptOutcome::Impossible => "impossible",
             AttemptOutcome::Failed(failure) => failure.as_str(),
         }
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -8,7 +8,7 @@
 use evidence::EvidenceSends;
 pub use members::{Member, Members};
 pub use message::{Datagram, InstanceHash, PeerMessage};
-pub use slot::{Slot, SlotError, SlotQuery};
+pub use slot::{Slot, SlotActivity, SlotError, SlotQuery};
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/crates/foxtailhold-relay/src/peers/slot.rs
+++ b/crates/foxtailhold-relay/src/peers/slot.rs
@@ -75,9 +75,14 @@
 
     /// Records activity of the backend server for this request.
     pub fn record_activity(&self) {
-        let now = self.peers.inner.clock.mono();
-        if let Some(local_slot) = self.peers.inner.slots.lock().held.get_mut(&self.number) {
-            local_slot.last_activity = now;
+        self.activity().record();
+    }
+
+    /// A handle that records activity while the slot is kept elsewhere.
+    pub fn activity(&self) -> SlotActivity {
+        SlotActivity {
+            peers: self.peers.clone(),
+            number: self.number,
         }
     }
 
@@ -103,6 +108,23 @@
     }
 }
 
+/// Records activity of the backend server in one slot.
+#[derive(Debug, Clone)]
+pub struct SlotActivity {
+    peers: Peers,
+    number: u64,
+}
+
+impl SlotActivity {
+    /// Records that the backend server has sent something.
+    pub fn record(&self) {
+        let now = self.peers.inner.clock.mono();
+        if let Some(local_slot) = self.peers.inner.slots.lock().held.get_mut(&self.number) {
+            local_slot.last_activity = now;
+        }
+    }
+}
+
 /// A slot request without a decision; dropping it withdraws the request.
 #[derive(Debug)]
 struct WaitingRequest<'a> {
--- a/crates/foxtailhold-relay/src/pending_attempts.rs
+++ b/crates/foxtailhold-relay/src/pending_attempts.rs
@@ -34,6 +34,8 @@
     crash: CrashId,
     /// When and how the attempt ended here; `None` while it is in flight.
     ended: Option<(MonoMs, EndWithoutResult)>,
+    /// Whether its backend server is silent while it is in flight, or was when it ended here.
+    is_silent: bool,
 }
 
 impl PendingAttempt {
@@ -41,11 +43,10 @@
     /// is gone may also belong to a backend server that goes on with what it has; only its silence
     /// shows that it does not.
     fn has_crashed(&self, fate: BackendFate) -> bool {
-        let was_silent = matches!(self.ended, Some((_, EndWithoutResult::Silent)));
         match fate {
             BackendFate::Unchanged => false,
             BackendFate::Restarted => true,
-            BackendFate::Gone => was_silent,
+            BackendFate::Gone => self.is_silent,
         }
     }
 }
@@ -72,6 +73,7 @@
                 identity: backend.identity.clone(),
                 crash: backend.crash_id(),
                 ended: None,
+                is_silent: false,
             };
             attempts.by_number.insert(number, attempt);
         }
@@ -86,10 +88,20 @@
     /// Records that an attempt ended here without a result. The first end counts.
     pub fn end(&self, number: u64, now: MonoMs, end: EndWithoutResult) {
         if let Some(attempt) = self.0.lock().by_number.get_mut(&number) {
+            if attempt.ended.is_none() && end == EndWithoutResult::Silent {
+                attempt.is_silent = true;
+            }
             attempt.ended.get_or_insert((now, end));
         }
     }
 
+    /// Records whether the backend server of an attempt in flight is silent.
+    pub fn set_silent(&self, number: u64, is_silent: bool) {
+        if let Some(attempt) = self.0.lock().by_number.get_mut(&number) {
+            attempt.is_silent = is_silent;
+        }
+    }
+
     /// Removes and returns the attempts whose backend server has crashed since. `fate` says what
     /// became of a start of an identity.
     pub fn take_crashed(
--- /dev/null
+++ b/crates/foxtailhold-relay/src/plain_dispatch.rs
@@ -0,0 +1,240 @@
+//! Serves a request at a plain service. A silent attempt stays open while another backend server is
+//! tried, and the first response is passed on.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Poll;
+use std::time::Duration;
+
+use foxtailhold::ids::{BackendId, TargetName};
+use foxtailhold::routes::Route;
+use foxtailhold::slots::SlotOutcome;
+use foxtailhold_http::body;
+use foxtailhold_http::clock::Clock;
+use http::Response;
+use tokio::time::Instant;
+
+use crate::attempt_evidence::AttemptEvidence;
+use crate::dialect::Dialect;
+use crate::dispatch::{RequestProgress, buffered_outcome};
+use crate::fleet::BackendServer;
+use crate::metrics::AttemptOutcome;
+use crate::plain::PlainServiceLoads;
+use crate::relay::{PLAIN_RETRY_AFTER_MS, Relay, upstream_request};
+use crate::request::{NotRunReason, OpaqueRequest, RelayOutcome};
+use crate::upstream::{self, AttemptFailure};
+
+/// Attempts of one request that are open at the same time.
+const MAX_OPEN_ATTEMPTS: usize = 2;
+/// An attempt counts as silent after this many times the latency objective of the route; another
+/// backend server is then tried beside it.
+const SILENT_AFTER_OBJECTIVES: u32 = 2;
+/// Retry delay given to callers if no backend server is known.
+const NO_BACKEND_RETRY_AFTER_MS: u64 = 400;
+
+type Fetched = Result<Response<bytes::Bytes>, AttemptFailure>;
+
+/// An attempt without a response.
+struct OpenAttempt<'a, F> {
+    backend: Arc<BackendServer>,
+    in_flight: InFlightGuard<'a>,
+    evidence: AttemptEvidence,
+    started: Instant,
+    is_silent: bool,
+    response: Pin<Box<F>>,
+}
+
+impl<F> OpenAttempt<'_, F> {
+    fn end(mut self, outcome: SlotOutcome, failure: Option<AttemptFailure>) {
+        self.in_flight.outcome = outcome;
+        match failure {
+            Some(failure) => self.evidence.failed(failure),
+            None => self.evidence.completed(),
+        }
+    }
+}
+
+async fn next_response<F>(
+    open: &mut [OpenAttempt<'_, F>],
+    silent_at: Option<Instant>,
+) -> Option<(usize, Fetched)>
+where
+    F: Future<Output = Fetched>,
+{
+    let responses = std::future::poll_fn(|context| {
+        for (index, attempt) in open.iter_mut().enumerate() {
+            if let Poll::Ready(fetched) = attempt.response.as_mut().poll(context) {
+                return Poll::Ready((index, fetched));
+            }
+        }
+        Poll::Pending
+    });
+    match silent_at {
+        None => Some(responses.await),
+        Some(at) => tokio::time::timeout_at(at, responses).await.ok(),
+    }
+}
+
+impl<D: Dialect> Relay<D> {
+    pub(crate) async fn serve_plain(
+        &self,
+        route: &Route,
+        service: &TargetName,
+        request: &OpaqueRequest,
+        progress: &mut RequestProgress,
+    ) -> RelayOutcome {
+        let deadline = progress.attempts.deadline;
+        let silent_after =
+            Duration::from_millis(route.objective_ms.max(1)) * SILENT_AFTER_OBJECTIVES;
+        let mut open = Vec::new();
+        let mut may_start = true;
+        loop {
+            if may_start {
+                let tried = tried_backends(progress, &open);
+                let Some(backend) = self.choose_plain(service, &tried) else {
+                    let reason = NotRunReason::NoBackend;
+                    return RelayOutcome::Unserved(
+                        progress.unserved(reason, NO_BACKEND_RETRY_AFTER_MS),
+                    );
+                };
+                open.push(OpenAttempt {
+                    in_flight: InFlightGuard {
+                        loads: &self.plain,
+                        clock: &self.clock,
+                        backend: backend.id.clone(),
+                        outcome: SlotOutcome::Abandoned,
+                    },
+                    evidence: self.begin_attempt(
+                        request.fingerprints(),
+                        &backend,
+                        request.after_event,
+                    ),
+                    started: Instant::now(),
+                    is_silent: false,
+                    response: Box::pin(self.fetch_buffered(
+                        route,
+                        request,
+                        Arc::clone(&backend),
+                        deadline,
+                    )),
+                    backend,
+                });
+            }
+            let may_seek = open.len() < MAX_OPEN_ATTEMPTS
+                && route.objective_ms > 0
+                && progress.attempts.may_start(route, open.len() as u32)
+                && open.iter().all(|attempt| !attempt.is_silent);
+            let silent_at = may_seek.then(|| Instant::now() + silent_after);
+            let Some((index, fetched)) = next_response(&mut open, silent_at).await else {
+                for attempt in &mut open {
+                    attempt.is_silent = true;
+                    attempt.evidence.set_silent(true);
+                }
+                may_start = self.refusal_ms(request).is_none();
+                continue;
+            };
+            let attempt = open.remove(index);
+            let backend = Arc::clone(&attempt.backend);
+            let (response, failure) = match fetched {
+                Ok(response) => {
+                    if let Some(load) = self.dialect.load(response.headers()) {
+                        self.plain.record_load(self.clock.mono(), &backend.id, load);
+                    }
+                    let has_failed = response.status().is_server_error();
+                    let outcome = buffered_outcome(has_failed);
+                    self.metrics
+                        .attempt_ended(&backend.id, outcome, attempt.started);
+                    if !has_failed {
+                        attempt.end(SlotOutcome::Done { held_ms: 0 }, None);
+                        for other in open.drain(..) {
+                            self.supersede(progress, other);
+                        }
+                        progress.served_by = Some(backend.id.clone());
+                        return self.relay_response(response.map(body::whole));
+                    }
+                    (Some(response), AttemptFailure::Failed)
+                }
+                Err(failure) => {
+                    let outcome = AttemptOutcome::Failed(failure);
+                    self.metrics
+                        .attempt_ended(&backend.id, outcome, attempt.started);
+                    (None, failure)
+                }
+            };
+            attempt.end(failure.outcome(), Some(failure));
+            let may_retry = self.record_failed_attempt(route, request, progress, &backend, failure);
+            may_start = may_retry
+                && (open.is_empty() || progress.attempts.may_start(route, open.len() as u32));
+            if may_start || !open.is_empty() {
+                continue;
+            }
+            let Some(response) = response else {
+                let reason = NotRunReason::NotTaken;
+                return RelayOutcome::Unserved(progress.unserved(reason, PLAIN_RETRY_AFTER_MS));
+            };
+            progress.served_by = Some(backend.id.clone());
+            return self.relay_response(response.map(body::whole));
+        }
+    }
+
+    fn supersede<F>(&self, progress: &mut RequestProgress, attempt: OpenAttempt<'_, F>) {
+        progress.attempts.record_superseded(&attempt.backend.id);
+        let outcome = match attempt.is_silent {
+            true => AttemptOutcome::Failed(AttemptFailure::Silent),
+            false => AttemptOutcome::Superseded,
+        };
+        self.metrics
+            .attempt_ended(&attempt.backend.id, outcome, attempt.started);
+        if attempt.is_silent {
+            attempt.end(SlotOutcome::Silent, Some(AttemptFailure::Silent));
+        }
+    }
+
+    fn choose_plain(
+        &self,
+        service: &TargetName,
+        tried: &[BackendId],
+    ) -> Option<Arc<BackendServer>> {
+        let now = self.clock.mono();
+        let backends = self.backends.load();
+        let (all, zone) = (backends.for_service(service), self.peers.zone());
+        self.plain.choose(now, all, tried, zone, rand::random())
+    }
+
+    async fn fetch_buffered(
+        &self,
+        route: &Route,
+        request: &OpaqueRequest,
+        backend: Arc<BackendServer>,
+        deadline: Instant,
+    ) -> Fetched {
+        let to_send = upstream_request(request, route, request.after_event);
+        let sent = self.send_to(&backend, &to_send, deadline, deadline).await?;
+        let (response, connection) = sent;
+        upstream::read_buffered(response, connection, deadline, &self.read_budget).await
+    }
+}
+
+fn tried_backends<F>(progress: &RequestProgress, open: &[OpenAttempt<'_, F>]) -> Vec<BackendId> {
+    let open = open.iter().map(|attempt| attempt.backend.id.clone());
+    let failed = progress.attempts.failed_backends.iter().cloned();
+    failed.chain(open).collect()
+}
+
+/// Counts a request as in flight at a plain backend server until dropped, which also covers callers
+/// that disconnect.
+struct InFlightGuard<'a> {
+    loads: &'a PlainServiceLoads,
+    clock: &'a Clock,
+    backend: BackendId,
+    outcome: SlotOutcome,
+}
+
+impl Drop for InFlightGuard<'_> {
+    fn drop(&mut self) {
+        let now = self.clock.mono();
+        self.loads
+            .record_end(now, &self.backend, self.outcome, rand::random());
+    }
+}
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -1,28 +1,36 @@
-//! Forwards a stream to its caller and resumes it at another backend server after a failure.
+//! Forwards a stream to its caller. A silent attempt stays open while another backend server is
+//! sought, and whichever sends the next event goes on.
 
+use std::future::Future;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use foxtailhold::ids::{BackendId, TargetName};
 use foxtailhold::routes::Route;
-use foxtailhold::slots::{SlotOutcome, Urgency};
+use foxtailhold::slots::Urgency;
+use foxtailhold_engine::sse::RawEvent;
 use foxtailhold_http::body::AnswerSender;
 use tokio::time::Instant;
 
-use crate::attempt_evidence::AttemptEvidence;
 use crate::attempts::AttemptBudget;
 use crate::dialect::Dialect;
-use crate::events::{EventReader, StreamRead};
+use crate::events::StreamRead;
 use crate::fleet::BackendServer;
 use crate::metrics::{AttemptOutcome, CutReason};
-use crate::peers::{Slot, SlotQuery};
-use crate::relay::{
-    FIRST_EVENT_TIMEOUT_MS, FailedAttempt, Relay, event_gap_timeout_ms, upstream_request,
-};
+use crate::peers::{Slot, SlotError, SlotQuery};
+use crate::relay::{FIRST_EVENT_TIMEOUT_MS, FailedAttempt, Relay, event_gap_timeout_ms};
 use crate::request::OpaqueRequest;
+use crate::stream_attempt::{AttemptRead, StreamAttempt};
 use crate::upstream::AttemptFailure;
 
+/// Attempts of one stream that are open at the same time: a silent one, and one that may replace it.
+const MAX_OPEN_ATTEMPTS: usize = 2;
+/// Longest wait for a slot while no attempt is open. Callers leave after a gap of about this time.
+const MAX_SLOT_WAIT_MS: u64 = 2_000;
+/// Delay before a refused slot request for a stream is repeated.
+const SLOT_RETRY_DELAY_MS: u64 = 100;
+
 /// Forwards one stream to its caller.
 #[derive(Debug)]
 pub struct StreamForwarder<D> {
@@ -34,256 +42,356 @@
     pub service: TargetName,
     /// Request that is sent again on resumption.
     pub request: OpaqueRequest,
-    /// Attempts made and left.
-    pub attempts: AttemptBudget,
 }
 
-/// One attempt of a stream at one backend server.
-#[derive(Debug)]
-pub struct StreamAttempt {
-    /// Slot held at the engine until the attempt ends.
-    pub slot: Slot,
-    /// Engine that serves this attempt.
-    pub backend: Arc<BackendServer>,
-    /// When the attempt was sent.
-    pub started: Instant,
-    /// Reader of the response events.
-    pub reader: Box<EventReader>,
-    /// Events received in this attempt.
-    pub events: u64,
-    /// What the attempt shows about its request.
-    pub evidence: AttemptEvidence,
+/// State of a stream between two steps.
+struct StreamState<F> {
+    attempts: AttemptBudget,
+    /// Open attempts, oldest first. All of them continue after the same event.
+    open: Vec<StreamAttempt>,
+    /// Slot request for another attempt.
+    slot_request: Option<Pin<Box<F>>>,
+    /// When a slot is requested for another attempt; `None` if that is not planned.
+    seek_at: Option<Instant>,
+    /// When the stream is cut if no attempt is open by then.
+    give_up_at: Instant,
+    /// Last event that was forwarded.
+    last_id: Option<u64>,
+    last_failure: Option<AttemptFailure>,
 }
 
-/// How one attempt of the stream ended.
-enum StreamEnd {
-    Complete,
+type Granted = Result<(Slot, Arc<BackendServer>), SlotError>;
+
+/// What happened next to a stream.
+enum Step {
+    Read(usize, AttemptRead),
+    Granted(Granted),
+    SeekSlot,
+    GiveUp,
     CallerGone,
-    DeadlinePassed,
-    Failed(AttemptFailure),
 }
 
-impl From<&StreamEnd> for AttemptOutcome {
-    fn from(end: &StreamEnd) -> Self {
-        match end {
-            StreamEnd::Complete => AttemptOutcome::Done,
-            StreamEnd::CallerGone => AttemptOutcome::CallerGone,
-            StreamEnd::DeadlinePassed => AttemptOutcome::DeadlinePassed,
-            StreamEnd::Failed(failure) => AttemptOutcome::Failed(*failure),
-        }
-    }
+/// Whether the stream goes on.
+enum Progress {
+    Running,
+    Complete,
+    CallerGone,
+    Cut(CutReason),
 }
 
 impl<D: Dialect> StreamForwarder<D> {
     /// Forwards all events, beginning with `first`, and resumes the stream after failures.
     pub async fn run(
-        mut self,
+        self,
         sender: AnswerSender,
-        mut attempt: StreamAttempt,
+        attempt: StreamAttempt,
         first: StreamRead,
+        mut attempts: AttemptBudget,
     ) {
-        self.attempts.record_running();
-        let mut read = Some(first);
+        attempts.record_running();
+        let mut state = StreamState {
+            give_up_at: attempts.deadline,
+            attempts,
+            last_id: None,
+            open: vec![attempt],
+            slot_request: None,
+            seek_at: None,
+            last_failure: None,
+        };
+        let mut step = Step::Read(0, AttemptRead::Stream(first));
         loop {
-            let end = self
-                .forward_events(&sender, &mut attempt, read.take())
-                .await;
-            let metrics = &self.relay.metrics;
-            metrics.attempt_ended(
-                &attempt.backend.id,
-                AttemptOutcome::from(&end),
-                attempt.started,
-            );
-            let failure = match end {
-                StreamEnd::Complete => {
-                    let held_ms = attempt.started.elapsed().as_millis() as u64;
-                    attempt.slot.close(SlotOutcome::Done { held_ms });
-                    attempt.reader.close();
-                    attempt.evidence.completed();
-                    return;
+            let progress = match step {
+                Step::Read(index, read) => self.handle_read(&sender, &mut state, index, read).await,
+                Step::Granted(granted) => self.handle_slot(&mut state, granted),
+                Step::SeekSlot => {
+                    self.seek_slot(&mut state, |avoid| Box::pin(self.request_slot(avoid)));
+                    Progress::Running
                 }
-                StreamEnd::CallerGone => {
-                    log::info!(request = self.request.id.as_str(); "caller disconnected from its stream");
-                    return;
+                Step::GiveUp if Instant::now() >= state.attempts.deadline => {
+                    Progress::Cut(CutReason::DeadlinePassed)
                 }
-                StreamEnd::DeadlinePassed => {
-                    self.cut(sender, CutReason::DeadlinePassed, None).await;
+                Step::GiveUp => Progress::Cut(CutReason::NoSlot),
+                Step::CallerGone => Progress::CallerGone,
+            };
+            match progress {
+                Progress::Running => {}
+                Progress::Complete => return,
+                Progress::CallerGone => {
+                    log::info!(request = self.request.id.as_str(); "caller disconnected from its stream");
+                    self.end_all(state, AttemptOutcome::CallerGone);
                     return;
                 }
-                StreamEnd::Failed(failure) => failure,
-            };
-            match self.resume_elsewhere(attempt, failure).await {
-                Ok(next) => attempt = next,
-                Err(reason) => {
-                    self.cut(sender, reason, Some(failure)).await;
+                Progress::Cut(reason) => {
+                    self.cut(sender, &state, reason).await;
+                    self.end_all(state, AttemptOutcome::DeadlinePassed);
                     return;
                 }
             }
+            step = self.next_step(&sender, &mut state).await;
         }
     }
 
-    /// Cuts the stream off after `failure`, its last one.
-    async fn cut(&self, sender: AnswerSender, reason: CutReason, failure: Option<AttemptFailure>) {
-        self.relay.metrics.stream_cut(&self.route.name, reason);
-        log::warn!(
-            request = self.request.id.as_str(),
-            route = self.route.name.as_str(),
-            attempts = self.attempts.maybe_executed,
-            tried = self.attempts.failed_backend_names(),
-            reason = reason.as_str(),
-            cause = failure.map(AttemptFailure::as_str),
-            config = self.relay.routes.load().version();
-            "stream cut off"
-        );
-        sender.cut().await;
+    async fn next_step<F>(&self, sender: &AnswerSender, state: &mut StreamState<F>) -> Step
+    where
+        F: Future<Output = Granted>,
+    {
+        let is_open = !state.open.is_empty();
+        let is_seeking = state.slot_request.is_some();
+        let seek_at = state.seek_at.filter(|_| !is_seeking);
+        let (deadline, give_up_at) = (state.attempts.deadline, state.give_up_at);
+        if let (Some(at), [attempt]) = (seek_at, state.open.as_mut_slice()) {
+            // A single timer for the usual case, in which the next event comes in time.
+            return tokio::select! {
+                read = attempt.read(at.min(deadline)) => match read {
+                    AttemptRead::Stream(StreamRead::Silent) if at < deadline => Step::SeekSlot,
+                    read => Step::Read(0, read),
+                },
+                () = sender.gone() => Step::CallerGone,
+            };
+        }
+        tokio::select! {
+            biased;
+            (index, read) = read_any(&mut state.open, deadline), if is_open => Step::Read(index, read),
+            granted = poll_slot(&mut state.slot_request), if is_seeking => Step::Granted(granted),
+            () = sender.gone() => Step::CallerGone,
+            () = tokio::time::sleep_until(seek_at.unwrap_or(deadline)), if seek_at.is_some() => Step::SeekSlot,
+            () = tokio::time::sleep_until(give_up_at), if !is_open => Step::GiveUp,
+        }
     }
 
-    async fn forward_events(
+    async fn handle_read<F>(
         &self,
         sender: &AnswerSender,
-        attempt: &mut StreamAttempt,
-        first: Option<StreamRead>,
-    ) -> StreamEnd {
-        let mut pending_read = first;
-        let timeout_ms = match self.attempts.may_retry(&self.route) {
-            true => event_gap_timeout_ms(&self.route),
-            false => u64::from(u32::MAX),
-        };
-        loop {
-            let read = match pending_read.take() {
-                Some(read) => read,
-                None => tokio::select! {
-                    read = attempt.reader.read_event(timeout_ms, self.attempts.deadline) => read,
-                    () = sender.gone() => return StreamEnd::CallerGone,
-                },
-            };
-            match read {
-                StreamRead::Event(event) => {
-                    attempt.slot.record_activity();
-                    attempt.events += 1;
-                    if !self.send(sender, event.raw).await {
-                        return StreamEnd::CallerGone;
-                    }
-                }
-                StreamRead::End => return StreamEnd::Complete,
-                StreamRead::Closed => return StreamEnd::Failed(AttemptFailure::Closed),
-                StreamRead::Broken => return StreamEnd::Failed(AttemptFailure::Broken),
-                StreamRead::Silent if Instant::now() >= self.attempts.deadline => {
-                    return StreamEnd::DeadlinePassed;
-                }
-                StreamRead::Silent => return StreamEnd::Failed(AttemptFailure::Silent),
+        state: &mut StreamState<F>,
+        index: usize,
+        read: AttemptRead,
+    ) -> Progress {
+        let failure = match read {
+            AttemptRead::Stream(StreamRead::Event(event)) => {
+                return self.forward(sender, state, index, event).await;
+            }
+            AttemptRead::Stream(StreamRead::End) => {
+                let attempt = self.keep_only(state, index);
+                attempt.complete(&self.relay.metrics);
+                return Progress::Complete;
             }
+            AttemptRead::Stream(StreamRead::Silent) => {
+                return Progress::Cut(CutReason::DeadlinePassed);
+            }
+            AttemptRead::Stream(StreamRead::Closed) => AttemptFailure::Closed,
+            AttemptRead::Stream(StreamRead::Broken) => AttemptFailure::Broken,
+            AttemptRead::Failed(failure) => failure,
+        };
+        let attempt = state.open.remove(index);
+        self.handle_failure(state, attempt, failure)
+    }
+
+    /// Forwards an event. The attempt that sent it goes on, and all others are closed.
+    async fn forward<F>(
+        &self,
+        sender: &AnswerSender,
+        state: &mut StreamState<F>,
+        index: usize,
+        event: RawEvent,
+    ) -> Progress {
+        let mut attempt = self.keep_only(state, index);
+        attempt.record_event();
+        state.attempts.record_running();
+        state.last_id = attempt.last_id();
+        let deadline = state.attempts.deadline;
+        let sent = tokio::time::timeout_at(deadline, sender.send(event.raw)).await;
+        state.open.push(attempt);
+        let gap_timeout = Duration::from_millis(event_gap_timeout_ms(&self.route));
+        state.seek_at = self.seek_at(state, gap_timeout);
+        match sent {
+            Ok(true) => Progress::Running,
+            _ => Progress::CallerGone,
         }
     }
 
-    async fn send(&self, sender: &AnswerSender, bytes: Bytes) -> bool {
-        let sent = tokio::time::timeout_at(self.attempts.deadline, sender.send(bytes)).await;
-        sent.unwrap_or(false)
+    /// Takes one attempt out of the open ones and closes the others, because it has gone on first.
+    fn keep_only<F>(&self, state: &mut StreamState<F>, index: usize) -> StreamAttempt {
+        state.slot_request = None;
+        let kept = state.open.swap_remove(index);
+        for attempt in state.open.drain(..) {
+            log::info!(
+                request = self.request.id.as_str(),
+                backend = attempt.backend.id.as_str(),
+                by = kept.backend.id.as_str(),
+                silent_ms = attempt.silent_ms();
+                "attempt superseded by one that went on first"
+            );
+            state.attempts.record_superseded(&attempt.backend.id);
+            attempt.supersede(&self.relay.metrics);
+        }
+        kept
     }
 
-    /// Records a failed attempt, and returns why the stream may not be resumed elsewhere.
-    fn record_failed_attempt(
-        &mut self,
-        backend: &BackendServer,
-        cause: AttemptFailure,
-        events: u64,
-    ) -> Result<(), CutReason> {
+    /// When to request a slot for another attempt if none of the open ones goes on.
+    fn seek_at<F>(&self, state: &StreamState<F>, after: Duration) -> Option<Instant> {
+        let open = state.open.len();
+        let may_seek =
+            open < MAX_OPEN_ATTEMPTS && state.attempts.may_start(&self.route, open as u32);
+        may_seek.then(|| Instant::now() + after)
+    }
+
+    fn handle_failure<F>(
+        &self,
+        state: &mut StreamState<F>,
+        attempt: StreamAttempt,
+        failure: AttemptFailure,
+    ) -> Progress {
         let failed = FailedAttempt {
-            backend,
-            cause,
-            events,
+            backend: &attempt.backend,
+            cause: failure,
+            events: attempt.events,
         };
         let (relay, request) = (&self.relay, &self.request);
-        relay.log_failed_attempt(request, &failed, &self.attempts);
-        let may_retry = self
+        relay.log_failed_attempt(request, &failed, &state.attempts);
+        let may_retry = state
             .attempts
-            .record_failure(cause, &backend.id, &self.route);
-        match may_retry {
-            false => Err(CutReason::NoAttempt),
-            true if relay.refusal_ms(request).is_some() => Err(CutReason::Crashing),
-            true => Ok(()),
+            .record_failure(failure, &attempt.backend.id, &self.route);
+        attempt.fail(failure, &relay.metrics);
+        state.last_failure = Some(failure);
+        let open = state.open.len() as u32;
+        let may_retry = may_retry && (open == 0 || state.attempts.may_start(&self.route, open));
+        if !may_retry {
+            state.slot_request = None;
+        }
+        if !state.open.is_empty() || state.slot_request.is_some() {
+            state.seek_at = may_retry.then(Instant::now);
+            self.set_give_up(state);
+            return Progress::Running;
+        }
+        if !may_retry {
+            return Progress::Cut(CutReason::NoAttempt);
+        }
+        if relay.refusal_ms(request).is_some() {
+            return Progress::Cut(CutReason::Crashing);
         }
+        self.set_give_up(state);
+        state.seek_at = Some(Instant::now());
+        Progress::Running
     }
 
-    /// Starts the next attempt after a failed one.
-    async fn resume_elsewhere(
-        &mut self,
-        failed: StreamAttempt,
-        failure: AttemptFailure,
-    ) -> Result<StreamAttempt, CutReason> {
-        let after = failed.reader.last_id();
-        failed.evidence.failed(failure);
-        let mut may_resume = self.record_failed_attempt(&failed.backend, failure, failed.events);
-        failed.slot.close(failure.outcome());
-        drop(failed.reader);
-        loop {
-            may_resume?;
-            log::info!(
-                request = self.request.id.as_str(),
-                after = after,
-                attempts = self.attempts.maybe_executed,
-                lost = self.attempts.failed_backends.last().map(BackendId::as_str);
-                "resuming a stream at another backend server"
-            );
-            let (slot, backend) = self.acquire_slot().await.ok_or(CutReason::NoSlot)?;
-            let started = Instant::now();
-            match self.resume(&backend, after).await {
-                Ok((reader, evidence)) => {
-                    self.attempts.record_running();
-                    return Ok(StreamAttempt {
-                        slot,
-                        backend,
-                        started,
-                        reader,
-                        events: 0,
-                        evidence,
-                    });
-                }
-                Err(failure) => {
-                    let metrics = &self.relay.metrics;
-                    metrics.attempt_ended(&backend.id, AttemptOutcome::Failed(failure), started);
-                    slot.close(failure.outcome());
-                    may_resume = self.record_failed_attempt(&backend, failure, 0);
-                }
-            }
+    fn set_give_up<F>(&self, state: &mut StreamState<F>) {
+        let latest = Instant::now() + Duration::from_millis(MAX_SLOT_WAIT_MS);
+        state.give_up_at = state.attempts.deadline.min(latest);
+    }
+
+    /// Requests a slot for another attempt, unless the request crashes backend servers.
+    fn seek_slot<F>(
+        &self,
+        state: &mut StreamState<F>,
+        request_slot: impl FnOnce((Vec<BackendId>, Instant)) -> Pin<Box<F>>,
+    ) {
+        state.seek_at = None;
+        state
+            .open
+            .iter_mut()
+            .for_each(StreamAttempt::record_silence);
+        if self.relay.refusal_ms(&self.request).is_some() {
+            return;
         }
+        let open = state.open.iter().map(|attempt| attempt.backend.id.clone());
+        let mut avoid = state.attempts.failed_backends.clone();
+        avoid.extend(open);
+        let deadline = match state.open.is_empty() {
+            true => state.give_up_at,
+            false => state.attempts.deadline,
+        };
+        log::info!(
+            request = self.request.id.as_str(),
+            after = state.last_id,
+            attempts = state.attempts.maybe_executed,
+            open = state.open.len(),
+            lost = state.attempts.failed_backends.last().map(BackendId::as_str);
+            "resuming a stream at another backend server"
+        );
+        state.slot_request = Some(request_slot((avoid, deadline)));
     }
 
-    async fn acquire_slot(&self) -> Option<(Slot, Arc<BackendServer>)> {
+    async fn request_slot(&self, (avoid, deadline): (Vec<BackendId>, Instant)) -> Granted {
         let query = SlotQuery {
             pool: &self.service,
             urgency: Urgency::Online { priority: 0 },
             slack_ms: u64::from(u32::MAX),
-            avoid: &self.attempts.failed_backends,
-            deadline: self.attempts.deadline,
+            avoid: &avoid,
+            deadline,
         };
-        self.relay.acquire_slot(&query).await.ok()
+        self.relay.acquire_slot(&query).await
     }
 
-    async fn resume(
-        &self,
-        backend: &Arc<BackendServer>,
-        after: Option<u64>,
-    ) -> Result<(Box<EventReader>, AttemptEvidence), AttemptFailure> {
-        let to_send = upstream_request(&self.request, &self.route, after);
-        let timeout = Duration::from_millis(FIRST_EVENT_TIMEOUT_MS);
-        let response_deadline = self.attempts.deadline.min(Instant::now() + timeout);
-        let evidence = self
-            .relay
-            .begin_attempt(self.request.fingerprints(), backend, after);
-        let sent = self
-            .relay
-            .send_to(backend, &to_send, self.attempts.deadline, response_deadline)
-            .await;
-        let failure = match sent {
-            Ok((response, connection)) if response.status().is_success() => {
-                let reader = EventReader::new(response.into_body(), connection, after);
-                return Ok((Box::new(reader), evidence));
+    fn handle_slot<F>(&self, state: &mut StreamState<F>, granted: Granted) -> Progress {
+        state.slot_request = None;
+        let (slot, backend) = match granted {
+            Ok(granted) => granted,
+            Err(error) => {
+                log::debug!("no slot to resume {}: {error}", self.request.id);
+                state.seek_at = self.seek_at(state, Duration::from_millis(SLOT_RETRY_DELAY_MS));
+                return Progress::Running;
             }
-            Ok(_) => AttemptFailure::Failed,
-            Err(failure) => failure,
         };
-        evidence.failed(failure);
-        Err(failure)
+        let attempt = StreamAttempt::resume(
+            &self.relay,
+            &self.route,
+            &self.request,
+            (slot, backend),
+            state.last_id,
+            state.attempts.deadline,
+        );
+        state.open.push(attempt);
+        let timeout = Duration::from_millis(FIRST_EVENT_TIMEOUT_MS);
+        state.seek_at = self.seek_at(state, timeout);
+        Progress::Running
+    }
+
+    async fn cut<F>(&self, sender: AnswerSender, state: &StreamState<F>, reason: CutReason) {
+        self.relay.metrics.stream_cut(&self.route.name, reason);
+        log::warn!(
+            request = self.request.id.as_str(),
+            route = self.route.name.as_str(),
+            attempts = state.attempts.maybe_executed,
+            tried = state.attempts.failed_backend_names(),
+            reason = reason.as_str(),
+            cause = state.last_failure.map(AttemptFailure::as_str),
+            config = self.relay.routes.load().version();
+            "stream cut off"
+        );
+        sender.cut().await;
+    }
+
+    fn end_all<F>(&self, state: StreamState<F>, outcome: AttemptOutcome) {
+        let metrics = &self.relay.metrics;
+        for attempt in state.open {
+            metrics.attempt_ended(&attempt.backend.id, outcome, attempt.started);
+        }
+    }
+}
+
+/// Waits until one of the open attempts has something to read.
+async fn read_any(open: &mut [StreamAttempt], deadline: Instant) -> (usize, AttemptRead) {
+    let mut reads: Vec<_> = open
+        .iter_mut()
+        .map(|attempt| Box::pin(attempt.read(deadline)))
+        .collect();
+    std::future::poll_fn(|context| {
+        for (index, read) in reads.iter_mut().enumerate() {
+            if let std::task::Poll::Ready(read) = read.as_mut().poll(context) {
+                return std::task::Poll::Ready((index, read));
+            }
+        }
+        std::task::Poll::Pending
+    })
+    .await
+}
+
+async fn poll_slot<F>(request: &mut Option<Pin<Box<F>>>) -> Granted
+where
+    F: Future<Output = Granted>,
+{
+    match request {
+        Some(request) => request.as_mut().await,
+        None => std::future::pending().await,
     }
 }
--- a/crates/foxtailhold-relay/tests/attempts.rs
+++ b/crates/foxtailhold-relay/tests/attempts.rs
@@ -90,3 +90,23 @@
         [false, false]
     );
 }
+
+#[test_case(Idempotent, 2, 0, 1, true; "a second one beside a silent one")]
+#[test_case(Idempotent, 2, 1, 1, false; "no third one in all")]
+#[test_case(Idempotent, 3, 1, 1, true; "a third one where the route allows it")]
+#[test_case(Once, 3, 0, 1, false; "none for a request that may run once")]
+#[test_case(Stream, 3, 0, 1, false; "none for a stream that cannot resume")]
+fn attempts_beside_open_ones_are_bounded_by_the_route(
+    repeat: RouteKind,
+    attempts: u32,
+    superseded: u32,
+    open: u32,
+    expected: bool,
+) {
+    let route = route(repeat, attempts);
+    let mut budget = AttemptBudget::new(Instant::now() + Duration::from_secs(5));
+    for number in 0..superseded {
+        budget.record_superseded(&backend(number as usize));
+    }
+    assert_eq!(budget.may_start(&route, open), expected);
+}
--- a/crates/foxtailhold-relay/tests/pending_attempts.rs
+++ b/crates/foxtailhold-relay/tests/pending_attempts.rs
@@ -36,14 +36,25 @@
 #[derive(Debug, Clone, Copy)]
 enum AttemptState {
     InFlight,
+    /// Its backend server has not sent anything for a while.
+    InFlightSilent,
+    /// Its backend server was silent and has gone on.
+    InFlightAfterSilence,
     Resolved,
-    Silent { ms_ago: u64 },
-    Abandoned { ms_ago: u64 },
+    Silent {
+        ms_ago: u64,
+    },
+    Abandoned {
+        ms_ago: u64,
+    },
 }
 
 #[test_case(AttemptState::InFlight, BackendFate::Restarted, true; "a new start while the attempt is in flight")]
 #[test_case(AttemptState::InFlight, BackendFate::Unchanged, false; "the same start")]
 #[test_case(AttemptState::InFlight, BackendFate::Gone, false; "an entry that is gone while the attempt is in flight")]
+#[test_case(AttemptState::InFlightSilent, BackendFate::Gone, true; "an entry that is gone while the attempt waits in silence")]
+#[test_case(AttemptState::InFlightSilent, BackendFate::Unchanged, false; "an entry that stays while the attempt waits in silence")]
+#[test_case(AttemptState::InFlightAfterSilence, BackendFate::Gone, false; "an entry that is gone after a silence that has ended")]
 #[test_case(AttemptState::Resolved, BackendFate::Restarted, false; "a new start after the response")]
 #[test_case(AttemptState::Abandoned { ms_ago: 9_999 }, BackendFate::Restarted, true; "a new start soon after the attempt")]
 #[test_case(AttemptState::Abandoned { ms_ago: 10_001 }, BackendFate::Restarted, false; "a new start long after the attempt")]
@@ -59,6 +70,11 @@
     let number = pending.begin(request(), &backend());
     match state {
         AttemptState::InFlight => {}
+        AttemptState::InFlightSilent => pending.set_silent(number, true),
+        AttemptState::InFlightAfterSilence => {
+            pending.set_silent(number, true);
+            pending.set_silent(number, false);
+        }
         AttemptState::Resolved => pending.resolve(number),
         AttemptState::Silent { ms_ago } => {
             pending.end(number, MonoMs(NOW.0 - ms_ago), EndWithoutResult::Silent);
--- a/crates/foxtailhold/src/slots/pool.rs
+++ b/crates/foxtailhold/src/slots/pool.rs
@@ -18,9 +18,10 @@
 pub const ONLINE_REQUEST_TTL_MS: u64 = 450;
 /// Same limit for batch items, which are repeated every second.
 pub const BATCH_REQUEST_TTL_MS: u64 = 2_600;
-/// A request that receives nothing for this time counts against its backend server. It is more than
-/// the longest time to a first event and many times the duration of a step.
-pub const MAX_SILENCE_MS: u64 = 700;
+/// A backend server that sends nothing to any of its requests for this time is silent and gets no
+/// new ones until it goes on. It is more than the interval of reports together with the usual time
+/// to a first event, and less than the time after which requests look for another server.
+pub const MAX_SILENCE_MS: u64 = 550;
 /// Time that an engine needs for a first event once it starts a request: reading the prompt and
 /// running a few steps.
 pub const FIRST_EVENT_MS: u64 = 110;
@@ -52,17 +53,71 @@
     preempting: bool,
 }
 
+/// Time without data from a backend server, as of an instant.
+#[derive(Debug, Clone, Copy)]
+struct Quiet {
+    at: MonoMs,
+    quiet_ms: u64,
+}
+
+impl Quiet {
+    fn ms(self, now: MonoMs) -> u64 {
+        self.quiet_ms.saturating_add(now.since_ms(self.at))
+    }
+}
+
 #[derive(Debug)]
 struct Backend {
     config: BackendSlots,
     grants: HashMap<SlotRequestId, Grant>,
     health: BackendHealth,
+    /// The least that was reported of its grants; `None` before the first report.
+    quiet: Option<Quiet>,
 }
 
 impl Backend {
+    /// Whether it has sent nothing for [`MAX_SILENCE_MS`]; `None` if nothing was reported.
+    fn is_silent(&self, now: MonoMs) -> Option<bool> {
+        self.quiet.map(|quiet| quiet.ms(now) > MAX_SILENCE_MS)
+    }
+
+    /// Records that data arrived `quiet_ms` ago.
+    fn record_quiet(&mut self, now: MonoMs, quiet_ms: u64) {
+        if self.quiet.is_none_or(|known| quiet_ms < known.ms(now)) {
+            self.quiet = Some(Quiet { at: now, quiet_ms });
+        }
+    }
+
+    /// Adds a grant, which is given the time of [`MAX_SILENCE_MS`] like those before it.
+    fn add_grant(&mut self, now: MonoMs, id: SlotRequestId, grant: Grant) {
+        self.grants.insert(id, grant);
+        if self.quiet.is_some() {
+            self.record_quiet(now, 0);
+        }
+    }
+
+    fn remove_grant(&mut self, id: &SlotRequestId) -> Option<Grant> {
+        let grant = self.grants.remove(id);
+        self.forget_quiet_if_idle();
+        grant
+    }
+
+    fn forget_quiet_if_idle(&mut self) {
+        if self.grants.is_empty() {
+            self.quiet = None;
+        }
+    }
+
+    /// Number of requests that may be in use now.
+    fn limit(&self, now: MonoMs) -> u32 {
+        match self.is_silent(now) {
+            Some(true) => 0,
+            _ => self.health.limit(now, self.config.slots),
+        }
+    }
+
     fn free(&self, now: MonoMs) -> u32 {
-        let limit = self.health.limit(now, self.config.slots);
-        limit.saturating_sub(self.grants.len() as u32)
+        self.limit(now).saturating_sub(self.grants.len() as u32)
     }
 }
 
@@ -128,6 +183,7 @@
                     config: config.clone(),
                     grants: HashMap::new(),
                     health: BackendHealth::default(),
+                    quiet: None,
                 },
             };
             self.backends.insert(config.backend.clone(), backend);
@@ -194,11 +250,22 @@
     /// Frees the slot of a request, or removes it from the queue.
     pub fn release(&mut self, now: MonoMs, id: &SlotRequestId, outcome: SlotOutcome, draw: u64) {
         self.waiting.retain(|waiting| waiting.request.id != *id);
+        let is_herd_silent = self.is_herd_silent(now);
         for backend in self.backends.values_mut() {
-            let Some(grant) = backend.grants.remove(id) else {
+            let is_silent = backend.is_silent(now) == Some(true);
+            let Some(grant) = backend.remove_grant(id) else {
                 continue;
             };
-            backend.health.note(now, outcome, draw);
+            if matches!(outcome, SlotOutcome::Done { .. }) && backend.quiet.is_some() {
+                backend.record_quiet(now, 0);
+            }
+            match outcome {
+                SlotOutcome::Silent if is_herd_silent => {}
+                SlotOutcome::Abandoned if is_silent && !is_herd_silent => {
+                    backend.health.note(now, SlotOutcome::Silent, draw);
+                }
+                outcome => backend.health.note(now, outcome, draw),
+            }
             if let (Urgency::Online { .. }, SlotOutcome::Done { held_ms }) =
                 (grant.urgency, outcome)
             {
@@ -207,6 +274,18 @@
         }
     }
 
+    /// Whether most of the backend servers in use are silent at the same time. What they have in
+    /// common is the cause then, and their silence says nothing about each of them.
+    fn is_herd_silent(&self, now: MonoMs) -> bool {
+        let in_use = self.backends.values().filter_map(|b| b.is_silent(now));
+        let (mut silent, mut total) = (0, 0);
+        for is_silent in in_use {
+            total += 1;
+            silent += usize::from(is_silent);
+        }
+        silent > 1 && 2 * silent > total
+    }
+
     /// Reconciles the grants of one instance, selected by `is_own`, with the list that it reports.
     pub fn reconcile(
         &mut self,
@@ -224,6 +303,7 @@
                     || is_reported
                     || now.since_ms(grant.granted_at) < UNREPORTED_GRANT_TTL_MS
             });
+            backend.forget_quiet_if_idle();
         }
         for (request, held) in reported {
             let Some(backend) = self.backends.get_mut(&held.backend) else {
@@ -238,9 +318,7 @@
                     granted_at: now,
                     preempting: false,
                 });
-            if held.quiet_ms > MAX_SILENCE_MS {
-                backend.health.note(now, SlotOutcome::Silent, held.number);
-            }
+            backend.record_quiet(now, held.quiet_ms);
         }
     }
 
@@ -249,6 +327,7 @@
     pub fn forget(&mut self, is_gone: impl Fn(&SlotRequestId) -> bool) {
         for backend in self.backends.values_mut() {
             backend.grants.retain(|request, _| !is_gone(request));
+            backend.forget_quiet_if_idle();
         }
     }
 
@@ -325,9 +404,7 @@
     /// Slots that the health of the backend servers allows to be in use.
     fn usable_slots(&self, now: MonoMs) -> u64 {
         let limits = self.backends.values();
-        limits
-            .map(|b| u64::from(b.health.limit(now, b.config.slots)))
-            .sum()
+        limits.map(|b| u64::from(b.limit(now))).sum()
     }
 
     fn grant(
@@ -344,7 +421,7 @@
             preempting: false,
         };
         if let Some(backend) = self.backends.get_mut(&id) {
-            backend.grants.insert(waiting.request.id.clone(), grant);
+            backend.add_grant(now, waiting.request.id.clone(), grant);
         }
         decisions.push(SlotNotice {
             request: waiting.request.id,
