Judge silence by what was reported, and keep lost engines suspect

A silent engine was told from reports that age without a bound, so that one lost datagram made a sound engine silent, and a caller that left then ejected it. Each new grant set the silence of a dead engine back. Several engines lost together counted as a common silence and were never ejected: each request sent there cost its 650 ms. Slot requests repeated during a silence counted as arrivals and took headroom from batch items, which were preempted in vain at silent engines.

Now a reported time grows for one interval of reports and is unknown after three; grants change nothing; an engine that others outran in a common silence gets one request until data comes from it; requests that have been sent before are no arrivals; items are preempted where that frees a slot.

Without this, by reading, the rows 'a report or two are lost' and 'too old to tell', the fed engine and the lost engines fail.

--- a/crates/foxtailhold/src/slots/mod.rs
+++ b/crates/foxtailhold/src/slots/mod.rs
@@ -8,12 +8,13 @@
 //! allocators at the same time reduce capacity but do not affect correctness.
 
 mod allocator;
+mod backend;
 pub mod health;
 mod pool;
 
 pub use allocator::{Allocator, SlotNotice};
+pub use backend::MAX_SILENCE_MS;
 pub use health::BackendHealth;
-pub use pool::MAX_SILENCE_MS;
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/foxtailhold/src/slots/pool.rs
+++ b/crates/foxtailhold/src/slots/pool.rs
@@ -1,9 +1,9 @@
 //! The slots of one service and the queue of requests for them.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::ids::BackendId;
-use crate::slots::health::BackendHealth;
+use crate::slots::backend::{Backend, Grant};
 use crate::slots::{
     BackendSlots, HeldSlot, SlotDecision, SlotNotice, SlotOutcome, SlotRequest, SlotRequestId,
     Urgency,
@@ -18,10 +18,6 @@
 pub const ONLINE_REQUEST_TTL_MS: u64 = 450;
 /// Same limit for batch items, which are repeated every second.
 pub const BATCH_REQUEST_TTL_MS: u64 = 2_600;
-/// A backend server that sends nothing to any of its requests for this time is silent and gets no
-/// new ones until it goes on. It is more than the interval of reports together with the usual time
-/// to a first event, and less than the time after which requests look for another server.
-pub const MAX_SILENCE_MS: u64 = 550;
 /// Time that an engine needs for a first event once it starts a request: reading the prompt and
 /// running a few steps.
 pub const FIRST_EVENT_MS: u64 = 110;
@@ -45,82 +41,6 @@
 /// Least and largest time after which a refused caller should retry.
 const RETRY_AFTER_MS: (u64, u64) = (150, 1_500);
 
-#[derive(Debug, Clone)]
-struct Grant {
-    urgency: Urgency,
-    slack_until: MonoMs,
-    granted_at: MonoMs,
-    preempting: bool,
-}
-
-/// Time without data from a backend server, as of an instant.
-#[derive(Debug, Clone, Copy)]
-struct Quiet {
-    at: MonoMs,
-    quiet_ms: u64,
-}
-
-impl Quiet {
-    fn ms(self, now: MonoMs) -> u64 {
-        self.quiet_ms.saturating_add(now.since_ms(self.at))
-    }
-}
-
-#[derive(Debug)]
-struct Backend {
-    config: BackendSlots,
-    grants: HashMap<SlotRequestId, Grant>,
-    health: BackendHealth,
-    /// The least that was reported of its grants; `None` before the first report.
-    quiet: Option<Quiet>,
-}
-
-impl Backend {
-    /// Whether it has sent nothing for [`MAX_SILENCE_MS`]; `None` if nothing was reported.
-    fn is_silent(&self, now: MonoMs) -> Option<bool> {
-        self.quiet.map(|quiet| quiet.ms(now) > MAX_SILENCE_MS)
-    }
-
-    /// Records that data arrived `quiet_ms` ago.
-    fn record_quiet(&mut self, now: MonoMs, quiet_ms: u64) {
-        if self.quiet.is_none_or(|known| quiet_ms < known.ms(now)) {
-            self.quiet = Some(Quiet { at: now, quiet_ms });
-        }
-    }
-
-    /// Adds a grant, which is given the time of [`MAX_SILENCE_MS`] like those before it.
-    fn add_grant(&mut self, now: MonoMs, id: SlotRequestId, grant: Grant) {
-        self.grants.insert(id, grant);
-        if self.quiet.is_some() {
-            self.record_quiet(now, 0);
-        }
-    }
-
-    fn remove_grant(&mut self, id: &SlotRequestId) -> Option<Grant> {
-        let grant = self.grants.remove(id);
-        self.forget_quiet_if_idle();
-        grant
-    }
-
-    fn forget_quiet_if_idle(&mut self) {
-        if self.grants.is_empty() {
-            self.quiet = None;
-        }
-    }
-
-    /// Number of requests that may be in use now.
-    fn limit(&self, now: MonoMs) -> u32 {
-        match self.is_silent(now) {
-            Some(true) => 0,
-            _ => self.health.limit(now, self.config.slots),
-        }
-    }
-
-    fn free(&self, now: MonoMs) -> u32 {
-        self.limit(now).saturating_sub(self.grants.len() as u32)
-    }
-}
-
 #[derive(Debug)]
 struct QueuedRequest {
     request: SlotRequest,
@@ -175,16 +95,11 @@
         let mut old = std::mem::take(&mut self.backends);
         for config in all {
             let backend = match old.remove(&config.backend) {
-                Some(current) => Backend {
-                    config: config.clone(),
-                    ..current
-                },
-                None => Backend {
-                    config: config.clone(),
-                    grants: HashMap::new(),
-                    health: BackendHealth::default(),
-                    quiet: None,
-                },
+                Some(mut current) => {
+                    current.config = config.clone();
+                    current
+                }
+                None => Backend::new(config),
             };
             self.backends.insert(config.backend.clone(), backend);
         }
@@ -201,7 +116,9 @@
             return SlotDecision::Queued;
         }
         if matches!(request.urgency, Urgency::Online { .. }) {
-            self.arrivals.push_back(now);
+            if request.avoid.is_empty() {
+                self.arrivals.push_back(now);
+            }
             if let Some(retry_after_ms) = self.retry_after_if_late(now, &request) {
                 return SlotDecision::Refused { retry_after_ms };
             }
@@ -225,7 +142,9 @@
         let mut ready = 0_u64;
         for backend in self.backends.values() {
             ready += u64::from(backend.free(now));
-            ready += count(backend.grants.values(), |g| g.urgency == Urgency::Batch);
+            if backend.usable(now) > 0 {
+                ready += count(backend.grants.values(), |g| g.urgency == Urgency::Batch);
+            }
         }
         let Urgency::Online { priority } = request.urgency else {
             return None;
@@ -256,11 +175,11 @@
             let Some(grant) = backend.remove_grant(id) else {
                 continue;
             };
-            if matches!(outcome, SlotOutcome::Done { .. }) && backend.quiet.is_some() {
-                backend.record_quiet(now, 0);
+            if matches!(outcome, SlotOutcome::Done { .. }) {
+                backend.record_done(now);
             }
             match outcome {
-                SlotOutcome::Silent if is_herd_silent => {}
+                SlotOutcome::Silent if is_herd_silent => backend.suspect(),
                 SlotOutcome::Abandoned if is_silent && !is_herd_silent => {
                     backend.health.note(now, SlotOutcome::Silent, draw);
                 }
@@ -309,16 +228,15 @@
             let Some(backend) = self.backends.get_mut(&held.backend) else {
                 continue;
             };
-            backend
-                .grants
-                .entry(request.clone())
-                .or_insert_with(|| Grant {
-                    urgency: held.urgency,
-                    slack_until: now + 1,
-                    granted_at: now,
-                    preempting: false,
-                });
-            backend.record_quiet(now, held.quiet_ms);
+            let grant = backend.grants.entry(request.clone());
+            let grant = grant.or_insert_with(|| Grant {
+                urgency: held.urgency,
+                slack_until: now + 1,
+                granted_at: now,
+                preempting: false,
+            });
+            let granted_at = grant.granted_at;
+            backend.record_report(now, granted_at, held.quiet_ms);
         }
     }
 
@@ -362,7 +280,7 @@
             self.grant(now, waiting, backend, decisions);
         }
         self.waiting = still_waiting;
-        self.preempt_batch(decisions);
+        self.preempt_batch(now, decisions);
     }
 
     /// Selects the engine with the fewest slots in use. An engine in another availability zone must
@@ -404,7 +322,7 @@
     /// Slots that the health of the backend servers allows to be in use.
     fn usable_slots(&self, now: MonoMs) -> u64 {
         let limits = self.backends.values();
-        limits.map(|b| u64::from(b.limit(now))).sum()
+        limits.map(|b| u64::from(b.usable(now))).sum()
     }
 
     fn grant(
@@ -421,7 +339,7 @@
             preempting: false,
         };
         if let Some(backend) = self.backends.get_mut(&id) {
-            backend.add_grant(now, waiting.request.id.clone(), grant);
+            backend.grants.insert(waiting.request.id.clone(), grant);
         }
         decisions.push(SlotNotice {
             request: waiting.request.id,
@@ -431,12 +349,13 @@
 
     /// Preempts as many batch items as online requests are waiting: first items that are already
     /// late, then those with the most slack.
-    fn preempt_batch(&mut self, decisions: &mut Vec<SlotNotice>) {
+    fn preempt_batch(&mut self, now: MonoMs, decisions: &mut Vec<SlotNotice>) {
         let wanted = count(self.waiting.iter(), |w| w.request.urgency != Urgency::Batch);
         if wanted == 0 {
             return;
         }
-        let grants = self.backends.values_mut().flat_map(|b| b.grants.iter_mut());
+        let usable = self.backends.values_mut().filter(|b| b.usable(now) > 0);
+        let grants = usable.flat_map(|b| b.grants.iter_mut());
         let mut batch: Vec<(&SlotRequestId, &mut Grant)> = grants
             .filter(|(_, grant)| grant.urgency == Urgency::Batch)
             .collect();
--- a/crates/foxtailhold/tests/slot_silence.rs
+++ b/crates/foxtailhold/tests/slot_silence.rs
@@ -102,14 +102,65 @@
     );
 }
 
+#[test_case(300, 200, true; "less in all")]
+#[test_case(300, 300, false; "more in all")]
+#[test_case(20, 1_100, true; "a report or two are lost")]
+#[test_case(5_000, 1_300, true; "a report too old to tell")]
+fn silence_grows_between_two_reports(quiet_ms: u64, since_ms: u64, is_used: bool) {
+    let mut allocator = allocator(1);
+    report(&mut allocator, 1_000, &[quiet_ms]);
+    let decision = submit(&mut allocator, 1_000 + since_ms, 1);
+    assert_eq!(is_granted(&decision), is_used);
+}
+
+/// A dead engine that is fed all the time with requests that may not be repeated.
 #[test]
-fn silence_grows_between_two_reports() {
+fn new_requests_do_not_hide_a_silence() {
     let mut allocator = allocator(1);
-    report(&mut allocator, 1_000, &[400]);
-    assert!(is_granted(&submit(&mut allocator, 1_100, 1)));
-    release(&mut allocator, 1_110, 1, SlotOutcome::Abandoned);
-    report(&mut allocator, 1_700, &[1_100]);
-    assert!(!is_granted(&submit(&mut allocator, 1_701, 2)));
+    assert!(is_granted(&submit(&mut allocator, 1_000, 1)));
+    let held = |quiet_ms| HeldSlot {
+        number: 1,
+        pool: pool(),
+        backend: engine(0),
+        urgency: ONLINE,
+        quiet_ms,
+    };
+    allocator.report(MonoMs(1_250), &instance(), &[held(250)]);
+    assert!(is_granted(&submit(&mut allocator, 1_300, 2)));
+    allocator.report(MonoMs(1_500), &instance(), &[held(500)]);
+    assert!(!is_granted(&submit(&mut allocator, 1_600, 3)));
+}
+
+/// Three of four engines are lost with their machines.
+#[test]
+fn engines_that_were_silent_together_get_one_request_until_they_answer() {
+    let mut allocator = allocator(4);
+    report(
+        &mut allocator,
+        1_000,
+        &[SILENCE_MS, SILENCE_MS, SILENCE_MS, 10],
+    );
+    for number in 100..103 {
+        release(&mut allocator, 1_010, number, SlotOutcome::Silent);
+    }
+    let mut granted = Vec::new();
+    for number in 0..10 {
+        if let SlotDecision::Granted(backend) = submit(&mut allocator, 1_020, number) {
+            granted.push(backend);
+        }
+    }
+    for lost in 0..3 {
+        let count = granted.iter().filter(|backend| **backend == engine(lost));
+        assert!(count.count() <= 1, "requests at engine-{lost}");
+    }
+    release(&mut allocator, 1_100, 0, SlotOutcome::Done { held_ms: 80 });
+    let first = granted[0].clone();
+    let mut again = 0;
+    for number in 20..24 {
+        let decision = submit(&mut allocator, 1_110, number);
+        again += usize::from(decision == SlotDecision::Granted(first.clone()));
+    }
+    assert!(again > 1, "an engine that answers gets all its slots again");
 }
 
 #[test]
