Let only a silence that lasts count, and end nothing beside an open attempt

What callers could see: a stream whose first event was late left evidence against its request while it ran well, and was refused after three of its servers had left; a plain request got 502 or 503 while its only attempt was open and its server drained; a replica's own 500 was replaced by a time-out while a dead attempt was open.

Cause: silence was marked by the search for another server, not by the attempt itself, and the search decided about open attempts.

Change: each attempt has its own time for silence, set back by data, also by frames of a buffered response, and ends it once it goes on. Another server is sought when all open attempts are silent. A refused slot request is repeated after 100 ms, doubled up to 1.6 s, with jitter. Crash refusal is asked once before a search, and again when the slot comes, so that a request that has reached its limit meanwhile is not sent. After a failure with no attempt open a slot is sought for as long as callers wait. Whether a service is an engine follows from the configuration that gave the route.

--- a/crates/foxtailhold-relay/src/attempts.rs
+++ b/crates/foxtailhold-relay/src/attempts.rs
@@ -1,8 +1,6 @@
 //! Limits how often one request of a caller is attempted. One budget covers buffered responses and
 //! all attempts of a stream.
 
-use std::time::Duration;
-
 use foxtailhold::ids::BackendId;
 use foxtailhold::routes::Route;
 use tokio::time::Instant;
@@ -81,16 +79,6 @@
         route.kind.is_idempotent() && self.maybe_executed + open < route.attempts.max(1)
     }
 
-    /// Deadline for the next backend server to respond. It is earlier than the deadline of the
-    /// request if another backend server could still be tried; `timeout_ms` 0 sets no earlier one.
-    pub fn response_deadline(&self, route: &Route, timeout_ms: u64) -> Instant {
-        if !self.may_retry(route) || timeout_ms == 0 {
-            return self.deadline;
-        }
-        let timeout = Duration::from_millis(timeout_ms);
-        self.deadline.min(Instant::now() + timeout)
-    }
-
     /// Identifiers of the backend servers that failed, separated by commas, for log lines.
     pub fn failed_backend_names(&self) -> String {
         let names: Vec<&str> = self.failed_backends.iter().map(BackendId::as_str).collect();
--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -5,7 +5,7 @@
 
 use foxtailhold::ids::BackendId;
 use foxtailhold::quarantine::Fingerprint;
-use foxtailhold::routes::Route;
+use foxtailhold::routes::{Route, RouteTable};
 use foxtailhold_http::body;
 use http::Response;
 use tokio::time::Instant;
@@ -14,7 +14,7 @@
 use crate::dialect::Dialect;
 use crate::fleet::BackendServer;
 use crate::metrics::AttemptOutcome;
-use crate::relay::{FailedAttempt, Relay};
+use crate::relay::{FailedAttempt, PLAIN_RETRY_AFTER_MS, Relay};
 use crate::request::{NotRunReason, OpaqueRequest, RelayOutcome, UnansweredRequest, Unserved};
 use crate::upstream::AttemptFailure;
 
@@ -66,8 +66,13 @@
 }
 
 impl<D: Dialect> Relay<D> {
-    /// Serves one request of `route`.
-    pub async fn serve(self: &Arc<Self>, route: &Route, request: OpaqueRequest) -> RelayOutcome {
+    /// Serves one request of `route`, a route of `routes`.
+    pub async fn serve(
+        self: &Arc<Self>,
+        routes: &RouteTable,
+        route: &Route,
+        request: OpaqueRequest,
+    ) -> RelayOutcome {
         let mut progress = RequestProgress::new(&request, route);
         if let Some(retry_after_ms) = self.refusal_ms(&request) {
             let reason = NotRunReason::Crashing;
@@ -77,17 +82,14 @@
             return result;
         }
         let service = route.service(rand::random()).clone();
-        let is_engine = self
-            .routes
-            .load()
-            .service(&service)
-            .is_some_and(|limits| limits.is_engine);
+        let limits = routes.service(&service);
+        let is_engine = limits.is_some_and(|limits| limits.is_engine);
         let (id, received) = (request.id.clone(), request.received);
         let unanswered = UnansweredRequest {
             id: &id,
             route: &route.name,
             received,
-            config: self.routes.load().version(),
+            config: routes.version(),
         };
         let result = if is_engine {
             self.serve_engine(route, &service, request, &mut progress)
@@ -152,7 +154,7 @@
         );
     }
 
-    /// Records a failed attempt. Returns whether the request may be retried.
+    /// Records a failed attempt. Returns whether the limits of the route allow a retry.
     pub(crate) fn record_failed_attempt(
         &self,
         route: &Route,
@@ -167,10 +169,24 @@
             events: 0,
         };
         self.log_failed_attempt(request, &failed, &progress.attempts);
-        let may_retry = progress
+        progress
             .attempts
-            .record_failure(failure, &backend.id, route);
-        may_retry && self.refusal_ms(request).is_none()
+            .record_failure(failure, &backend.id, route)
+    }
+
+    /// The failure of a backend server itself if there is one, otherwise the end of a request whose
+    /// attempts failed.
+    pub(crate) fn without_response(
+        &self,
+        failure_response: Option<(BackendId, Response<bytes::Bytes>)>,
+        progress: &mut RequestProgress,
+    ) -> RelayOutcome {
+        let Some((backend, response)) = failure_response else {
+            let reason = NotRunReason::NotTaken;
+            return RelayOutcome::Unserved(progress.unserved(reason, PLAIN_RETRY_AFTER_MS));
+        };
+        progress.served_by = Some(backend);
+        self.relay_response(response.map(body::whole))
     }
 
     /// Removes the headers meant for this process and passes the response on to the caller.
--- a/crates/foxtailhold-relay/src/engine.rs
+++ b/crates/foxtailhold-relay/src/engine.rs
@@ -12,6 +12,7 @@
 use foxtailhold::slots::{SlotOutcome, Urgency};
 use foxtailhold_http::body;
 use http::Response;
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
@@ -24,7 +25,9 @@
 use crate::fleet::BackendServer;
 use crate::metrics::{AttemptOutcome, RelayMetrics};
 use crate::peers::{Slot, SlotActivity, SlotError, SlotQuery};
-use crate::relay::{FIRST_EVENT_TIMEOUT_MS, PLAIN_RETRY_AFTER_MS, Relay, upstream_request};
+use crate::relay::{
+    FIRST_EVENT_TIMEOUT_MS, PLAIN_RETRY_AFTER_MS, Relay, caller_patience, upstream_request,
+};
 use crate::request::{NotRunReason, OpaqueRequest, RelayOutcome};
 use crate::stream::StreamForwarder;
 use crate::stream_attempt::StreamAttempt;
@@ -32,8 +35,8 @@
 
 /// Attempts of one request that are open at the same time.
 const MAX_OPEN_ATTEMPTS: usize = 2;
-/// Delay before a refused slot request is repeated while an attempt is open.
-const SLOT_RETRY_DELAY_MS: u64 = 250;
+/// Least and largest delay before a refused slot request is repeated; it is doubled each time.
+const SLOT_RETRY_DELAY_MS: (u64, u64) = (100, 1_600);
 
 type Granted = Result<(Slot, Arc<BackendServer>), SlotError>;
 type Opened = Result<OpenedResponse, AttemptFailure>;
@@ -49,11 +52,28 @@
     backend: Arc<BackendServer>,
     evidence: AttemptEvidence,
     started: Instant,
-    is_silent: bool,
+    /// When its backend server counts as silent; `None` if it does already.
+    silent_at: Option<Instant>,
     response: Pin<Box<F>>,
 }
 
 impl<F> OpenAttempt<F> {
+    /// Records that the backend server is silent once its time is up. Returns whether it is new.
+    fn record_silence(&mut self, now: Instant) -> bool {
+        if self.silent_at.is_none_or(|at| at > now) {
+            return false;
+        }
+        let quiet_ms = self.slot.quiet_ms();
+        if quiet_ms < FIRST_EVENT_TIMEOUT_MS {
+            let left = Duration::from_millis(FIRST_EVENT_TIMEOUT_MS - quiet_ms);
+            self.silent_at = Some(now + left);
+            return false;
+        }
+        self.silent_at = None;
+        self.evidence.set_silent(true);
+        true
+    }
+
     fn fail(self, failure: AttemptFailure, metrics: &RelayMetrics) {
         let outcome = AttemptOutcome::Failed(failure);
         metrics.attempt_ended(&self.backend.id, outcome, self.started);
@@ -63,7 +83,7 @@
 
     /// Closes the attempt because another one has responded first.
     fn supersede(self, metrics: &RelayMetrics) {
-        if self.is_silent {
+        if self.silent_at.is_none() {
             self.fail(AttemptFailure::Silent, metrics);
             return;
         }
@@ -75,13 +95,18 @@
 struct Attempts<S, F> {
     open: Vec<OpenAttempt<F>>,
     slot_request: Option<Pin<Box<S>>>,
+    /// When a slot is requested for another attempt; `None` if only a silence is a reason.
     seek_at: Option<Instant>,
+    /// Delay before the next slot request if that one is refused.
+    retry_delay_ms: u64,
+    /// Failure of a backend server itself, passed on if no other attempt responds.
+    failure_response: Option<(BackendId, Response<bytes::Bytes>)>,
 }
 
 enum Step {
     Opened(usize, Opened),
     Granted(Granted),
-    SeekSlot,
+    Timer,
 }
 
 impl<S, F> Attempts<S, F>
@@ -91,7 +116,9 @@
 {
     async fn next(&mut self) -> Step {
         let (open, slot_request) = (&mut self.open, &mut self.slot_request);
+        let silent_at = open.iter().filter_map(|attempt| attempt.silent_at);
         let seek_at = self.seek_at.filter(|_| slot_request.is_none());
+        let timer = silent_at.chain(seek_at).min();
         let responses = std::future::poll_fn(|context| {
             for (index, attempt) in open.iter_mut().enumerate() {
                 if let Poll::Ready(opened) = attempt.response.as_mut().poll(context) {
@@ -103,35 +130,53 @@
             };
             request.as_mut().poll(context).map(Step::Granted)
         });
-        match seek_at {
+        match timer {
             None => responses.await,
             Some(at) => tokio::time::timeout_at(at, responses)
                 .await
-                .unwrap_or(Step::SeekSlot),
+                .unwrap_or(Step::Timer),
         }
     }
 
-    /// Plans a slot request for another attempt, if one may be started beside the open ones.
-    fn plan_slot_request(&mut self, budget: &AttemptBudget, route: &Route, after_ms: u64) {
+    /// Records which attempts are silent. Returns whether another one is to be sought.
+    fn handle_timer(&mut self, budget: &AttemptBudget, route: &Route) -> bool {
+        let now = Instant::now();
+        let mut is_due = self.seek_at.is_some_and(|at| at <= now);
+        if is_due {
+            self.seek_at = None;
+        }
+        for attempt in &mut self.open {
+            is_due |= attempt.record_silence(now);
+        }
         let open = self.open.len();
-        let may_start = open < MAX_OPEN_ATTEMPTS && budget.may_start(route, open as u32);
-        let at = Instant::now() + Duration::from_millis(after_ms);
-        self.seek_at = may_start.then_some(at);
+        let may_start = open < MAX_OPEN_ATTEMPTS
+            && self.open.iter().all(|attempt| attempt.silent_at.is_none())
+            && (open == 0 || budget.may_start(route, open as u32));
+        is_due && may_start && self.slot_request.is_none()
+    }
+
+    /// Plans to repeat a refused slot request.
+    fn retry_later(&mut self) {
+        let jitter_ms = rand::random::<u64>() % self.retry_delay_ms;
+        let delay = Duration::from_millis(self.retry_delay_ms + jitter_ms);
+        self.seek_at = Some(Instant::now() + delay);
+        self.retry_delay_ms = (2 * self.retry_delay_ms).min(SLOT_RETRY_DELAY_MS.1);
     }
 
     /// Takes one attempt out of the open ones and closes the others.
     fn keep_only(
         &mut self,
         index: usize,
-        budget: &mut AttemptBudget,
+        progress: &mut RequestProgress,
         metrics: &RelayMetrics,
     ) -> OpenAttempt<F> {
         self.slot_request = None;
         let kept = self.open.swap_remove(index);
         for attempt in self.open.drain(..) {
-            budget.record_superseded(&attempt.backend.id);
+            progress.attempts.record_superseded(&attempt.backend.id);
             attempt.supersede(metrics);
         }
+        progress.served_by = Some(kept.backend.id.clone());
         kept
     }
 }
@@ -145,78 +190,95 @@
         progress: &mut RequestProgress,
     ) -> RelayOutcome {
         let deadline = progress.attempts.deadline;
-        let first_slack_ms = || {
+        let request_slot = |avoid: Vec<BackendId>, is_first: bool| {
             let spent_ms = request.received.elapsed().as_millis() as u64;
-            route.objective_ms.saturating_sub(spent_ms)
-        };
-        let request_slot = |avoid: Vec<BackendId>, slack_ms: u64| {
+            let slack_ms = match is_first {
+                true => route.objective_ms.saturating_sub(spent_ms),
+                false => u64::from(u32::MAX),
+            };
             Box::pin(self.request_slot(route, service, avoid, slack_ms, deadline))
         };
         let mut attempts = Attempts {
             open: Vec::new(),
-            slot_request: Some(request_slot(Vec::new(), first_slack_ms())),
+            slot_request: Some(request_slot(Vec::new(), true)),
             seek_at: None,
+            retry_delay_ms: SLOT_RETRY_DELAY_MS.0,
+            failure_response: None,
         };
         let mut waiting_since = Instant::now();
+        let mut give_up_at = deadline;
         loop {
-            match attempts.next().await {
-                Step::SeekSlot => {
-                    attempts.seek_at = None;
-                    for attempt in &mut attempts.open {
-                        attempt.is_silent = true;
-                        attempt.evidence.set_silent(true);
-                    }
-                    if self.refusal_ms(&request).is_some() {
-                        continue;
+            let (index, opened) = match attempts.next().await {
+                Step::Timer => {
+                    if attempts.handle_timer(&progress.attempts, route)
+                        && self.refusal_ms(&request).is_none()
+                    {
+                        let open = attempts.open.iter().map(|open| open.backend.id.clone());
+                        let mut avoid = progress.attempts.failed_backends.clone();
+                        avoid.extend(open);
+                        attempts.slot_request = Some(request_slot(avoid, false));
+                    } else if attempts.open.is_empty() && attempts.slot_request.is_none() {
+                        return self.without_response(attempts.failure_response, progress);
                     }
-                    let open = attempts.open.iter().map(|open| open.backend.id.clone());
-                    let mut avoid = progress.attempts.failed_backends.clone();
-                    avoid.extend(open);
-                    attempts.slot_request = Some(request_slot(avoid, u64::from(u32::MAX)));
+                    continue;
                 }
                 Step::Granted(granted) => {
                     attempts.slot_request = None;
                     if attempts.open.is_empty() {
                         progress.waited_ms += waiting_since.elapsed().as_millis() as u64;
+                        waiting_since = Instant::now();
                     }
                     let (slot, backend) = match granted {
                         Ok(granted) => granted,
-                        Err(_) if !attempts.open.is_empty() => {
-                            let budget = &progress.attempts;
-                            attempts.plan_slot_request(budget, route, SLOT_RETRY_DELAY_MS);
+                        Err(error) => {
+                            let is_retried = progress.attempts.maybe_executed > 0
+                                && Instant::now() < give_up_at
+                                && matches!(error, SlotError::Refused { .. });
+                            if attempts.open.is_empty() && !is_retried {
+                                if attempts.failure_response.is_some() {
+                                    return self
+                                        .without_response(attempts.failure_response, progress);
+                                }
+                                return RelayOutcome::Unserved(no_slot(progress, error));
+                            }
+                            attempts.retry_later();
                             continue;
                         }
-                        Err(error) => return RelayOutcome::Unserved(no_slot(progress, error)),
                     };
+                    if let Some(left_ms) = self.refused_ms(&request) {
+                        slot.close(SlotOutcome::Abandoned);
+                        if attempts.open.is_empty() {
+                            progress.refused_as = Some(request.fingerprints().path);
+                            let reason = NotRunReason::Crashing;
+                            return RelayOutcome::Unserved(progress.unserved(reason, left_ms));
+                        }
+                        continue;
+                    }
                     progress.served_by = Some(backend.id.clone());
                     let evidence =
                         self.begin_attempt(request.fingerprints(), &backend, request.after_event);
                     let server = Arc::clone(&backend);
                     let activity = slot.activity();
                     let response = self.open_response(route, &request, server, activity, deadline);
+                    let started = Instant::now();
                     attempts.open.push(OpenAttempt {
                         slot,
                         backend,
                         evidence,
-                        started: Instant::now(),
-                        is_silent: false,
+                        started,
+                        silent_at: Some(started + Duration::from_millis(FIRST_EVENT_TIMEOUT_MS)),
                         response: Box::pin(response),
                     });
-                    attempts.plan_slot_request(&progress.attempts, route, FIRST_EVENT_TIMEOUT_MS);
+                    continue;
                 }
-                Step::Opened(index, Ok(OpenedResponse::Stream(head, reader, first))) => {
-                    let kept = attempts.keep_only(index, &mut progress.attempts, &self.metrics);
-                    progress.served_by = Some(kept.backend.id.clone());
-                    let OpenAttempt {
-                        slot,
-                        backend,
-                        evidence,
-                        started,
-                        response,
-                        ..
-                    } = kept;
-                    drop(response);
-                    drop(attempts);
+                Step::Opened(index, opened) => (index, opened),
+            };
+            let failure = match opened {
+                Ok(OpenedResponse::Stream(head, reader, first)) => {
+                    let kept = attempts.keep_only(index, progress, &self.metrics);
+                    let granted = (kept.slot, kept.backend);
+                    let attempt =
+                        StreamAttempt::opened(granted, kept.started, reader, kept.evidence, route);
                     let (sender, stream) = body::streamed();
                     let forwarder = StreamForwarder {
                         relay: Arc::clone(self),
@@ -224,72 +286,42 @@
                         service: service.clone(),
                         request: request.clone(),
                     };
-                    let attempt = StreamAttempt::opened((slot, backend), started, reader, evidence);
                     let budget = progress.attempts.clone();
                     tokio::spawn(forwarder.run(sender, attempt, first, budget));
                     return self.relay_response(Response::from_parts(head, stream));
                 }
-                Step::Opened(index, Ok(OpenedResponse::Buffered(response))) => {
-                    let has_failed = response.status().is_server_error();
-                    if !has_failed {
-                        let kept = attempts.keep_only(index, &mut progress.attempts, &self.metrics);
-                        progress.served_by = Some(kept.backend.id.clone());
-                        let outcome = buffered_outcome(false);
-                        self.metrics
-                            .attempt_ended(&kept.backend.id, outcome, kept.started);
-                        let held_ms = kept.started.elapsed().as_millis() as u64;
-                        kept.slot.close(SlotOutcome::Done { held_ms });
-                        kept.evidence.completed();
-                        return self.relay_response(response.map(body::whole));
-                    }
-                    let failed = attempts.open.remove(index);
-                    let may_retry = self.record_failed_attempt(
-                        route,
-                        &request,
-                        progress,
-                        &failed.backend,
-                        AttemptFailure::Failed,
-                    );
-                    let backend = failed.backend.id.clone();
-                    failed.fail(AttemptFailure::Failed, &self.metrics);
-                    if !attempts.open.is_empty() {
-                        attempts.plan_slot_request(&progress.attempts, route, 0);
-                        continue;
-                    }
-                    if !may_retry {
-                        progress.served_by = Some(backend);
-                        return self.relay_response(response.map(body::whole));
-                    }
-                    waiting_since = Instant::now();
-                    let avoid = progress.attempts.failed_backends.clone();
-                    attempts.slot_request = Some(request_slot(avoid, first_slack_ms()));
+                Ok(OpenedResponse::Buffered(response)) if !response.status().is_server_error() => {
+                    let kept = attempts.keep_only(index, progress, &self.metrics);
+                    let outcome = buffered_outcome(false);
+                    self.metrics
+                        .attempt_ended(&kept.backend.id, outcome, kept.started);
+                    let held_ms = kept.started.elapsed().as_millis() as u64;
+                    kept.slot.close(SlotOutcome::Done { held_ms });
+                    kept.evidence.completed();
+                    return self.relay_response(response.map(body::whole));
                 }
-                Step::Opened(index, Err(failure)) => {
-                    let failed = attempts.open.remove(index);
-                    let may_retry = self.record_failed_attempt(
-                        route,
-                        &request,
-                        progress,
-                        &failed.backend,
-                        failure,
-                    );
-                    failed.fail(failure, &self.metrics);
-                    if !attempts.open.is_empty() {
-                        attempts.plan_slot_request(&progress.attempts, route, 0);
-                        continue;
-                    }
-                    progress.served_by = None;
-                    if !may_retry {
-                        let reason = NotRunReason::NotTaken;
-                        return RelayOutcome::Unserved(
-                            progress.unserved(reason, PLAIN_RETRY_AFTER_MS),
-                        );
-                    }
-                    waiting_since = Instant::now();
-                    let avoid = progress.attempts.failed_backends.clone();
-                    attempts.slot_request = Some(request_slot(avoid, first_slack_ms()));
+                Ok(OpenedResponse::Buffered(response)) => {
+                    let backend = attempts.open[index].backend.id.clone();
+                    attempts.failure_response = Some((backend, response));
+                    AttemptFailure::Failed
                 }
+                Err(failure) => failure,
+            };
+            let failed = attempts.open.remove(index);
+            let may_retry =
+                self.record_failed_attempt(route, &request, progress, &failed.backend, failure);
+            failed.fail(failure, &self.metrics);
+            if !attempts.open.is_empty() {
+                attempts.seek_at = Some(Instant::now());
+                continue;
+            }
+            progress.served_by = None;
+            if !may_retry {
+                return self.without_response(attempts.failure_response, progress);
             }
+            waiting_since = Instant::now();
+            give_up_at = deadline.min(waiting_since + caller_patience(route));
+            attempts.seek_at = Some(waiting_since);
         }
     }
 
@@ -326,6 +358,12 @@
         let (response, connection) = sent;
         activity.record();
         if !route.kind.is_stream() || !response.status().is_success() {
+            let response = response.map(|body| {
+                body.map_frame(move |frame| {
+                    activity.record();
+                    frame
+                })
+            });
             let reading =
                 upstream::read_buffered(response, connection, deadline, &self.read_budget);
             return Ok(OpenedResponse::Buffered(reading.await?));
--- a/crates/foxtailhold-relay/src/peers/slot.rs
+++ b/crates/foxtailhold-relay/src/peers/slot.rs
@@ -117,6 +117,14 @@
         liveness
     }
 
+    /// Time in ms since the backend server last sent anything for this request, or since the grant.
+    pub fn quiet_ms(&self) -> u64 {
+        let now = self.peers.inner.clock.mono();
+        let slots = self.peers.inner.slots.lock();
+        let held = slots.held.get(&self.number);
+        held.map_or(0, |slot| now.since_ms(slot.last_activity))
+    }
+
     /// Waits until the slot is preempted for more urgent work.
     pub async fn preempted(&self) {
         self.preempted.cancelled().await;
--- a/crates/foxtailhold-relay/src/plain_dispatch.rs
+++ b/crates/foxtailhold-relay/src/plain_dispatch.rs
@@ -21,7 +21,7 @@
 use crate::fleet::BackendServer;
 use crate::metrics::AttemptOutcome;
 use crate::plain::PlainServiceLoads;
-use crate::relay::{PLAIN_RETRY_AFTER_MS, Relay, upstream_request};
+use crate::relay::{Relay, upstream_request};
 use crate::request::{NotRunReason, OpaqueRequest, RelayOutcome};
 use crate::upstream::{self, AttemptFailure};
 
@@ -89,10 +89,19 @@
             Duration::from_millis(route.objective_ms.max(1)) * SILENT_AFTER_OBJECTIVES;
         let mut open = Vec::new();
         let mut may_start = true;
+        let mut failure_response = None;
         loop {
             if may_start {
                 let tried = tried_backends(progress, &open);
-                let Some(backend) = self.choose_plain(service, &tried) else {
+                let chosen = self.choose_plain(service, &tried);
+                if chosen.is_none() && !open.is_empty() {
+                    may_start = false;
+                    continue;
+                }
+                let Some(backend) = chosen else {
+                    if failure_response.is_some() {
+                        return self.without_response(failure_response, progress);
+                    }
                     let reason = NotRunReason::NoBackend;
                     return RelayOutcome::Unserved(
                         progress.unserved(reason, NO_BACKEND_RETRY_AFTER_MS),
@@ -164,17 +173,16 @@
             };
             attempt.end(failure.outcome(), Some(failure));
             let may_retry = self.record_failed_attempt(route, request, progress, &backend, failure);
+            if let Some(response) = response {
+                failure_response = Some((backend.id.clone(), response));
+            }
+            let open_count = open.len() as u32;
             may_start = may_retry
-                && (open.is_empty() || progress.attempts.may_start(route, open.len() as u32));
-            if may_start || !open.is_empty() {
-                continue;
+                && (open_count == 0 || progress.attempts.may_start(route, open_count))
+                && self.refusal_ms(request).is_none();
+            if !may_start && open.is_empty() {
+                return self.without_response(failure_response, progress);
             }
-            let Some(response) = response else {
-                let reason = NotRunReason::NotTaken;
-                return RelayOutcome::Unserved(progress.unserved(reason, PLAIN_RETRY_AFTER_MS));
-            };
-            progress.served_by = Some(backend.id.clone());
-            return self.relay_response(response.map(body::whole));
         }
     }
 
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -2,6 +2,7 @@
 //! backend servers.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use arc_swap::ArcSwap;
 use foxtailhold::crashes::CrashStatus;
@@ -36,6 +37,11 @@
 const EVENT_GAP_FACTOR: u64 = 3;
 /// Lower bound of the gap that counts as silence.
 const MIN_EVENT_GAP_TIMEOUT_MS: u64 = 600;
+/// Callers leave a stream after a gap of the longest of this time, this many latency objectives and
+/// this many regular gaps.
+const MIN_PATIENCE_MS: u64 = 2_000;
+const PATIENCE_OBJECTIVES: u64 = 4;
+const PATIENCE_PAUSES: u64 = 8;
 /// Retry delay for callers of a request that may run only as a probe, which another instance may
 /// then admit.
 const PROBE_RETRY_AFTER_MS: u64 = 1_000;
@@ -155,6 +161,19 @@
         }
     }
 
+    /// Remaining time for which a request is refused because it crashes backend servers. Unlike
+    /// [`Relay::refusal_ms`] it admits no probe.
+    pub(crate) fn refused_ms(&self, request: &OpaqueRequest) -> Option<u64> {
+        let crashes = self.peers.crashes();
+        if crashes.is_empty() {
+            return None;
+        }
+        match crashes.status(request.fingerprints(), self.clock.wall()) {
+            CrashStatus::Refused { left_ms } => Some(left_ms),
+            CrashStatus::Allowed | CrashStatus::ProbeAllowed { .. } => None,
+        }
+    }
+
     /// Requests a slot at an engine and looks up the engine.
     pub(crate) async fn acquire_slot(
         &self,
@@ -201,6 +220,14 @@
 }
 
 /// Gap between two events after which the backend server of a stream counts as silent.
-pub fn event_gap_timeout_ms(route: &Route) -> u64 {
-    (route.pause_ms * EVENT_GAP_FACTOR).max(MIN_EVENT_GAP_TIMEOUT_MS)
+pub fn event_gap_timeout(route: &Route) -> Duration {
+    let timeout_ms = (route.pause_ms * EVENT_GAP_FACTOR).max(MIN_EVENT_GAP_TIMEOUT_MS);
+    Duration::from_millis(timeout_ms)
+}
+
+/// Gap between two events after which callers leave a stream, at the latest.
+pub fn caller_patience(route: &Route) -> Duration {
+    let by_objective_ms = route.objective_ms * PATIENCE_OBJECTIVES;
+    let by_pause_ms = route.pause_ms * PATIENCE_PAUSES;
+    Duration::from_millis(MIN_PATIENCE_MS.max(by_objective_ms).max(by_pause_ms))
 }
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -19,17 +19,16 @@
 use crate::fleet::BackendServer;
 use crate::metrics::{AttemptOutcome, CutReason};
 use crate::peers::{Slot, SlotError, SlotQuery};
-use crate::relay::{FIRST_EVENT_TIMEOUT_MS, FailedAttempt, Relay, event_gap_timeout_ms};
+use crate::relay::{FailedAttempt, Relay, caller_patience};
 use crate::request::OpaqueRequest;
 use crate::stream_attempt::{AttemptRead, StreamAttempt};
 use crate::upstream::AttemptFailure;
 
 /// Attempts of one stream that are open at the same time: a silent one, and one that may replace it.
 const MAX_OPEN_ATTEMPTS: usize = 2;
-/// Longest wait for a slot while no attempt is open. Callers leave after a gap of about this time.
-const MAX_SLOT_WAIT_MS: u64 = 2_000;
-/// Delay before a refused slot request for a stream is repeated.
-const SLOT_RETRY_DELAY_MS: u64 = 100;
+/// Least and largest delay before a refused slot request for a stream is repeated; it is doubled
+/// each time.
+const SLOT_RETRY_DELAY_MS: (u64, u64) = (100, 1_600);
 
 /// Forwards one stream to its caller.
 #[derive(Debug)]
@@ -51,8 +50,10 @@
     open: Vec<StreamAttempt>,
     /// Slot request for another attempt.
     slot_request: Option<Pin<Box<F>>>,
-    /// When a slot is requested for another attempt; `None` if that is not planned.
+    /// When a slot is requested for another attempt; `None` if only a silence is a reason.
     seek_at: Option<Instant>,
+    /// Delay before the next slot request if that one is refused.
+    retry_delay_ms: u64,
     /// When the stream is cut if no attempt is open by then.
     give_up_at: Instant,
     /// Last event that was forwarded.
@@ -66,7 +67,8 @@
 enum Step {
     Read(usize, AttemptRead),
     Granted(Granted),
-    SeekSlot,
+    /// A time of the stream has come: an attempt may be silent, or a slot is to be requested.
+    Timer,
     GiveUp,
     CallerGone,
 }
@@ -96,6 +98,7 @@
             open: vec![attempt],
             slot_request: None,
             seek_at: None,
+            retry_delay_ms: SLOT_RETRY_DELAY_MS.0,
             last_failure: None,
         };
         let mut step = Step::Read(0, AttemptRead::Stream(first));
@@ -103,9 +106,8 @@
             let progress = match step {
                 Step::Read(index, read) => self.handle_read(&sender, &mut state, index, read).await,
                 Step::Granted(granted) => self.handle_slot(&mut state, granted),
-                Step::SeekSlot => {
-                    self.seek_slot(&mut state, |avoid| Box::pin(self.request_slot(avoid)));
-                    Progress::Running
+                Step::Timer => {
+                    self.handle_timer(&mut state, |avoid| Box::pin(self.request_slot(avoid)))
                 }
                 Step::GiveUp if Instant::now() >= state.attempts.deadline => {
                     Progress::Cut(CutReason::DeadlinePassed)
@@ -122,8 +124,9 @@
                     return;
                 }
                 Progress::Cut(reason) => {
-                    self.cut(sender, &state, reason).await;
+                    self.record_cut(&state, reason);
                     self.end_all(state, AttemptOutcome::DeadlinePassed);
+                    sender.cut().await;
                     return;
                 }
             }
@@ -137,13 +140,16 @@
     {
         let is_open = !state.open.is_empty();
         let is_seeking = state.slot_request.is_some();
-        let seek_at = state.seek_at.filter(|_| !is_seeking);
         let (deadline, give_up_at) = (state.attempts.deadline, state.give_up_at);
-        if let (Some(at), [attempt]) = (seek_at, state.open.as_mut_slice()) {
+        let silent_at = state.open.iter().filter_map(StreamAttempt::silent_at);
+        let seek_at = state.seek_at.filter(|_| !is_seeking);
+        let timer = silent_at.chain(seek_at).min();
+        if let ([attempt], false) = (state.open.as_mut_slice(), is_seeking) {
             // A single timer for the usual case, in which the next event comes in time.
+            let until = timer.map_or(deadline, |timer| timer.min(deadline));
             return tokio::select! {
-                read = attempt.read(at.min(deadline)) => match read {
-                    AttemptRead::Stream(StreamRead::Silent) if at < deadline => Step::SeekSlot,
+                read = attempt.read(until) => match read {
+                    AttemptRead::Stream(StreamRead::Silent) if until < deadline => Step::Timer,
                     read => Step::Read(0, read),
                 },
                 () = sender.gone() => Step::CallerGone,
@@ -154,7 +160,7 @@
             (index, read) = read_any(&mut state.open, deadline), if is_open => Step::Read(index, read),
             granted = poll_slot(&mut state.slot_request), if is_seeking => Step::Granted(granted),
             () = sender.gone() => Step::CallerGone,
-            () = tokio::time::sleep_until(seek_at.unwrap_or(deadline)), if seek_at.is_some() => Step::SeekSlot,
+            () = tokio::time::sleep_until(timer.unwrap_or(deadline)), if timer.is_some() => Step::Timer,
             () = tokio::time::sleep_until(give_up_at), if !is_open => Step::GiveUp,
         }
     }
@@ -195,17 +201,18 @@
         event: RawEvent,
     ) -> Progress {
         let mut attempt = self.keep_only(state, index);
-        attempt.record_event();
+        attempt.record_event(&self.route);
         state.attempts.record_running();
         state.last_id = attempt.last_id();
+        state.seek_at = None;
+        state.retry_delay_ms = SLOT_RETRY_DELAY_MS.0;
         let deadline = state.attempts.deadline;
         let sent = tokio::time::timeout_at(deadline, sender.send(event.raw)).await;
         state.open.push(attempt);
-        let gap_timeout = Duration::from_millis(event_gap_timeout_ms(&self.route));
-        state.seek_at = self.seek_at(state, gap_timeout);
         match sent {
             Ok(true) => Progress::Running,
-            _ => Progress::CallerGone,
+            Ok(false) => Progress::CallerGone,
+            Err(_) => Progress::Cut(CutReason::DeadlinePassed),
         }
     }
 
@@ -227,14 +234,6 @@
         kept
     }
 
-    /// When to request a slot for another attempt if none of the open ones goes on.
-    fn seek_at<F>(&self, state: &StreamState<F>, after: Duration) -> Option<Instant> {
-        let open = state.open.len();
-        let may_seek =
-            open < MAX_OPEN_ATTEMPTS && state.attempts.may_start(&self.route, open as u32);
-        may_seek.then(|| Instant::now() + after)
-    }
-
     fn handle_failure<F>(
         &self,
         state: &mut StreamState<F>,
@@ -254,61 +253,62 @@
         attempt.fail(failure, &relay.metrics);
         state.last_failure = Some(failure);
         let open = state.open.len() as u32;
-        let may_retry = may_retry && (open == 0 || state.attempts.may_start(&self.route, open));
-        if !may_retry {
-            state.slot_request = None;
-        }
-        if !state.open.is_empty() || state.slot_request.is_some() {
-            state.seek_at = may_retry.then(Instant::now);
-            self.set_give_up(state);
+        if open > 0 {
+            let may_start = state.attempts.may_start(&self.route, open);
+            if !may_start {
+                state.slot_request = None;
+            }
+            let delay_ms = if may_retry { 0 } else { SLOT_RETRY_DELAY_MS.1 };
+            let at = Instant::now() + Duration::from_millis(delay_ms);
+            state.seek_at = may_start.then_some(at);
             return Progress::Running;
         }
         if !may_retry {
             return Progress::Cut(CutReason::NoAttempt);
         }
-        if relay.refusal_ms(request).is_some() {
-            return Progress::Cut(CutReason::Crashing);
-        }
-        self.set_give_up(state);
+        let latest = Instant::now() + caller_patience(&self.route);
+        state.give_up_at = state.attempts.deadline.min(latest);
         state.seek_at = Some(Instant::now());
         Progress::Running
     }
 
-    fn set_give_up<F>(&self, state: &mut StreamState<F>) {
-        let latest = Instant::now() + Duration::from_millis(MAX_SLOT_WAIT_MS);
-        state.give_up_at = state.attempts.deadline.min(latest);
-    }
-
-    /// Requests a slot for another attempt, unless the request crashes backend servers.
-    fn seek_slot<F>(
+    /// Records which attempts are silent, and requests a slot for another one if all are.
+    fn handle_timer<F>(
         &self,
         state: &mut StreamState<F>,
         request_slot: impl FnOnce((Vec<BackendId>, Instant)) -> Pin<Box<F>>,
-    ) {
-        state.seek_at = None;
-        state
-            .open
-            .iter_mut()
-            .for_each(StreamAttempt::record_silence);
+    ) -> Progress {
+        let now = Instant::now();
+        let mut is_due = state.seek_at.is_some_and(|at| at <= now);
+        if is_due {
+            state.seek_at = None;
+        }
+        for attempt in &mut state.open {
+            is_due |= attempt.record_silence(now);
+        }
+        let open = state.open.len();
+        let may_start = open == 0
+            || (open < MAX_OPEN_ATTEMPTS
+                && state.open.iter().all(StreamAttempt::is_silent)
+                && state.attempts.may_start(&self.route, open as u32));
+        if !is_due || !may_start || state.slot_request.is_some() {
+            return Progress::Running;
+        }
         if self.relay.refusal_ms(&self.request).is_some() {
-            return;
+            return match open {
+                0 => Progress::Cut(CutReason::Crashing),
+                _ => Progress::Running,
+            };
         }
-        let open = state.open.iter().map(|attempt| attempt.backend.id.clone());
+        let open_backends = state.open.iter().map(|attempt| attempt.backend.id.clone());
         let mut avoid = state.attempts.failed_backends.clone();
-        avoid.extend(open);
-        let deadline = match state.open.is_empty() {
-            true => state.give_up_at,
-            false => state.attempts.deadline,
+        avoid.extend(open_backends);
+        let deadline = match open {
+            0 => state.give_up_at,
+            _ => state.attempts.deadline,
         };
-        log::info!(
-            request = self.request.id.as_str(),
-            after = state.last_id,
-            attempts = state.attempts.maybe_executed,
-            open = state.open.len(),
-            lost = state.attempts.failed_backends.last().map(BackendId::as_str);
-            "resuming a stream at another backend server"
-        );
         state.slot_request = Some(request_slot((avoid, deadline)));
+        Progress::Running
     }
 
     async fn request_slot(&self, (avoid, deadline): (Vec<BackendId>, Instant)) -> Granted {
@@ -328,10 +328,28 @@
             Ok(granted) => granted,
             Err(error) => {
                 log::debug!("no slot to resume {}: {error}", self.request.id);
-                state.seek_at = self.seek_at(state, Duration::from_millis(SLOT_RETRY_DELAY_MS));
+                let jitter_ms = rand::random::<u64>() % state.retry_delay_ms;
+                let delay = Duration::from_millis(state.retry_delay_ms + jitter_ms);
+                state.seek_at = Some(Instant::now() + delay);
+                state.retry_delay_ms = (2 * state.retry_delay_ms).min(SLOT_RETRY_DELAY_MS.1);
                 return Progress::Running;
             }
         };
+        if self.relay.refused_ms(&self.request).is_some() {
+            return match state.open.is_empty() {
+                true => Progress::Cut(CutReason::Crashing),
+                false => Progress::Running,
+            };
+        }
+        log::info!(
+            request = self.request.id.as_str(),
+            after = state.last_id,
+            attempts = state.attempts.maybe_executed,
+            open = state.open.len(),
+            lost = state.attempts.failed_backends.last().map(BackendId::as_str),
+            backend = backend.id.as_str();
+            "resuming a stream at another backend server"
+        );
         let attempt = StreamAttempt::resume(
             &self.relay,
             &self.route,
@@ -341,12 +359,10 @@
             state.attempts.deadline,
         );
         state.open.push(attempt);
-        let timeout = Duration::from_millis(FIRST_EVENT_TIMEOUT_MS);
-        state.seek_at = self.seek_at(state, timeout);
         Progress::Running
     }
 
-    async fn cut<F>(&self, sender: AnswerSender, state: &StreamState<F>, reason: CutReason) {
+    fn record_cut<F>(&self, state: &StreamState<F>, reason: CutReason) {
         self.relay.metrics.stream_cut(&self.route.name, reason);
         log::warn!(
             request = self.request.id.as_str(),
@@ -358,7 +374,6 @@
             config = self.relay.routes.load().version();
             "stream cut off"
         );
-        sender.cut().await;
     }
 
     fn end_all<F>(&self, state: StreamState<F>, outcome: AttemptOutcome) {
--- a/crates/foxtailhold-relay/src/stream_attempt.rs
+++ b/crates/foxtailhold-relay/src/stream_attempt.rs
@@ -4,6 +4,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use foxtailhold::routes::Route;
 use foxtailhold::slots::SlotOutcome;
@@ -16,7 +17,7 @@
 use crate::fleet::BackendServer;
 use crate::metrics::{AttemptOutcome, RelayMetrics};
 use crate::peers::Slot;
-use crate::relay::{Relay, upstream_request};
+use crate::relay::{FIRST_EVENT_TIMEOUT_MS, Relay, event_gap_timeout, upstream_request};
 use crate::request::OpaqueRequest;
 use crate::upstream::AttemptFailure;
 
@@ -69,7 +70,10 @@
     slot: Slot,
     evidence: AttemptEvidence,
     source: Source,
+    /// When the last event came, or the attempt was sent.
     heard_at: Instant,
+    /// Time without an event after which the backend server counts as silent.
+    silence_limit: Duration,
     is_silent: bool,
 }
 
@@ -80,7 +84,9 @@
         started: Instant,
         reader: Box<EventReader>,
         evidence: AttemptEvidence,
+        route: &Route,
     ) -> Self {
+        evidence.set_silent(false);
         StreamAttempt {
             backend,
             started,
@@ -89,6 +95,7 @@
             evidence,
             source: Source::Open(reader),
             heard_at: Instant::now(),
+            silence_limit: event_gap_timeout(route),
             is_silent: false,
         }
     }
@@ -120,10 +127,21 @@
             evidence,
             source: Source::Opening(AbortOnDrop(tokio::spawn(opening))),
             heard_at: started,
+            silence_limit: Duration::from_millis(FIRST_EVENT_TIMEOUT_MS),
             is_silent: false,
         }
     }
 
+    /// When its backend server counts as silent if no event comes; `None` if it does already.
+    pub(crate) fn silent_at(&self) -> Option<Instant> {
+        (!self.is_silent).then(|| self.heard_at + self.silence_limit)
+    }
+
+    /// Whether its backend server counts as silent.
+    pub(crate) fn is_silent(&self) -> bool {
+        self.is_silent
+    }
+
     /// Waits for the next event until `until`.
     pub(crate) async fn read(&mut self, until: Instant) -> AttemptRead {
         loop {
@@ -155,19 +173,24 @@
     }
 
     /// Records an event.
-    pub(crate) fn record_event(&mut self) {
+    pub(crate) fn record_event(&mut self, route: &Route) {
         self.slot.record_activity();
         self.events += 1;
         self.heard_at = Instant::now();
+        self.silence_limit = event_gap_timeout(route);
         if std::mem::take(&mut self.is_silent) {
             self.evidence.set_silent(false);
         }
     }
 
-    /// Records that the backend server has not sent anything for longer than usual.
-    pub(crate) fn record_silence(&mut self) {
-        self.is_silent = true;
-        self.evidence.set_silent(true);
+    /// Records that the backend server is silent once its time is up. Returns whether it is new.
+    pub(crate) fn record_silence(&mut self, now: Instant) -> bool {
+        let is_new = self.silent_at().is_some_and(|at| at <= now);
+        if is_new {
+            self.is_silent = true;
+            self.evidence.set_silent(true);
+        }
+        is_new
     }
 
     /// Time in ms since the last event.
--- a/crates/foxtailhold-relay/src/upstream.rs
+++ b/crates/foxtailhold-relay/src/upstream.rs
@@ -178,12 +178,16 @@
 }
 
 /// Buffers a complete response. The connection is reused only if the body arrived in full.
-pub async fn read_buffered(
-    response: Response<Incoming>,
+pub async fn read_buffered<B>(
+    response: Response<B>,
     connection: BusyConnection,
     deadline: Instant,
     budget: &ReadBudget,
-) -> Result<Response<Bytes>, AttemptFailure> {
+) -> Result<Response<Bytes>, AttemptFailure>
+where
+    B: hyper::body::Body<Data = Bytes> + Unpin,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     let (head, body) = response.into_parts();
     let reading = body::read_within(body, MAX_BUFFERED_BYTES, budget);
     match tokio::time::timeout_at(deadline, reading).await {
