Read the software version of backend servers

Now it is a checked type, known to the fleet table and to the allocator, and a slot request can name one. No decision uses it yet: behaviour is unchanged.

--- a/crates/foxtailhold-experiment/src/placement/allocator.rs
+++ b/crates/foxtailhold-experiment/src/placement/allocator.rs
@@ -8,6 +8,7 @@
     Allocator, BackendSlots, SlotDecision, SlotNotice, SlotOutcome, SlotRequest, SlotRequestId,
     Urgency,
 };
+use foxtailhold::software_version::SoftwareVersion;
 use foxtailhold::time::MonoMs;
 
 use crate::arrivals::RequestKind;
@@ -100,6 +101,7 @@
                 backend: backend.clone(),
                 zone: self.zones[*zone].clone(),
                 slots: self.topology.slots as u32,
+                version: SoftwareVersion::default(),
             });
         }
         self.allocator = Allocator::default();
@@ -165,6 +167,7 @@
                 .map(|engine| self.engines[*engine].clone())
                 .collect(),
             zone: self.zones[zone].clone(),
+            version: None,
         };
         let mut notices = Vec::new();
         let id = core_request.id.clone();
@@ -211,7 +214,7 @@
                     engine,
                 });
             }
-            Some(SlotDecision::Queued) => {}
+            Some(SlotDecision::Queued | SlotDecision::VersionGone) => {}
             Some(SlotDecision::Refused { retry_after_ms }) => {
                 let retry_after_ms = *retry_after_ms;
                 actions.push(Action::Refuse {
--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -309,6 +309,7 @@
                     slack_ms: route.objective_ms.saturating_sub(spent_ms),
                     avoid: &progress.attempts.failed_backends,
                     deadline: progress.attempts.deadline,
+                    version: None,
                 };
                 let granted = self.acquire_slot(&query).await;
                 progress.waited_ms += requested.elapsed().as_millis() as u64;
@@ -318,7 +319,7 @@
                         let reason = NotRunReason::NoSlot;
                         return RelayOutcome::Unserved(progress.unserved(reason, retry_after_ms));
                     }
-                    Err(SlotError::TimedOut) => {
+                    Err(SlotError::TimedOut | SlotError::VersionGone) => {
                         let reason = NotRunReason::Waited;
                         return RelayOutcome::Unserved(
                             progress.unserved(reason, PLAIN_RETRY_AFTER_MS),
--- a/crates/foxtailhold-relay/src/fleet.rs
+++ b/crates/foxtailhold-relay/src/fleet.rs
@@ -7,6 +7,7 @@
 use foxtailhold::ids::{AvailabilityZone, BackendId, TargetName};
 use foxtailhold::quarantine::CrashId;
 use foxtailhold::slots::BackendSlots;
+use foxtailhold::software_version::SoftwareVersion;
 use foxtailhold::time::MonoMs;
 
 /// Time after the return of the platform's store within which entries that expired during its
@@ -38,6 +39,8 @@
     pub is_leaving: bool,
     /// Unix milliseconds of its start, 0 if it does not state it.
     pub started_unix_ms: u64,
+    /// Version of its software.
+    pub version: SoftwareVersion,
 }
 
 impl BackendServer {
@@ -95,6 +98,7 @@
                 backend: backend.id.clone(),
                 zone: backend.zone.clone(),
                 slots: backend.slots,
+                version: backend.version.clone(),
             });
         slots.collect()
     }
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -287,10 +287,11 @@
                 .saturating_sub(self.jobs.item_durations().remaining_ms(self.events())),
             avoid: &self.avoided_backends,
             deadline: Instant::now() + Duration::from_millis(SLOT_TIMEOUT_MS),
+            version: None,
         };
         let (slot, backend) = match relay.acquire_slot(&query).await {
             Ok(granted) => granted,
-            Err(SlotError::TimedOut) => {
+            Err(SlotError::TimedOut | SlotError::VersionGone) => {
                 self.avoided_backends.clear();
                 return AttemptEnd::Suspended;
             }
--- a/crates/foxtailhold-relay/src/peers/slot.rs
+++ b/crates/foxtailhold-relay/src/peers/slot.rs
@@ -5,6 +5,7 @@
 
 use foxtailhold::ids::{BackendId, TargetName};
 use foxtailhold::slots::{SlotDecision, SlotOutcome, SlotRequest, SlotRequestId, Urgency};
+use foxtailhold::software_version::SoftwareVersion;
 use thiserror::Error;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -38,6 +39,9 @@
     /// No slot became free before the deadline.
     #[error("no slot became free before the deadline")]
     TimedOut,
+    /// No backend server of the requested version is listed.
+    #[error("no backend server of the requested version is listed")]
+    VersionGone,
 }
 
 /// What a request needs from the allocator.
@@ -54,6 +58,8 @@
     pub avoid: &'a [BackendId],
     /// Deadline for waiting.
     pub deadline: Instant,
+    /// Version of the software that the backend server must run; `None` for any.
+    pub version: Option<&'a SoftwareVersion>,
 }
 
 /// A slot at a backend server. Dropping it releases the slot as abandoned.
@@ -157,6 +163,7 @@
             slack_ms: query.slack_ms,
             avoid: query.avoid.to_vec(),
             zone: self.inner.zone.clone(),
+            version: query.version.cloned(),
         };
         let decision = self
             .wait_for_decision(&request, query.deadline, &mut decisions)
@@ -171,6 +178,10 @@
                 waiting.is_settled = true;
                 Err(SlotError::Refused { retry_after_ms })
             }
+            SlotDecision::VersionGone => {
+                waiting.is_settled = true;
+                Err(SlotError::VersionGone)
+            }
             SlotDecision::Queued => Err(SlotError::TimedOut),
         }
     }
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -252,6 +252,7 @@
             slack_ms: u64::from(u32::MAX),
             avoid: &self.attempts.failed_backends,
             deadline: self.attempts.deadline,
+            version: None,
         };
         self.relay.acquire_slot(&query).await.ok()
     }
--- a/crates/foxtailhold-relay/tests/fleet.rs
+++ b/crates/foxtailhold-relay/tests/fleet.rs
@@ -22,6 +22,7 @@
         address: "10.0.0.1:80".parse().unwrap(),
         zone: AvailabilityZone::try_from("a").unwrap(),
         slots: 8,
+        version: "v1".try_into().unwrap(),
         started_unix_ms,
         is_leaving: false,
     }
--- a/crates/foxtailhold-relay/tests/pending_attempts.rs
+++ b/crates/foxtailhold-relay/tests/pending_attempts.rs
@@ -27,6 +27,7 @@
         address: "127.0.0.1:9".parse().unwrap(),
         zone: "concord-hall".try_into().unwrap(),
         slots: 8,
+        version: "v1".try_into().unwrap(),
         is_leaving: false,
         started_unix_ms: START,
     }
--- a/crates/foxtailhold/src/lib.rs
+++ b/crates/foxtailhold/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod routes;
 pub mod routing;
 pub mod slots;
+pub mod software_version;
 pub mod stall;
 pub mod suspect;
 pub mod time;
--- a/crates/foxtailhold/src/slots/mod.rs
+++ b/crates/foxtailhold/src/slots/mod.rs
@@ -17,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{AvailabilityZone, BackendId, InstanceId, TargetName};
+use crate::software_version::SoftwareVersion;
 
 /// Identifies a slot request, unique over all instances.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
@@ -55,6 +56,10 @@
     pub avoid: Vec<BackendId>,
     /// Availability zone of the requesting instance.
     pub zone: AvailabilityZone,
+    /// Only backend servers of this version are eligible; `None` for any. The encoded form keeps its
+    /// layout, and the version follows separately.
+    #[serde(skip)]
+    pub version: Option<SoftwareVersion>,
 }
 
 /// The allocator's decision on a slot request.
@@ -69,6 +74,9 @@
         /// Estimated time in ms until a slot is free.
         retry_after_ms: u64,
     },
+    /// No backend server of the requested version is listed. Only sent to instances that ask for a
+    /// version.
+    VersionGone,
 }
 
 /// How the use of a slot ended.
@@ -115,4 +123,6 @@
     pub zone: AvailabilityZone,
     /// Number of requests that it runs at once.
     pub slots: u32,
+    /// Version of its software.
+    pub version: SoftwareVersion,
 }
--- a/crates/foxtailhold/tests/slots.rs
+++ b/crates/foxtailhold/tests/slots.rs
@@ -6,6 +6,7 @@
     Allocator, BackendSlots, HeldSlot, SlotDecision, SlotNotice, SlotOutcome, SlotRequest,
     SlotRequestId, Urgency,
 };
+use foxtailhold::software_version::SoftwareVersion;
 use foxtailhold::time::MonoMs;
 use test_case::test_case;
 
@@ -41,10 +42,15 @@
         backend: backend(&format!("engine-{index}")),
         zone: zone(zones[index % zones.len()]),
         slots: *slots,
+        version: version("v1"),
     });
     engines.collect()
 }
 
+fn version(text: &str) -> SoftwareVersion {
+    SoftwareVersion::try_from(text).unwrap()
+}
+
 fn request_from(instance_name: &str, number: u64, urgency: Urgency, slack_ms: u64) -> SlotRequest {
     SlotRequest {
         id: SlotRequestId {
@@ -56,6 +62,7 @@
         slack_ms,
         avoid: Vec::new(),
         zone: zone("a"),
+        version: None,
     }
 }
 
