Grant slots at engines of the requested software version

A slot request that names a version now gets only an engine of it, or the decision that the version is gone: at once, and also while it is queued. Preemption, the estimate of the wait and the free slots of a round are counted by version, so that requests for a full version neither delay those that another one can serve nor preempt batch items in vain. A request for a version that can wait longer than an ejection is queued where all engines of the version are blocked, as they are few. An engine whose version changes without a new start is a new engine, without grants and health.

Free slots are counted by version only while a queued request names one.

--- a/crates/foxtailhold/src/slots/mod.rs
+++ b/crates/foxtailhold/src/slots/mod.rs
@@ -10,6 +10,8 @@
 mod allocator;
 pub mod health;
 mod pool;
+mod preemption;
+mod supply;
 
 pub use allocator::{Allocator, SlotNotice};
 pub use health::BackendHealth;
--- a/crates/foxtailhold/src/slots/pool.rs
+++ b/crates/foxtailhold/src/slots/pool.rs
@@ -3,11 +3,14 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use crate::ids::BackendId;
-use crate::slots::health::BackendHealth;
+use crate::slots::health::{BackendHealth, MAX_EJECTION_MS};
+use crate::slots::preemption::{self, Candidate};
+use crate::slots::supply::OnlineSupply;
 use crate::slots::{
     BackendSlots, HeldSlot, SlotDecision, SlotNotice, SlotOutcome, SlotRequest, SlotRequestId,
     Urgency,
 };
+use crate::software_version::SoftwareVersion;
 use crate::time::MonoMs;
 
 /// A grant that its instance does not report is withdrawn after this time, which covers two reports
@@ -60,9 +63,21 @@
 }
 
 impl Backend {
+    fn new(config: &BackendSlots) -> Self {
+        Backend {
+            config: config.clone(),
+            grants: HashMap::new(),
+            health: BackendHealth::default(),
+        }
+    }
+
+    /// Slots that its health allows to be in use.
+    fn usable(&self, now: MonoMs) -> u32 {
+        self.health.limit(now, self.config.slots)
+    }
+
     fn free(&self, now: MonoMs) -> u32 {
-        let limit = self.health.limit(now, self.config.slots);
-        limit.saturating_sub(self.grants.len() as u32)
+        self.usable(now).saturating_sub(self.grants.len() as u32)
     }
 }
 
@@ -74,10 +89,12 @@
 }
 
 /// Free slots that remain during one round of grants.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug)]
 struct FreeSlots {
     free: u64,
     headroom: u64,
+    /// Free slots of each listed version; empty if no queued request names a version.
+    by_version: Vec<(SoftwareVersion, u64)>,
 }
 
 impl FreeSlots {
@@ -87,11 +104,29 @@
     fn allows(&self, now: MonoMs, waiting: &QueuedRequest) -> bool {
         let until = waiting.slack_until;
         let is_urgent = until > now && until < now + URGENT_SLACK_MS;
+        if let Some(version) = &waiting.request.version {
+            let mut versions = self.by_version.iter();
+            if !versions.any(|(listed, free)| listed == version && *free > 0) {
+                return false;
+            }
+        }
         match waiting.request.urgency {
             Urgency::Batch if !is_urgent => self.free > self.headroom,
             _ => self.free > 0,
         }
     }
+
+    fn lists(&self, version: &SoftwareVersion) -> bool {
+        self.by_version.iter().any(|(listed, _)| listed == version)
+    }
+
+    fn take(&mut self, version: &SoftwareVersion) {
+        self.free -= 1;
+        let mut versions = self.by_version.iter_mut();
+        if let Some((_, free)) = versions.find(|(listed, _)| listed == version) {
+            *free -= 1;
+        }
+    }
 }
 
 /// The slots and the queue of one service.
@@ -115,20 +150,17 @@
 }
 
 impl Pool {
-    /// Replaces the backend servers; grants at those that stay are kept.
+    /// Replaces the backend servers; grants at those that stay are kept. One that now runs another
+    /// version has started again and is a new one, also if it does not state its start.
     pub fn set_backends(&mut self, all: &[BackendSlots]) {
         let mut old = std::mem::take(&mut self.backends);
         for config in all {
             let backend = match old.remove(&config.backend) {
-                Some(current) => Backend {
+                Some(current) if current.config.version == config.version => Backend {
                     config: config.clone(),
                     ..current
                 },
-                None => Backend {
-                    config: config.clone(),
-                    grants: HashMap::new(),
-                    health: BackendHealth::default(),
-                },
+                _ => Backend::new(config),
             };
             self.backends.insert(config.backend.clone(), backend);
         }
@@ -140,6 +172,10 @@
         if let Some(backend) = self.granted_backend(&request.id) {
             return SlotDecision::Granted(backend);
         }
+        if self.is_version_gone(&request) {
+            self.waiting.retain(|w| w.request.id != request.id);
+            return SlotDecision::VersionGone;
+        }
         if let Some(current) = self.waiting.iter_mut().find(|w| w.request.id == request.id) {
             current.last_request_at = now;
             return SlotDecision::Queued;
@@ -163,28 +199,44 @@
         held.map(|backend| backend.config.backend.clone())
     }
 
+    fn is_version_gone(&self, request: &SlotRequest) -> bool {
+        let Some(version) = &request.version else {
+            return false;
+        };
+        let mut backends = self.backends.values();
+        backends.all(|backend| backend.config.version != *version)
+    }
+
     /// Time until the caller should retry, if the request would miss its objective.
     fn retry_after_if_late(&self, now: MonoMs, request: &SlotRequest) -> Option<u64> {
-        let usable_slots = self.usable_slots(now);
-        let mut ready = 0_u64;
-        for backend in self.backends.values() {
-            ready += u64::from(backend.free(now));
-            ready += count(backend.grants.values(), |g| g.urgency == Urgency::Batch);
-        }
         let Urgency::Online { priority } = request.urgency else {
             return None;
         };
-        let ahead = count(self.waiting.iter(), |w| match w.request.urgency {
-            Urgency::Online { priority: other } => other <= priority,
-            Urgency::Batch => false,
-        });
-        if ahead < ready {
-            return None;
+        let mut supply = OnlineSupply::default();
+        for backend in self.backends.values() {
+            let batch = count(backend.grants.values(), |g| g.urgency == Urgency::Batch);
+            let ready = u64::from(backend.free(now)) + batch;
+            let usable = u64::from(backend.usable(now));
+            supply.add_backend(&backend.config.version, ready, usable);
         }
-        if usable_slots == 0 {
-            return Some(RETRY_AFTER_MS.1 / 2);
+        for waiting in &self.waiting {
+            match waiting.request.urgency {
+                Urgency::Online { priority: other } if other <= priority => {
+                    supply.add_ahead(waiting.request.version.as_ref());
+                }
+                Urgency::Online { .. } | Urgency::Batch => {}
+            }
+        }
+        let Some(turns) = supply.turns_until_free(request.version.as_ref()) else {
+            // The few backend servers of one version may all be blocked for a moment.
+            let outlasts_ejection =
+                request.version.is_some() && request.slack_ms >= MAX_EJECTION_MS;
+            return (!outlasts_ejection).then_some(RETRY_AFTER_MS.1 / 2);
+        };
+        if turns == 0.0 {
+            return None;
         }
-        let wait_ms = ((ahead - ready + 1) as f64 * self.held_ms / usable_slots as f64) as u64;
+        let wait_ms = (turns * self.held_ms) as u64;
         if wait_ms + FIRST_EVENT_MS <= request.slack_ms {
             return None;
         }
@@ -269,6 +321,7 @@
         }
         self.waiting.sort_by_key(|waiting| queue_key(now, waiting));
         let mut free_slots = self.free_slots(now);
+        self.drop_gone_versions(&free_slots, decisions);
         let mut still_waiting = Vec::new();
         for waiting in std::mem::take(&mut self.waiting) {
             let selected = match free_slots.allows(now, &waiting) {
@@ -279,11 +332,25 @@
                 still_waiting.push(waiting);
                 continue;
             };
-            free_slots.free -= 1;
-            self.grant(now, waiting, backend, decisions);
+            free_slots.take(&self.grant(now, waiting, backend, decisions));
         }
         self.waiting = still_waiting;
-        self.preempt_batch(decisions);
+        self.preempt_batch(now, decisions);
+    }
+
+    /// Drops the queued requests whose version is no longer listed.
+    fn drop_gone_versions(&mut self, free_slots: &FreeSlots, decisions: &mut Vec<SlotNotice>) {
+        self.waiting.retain(|waiting| {
+            let version = waiting.request.version.as_ref();
+            if version.is_none_or(|version| free_slots.lists(version)) {
+                return true;
+            }
+            decisions.push(SlotNotice {
+                request: waiting.request.id.clone(),
+                decision: Some(SlotDecision::VersionGone),
+            });
+            false
+        });
     }
 
     /// Selects the engine with the fewest slots in use. An engine in another availability zone must
@@ -293,7 +360,9 @@
         let mut best: Option<(u32, bool, &BackendId)> = None;
         for (id, backend) in &self.backends {
             let free = backend.free(now);
-            if free == 0 || request.avoid.contains(id) {
+            let version = request.version.as_ref();
+            let has_version = version.is_none_or(|version| *version == backend.config.version);
+            if free == 0 || !has_version || request.avoid.contains(id) {
                 continue;
             }
             let used = backend.grants.len() as u32;
@@ -309,10 +378,26 @@
     /// Counts the free slots once for the whole round: hundreds of items may wait for slots at
     /// dozens of engines, and each slot request and each release starts a round.
     fn free_slots(&self, now: MonoMs) -> FreeSlots {
-        FreeSlots {
-            free: self.backends.values().map(|b| u64::from(b.free(now))).sum(),
+        let mut waiting = self.waiting.iter();
+        let names_version = waiting.any(|waiting| waiting.request.version.is_some());
+        let mut free_slots = FreeSlots {
+            free: 0,
             headroom: self.headroom(now),
+            by_version: Vec::new(),
+        };
+        for backend in self.backends.values() {
+            let (version, free) = (&backend.config.version, u64::from(backend.free(now)));
+            free_slots.free += free;
+            if !names_version {
+                continue;
+            }
+            let mut versions = free_slots.by_version.iter_mut();
+            match versions.find(|(listed, _)| listed == version) {
+                Some((_, of_version)) => *of_version += free,
+                None => free_slots.by_version.push((version.clone(), free)),
+            }
         }
+        free_slots
     }
 
     /// Slots kept free of batch work. A small or unhealthy pool keeps none: where engines only
@@ -324,59 +409,62 @@
 
     /// Slots that the health of the backend servers allows to be in use.
     fn usable_slots(&self, now: MonoMs) -> u64 {
-        let limits = self.backends.values();
-        limits
-            .map(|b| u64::from(b.health.limit(now, b.config.slots)))
-            .sum()
+        let backends = self.backends.values();
+        backends.map(|b| u64::from(b.usable(now))).sum()
     }
 
+    /// Grants a slot; returns the version of the backend server.
     fn grant(
         &mut self,
         now: MonoMs,
         waiting: QueuedRequest,
         id: BackendId,
         decisions: &mut Vec<SlotNotice>,
-    ) {
+    ) -> SoftwareVersion {
         let grant = Grant {
             urgency: waiting.request.urgency,
             slack_until: waiting.slack_until,
             granted_at: now,
             preempting: false,
         };
+        let mut version = SoftwareVersion::default();
         if let Some(backend) = self.backends.get_mut(&id) {
+            version = backend.config.version.clone();
             backend.grants.insert(waiting.request.id.clone(), grant);
         }
         decisions.push(SlotNotice {
             request: waiting.request.id,
             decision: Some(SlotDecision::Granted(id)),
         });
+        version
     }
 
-    /// Preempts as many batch items as online requests are waiting: first items that are already
-    /// late, then those with the most slack.
-    fn preempt_batch(&mut self, decisions: &mut Vec<SlotNotice>) {
-        let wanted = count(self.waiting.iter(), |w| w.request.urgency != Urgency::Batch);
-        if wanted == 0 {
+    /// Preempts batch items for queued online requests.
+    fn preempt_batch(&mut self, now: MonoMs, decisions: &mut Vec<SlotNotice>) {
+        let online = self.waiting.iter().map(|waiting| &waiting.request);
+        let online = online.filter(|request| request.urgency != Urgency::Batch);
+        if online.clone().next().is_none() {
             return;
         }
-        let grants = self.backends.values_mut().flat_map(|b| b.grants.iter_mut());
-        let mut batch: Vec<(&SlotRequestId, &mut Grant)> = grants
-            .filter(|(_, grant)| grant.urgency == Urgency::Batch)
-            .collect();
-        let pending = count(batch.iter(), |(_, grant)| grant.preempting);
-        batch.retain(|(_, grant)| !grant.preempting);
-        batch.sort_by_key(|(_, grant)| {
-            let is_late = grant.slack_until <= grant.granted_at;
-            (!is_late, std::cmp::Reverse(grant.slack_until))
-        });
-        let missing = wanted.saturating_sub(pending) as usize;
-        for (request, grant) in batch.into_iter().take(missing) {
-            grant.preempting = true;
-            decisions.push(SlotNotice {
-                request: request.clone(),
-                decision: None,
-            });
+        let mut candidates = Vec::new();
+        for backend in self.backends.values_mut() {
+            let frees_slot = backend.usable(now) as usize >= backend.grants.len();
+            for (request, grant) in &mut backend.grants {
+                if grant.urgency != Urgency::Batch {
+                    continue;
+                }
+                candidates.push(Candidate {
+                    request,
+                    config: &backend.config,
+                    frees_slot,
+                    is_late: grant.slack_until <= grant.granted_at,
+                    slack_until: grant.slack_until,
+                    is_preempting: &mut grant.preempting,
+                    is_claimed: false,
+                });
+            }
         }
+        preemption::preempt(candidates, online, decisions);
     }
 
     /// Slots in use and queued requests.
