Carry the version of a slot request between instances

A slot request keeps its layout, since instances of the previous version run beside this one. The version is appended after the table versions: the previous version reads those after any message and ignores the rest, so that a request with a version always carries them. Without a version the bytes are those of before.

slot_version_messages.rs, 8 cases, with a reader like that of the previous version, green.

--- a/crates/foxtailhold-relay/src/peers/message.rs
+++ b/crates/foxtailhold-relay/src/peers/message.rs
@@ -8,6 +8,7 @@
 use foxtailhold::ids::{InstanceId, TargetName};
 use foxtailhold::quarantine::Fingerprint;
 use foxtailhold::slots::{HeldSlot, SlotDecision, SlotOutcome, SlotRequest, SlotRequestId};
+use foxtailhold::software_version::SoftwareVersion;
 use foxtailhold_peer::codec;
 use foxtailhold_peer::error::Result;
 use serde::{Deserialize, Serialize};
@@ -29,28 +30,41 @@
 pub struct Datagram {
     /// The message.
     pub message: PeerMessage,
-    /// Newest changes that the sender has, with its heartbeats.
+    /// Newest changes that the sender has, with its heartbeats and with slot requests for a version.
     pub tables: Option<TableVersions>,
 }
 
 impl Datagram {
-    /// Encodes the datagram as bincode.
+    /// Encodes the datagram as bincode. The version of a slot request follows the table versions:
+    /// the previous version reads them after any message, and ignores what comes then.
     pub fn encode(message: &PeerMessage, tables: Option<&TableVersions>) -> Result<Bytes> {
-        let message = codec::encode(message)?;
-        let Some(tables) = tables else {
-            return Ok(message);
-        };
-        let mut bytes = BytesMut::from(message.as_ref());
-        bytes.extend_from_slice(&codec::encode(tables)?);
+        let version = message.requested_version();
+        let encoded = codec::encode(message)?;
+        if tables.is_none() && version.is_none() {
+            return Ok(encoded);
+        }
+        let tables = tables.copied().unwrap_or_default();
+        let mut bytes = BytesMut::from(encoded.as_ref());
+        bytes.extend_from_slice(&codec::encode(&tables)?);
+        if let Some(version) = version {
+            bytes.extend_from_slice(&codec::encode(version)?);
+        }
         Ok(bytes.freeze())
     }
 
-    /// Decodes a datagram.
+    /// Decodes a datagram, and restores the version of a slot request.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
-        let (message, appended) = codec::decode_first(bytes)?;
+        let (mut message, appended) = codec::decode_first(bytes)?;
+        let Ok((tables, appended)) = codec::decode_first(appended) else {
+            let tables = None;
+            return Ok(Datagram { message, tables });
+        };
+        if let PeerMessage::SlotRequest(request) = &mut message {
+            request.version = codec::decode(appended).ok();
+        }
         Ok(Datagram {
             message,
-            tables: codec::decode(appended).ok(),
+            tables: Some(tables),
         })
     }
 }
@@ -123,3 +137,13 @@
         exoneration: Exoneration,
     },
 }
+
+impl PeerMessage {
+    /// The software version that a slot request names.
+    pub fn requested_version(&self) -> Option<&SoftwareVersion> {
+        match self {
+            PeerMessage::SlotRequest(request) => request.version.as_ref(),
+            _ => None,
+        }
+    }
+}
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -274,7 +274,10 @@
     /// Sends without blocking. A datagram that the socket cannot take now is treated like one lost
     /// on the network.
     fn send(&self, to: SocketAddr, message: &PeerMessage) {
-        self.send_with(to, message, None);
+        match message.requested_version() {
+            Some(_) => self.send_heartbeat(to, message),
+            None => self.send_with(to, message, None),
+        }
     }
 
     /// Sends a message together with the newest changes that this instance has.
