Resume streams only at engines of the version that began them

Callers got streams whose events come from two software versions, which do not fit together: an answer that breaks off was resumed at any engine. A resumption now asks for the version that wrote the first event, and waits 1.5 s for a slot at most, as callers leave after a gap of 2 s. Where no engine of the version is listed, the stream is cut at once, with a line and a counter. An allocator of the previous version ignores the version, so that the granted engine is checked, and another slot requested without the engines of other versions.

--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -368,6 +368,7 @@
                         relay: Arc::clone(self),
                         route: route.clone(),
                         service: service.clone(),
+                        version: backend.version.clone(),
                         request,
                         attempts: progress.attempts.clone(),
                     };
--- a/crates/foxtailhold-relay/src/feeds.rs
+++ b/crates/foxtailhold-relay/src/feeds.rs
@@ -137,6 +137,7 @@
             DecodedRow::Backend(backend) => {
                 log::info!(
                     backend = backend.id.as_str(), leaving = backend.is_leaving,
+                    software = backend.version.as_str(),
                     version = row.version; "backend server listed"
                 );
                 self.table().put(now, backend);
--- a/crates/foxtailhold-relay/src/fleet.rs
+++ b/crates/foxtailhold-relay/src/fleet.rs
@@ -89,6 +89,16 @@
         all.any(|backend| backend.id == *id)
     }
 
+    /// Backend servers of a service that accept new work and run another version than `version`.
+    pub fn of_other_versions<'a>(
+        &'a self,
+        service: &TargetName,
+        version: &'a SoftwareVersion,
+    ) -> impl Iterator<Item = &'a Arc<BackendServer>> + use<'a> {
+        let all = self.for_service(service).iter();
+        all.filter(move |backend| backend.version != *version)
+    }
+
     /// Slots of the backend servers of a service.
     pub fn slots(&self, service: &TargetName) -> Vec<BackendSlots> {
         let slots = self
--- a/crates/foxtailhold-relay/src/metrics.rs
+++ b/crates/foxtailhold-relay/src/metrics.rs
@@ -217,6 +217,7 @@
     responses: Family<ResponseLabels, Counter>,
     response_times: DurationFamily<RouteLabel>,
     streams_cut: Family<RouteLabel, Counter>,
+    streams_without_version: Family<RouteLabel, Counter>,
     store_calls: Family<CallLabels, Counter>,
     items: Family<ItemLabel, Counter>,
     failed_attempts: Family<CauseLabel, Counter>,
@@ -248,6 +249,10 @@
             "Streams cut before their end",
             streams_cut.clone(),
         );
+        let streams_without_version = Family::default();
+        let help = "Streams that ended because no backend server of their version was left";
+        let without_version = streams_without_version.clone();
+        registry.register("version_gone_streams", help, without_version);
         let store_calls = Family::default();
         registry.register("store_calls", "Calls to the store", store_calls.clone());
         let items = Family::default();
@@ -288,6 +293,7 @@
             responses,
             response_times,
             streams_cut,
+            streams_without_version,
             store_calls,
             items,
             failed_attempts,
@@ -326,6 +332,14 @@
         self.streams_cut.get_or_create(&RouteLabel { route }).inc();
     }
 
+    /// Counts a stream that ended because no backend server of its version was left.
+    pub fn stream_version_gone(&self, route: &str) {
+        let route = route.to_owned();
+        self.streams_without_version
+            .get_or_create(&RouteLabel { route })
+            .inc();
+    }
+
     /// Counts a store call that was refused or not answered.
     pub fn store_call_failed(&self, call: &'static str, outcome: &'static str) {
         self.store_calls
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -39,8 +39,8 @@
 /// Retry delay for callers of a request that may run only as a probe, which another instance may
 /// then admit.
 const PROBE_RETRY_AFTER_MS: u64 = 1_000;
-/// Slot requests made if the allocator grants backend servers that this instance does not know.
-/// Instances learn of changes within milliseconds of each other.
+/// Slot requests made if the allocator grants backend servers that this instance does not know, or
+/// of another version than requested. Instances learn of changes within milliseconds of each other.
 const MAX_SLOT_REQUESTS: u32 = 3;
 /// Retry delay for callers of a plain service without capacity; some requests have finished by
 /// then.
@@ -155,27 +155,47 @@
         }
     }
 
-    /// Requests a slot at an engine and looks up the engine.
+    /// Requests a slot at an engine and looks up the engine. An allocator of the previous version
+    /// does not read the requested software version, so it is checked here.
     pub(crate) async fn acquire_slot(
         &self,
         query: &SlotQuery<'_>,
     ) -> Result<(Slot, Arc<BackendServer>), SlotError> {
         let mut avoid = query.avoid.to_vec();
         for _ in 0..MAX_SLOT_REQUESTS {
-            let query = SlotQuery {
+            let to_ask = SlotQuery {
                 avoid: &avoid,
                 ..query.clone()
             };
-            let slot = self.peers.acquire(&query).await?;
+            let slot = self.peers.acquire(&to_ask).await?;
             let backends = self.backends.load();
-            if let Some(backend) = backends.find(query.pool, slot.backend()) {
+            let Some(backend) = backends.find(query.pool, slot.backend()) else {
+                // The allocator knows of a start that has not been read here yet, or the other way
+                // round.
+                log::info!(backend = slot.backend().as_str(); "slot granted at an unknown backend server, requesting another");
+                avoid.push(slot.backend().clone());
+                slot.close(SlotOutcome::Abandoned);
+                continue;
+            };
+            let Some(version) = query.version.filter(|version| **version != backend.version) else {
                 return Ok((slot, Arc::clone(backend)));
-            }
-            // The allocator knows of a start that has not been read here yet, or the other way
-            // round.
-            log::info!(backend = slot.backend().as_str(); "slot granted at an unknown backend server, requesting another");
-            avoid.push(slot.backend().clone());
+            };
+            log::info!(
+                backend = backend.id.as_str(), software = backend.version.as_str(),
+                wanted = version.as_str();
+                "slot granted at a backend server of another version"
+            );
             slot.close(SlotOutcome::Abandoned);
+            // An allocator that does not read the version cannot know that it is gone.
+            let mut listed = backends.for_service(query.pool).iter();
+            if listed.all(|listed| listed.version != *version) {
+                return Err(SlotError::VersionGone);
+            }
+            for other in backends.of_other_versions(query.pool, version) {
+                if !avoid.contains(&other.id) {
+                    avoid.push(other.id.clone());
+                }
+            }
         }
         Err(SlotError::Refused {
             retry_after_ms: PLAIN_RETRY_AFTER_MS,
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -7,6 +7,7 @@
 use foxtailhold::ids::{BackendId, TargetName};
 use foxtailhold::routes::Route;
 use foxtailhold::slots::{SlotOutcome, Urgency};
+use foxtailhold::software_version::SoftwareVersion;
 use foxtailhold_http::body::AnswerSender;
 use tokio::time::Instant;
 
@@ -16,13 +17,17 @@
 use crate::events::{EventReader, StreamRead};
 use crate::fleet::BackendServer;
 use crate::metrics::AttemptOutcome;
-use crate::peers::{Slot, SlotQuery};
+use crate::peers::{Slot, SlotError, SlotQuery};
 use crate::relay::{
     FIRST_EVENT_TIMEOUT_MS, FailedAttempt, Relay, event_gap_timeout_ms, upstream_request,
 };
 use crate::request::OpaqueRequest;
 use crate::upstream::AttemptFailure;
 
+/// Longest wait of a resumption for a slot. Callers leave after a gap of 2 s, in which the next
+/// backend server also has to read the prompt.
+const RESUMPTION_SLOT_TIMEOUT_MS: u64 = 1_500;
+
 /// Forwards one stream to its caller.
 #[derive(Debug)]
 pub struct StreamForwarder<D> {
@@ -32,6 +37,8 @@
     pub route: Route,
     /// Service whose engines serve the stream.
     pub service: TargetName,
+    /// Software version that wrote the first event; output of another one does not fit to it.
+    pub version: SoftwareVersion,
     /// Request that is sent again on resumption.
     pub request: OpaqueRequest,
     /// Attempts made and left.
@@ -217,6 +224,7 @@
                 request = self.request.id.as_str(),
                 after = after,
                 attempts = self.attempts.maybe_executed,
+                software = self.version.as_str(),
                 lost = self.attempts.failed_backends.last().map(BackendId::as_str);
                 "resuming a stream at another backend server"
             );
@@ -245,16 +253,27 @@
         None
     }
 
+    /// Requests a slot at a backend server of the stream's version.
     async fn acquire_slot(&self) -> Option<(Slot, Arc<BackendServer>)> {
+        let timeout = Duration::from_millis(RESUMPTION_SLOT_TIMEOUT_MS);
         let query = SlotQuery {
             pool: &self.service,
             urgency: Urgency::Online { priority: 0 },
             slack_ms: u64::from(u32::MAX),
             avoid: &self.attempts.failed_backends,
-            deadline: self.attempts.deadline,
-            version: None,
+            deadline: self.attempts.deadline.min(Instant::now() + timeout),
+            version: Some(&self.version),
         };
-        self.relay.acquire_slot(&query).await.ok()
+        let granted = self.relay.acquire_slot(&query).await;
+        if let Err(SlotError::VersionGone) = granted {
+            self.relay.metrics.stream_version_gone(&self.route.name);
+            log::warn!(
+                request = self.request.id.as_str(),
+                software = self.version.as_str();
+                "no backend server of the stream's version is left"
+            );
+        }
+        granted.ok()
     }
 
     async fn resume(
