Do not take an empty list of engines for a version that is gone

The row of an instance is written when it starts, and an instance with a larger share of the processor is the allocator from then on, also before it has read the backend servers. It would have answered each resumption with a version that is gone, and the stream would have been cut though its engines serve. Found by reading; callers saw nothing. Without any listed engine a request for a version is now queued.

Two cases of slot_versions.rs, both fail without this change; 23 cases, and the tests of foxtailhold and foxtailhold-relay, green.

--- a/crates/foxtailhold/src/slots/pool.rs
+++ b/crates/foxtailhold/src/slots/pool.rs
@@ -116,8 +116,10 @@
         }
     }
 
-    fn lists(&self, version: &SoftwareVersion) -> bool {
-        self.by_version.iter().any(|(listed, _)| listed == version)
+    /// Like [`Pool::is_version_gone`].
+    fn is_gone(&self, version: &SoftwareVersion) -> bool {
+        let mut versions = self.by_version.iter();
+        !self.by_version.is_empty() && versions.all(|(listed, _)| listed != version)
     }
 
     fn take(&mut self, version: &SoftwareVersion) {
@@ -199,12 +201,14 @@
         held.map(|backend| backend.config.backend.clone())
     }
 
+    /// Whether no backend server of the requested version is listed. An instance that has just
+    /// started may be the allocator before it has read any, and cannot tell.
     fn is_version_gone(&self, request: &SlotRequest) -> bool {
         let Some(version) = &request.version else {
             return false;
         };
         let mut backends = self.backends.values();
-        backends.all(|backend| backend.config.version != *version)
+        !self.backends.is_empty() && backends.all(|b| b.config.version != *version)
     }
 
     /// Time until the caller should retry, if the request would miss its objective.
@@ -342,7 +346,7 @@
     fn drop_gone_versions(&mut self, free_slots: &FreeSlots, decisions: &mut Vec<SlotNotice>) {
         self.waiting.retain(|waiting| {
             let version = waiting.request.version.as_ref();
-            if version.is_none_or(|version| free_slots.lists(version)) {
+            if !version.is_some_and(|version| free_slots.is_gone(version)) {
                 return true;
             }
             decisions.push(SlotNotice {
--- a/crates/foxtailhold/tests/slot_versions.rs
+++ b/crates/foxtailhold/tests/slot_versions.rs
@@ -189,6 +189,24 @@
     assert_eq!(tick(&mut decided, 101), []);
 }
 
+/// Guards against streams that are cut because the allocator has just started.
+#[test_case(None ; "no list yet")]
+#[test_case(Some(&[]) ; "an empty list")]
+fn an_allocator_that_knows_no_engine_does_not_say_that_a_version_is_gone(
+    listed: Option<&[BackendSlots]>,
+) {
+    let mut allocator = Allocator::default();
+    if let Some(listed) = listed {
+        allocator.set_backends(&pool(), listed);
+    }
+    for wanted in [patient(1, Some("v1")), item(2, Some("v1"))] {
+        assert_eq!(submit(&mut allocator, 0, wanted).0, SlotDecision::Queued);
+    }
+    assert_eq!(tick(&mut allocator, 50), []);
+    allocator.set_backends(&pool(), &engines(&[("v1", 2)]));
+    assert_eq!(tick(&mut allocator, 60), [grant_of(1, 0), grant_of(2, 0)]);
+}
+
 #[test]
 fn an_engine_that_runs_another_version_now_is_a_new_one() {
     let mut allocator = allocator(&[("v1", 1)]);
