--- a/crates/foxtailhold-relay/src/engine.rs
+++ b/crates/foxtailhold-relay/src/engine.rs
@@ -276,6 +276,7 @@
             let failure = match opened {
                 Ok(OpenedResponse::Stream(head, reader, first)) => {
                     let kept = attempts.keep_only(index, progress, &self.metrics);
+                    let version = kept.backend.version.clone();
                     let granted = (kept.slot, kept.backend);
                     let attempt =
                         StreamAttempt::opened(granted, kept.started, reader, kept.evidence, route);
@@ -284,6 +285,7 @@
                         relay: Arc::clone(self),
                         route: route.clone(),
                         service: service.clone(),
+                        version,
                         request: request.clone(),
                     };
                     let budget = progress.attempts.clone();
@@ -341,6 +343,7 @@
             slack_ms,
             avoid: &avoid,
             deadline,
+            version: None,
         };
         self.acquire_slot(&query).await
     }
@@ -393,6 +396,8 @@
         SlotError::Refused { retry_after_ms } => {
             progress.unserved(NotRunReason::NoSlot, retry_after_ms)
         }
-        SlotError::TimedOut => progress.unserved(NotRunReason::Waited, PLAIN_RETRY_AFTER_MS),
+        SlotError::TimedOut | SlotError::VersionGone => {
+            progress.unserved(NotRunReason::Waited, PLAIN_RETRY_AFTER_MS)
+        }
     }
 }
--- a/crates/foxtailhold-relay/src/fleet.rs
+++ b/crates/foxtailhold-relay/src/fleet.rs
@@ -7,6 +7,7 @@
 use foxtailhold::ids::{AvailabilityZone, BackendId, TargetName};
 use foxtailhold::quarantine::CrashId;
 use foxtailhold::slots::BackendSlots;
+use foxtailhold::software_version::SoftwareVersion;
 use foxtailhold::time::MonoMs;
 
 /// Time after the return of the platform's store within which entries that expired during its
@@ -38,6 +39,8 @@
     pub is_leaving: bool,
     /// Unix milliseconds of its start, 0 if it does not state it.
     pub started_unix_ms: u64,
+    /// Version of its software.
+    pub version: SoftwareVersion,
 }
 
 impl BackendServer {
@@ -86,6 +89,16 @@
         all.any(|backend| backend.id == *id)
     }
 
+    /// Backend servers of a service that accept new work and run another version than `version`.
+    pub fn of_other_versions<'a>(
+        &'a self,
+        service: &TargetName,
+        version: &'a SoftwareVersion,
+    ) -> impl Iterator<Item = &'a Arc<BackendServer>> + use<'a> {
+        let all = self.for_service(service).iter();
+        all.filter(move |backend| backend.version != *version)
+    }
+
     /// Slots of the backend servers of a service.
     pub fn slots(&self, service: &TargetName) -> Vec<BackendSlots> {
         let slots = self
@@ -95,6 +108,7 @@
                 backend: backend.id.clone(),
                 zone: backend.zone.clone(),
                 slots: backend.slots,
+                version: backend.version.clone(),
             });
         slots.collect()
     }
--- a/crates/foxtailhold-relay/src/jobs/item/silence.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/silence.rs
@@ -66,7 +66,7 @@
                     slot.close(SlotOutcome::Abandoned);
                     continue;
                 }
-                Err(SlotError::TimedOut) => {}
+                Err(SlotError::TimedOut | SlotError::VersionGone) => {}
                 Err(SlotError::Refused { .. }) => {
                     tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
                 }
--- a/crates/foxtailhold-relay/src/metrics.rs
+++ b/crates/foxtailhold-relay/src/metrics.rs
@@ -75,6 +75,8 @@
     NoSlot,
     /// Its attempts failed and its request crashes backend servers.
     Crashing,
+    /// Its attempts failed and no backend server has the software version that began it.
+    VersionGone,
 }
 
 impl CutReason {
@@ -85,6 +87,7 @@
             CutReason::NoAttempt => "no_attempt",
             CutReason::NoSlot => "no_place",
             CutReason::Crashing => "crashing",
+            CutReason::VersionGone => "version_gone",
         }
     }
 }
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -9,6 +9,7 @@
 use foxtailhold::ids::{BackendId, TargetName};
 use foxtailhold::routes::Route;
 use foxtailhold::slots::Urgency;
+use foxtailhold::software_version::SoftwareVersion;
 use foxtailhold_engine::sse::RawEvent;
 use foxtailhold_http::body::AnswerSender;
 use tokio::time::Instant;
@@ -39,6 +40,8 @@
     pub route: Route,
     /// Service whose engines serve the stream.
     pub service: TargetName,
+    /// Software version that wrote the first event; output of another one does not fit to it.
+    pub version: SoftwareVersion,
     /// Request that is sent again on resumption.
     pub request: OpaqueRequest,
 }
@@ -318,6 +321,7 @@
             slack_ms: u64::from(u32::MAX),
             avoid: &avoid,
             deadline,
+            version: Some(&self.version),
         };
         self.relay.acquire_slot(&query).await
     }
@@ -326,6 +330,9 @@
         state.slot_request = None;
         let (slot, backend) = match granted {
             Ok(granted) => granted,
+            Err(SlotError::VersionGone) if state.open.is_empty() => {
+                return Progress::Cut(CutReason::VersionGone);
+            }
             Err(error) => {
                 log::debug!("no slot to resume {}: {error}", self.request.id);
                 let jitter_ms = rand::random::<u64>() % state.retry_delay_ms;
@@ -347,7 +354,8 @@
             attempts = state.attempts.maybe_executed,
             open = state.open.len(),
             lost = state.attempts.failed_backends.last().map(BackendId::as_str),
-            backend = backend.id.as_str();
+            backend = backend.id.as_str(),
+            software = self.version.as_str();
             "resuming a stream at another backend server"
         );
         let attempt = StreamAttempt::resume(
@@ -371,6 +379,7 @@
             tried = state.attempts.failed_backend_names(),
             reason = reason.as_str(),
             cause = state.last_failure.map(AttemptFailure::as_str),
+            software = self.version.as_str(),
             config = self.relay.routes.load().version();
             "stream cut off"
         );
--- a/crates/foxtailhold/tests/slot_silence.rs
+++ b/crates/foxtailhold/tests/slot_silence.rs
@@ -6,6 +6,7 @@
     Allocator, BackendSlots, HeldSlot, SlotDecision, SlotOutcome, SlotRequest, SlotRequestId,
     Urgency,
 };
+use foxtailhold::software_version::SoftwareVersion;
 use foxtailhold::time::MonoMs;
 use test_case::test_case;
 
@@ -38,6 +39,7 @@
         backend: engine(number),
         zone: AvailabilityZone::try_from("a").unwrap(),
         slots: SLOTS,
+        version: SoftwareVersion::default(),
     });
     let mut allocator = Allocator::default();
     allocator.set_backends(&pool(), &slots.collect::<Vec<_>>());
@@ -52,6 +54,7 @@
         slack_ms: 300,
         avoid: Vec::new(),
         zone: AvailabilityZone::try_from("a").unwrap(),
+        version: None,
     };
     allocator.request_slot(MonoMs(at_ms), request, &mut Vec::new())
 }
