Bound the wait for a slot by the time of callers less that of a first event

The wait of a stream with no attempt open ended after the gap at which callers leave, so that a slot granted last came too late. Found by stream_versions.rs where the only server of a version breaks off. Its test of a version that is gone now looks at the line and the counter of the cut.

--- a/crates/foxtailhold-relay/src/engine.rs
+++ b/crates/foxtailhold-relay/src/engine.rs
@@ -26,7 +26,7 @@
 use crate::metrics::{AttemptOutcome, RelayMetrics};
 use crate::peers::{Slot, SlotActivity, SlotError, SlotQuery};
 use crate::relay::{
-    FIRST_EVENT_TIMEOUT_MS, PLAIN_RETRY_AFTER_MS, Relay, caller_patience, upstream_request,
+    FIRST_EVENT_TIMEOUT_MS, PLAIN_RETRY_AFTER_MS, Relay, slot_wait, upstream_request,
 };
 use crate::request::{NotRunReason, OpaqueRequest, RelayOutcome};
 use crate::stream::StreamForwarder;
@@ -322,7 +322,7 @@
                 return self.without_response(attempts.failure_response, progress);
             }
             waiting_since = Instant::now();
-            give_up_at = deadline.min(waiting_since + caller_patience(route));
+            give_up_at = deadline.min(waiting_since + slot_wait(route));
             attempts.seek_at = Some(waiting_since);
         }
     }
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -245,9 +245,11 @@
     Duration::from_millis(timeout_ms)
 }
 
-/// Gap between two events after which callers leave a stream, at the latest.
-pub fn caller_patience(route: &Route) -> Duration {
+/// Longest wait for a slot with no attempt open: until another backend server can no longer send an
+/// event before callers leave.
+pub fn slot_wait(route: &Route) -> Duration {
     let by_objective_ms = route.objective_ms * PATIENCE_OBJECTIVES;
     let by_pause_ms = route.pause_ms * PATIENCE_PAUSES;
-    Duration::from_millis(MIN_PATIENCE_MS.max(by_objective_ms).max(by_pause_ms))
+    let patience_ms = MIN_PATIENCE_MS.max(by_objective_ms).max(by_pause_ms);
+    Duration::from_millis(patience_ms - FIRST_EVENT_TIMEOUT_MS)
 }
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -20,7 +20,7 @@
 use crate::fleet::BackendServer;
 use crate::metrics::{AttemptOutcome, CutReason};
 use crate::peers::{Slot, SlotError, SlotQuery};
-use crate::relay::{FailedAttempt, Relay, caller_patience};
+use crate::relay::{FailedAttempt, Relay, slot_wait};
 use crate::request::OpaqueRequest;
 use crate::stream_attempt::{AttemptRead, StreamAttempt};
 use crate::upstream::AttemptFailure;
@@ -269,7 +269,7 @@
         if !may_retry {
             return Progress::Cut(CutReason::NoAttempt);
         }
-        let latest = Instant::now() + caller_patience(&self.route);
+        let latest = Instant::now() + slot_wait(&self.route);
         state.give_up_at = state.attempts.deadline.min(latest);
         state.seek_at = Some(Instant::now());
         Progress::Running
