Remember where resumable streams began

Cause: no instance knows where a stream began.

StreamOrigins maps the hash of an attempt to service and version, for 60 s, at most 65,536 of them. OriginHistory tells from the route table and the list of backend servers when a route has had one possible origin only for 60 s. Both are without I/O and take their time. Nothing uses them yet.

--- a/crates/foxtailhold/src/lib.rs
+++ b/crates/foxtailhold/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod slots;
 pub mod software_version;
 pub mod stall;
+pub mod stream_origins;
 pub mod suspect;
 pub mod time;
 pub mod timeline;
--- a/crates/foxtailhold/src/rendezvous.rs
+++ b/crates/foxtailhold/src/rendezvous.rs
@@ -30,3 +30,18 @@
     let is_before = |other: &&InstanceId| (weight(other, key), *other) > own;
     members.into_iter().filter(is_before).count()
 }
+
+/// The members with the highest weights for `key`, at most `count`, highest first.
+pub fn first<'a>(
+    members: impl IntoIterator<Item = &'a InstanceId>,
+    key: &[u8],
+    count: usize,
+) -> Vec<&'a InstanceId> {
+    let mut weighted: Vec<(u64, &InstanceId)> = members
+        .into_iter()
+        .map(|member| (weight(member, key), member))
+        .collect();
+    weighted.sort_unstable_by(|a, b| b.cmp(a));
+    weighted.truncate(count);
+    weighted.into_iter().map(|(_, member)| member).collect()
+}
--- a/crates/foxtailhold/src/routes.rs
+++ b/crates/foxtailhold/src/routes.rs
@@ -55,6 +55,11 @@
         )
     }
 
+    /// Whether another backend server can continue a response.
+    pub fn is_resumable(self) -> bool {
+        self == RouteKind::ResumableStream
+    }
+
     /// Whether responses are streams of events.
     pub fn is_stream(self) -> bool {
         matches!(self, RouteKind::Stream | RouteKind::ResumableStream)
@@ -116,6 +121,12 @@
         }
         &self.services[self.services.len() - 1].0
     }
+
+    /// Services that requests are sent to.
+    pub fn active_services(&self) -> impl Iterator<Item = &TargetName> {
+        let active = self.services.iter().filter(|(_, weight)| *weight > 0);
+        active.map(|(name, _)| name)
+    }
 }
 
 /// Limits on what clients send and how long they take.
@@ -195,6 +206,11 @@
         engines.map(|(name, _)| name)
     }
 
+    /// All routes, in no particular order.
+    pub fn routes(&self) -> impl Iterator<Item = &Route> {
+        self.hosts.values().flatten()
+    }
+
     /// The route of a host and path. A port in the host is ignored.
     pub fn find(&self, host: &str, path: &str) -> Option<&Route> {
         let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
