Take streams up only at the version that began them

Cause: the header that names the attempt which brought the first event was not read, and no instance knew at which version that began.

Now the origin of a stream is recorded before its first event is passed on. An instance that cannot be sure that a route has had one origin only within the last 60 s hands it on to four others by rendezvous hashing, so that it outlives the instance. A take-up looks at the own record, at the own history, then asks the others, 80 ms at most.

An instance hands on in its first minute too, though one version is listed: it cannot know what was listed before, and after the start of a whole deployment nobody else can tell.

The part of acquire_slot that avoids the servers of other versions stands in for the allocator's own choice.

--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -8,7 +8,6 @@
 use foxtailhold::routes::Route;
 use foxtailhold::slots::{SlotOutcome, Urgency};
 use foxtailhold_http::body;
-use foxtailhold_http::clock::Clock;
 use http::Response;
 use hyper::body::Incoming;
 use tokio::time::Instant;
@@ -20,12 +19,13 @@
 use crate::fleet::BackendServer;
 use crate::metrics::AttemptOutcome;
 use crate::peers::{Slot, SlotError, SlotQuery};
-use crate::plain::PlainServiceLoads;
+use crate::plain::InFlightGuard;
 use crate::relay::{
     FIRST_EVENT_TIMEOUT_MS, FailedAttempt, PLAIN_RETRY_AFTER_MS, Relay, upstream_request,
 };
 use crate::request::{NotRunReason, OpaqueRequest, RelayOutcome, Unserved};
 use crate::stream::{StreamAttempt, StreamForwarder};
+use crate::take_up::Destination;
 use crate::upstream::{self, AttemptFailure};
 
 /// Time reserved for returning the response before the caller's timeout.
@@ -66,8 +66,9 @@
         }
     }
 
-    fn unserved(&self, reason: NotRunReason, retry_after_ms: u64) -> Unserved {
+    fn unserved(&self, reason: NotRunReason, retry_after_ms: impl Into<Option<u64>>) -> Unserved {
         if self.attempts.maybe_executed == 0 {
+            let retry_after_ms = retry_after_ms.into();
             return Unserved::NotRun {
                 reason,
                 retry_after_ms,
@@ -91,18 +92,26 @@
             self.record_outcome(route, &request.id, request.received, &progress, &result);
             return result;
         }
-        let service = route.service(rand::random()).clone();
+        let destination = match self.destination(route, &request).await {
+            Ok(destination) => destination,
+            Err(reason) => {
+                let result = RelayOutcome::Unserved(progress.unserved(reason, None));
+                self.record_outcome(route, &request.id, request.received, &progress, &result);
+                return result;
+            }
+        };
+        let service = &destination.service;
         let is_engine = self
             .routes
             .load()
-            .service(&service)
+            .service(service)
             .is_some_and(|limits| limits.is_engine);
         let (id, received) = (request.id.clone(), request.received);
         let result = if is_engine {
-            self.serve_engine(route, &service, request, &mut progress)
+            self.serve_engine(route, &destination, request, &mut progress)
                 .await
         } else {
-            self.serve_plain(route, &service, &request, &mut progress)
+            self.serve_plain(route, service, &request, &mut progress)
                 .await
         };
         self.record_outcome(route, &id, received, &progress, &result);
@@ -129,7 +138,7 @@
             RelayOutcome::Unserved(Unserved::NotRun {
                 reason,
                 retry_after_ms,
-            }) => (Some(*reason), Some(*retry_after_ms)),
+            }) => (Some(*reason), *retry_after_ms),
             _ => (None, None),
         };
         if let Some(reason) = reason {
@@ -293,10 +302,11 @@
     async fn serve_engine(
         self: &Arc<Self>,
         route: &Route,
-        service: &TargetName,
+        destination: &Destination,
         request: OpaqueRequest,
         progress: &mut RequestProgress,
     ) -> RelayOutcome {
+        let service = &destination.service;
         loop {
             let spent_ms = request.received.elapsed().as_millis() as u64;
             let requested = Instant::now();
@@ -309,7 +319,7 @@
                     slack_ms: route.objective_ms.saturating_sub(spent_ms),
                     avoid: &progress.attempts.failed_backends,
                     deadline: progress.attempts.deadline,
-                    version: None,
+                    version: destination.version.as_ref(),
                 };
                 let granted = self.acquire_slot(&query).await;
                 progress.waited_ms += requested.elapsed().as_millis() as u64;
@@ -319,7 +329,11 @@
                         let reason = NotRunReason::NoSlot;
                         return RelayOutcome::Unserved(progress.unserved(reason, retry_after_ms));
                     }
-                    Err(SlotError::TimedOut | SlotError::VersionGone) => {
+                    Err(SlotError::VersionGone) => {
+                        let reason = NotRunReason::VersionGone;
+                        return RelayOutcome::Unserved(progress.unserved(reason, None));
+                    }
+                    Err(SlotError::TimedOut) => {
                         let reason = NotRunReason::Waited;
                         return RelayOutcome::Unserved(
                             progress.unserved(reason, PLAIN_RETRY_AFTER_MS),
@@ -470,20 +484,3 @@
     Buffered(Response<bytes::Bytes>),
     Stream(http::response::Parts, Box<EventReader>, StreamRead),
 }
-
-/// Counts a request as in flight at a plain backend server until dropped, which also covers callers
-/// that disconnect.
-struct InFlightGuard<'a> {
-    loads: &'a PlainServiceLoads,
-    clock: &'a Clock,
-    backend: &'a BackendId,
-    outcome: SlotOutcome,
-}
-
-impl Drop for InFlightGuard<'_> {
-    fn drop(&mut self) {
-        let now = self.clock.mono();
-        self.loads
-            .record_end(now, self.backend, self.outcome, rand::random());
-    }
-}
--- a/crates/foxtailhold-relay/src/feeds.rs
+++ b/crates/foxtailhold-relay/src/feeds.rs
@@ -1,11 +1,13 @@
 //! Applies the platform's tables of routes, backend servers and instances.
 
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::Duration;
 
 use foxtailhold::ids::{BackendId, InstanceId};
 use foxtailhold::quarantine::CrashId;
 use foxtailhold::routes::RouteTable;
+use foxtailhold::stream_origins::StreamOrigin;
 use foxtailhold::time::MonoMs;
 use foxtailhold_platform::{Snapshot, VersionedRow};
 use parking_lot::{Mutex, MutexGuard};
@@ -13,7 +15,7 @@
 
 use crate::crashes::CRASH_PREFIX;
 use crate::dialect::Dialect;
-use crate::fleet::{BackendServer, FleetTable};
+use crate::fleet::{BackendServer, Backends, FleetTable};
 use crate::follow::TableSink;
 use crate::peers::{Member, Peers};
 use crate::platform_tables::PlatformTables;
@@ -79,6 +81,23 @@
     fn call_ended(&mut self, _is_ok: bool) {}
 }
 
+/// Where streams of each route can begin: the versions of the backend servers of its services.
+fn possible_origins(
+    routes: &RouteTable,
+    backends: &Backends,
+) -> HashMap<String, BTreeSet<StreamOrigin>> {
+    let streams = routes.routes().filter(|route| route.kind.is_resumable());
+    let mut possible = HashMap::new();
+    for route in streams {
+        let servers = route
+            .active_services()
+            .flat_map(|service| backends.for_service(service));
+        let origins = servers.map(|server| server.origin());
+        possible.insert(route.name.clone(), origins.collect());
+    }
+    possible
+}
+
 /// Decoded row of a backend server.
 enum DecodedRow {
     Backend(BackendServer),
@@ -174,6 +193,10 @@
         self.relay.connections.keep_only(|id| snapshot.contains(id));
         self.relay.plain.keep_only(|id| snapshot.contains(id));
         self.relay.metrics.keep_only(|id| snapshot.contains(id));
+        if routes.version() > 0 {
+            let possible = possible_origins(&routes, &snapshot);
+            self.relay.peers.set_possible_origins(possible);
+        }
         self.relay.backends.store(Arc::new(snapshot));
         self.loaded.send_replace(true);
     }
@@ -222,7 +245,10 @@
     fn call_ended(&mut self, is_ok: bool) {
         let now = self.relay.clock.mono();
         match is_ok {
-            true => self.table().store_answered(now),
+            true => {
+                self.table().store_answered(now);
+                self.relay.peers.confirm_origin_history();
+            }
             false => self.table().store_failed(),
         }
     }
--- a/crates/foxtailhold-relay/src/fleet.rs
+++ b/crates/foxtailhold-relay/src/fleet.rs
@@ -8,6 +8,7 @@
 use foxtailhold::quarantine::CrashId;
 use foxtailhold::slots::BackendSlots;
 use foxtailhold::software_version::SoftwareVersion;
+use foxtailhold::stream_origins::StreamOrigin;
 use foxtailhold::time::MonoMs;
 
 /// Time after the return of the platform's store within which entries that expired during its
@@ -44,6 +45,14 @@
 }
 
 impl BackendServer {
+    /// Origin of the streams that begin here.
+    pub fn origin(&self) -> StreamOrigin {
+        StreamOrigin {
+            service: self.service.clone(),
+            version: self.version.clone(),
+        }
+    }
+
     /// Identifies a crash of this start.
     pub fn crash_id(&self) -> CrashId {
         CrashId {
@@ -83,6 +92,17 @@
             .find(|backend| backend.id == *id)
     }
 
+    /// Backend servers of a service that have another version than `version`.
+    pub fn at_other_versions(
+        &self,
+        service: &TargetName,
+        version: &SoftwareVersion,
+    ) -> Vec<BackendId> {
+        let all = self.for_service(service).iter();
+        let others = all.filter(|backend| backend.version != *version);
+        others.map(|backend| backend.id.clone()).collect()
+    }
+
     /// Whether a backend server accepts new work for any service.
     pub fn contains(&self, id: &BackendId) -> bool {
         let mut all = self.services.values().flatten();
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -306,6 +306,7 @@
                 .peers
                 .crashes()
                 .suspected_requests(self.relay.peers.wall()),
+            origins: self.relay.peers.origin_counts(),
         }
     }
 
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -25,5 +25,6 @@
 pub mod store_access;
 pub mod stream;
 pub mod tables;
+mod take_up;
 mod timers;
 pub mod upstream;
--- a/crates/foxtailhold-relay/src/metrics.rs
+++ b/crates/foxtailhold-relay/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
 use foxtailhold::ids::BackendId;
@@ -15,6 +15,7 @@
 use prometheus_client::registry::{Registry, Unit};
 use tokio::time::Instant;
 
+use crate::peers::OriginCounts;
 use crate::request::NotRunReason;
 use crate::tables::{FollowedTable, TableStatus};
 use crate::upstream::AttemptFailure;
@@ -106,8 +107,9 @@
     cause: &'static str,
 }
 
+/// Label of metrics that are counted by outcome alone.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
-struct ItemLabel {
+struct OutcomeLabel {
     outcome: &'static str,
 }
 
@@ -130,6 +132,8 @@
     pub config_version: u64,
     /// Requests with crash evidence, and those of them that are refused for it.
     pub suspected_requests: (usize, usize),
+    /// Origins of streams that this instance has dropped early and handed on.
+    pub origins: OriginCounts,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -145,6 +149,8 @@
     table_versions: Family<TableLabel, Gauge>,
     announced_versions: Family<TableLabel, Gauge>,
     timer_delay: Gauge<f64, AtomicU64>,
+    evicted_origins: Counter,
+    handed_on_origins: Counter,
 }
 
 impl Gauges {
@@ -176,6 +182,10 @@
         let help = "Longest delay of a timer beyond its time since the metrics were last read";
         let delay = self.timer_delay.clone();
         registry.register_with_unit("timer_delay", help, Unit::Seconds, delay);
+        let help = "Origins of streams that were dropped before their time";
+        registry.register("evicted_origins", help, self.evicted_origins.clone());
+        let help = "Origins of streams that were handed on to other instances";
+        registry.register("handed_on_origins", help, self.handed_on_origins.clone());
     }
 
     fn set(&self, values: &GaugeValues, tables: &TableStatus) {
@@ -186,6 +196,13 @@
         let (suspected, quarantined) = values.suspected_requests;
         self.requests_suspected.set(suspected as i64);
         self.requests_quarantined.set(quarantined as i64);
+        let (evicted, handed_on) = (&self.evicted_origins, &self.handed_on_origins);
+        evicted
+            .inner()
+            .store(values.origins.evicted, Ordering::Relaxed);
+        handed_on
+            .inner()
+            .store(values.origins.handed_on, Ordering::Relaxed);
         for table in FollowedTable::ALL {
             let label = TableLabel {
                 table: table.as_str(),
@@ -218,7 +235,8 @@
     response_times: DurationFamily<RouteLabel>,
     streams_cut: Family<RouteLabel, Counter>,
     store_calls: Family<CallLabels, Counter>,
-    items: Family<ItemLabel, Counter>,
+    items: Family<OutcomeLabel, Counter>,
+    stream_origins: Family<OutcomeLabel, Counter>,
     failed_attempts: Family<CauseLabel, Counter>,
     unreadable_rows: Counter,
     attempts: Family<AttemptLabels, Counter>,
@@ -252,6 +270,9 @@
         registry.register("store_calls", "Calls to the store", store_calls.clone());
         let items = Family::default();
         registry.register("batch_items", "Runs of batch items", items.clone());
+        let stream_origins = Family::default();
+        let help = "Streams that callers took up, by how their origin was learnt";
+        registry.register("stream_origins", help, stream_origins.clone());
         let failed_attempts = Family::default();
         let help = "Runs of requests and batch items that gave no answer";
         registry.register("lost_runs", help, failed_attempts.clone());
@@ -290,6 +311,7 @@
             streams_cut,
             store_calls,
             items,
+            stream_origins,
             failed_attempts,
             unreadable_rows,
             attempts,
@@ -424,7 +446,13 @@
 
     /// Counts the outcome of a batch item's attempt.
     pub fn item_outcome(&self, outcome: &'static str) {
-        self.items.get_or_create(&ItemLabel { outcome }).inc();
+        self.items.get_or_create(&OutcomeLabel { outcome }).inc();
+    }
+
+    /// Counts a stream that a caller took up, by how its origin was learnt.
+    pub fn stream_taken_up(&self, outcome: &'static str) {
+        let label = OutcomeLabel { outcome };
+        self.stream_origins.get_or_create(&label).inc();
     }
 
     /// Counts an attempt that gave no response, by cause.
--- a/crates/foxtailhold-relay/src/peers/members.rs
+++ b/crates/foxtailhold-relay/src/peers/members.rs
@@ -111,11 +111,16 @@
         self.not_leaving().count()
     }
 
-    /// Addresses of all other instances. Leaving instances are included because they serve for some
-    /// more seconds.
-    pub fn others(&self) -> Vec<SocketAddr> {
+    /// All other instances. Leaving instances are included because they serve for some more
+    /// seconds.
+    pub fn other_members(&self) -> impl Iterator<Item = &Member> {
         let all = self.rows.values();
-        let others = all.filter(|member| member.instance != self.me);
+        all.filter(|member| member.instance != self.me)
+    }
+
+    /// Addresses of all other instances.
+    pub fn others(&self) -> Vec<SocketAddr> {
+        let others = self.other_members();
         others.map(|member| member.peer_address).collect()
     }
 
--- a/crates/foxtailhold-relay/src/peers/message.rs
+++ b/crates/foxtailhold-relay/src/peers/message.rs
@@ -8,6 +8,7 @@
 use foxtailhold::ids::{InstanceId, TargetName};
 use foxtailhold::quarantine::Fingerprint;
 use foxtailhold::slots::{HeldSlot, SlotDecision, SlotOutcome, SlotRequest, SlotRequestId};
+use foxtailhold::stream_origins::{AttemptHash, AttemptOrigin, StreamOrigin};
 use foxtailhold_peer::codec;
 use foxtailhold_peer::error::Result;
 use serde::{Deserialize, Serialize};
@@ -122,4 +123,31 @@
         /// The crashes.
         exoneration: Exoneration,
     },
+    /// Hands on where streams began.
+    Origins {
+        /// The attempts and their origins.
+        origins: Vec<AttemptOrigin>,
+    },
+    /// Asks where the stream of an attempt began.
+    FindOrigin {
+        /// Identifies the question, for the answer.
+        number: u64,
+        /// The attempt.
+        attempt: AttemptHash,
+        /// Name of its route.
+        route: String,
+    },
+    /// Answers the question for an origin.
+    FoundOrigin(FoundOrigin),
+}
+
+/// Answer to [`PeerMessage::FindOrigin`].
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FoundOrigin {
+    /// Identifies the question.
+    pub number: u64,
+    /// The answering instance.
+    pub instance: InstanceId,
+    /// Where the stream began, if the instance knows it or only one origin is possible.
+    pub origin: Option<StreamOrigin>,
 }
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -3,11 +3,14 @@
 mod evidence;
 mod members;
 mod message;
+mod origins;
 mod slot;
 
 use evidence::EvidenceSends;
 pub use members::{Member, Members};
-pub use message::{Datagram, InstanceHash, PeerMessage};
+pub use message::{Datagram, FoundOrigin, InstanceHash, PeerMessage};
+use origins::OriginState;
+pub use origins::{OriginCounts, OriginSource};
 pub use slot::{Slot, SlotError, SlotQuery};
 
 use std::collections::HashMap;
@@ -68,6 +71,7 @@
     evidence_sends: Mutex<EvidenceSends>,
     /// Messages to repeat once with the next report, because datagrams may be lost.
     rebroadcasts: Mutex<Vec<PeerMessage>>,
+    origins: Mutex<OriginState>,
     /// Notified when rows of instances have changed.
     members_changed: Notify,
     tables: TableStatus,
@@ -101,6 +105,7 @@
             crashes: CrashTracker::default(),
             evidence_sends: Mutex::default(),
             rebroadcasts: Mutex::default(),
+            origins: Mutex::default(),
             members_changed: Notify::new(),
             tables,
             is_table_read: AtomicBool::new(false),
@@ -223,6 +228,7 @@
                 self.send_heartbeat(address, &report);
             }
             self.rebroadcast();
+            self.repeat_origins();
             self.gossip_evidence();
             tokio::time::sleep(Duration::from_millis(MIN_REPORT_INTERVAL_MS)).await;
             let remaining =
@@ -344,6 +350,13 @@
                 fingerprint,
                 exoneration,
             } => self.inner.crashes.exonerate(fingerprint, exoneration),
+            PeerMessage::Origins { origins } => self.record_handed_on(now, &origins),
+            PeerMessage::FindOrigin {
+                number,
+                attempt,
+                route,
+            } => self.answer_origin(from, number, attempt, &route),
+            PeerMessage::FoundOrigin(found) => self.deliver_origin(found),
         }
     }
 
--- /dev/null
+++ b/crates/foxtailhold-relay/src/peers/origins.rs
@@ -0,0 +1,325 @@
+//! Where streams began: handed on between instances, and asked for when a caller takes a stream up.
+//!
+//! An instance that cannot be sure that all streams of a route have one origin hands the origin of
+//! each new stream on to a few others, so that it outlives the instance.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use foxtailhold::ids::InstanceId;
+use foxtailhold::rendezvous;
+use foxtailhold::stream_origins::{
+    AttemptHash, AttemptOrigin, OriginHistory, StreamOrigin, StreamOrigins,
+};
+use foxtailhold::time::MonoMs;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use super::members::Member;
+use super::{FoundOrigin, PeerMessage, Peers};
+use crate::tables::FollowedTable;
+
+/// Instances that an origin is handed on to.
+const HOLDERS: usize = 4;
+/// Number of other instances up to which all of them are asked for an origin.
+const ASK_ALL_INSTANCES: usize = 16;
+/// Instances that are asked where there are more; the holders are among the first.
+const ASKED_INSTANCES: usize = 8;
+/// Instances that have not answered are asked again after this time.
+const ASK_AGAIN_MS: u64 = 30;
+/// Longest time to wait for answers.
+const ASK_TIMEOUT_MS: u64 = 80;
+/// Largest number of origins that are handed on at once.
+const MAX_HANDED_ON: usize = 4_096;
+/// Largest number of origins in one datagram.
+const MAX_ORIGINS_PER_DATAGRAM: usize = 128;
+
+/// How the origin of a stream was learnt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OriginSource {
+    /// This instance remembers it.
+    Own,
+    /// Streams of the route can have no other.
+    OnlyVersion,
+    /// Another instance told it.
+    Peer,
+}
+
+impl OriginSource {
+    /// Name in log lines and metric labels.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            OriginSource::Own => "own",
+            OriginSource::OnlyVersion => "only_version",
+            OriginSource::Peer => "peer",
+        }
+    }
+}
+
+/// Number of origins that were dropped early, and that were handed on.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct OriginCounts {
+    /// Origins that were dropped before their time.
+    pub evicted: u64,
+    /// Origins that were handed on to other instances.
+    pub handed_on: u64,
+}
+
+/// What this instance knows about the origins of streams.
+#[derive(Debug, Default)]
+pub(super) struct OriginState {
+    origins: StreamOrigins,
+    history: OriginHistory,
+    /// Origins to hand on once more with the next report, because datagrams may be lost.
+    repeats: Vec<AttemptOrigin>,
+    handed_on: u64,
+    lookups: HashMap<u64, mpsc::UnboundedSender<FoundOrigin>>,
+}
+
+/// A lookup at other instances; dropping it ends it.
+struct Lookup<'a> {
+    peers: &'a Peers,
+    number: u64,
+}
+
+impl Drop for Lookup<'_> {
+    fn drop(&mut self) {
+        self.peers.inner.origins.lock().lookups.remove(&self.number);
+    }
+}
+
+impl Peers {
+    /// Records that the store has answered about the backend servers.
+    pub(crate) fn confirm_origin_history(&self) {
+        let now = self.now();
+        let is_broken = self.inner.origins.lock().history.confirm(now);
+        if is_broken {
+            self.hand_on_uncertain();
+        }
+    }
+
+    /// Sets the possible origins of the streams of all routes.
+    pub(crate) fn set_possible_origins(&self, routes: HashMap<String, BTreeSet<StreamOrigin>>) {
+        let now = self.now();
+        self.inner.origins.lock().history.set_possible(now, routes);
+        self.hand_on_uncertain();
+    }
+
+    /// Hands on the origins that can no longer be told from the history of the tables.
+    fn hand_on_uncertain(&self) {
+        let now = self.now();
+        let unshared = {
+            let mut state = self.inner.origins.lock();
+            let services = state.history.uncertain_services(now);
+            state.origins.take_unshared(now, &services, MAX_HANDED_ON)
+        };
+        self.hand_on(unshared);
+    }
+
+    /// Records where the stream of an attempt on `route` began.
+    pub(crate) fn record_origin(&self, attempt: AttemptHash, origin: &StreamOrigin, route: &str) {
+        let now = self.now();
+        let is_behind = self.is_behind();
+        {
+            let mut state = self.inner.origins.lock();
+            if !is_behind && state.history.only_origin(now, route).is_some() {
+                state.origins.record(now, attempt, origin);
+                return;
+            }
+            state.origins.record_shared(now, attempt, origin);
+        }
+        self.hand_on(vec![(attempt, origin.clone())]);
+    }
+
+    fn hand_on(&self, origins: Vec<AttemptOrigin>) {
+        if origins.is_empty() {
+            return;
+        }
+        self.send_origins(&origins);
+        let mut state = self.inner.origins.lock();
+        state.handed_on += origins.len() as u64;
+        let room = MAX_HANDED_ON.saturating_sub(state.repeats.len());
+        state.repeats.extend(origins.into_iter().take(room));
+    }
+
+    /// Hands the origins on once more that were handed on since the last report.
+    pub(super) fn repeat_origins(&self) {
+        let repeats = std::mem::take(&mut self.inner.origins.lock().repeats);
+        self.send_origins(&repeats);
+    }
+
+    /// Sends each origin to its holders, in as few datagrams as possible.
+    fn send_origins(&self, origins: &[AttemptOrigin]) {
+        if origins.is_empty() {
+            return;
+        }
+        let mut by_holder: BTreeMap<SocketAddr, Vec<AttemptOrigin>> = BTreeMap::new();
+        {
+            let members = self.members();
+            let live: Vec<&Member> = members.live(self.now());
+            let live = live.iter().filter(|member| member.instance != *self.me());
+            let addresses: HashMap<&InstanceId, SocketAddr> = live
+                .map(|member| (&member.instance, member.peer_address))
+                .collect();
+            for origin in origins {
+                let key = origin.0.to_bytes();
+                for holder in rendezvous::first(addresses.keys().copied(), &key, HOLDERS) {
+                    let held = by_holder.entry(addresses[holder]).or_default();
+                    held.push(origin.clone());
+                }
+            }
+        }
+        for (address, held) in by_holder {
+            for part in held.chunks(MAX_ORIGINS_PER_DATAGRAM) {
+                let origins = part.to_vec();
+                self.send(address, &PeerMessage::Origins { origins });
+            }
+        }
+    }
+
+    pub(super) fn record_handed_on(&self, now: MonoMs, origins: &[AttemptOrigin]) {
+        let mut state = self.inner.origins.lock();
+        for (attempt, origin) in origins {
+            state.origins.record_shared(now, *attempt, origin);
+        }
+    }
+
+    /// Whether another instance has a newer change of the tables that decide where streams begin.
+    fn is_behind(&self) -> bool {
+        let tables = &self.inner.tables;
+        let mut decisive = [FollowedTable::Backends, FollowedTable::Routes].into_iter();
+        decisive.any(|table| tables.newest_announced(table) > tables.known_up_to(table))
+    }
+
+    /// The only origin that a stream of `route` can have.
+    fn only_origin(&self, now: MonoMs, route: &str) -> Option<StreamOrigin> {
+        if self.is_behind() {
+            return None;
+        }
+        let state = self.inner.origins.lock();
+        state.history.only_origin(now, route).cloned()
+    }
+
+    /// The only origin that this instance has seen to be possible for the streams of `route`.
+    pub(crate) fn only_seen_origin(&self, route: &str) -> Option<StreamOrigin> {
+        let state = self.inner.origins.lock();
+        state.history.only_seen(self.now(), route).cloned()
+    }
+
+    fn known_origin(
+        &self,
+        attempt: AttemptHash,
+        route: &str,
+    ) -> Option<(StreamOrigin, OriginSource)> {
+        let now = self.now();
+        let recorded = self
+            .inner
+            .origins
+            .lock()
+            .origins
+            .find(now, attempt)
+            .cloned();
+        if let Some(origin) = recorded {
+            return Some((origin, OriginSource::Own));
+        }
+        let only = self.only_origin(now, route)?;
+        Some((only, OriginSource::OnlyVersion))
+    }
+
+    /// Answers another instance that asks for an origin.
+    pub(super) fn answer_origin(
+        &self,
+        to: SocketAddr,
+        number: u64,
+        attempt: AttemptHash,
+        route: &str,
+    ) {
+        let origin = self.known_origin(attempt, route).map(|(origin, _)| origin);
+        let instance = self.me().clone();
+        let found = FoundOrigin {
+            number,
+            instance,
+            origin,
+        };
+        self.send(to, &PeerMessage::FoundOrigin(found));
+    }
+
+    pub(super) fn deliver_origin(&self, found: FoundOrigin) {
+        let state = self.inner.origins.lock();
+        if let Some(lookup) = state.lookups.get(&found.number) {
+            // The lookup may have ended since.
+            let _ = lookup.send(found);
+        }
+    }
+
+    /// Finds where the stream of an attempt on `route` began: from what this instance knows, else
+    /// from the others. The first that knows decides.
+    pub(crate) async fn find_origin(
+        &self,
+        attempt: AttemptHash,
+        route: &str,
+    ) -> Option<(StreamOrigin, OriginSource)> {
+        if let Some(known) = self.known_origin(attempt, route) {
+            return Some(known);
+        }
+        let mut unanswered = self.origin_holders(attempt);
+        let (sender, mut answers) = mpsc::unbounded_channel();
+        let number = rand::random();
+        self.inner.origins.lock().lookups.insert(number, sender);
+        let _lookup = Lookup {
+            peers: self,
+            number,
+        };
+        let question = PeerMessage::FindOrigin {
+            number,
+            attempt,
+            route: route.to_owned(),
+        };
+        let started = Instant::now();
+        for until_ms in [ASK_AGAIN_MS, ASK_TIMEOUT_MS] {
+            for (_, address) in &unanswered {
+                self.send(*address, &question);
+            }
+            let until = started + Duration::from_millis(until_ms);
+            while !unanswered.is_empty() {
+                let Ok(Some(found)) = tokio::time::timeout_at(until, answers.recv()).await else {
+                    break;
+                };
+                if let Some(origin) = found.origin {
+                    return Some((origin, OriginSource::Peer));
+                }
+                unanswered.retain(|(instance, _)| *instance != found.instance);
+            }
+        }
+        None
+    }
+
+    /// The instances to ask for the origin of an attempt.
+    fn origin_holders(&self, attempt: AttemptHash) -> Vec<(InstanceId, SocketAddr)> {
+        let members = self.members();
+        let named = |member: &Member| (member.instance.clone(), member.peer_address);
+        let others: Vec<&Member> = members.other_members().collect();
+        if others.len() <= ASK_ALL_INSTANCES {
+            return others.into_iter().map(named).collect();
+        }
+        let live = members.live(self.now());
+        let live = live.iter().map(|member| &member.instance);
+        let others = live.filter(|instance| *instance != self.me());
+        let first = rendezvous::first(others, &attempt.to_bytes(), ASKED_INSTANCES);
+        let addresses = first.into_iter().filter_map(|instance| {
+            let address = members.address(instance)?;
+            Some((instance.clone(), address))
+        });
+        addresses.collect()
+    }
+
+    /// Numbers for the metrics.
+    pub fn origin_counts(&self) -> OriginCounts {
+        let state = self.inner.origins.lock();
+        OriginCounts {
+            evicted: state.origins.evicted(),
+            handed_on: state.handed_on,
+        }
+    }
+}
--- a/crates/foxtailhold-relay/src/plain.rs
+++ b/crates/foxtailhold-relay/src/plain.rs
@@ -7,6 +7,7 @@
 use foxtailhold::ids::{AvailabilityZone, BackendId};
 use foxtailhold::slots::{BackendHealth, SlotOutcome};
 use foxtailhold::time::MonoMs;
+use foxtailhold_http::clock::Clock;
 use parking_lot::Mutex;
 
 use crate::dialect::ReportedLoad;
@@ -90,3 +91,20 @@
             .retain(|id, load| load.in_flight > 0 || is_known(id));
     }
 }
+
+/// Counts a request as in flight at a plain backend server until dropped, which also covers callers
+/// that disconnect.
+pub(crate) struct InFlightGuard<'a> {
+    pub(crate) loads: &'a PlainServiceLoads,
+    pub(crate) clock: &'a Clock,
+    pub(crate) backend: &'a BackendId,
+    pub(crate) outcome: SlotOutcome,
+}
+
+impl Drop for InFlightGuard<'_> {
+    fn drop(&mut self) {
+        let now = self.clock.mono();
+        self.loads
+            .record_end(now, self.backend, self.outcome, rand::random());
+    }
+}
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -161,6 +161,10 @@
         query: &SlotQuery<'_>,
     ) -> Result<(Slot, Arc<BackendServer>), SlotError> {
         let mut avoid = query.avoid.to_vec();
+        if let Some(version) = query.version {
+            let backends = self.backends.load();
+            avoid.extend(backends.at_other_versions(query.pool, version));
+        }
         for _ in 0..MAX_SLOT_REQUESTS {
             let query = SlotQuery {
                 avoid: &avoid,
--- a/crates/foxtailhold-relay/src/request.rs
+++ b/crates/foxtailhold-relay/src/request.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use foxtailhold::quarantine::RequestFingerprints;
+use foxtailhold::stream_origins::AttemptId;
 use foxtailhold_http::body::AnswerBody;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderValue, Method, Response, header};
@@ -24,6 +25,9 @@
     pub caller_timeout_ms: Option<u64>,
     /// Event after which a stream resumes; `None` from the start.
     pub after_event: Option<u64>,
+    /// Attempt of the caller that brought the first event of the stream which this one resumes;
+    /// `None` if the caller names none.
+    pub resumes: Option<AttemptId>,
     /// When the head of the request was read.
     pub received: Instant,
 }
@@ -55,6 +59,10 @@
     NoRoute,
     /// This instance has not yet read the tables needed for serving.
     Starting,
+    /// It resumes a stream, and no instance knows at which version that began.
+    UnknownVersion,
+    /// It resumes a stream, and no backend server has the version that began it.
+    VersionGone,
 }
 
 impl NotRunReason {
@@ -68,6 +76,8 @@
             NotRunReason::NotTaken => "not_taken",
             NotRunReason::NoRoute => "no_route",
             NotRunReason::Starting => "starting",
+            NotRunReason::UnknownVersion => "unknown_version",
+            NotRunReason::VersionGone => "version_gone",
         }
     }
 }
@@ -79,8 +89,8 @@
     NotRun {
         /// Why it did not run.
         reason: NotRunReason,
-        /// Delay after which the caller should retry.
-        retry_after_ms: u64,
+        /// Delay after which the caller should retry; `None` if that is of no use.
+        retry_after_ms: Option<u64>,
     },
     /// The request may have run.
     MayHaveRun,
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -83,6 +83,10 @@
         first: StreamRead,
     ) {
         self.attempts.record_running();
+        if matches!(first, StreamRead::Event(_)) {
+            let (relay, request) = (&self.relay, &self.request);
+            relay.stream_began(&self.route, request, &attempt.backend);
+        }
         let mut read = Some(first);
         loop {
             let end = self
--- /dev/null
+++ b/crates/foxtailhold-relay/src/take_up.rs
@@ -0,0 +1,104 @@
+//! Streams that callers take up after an event: they go on only at the service and the software
+//! version that began them.
+
+use foxtailhold::ids::TargetName;
+use foxtailhold::routes::Route;
+use foxtailhold::software_version::SoftwareVersion;
+use foxtailhold::stream_origins::{AttemptHash, AttemptId, StreamOrigin};
+
+use crate::dialect::Dialect;
+use crate::fleet::BackendServer;
+use crate::peers::OriginSource;
+use crate::relay::Relay;
+use crate::request::{NotRunReason, OpaqueRequest};
+
+/// Where a request may run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Destination {
+    /// Service that serves it.
+    pub(crate) service: TargetName,
+    /// Software version of the backend server; `None` for any.
+    pub(crate) version: Option<SoftwareVersion>,
+}
+
+/// Result of choosing the destination of a request.
+pub(crate) type Result<T> = std::result::Result<T, NotRunReason>;
+
+impl<D: Dialect> Relay<D> {
+    /// Chooses where a request may run. A stream that is taken up stays where it began.
+    pub(crate) async fn destination(
+        &self,
+        route: &Route,
+        request: &OpaqueRequest,
+    ) -> Result<Destination> {
+        if !self.is_taken_up(route, request) {
+            return Ok(Destination {
+                service: route.service(rand::random()).clone(),
+                version: None,
+            });
+        }
+        let found = match &request.resumes {
+            Some(attempt) => {
+                let attempt = AttemptHash::from(attempt);
+                self.peers.find_origin(attempt, &route.name).await
+            }
+            None => {
+                let only = self.peers.only_seen_origin(&route.name);
+                only.map(|origin| (origin, OriginSource::OnlyVersion))
+            }
+        };
+        let source = found
+            .as_ref()
+            .map_or("unknown", |(_, source)| source.as_str());
+        self.metrics.stream_taken_up(source);
+        log::info!(
+            request = request.id.as_str(),
+            resumes = request.resumes.as_ref().map(AttemptId::as_str),
+            service = found.as_ref().map(|(origin, _)| origin.service.as_str()),
+            version = found.as_ref().map(|(origin, _)| origin.version.as_str()),
+            source = source;
+            "stream taken up"
+        );
+        let Some((StreamOrigin { service, version }, _)) = found else {
+            return Err(NotRunReason::UnknownVersion);
+        };
+        let is_allowed = route.active_services().any(|active| *active == service);
+        let backends = self.backends.load();
+        let mut servers = backends.for_service(&service).iter();
+        if !is_allowed || !servers.any(|backend| backend.version == version) {
+            return Err(NotRunReason::VersionGone);
+        }
+        let version = Some(version);
+        Ok(Destination { service, version })
+    }
+
+    /// Whether a request takes up a stream of an engine after an event that its caller has.
+    fn is_taken_up(&self, route: &Route, request: &OpaqueRequest) -> bool {
+        let has_events = request.after_event.is_some_and(|event| event > 0);
+        let routes = self.routes.load();
+        let is_engine = |service| {
+            routes
+                .service(service)
+                .is_some_and(|limits| limits.is_engine)
+        };
+        has_events && route.kind.is_resumable() && route.active_services().any(is_engine)
+    }
+
+    /// Records where a resumable stream began, before its first event is passed on.
+    pub(crate) fn stream_began(
+        &self,
+        route: &Route,
+        request: &OpaqueRequest,
+        backend: &BackendServer,
+    ) {
+        if !route.kind.is_resumable() {
+            return;
+        }
+        let attempt = match &request.resumes {
+            Some(attempt) if self.is_taken_up(route, request) => AttemptHash::from(attempt),
+            _ => AttemptHash::from(request.id.as_str()),
+        };
+        let origin = backend.origin();
+        self.peers.record_origin(attempt, &origin, &route.name);
+    }
+}
