Learn origins that arrive during a lookup, and be unsure of new routes

It now looks at its own record again with each round of questions.

A route that has just appeared may serve paths that another route served before, so nothing is sure about it for 60 s.

Each service's versions are now collected once for all its routes.

--- a/crates/foxtailhold-relay/src/feeds.rs
+++ b/crates/foxtailhold-relay/src/feeds.rs
@@ -86,14 +86,18 @@
     routes: &RouteTable,
     backends: &Backends,
 ) -> HashMap<String, BTreeSet<StreamOrigin>> {
-    let streams = routes.routes().filter(|route| route.kind.is_resumable());
+    let mut by_service = HashMap::new();
     let mut possible = HashMap::new();
-    for route in streams {
-        let servers = route
-            .active_services()
-            .flat_map(|service| backends.for_service(service));
-        let origins = servers.map(|server| server.origin());
-        possible.insert(route.name.clone(), origins.collect());
+    for route in routes.routes() {
+        if !route.kind.is_resumable() {
+            continue;
+        }
+        let mut origins = BTreeSet::new();
+        for service in route.active_services() {
+            let known = by_service.entry(service);
+            origins.extend(known.or_insert_with(|| backends.origins(service)).clone());
+        }
+        possible.insert(route.name.clone(), origins);
     }
     possible
 }
--- a/crates/foxtailhold-relay/src/fleet.rs
+++ b/crates/foxtailhold-relay/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Backend servers listed by the platform, and how long a missing entry is still used.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -92,6 +92,17 @@
             .find(|backend| backend.id == *id)
     }
 
+    /// Origins of the streams that begin at a service.
+    pub fn origins(&self, service: &TargetName) -> BTreeSet<StreamOrigin> {
+        let all = self.for_service(service).iter();
+        let versions: BTreeSet<&SoftwareVersion> = all.map(|backend| &backend.version).collect();
+        let origins = versions.into_iter().map(|version| StreamOrigin {
+            service: service.clone(),
+            version: version.clone(),
+        });
+        origins.collect()
+    }
+
     /// Backend servers of a service that have another version than `version`.
     pub fn at_other_versions(
         &self,
--- a/crates/foxtailhold-relay/src/peers/origins.rs
+++ b/crates/foxtailhold-relay/src/peers/origins.rs
@@ -100,7 +100,7 @@
     }
 
     /// Sets the possible origins of the streams of all routes.
-    pub(crate) fn set_possible_origins(&self, routes: HashMap<String, BTreeSet<StreamOrigin>>) {
+    pub fn set_possible_origins(&self, routes: HashMap<String, BTreeSet<StreamOrigin>>) {
         let now = self.now();
         self.inner.origins.lock().history.set_possible(now, routes);
         self.hand_on_uncertain();
@@ -118,7 +118,7 @@
     }
 
     /// Records where the stream of an attempt on `route` began.
-    pub(crate) fn record_origin(&self, attempt: AttemptHash, origin: &StreamOrigin, route: &str) {
+    pub fn record_origin(&self, attempt: AttemptHash, origin: &StreamOrigin, route: &str) {
         let now = self.now();
         let is_behind = self.is_behind();
         {
@@ -255,7 +255,7 @@
 
     /// Finds where the stream of an attempt on `route` began: from what this instance knows, else
     /// from the others. The first that knows decides.
-    pub(crate) async fn find_origin(
+    pub async fn find_origin(
         &self,
         attempt: AttemptHash,
         route: &str,
@@ -291,6 +291,10 @@
                 }
                 unanswered.retain(|(instance, _)| *instance != found.instance);
             }
+            // The origin may have been handed on to this instance meanwhile.
+            if let Some(known) = self.known_origin(attempt, route) {
+                return Some(known);
+            }
         }
         None
     }
--- a/crates/foxtailhold/src/stream_origins.rs
+++ b/crates/foxtailhold/src/stream_origins.rs
@@ -212,6 +212,15 @@
     }
 }
 
+/// Where the streams of one route can have begun.
+#[derive(Debug)]
+struct RouteHistory {
+    /// When this instance first saw the route. Streams of its paths may have begun on another one.
+    since: MonoMs,
+    /// Possible origins, and when each one stopped to be possible.
+    origins: BTreeMap<StreamOrigin, Option<MonoMs>>,
+}
+
 /// Where the streams of each route can have begun within [`ORIGIN_TTL_MS`], by the route table and
 /// the list of backend servers.
 #[derive(Debug, Default)]
@@ -219,8 +228,7 @@
     /// Since when this instance has followed the tables without a gap.
     followed_since: Option<MonoMs>,
     last_confirmed: MonoMs,
-    /// Possible origins of each route, and when each one stopped to be possible.
-    routes: HashMap<String, BTreeMap<StreamOrigin, Option<MonoMs>>>,
+    routes: HashMap<String, RouteHistory>,
 }
 
 impl OriginHistory {
@@ -242,24 +250,29 @@
             self.followed_since = Some(now);
             self.last_confirmed = now;
         }
-        for (route, origins) in &mut self.routes {
+        for (route, history) in &mut self.routes {
             let possible = routes.get(route);
-            for (origin, ended) in origins.iter_mut() {
+            for (origin, ended) in &mut history.origins {
                 if possible.is_none_or(|possible| !possible.contains(origin)) {
                     ended.get_or_insert(now);
                 }
             }
-            origins.retain(|_, ended| is_within(now, *ended));
+            history.origins.retain(|_, ended| is_within(now, *ended));
         }
-        self.routes.retain(|_, origins| !origins.is_empty());
+        self.routes.retain(|_, history| !history.origins.is_empty());
         for (route, possible) in routes {
-            let origins = self.routes.entry(route).or_default();
-            origins.extend(possible.into_iter().map(|origin| (origin, None)));
+            let history = self.routes.entry(route).or_insert_with(|| RouteHistory {
+                since: now,
+                origins: BTreeMap::new(),
+            });
+            let listed = possible.into_iter().map(|origin| (origin, None));
+            history.origins.extend(listed);
         }
     }
 
     fn origins(&self, now: MonoMs, route: &str) -> impl Iterator<Item = &StreamOrigin> {
-        let origins = self.routes.get(route).into_iter().flatten();
+        let history = self.routes.get(route).into_iter();
+        let origins = history.flat_map(|history| &history.origins);
         let recent = origins.filter(move |(_, ended)| is_within(now, **ended));
         recent.map(|(origin, _)| origin)
     }
@@ -275,7 +288,7 @@
     /// The only origin that any stream of a route can have; `None` if there are several, or if this
     /// instance has not followed the tables for long enough to know.
     pub fn only_origin(&self, now: MonoMs, route: &str) -> Option<&StreamOrigin> {
-        let since = self.followed_since?;
+        let since = self.followed_since?.max(self.routes.get(route)?.since);
         if now.since_ms(since) < ORIGIN_TTL_MS {
             return None;
         }
--- a/crates/foxtailhold/tests/stream_origins.rs
+++ b/crates/foxtailhold/tests/stream_origins.rs
@@ -198,6 +198,20 @@
     assert_eq!(world.only(), Some(new));
 }
 
+/// Streams of its paths may have begun on a route of another name.
+#[test_case(59, false ; "after 59 s")]
+#[test_case(60, true ; "after 60 s")]
+fn a_new_route_has_no_only_origin_at_first(seconds: u64, is_sure: bool) {
+    let mut world = World::start(&[origin("writers", "v1")]);
+    world.pass(100);
+    let possible = BTreeSet::from([origin("readers", "v1")]);
+    let routes = HashMap::from([("split".to_owned(), possible)]);
+    world.history.set_possible(world.now, routes);
+    world.pass(seconds);
+    let only = world.history.only_origin(world.now, "split");
+    assert_eq!(only, is_sure.then_some(&origin("readers", "v1")));
+}
+
 #[test]
 fn a_service_without_servers_has_no_only_origin() {
     let mut world = World::start(&[origin("writers", "v1")]);
