--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -51,8 +51,13 @@
         }
     }
 
-    pub(crate) fn unserved(&self, reason: NotRunReason, retry_after_ms: u64) -> Unserved {
+    pub(crate) fn unserved(
+        &self,
+        reason: NotRunReason,
+        retry_after_ms: impl Into<Option<u64>>,
+    ) -> Unserved {
         if self.attempts.maybe_executed == 0 {
+            let retry_after_ms = retry_after_ms.into();
             return Unserved::NotRun {
                 reason,
                 retry_after_ms,
@@ -81,8 +86,16 @@
             self.record_outcome(route, &request.id, request.received, &progress, &result);
             return result;
         }
-        let service = route.service(rand::random()).clone();
-        let limits = routes.service(&service);
+        let destination = match self.destination(route, &request).await {
+            Ok(destination) => destination,
+            Err(reason) => {
+                let result = RelayOutcome::Unserved(progress.unserved(reason, None));
+                self.record_outcome(route, &request.id, request.received, &progress, &result);
+                return result;
+            }
+        };
+        let service = &destination.service;
+        let limits = routes.service(service);
         let is_engine = limits.is_some_and(|limits| limits.is_engine);
         let (id, received) = (request.id.clone(), request.received);
         let unanswered = UnansweredRequest {
@@ -92,10 +105,10 @@
             config: routes.version(),
         };
         let result = if is_engine {
-            self.serve_engine(route, &service, request, &mut progress)
+            self.serve_engine(route, &destination, request, &mut progress)
                 .await
         } else {
-            self.serve_plain(route, &service, &request, &mut progress)
+            self.serve_plain(route, service, &request, &mut progress)
                 .await
         };
         unanswered.close();
@@ -123,7 +136,7 @@
             RelayOutcome::Unserved(Unserved::NotRun {
                 reason,
                 retry_after_ms,
-            }) => (Some(*reason), Some(*retry_after_ms)),
+            }) => (Some(*reason), *retry_after_ms),
             _ => (None, None),
         };
         if let Some(reason) = reason {
--- a/crates/foxtailhold-relay/src/engine.rs
+++ b/crates/foxtailhold-relay/src/engine.rs
@@ -7,7 +7,7 @@
 use std::task::Poll;
 use std::time::Duration;
 
-use foxtailhold::ids::{BackendId, TargetName};
+use foxtailhold::ids::BackendId;
 use foxtailhold::routes::Route;
 use foxtailhold::slots::{SlotOutcome, Urgency};
 use foxtailhold_http::body;
@@ -31,6 +31,7 @@
 use crate::request::{NotRunReason, OpaqueRequest, RelayOutcome};
 use crate::stream::StreamForwarder;
 use crate::stream_attempt::StreamAttempt;
+use crate::take_up::Destination;
 use crate::upstream::{self, AttemptFailure};
 
 /// Attempts of one request that are open at the same time.
@@ -185,10 +186,11 @@
     pub(crate) async fn serve_engine(
         self: &Arc<Self>,
         route: &Route,
-        service: &TargetName,
+        destination: &Destination,
         request: OpaqueRequest,
         progress: &mut RequestProgress,
     ) -> RelayOutcome {
+        let service = &destination.service;
         let deadline = progress.attempts.deadline;
         let request_slot = |avoid: Vec<BackendId>, is_first: bool| {
             let spent_ms = request.received.elapsed().as_millis() as u64;
@@ -196,7 +198,7 @@
                 true => route.objective_ms.saturating_sub(spent_ms),
                 false => u64::from(u32::MAX),
             };
-            Box::pin(self.request_slot(route, service, avoid, slack_ms, deadline))
+            Box::pin(self.request_slot(route, destination, avoid, slack_ms, deadline))
         };
         let mut attempts = Attempts {
             open: Vec::new(),
@@ -330,20 +332,20 @@
     async fn request_slot(
         &self,
         route: &Route,
-        service: &TargetName,
+        destination: &Destination,
         avoid: Vec<BackendId>,
         slack_ms: u64,
         deadline: Instant,
     ) -> Granted {
         let query = SlotQuery {
-            pool: service,
+            pool: &destination.service,
             urgency: Urgency::Online {
                 priority: route.priority,
             },
             slack_ms,
             avoid: &avoid,
             deadline,
-            version: None,
+            version: destination.version.as_ref(),
         };
         self.acquire_slot(&query).await
     }
--- a/crates/foxtailhold-relay/src/fleet.rs
+++ b/crates/foxtailhold-relay/src/fleet.rs
@@ -1,6 +1,6 @@
 //! Backend servers listed by the platform, and how long a missing entry is still used.
 
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -8,6 +8,7 @@
 use foxtailhold::quarantine::CrashId;
 use foxtailhold::slots::BackendSlots;
 use foxtailhold::software_version::SoftwareVersion;
+use foxtailhold::stream_origins::StreamOrigin;
 use foxtailhold::time::MonoMs;
 
 /// Time after the return of the platform's store within which entries that expired during its
@@ -44,6 +45,14 @@
 }
 
 impl BackendServer {
+    /// Origin of the streams that begin here.
+    pub fn origin(&self) -> StreamOrigin {
+        StreamOrigin {
+            service: self.service.clone(),
+            version: self.version.clone(),
+        }
+    }
+
     /// Identifies a crash of this start.
     pub fn crash_id(&self) -> CrashId {
         CrashId {
@@ -83,6 +92,17 @@
             .find(|backend| backend.id == *id)
     }
 
+    /// Origins of the streams that begin at a service.
+    pub fn origins(&self, service: &TargetName) -> BTreeSet<StreamOrigin> {
+        let all = self.for_service(service).iter();
+        let versions: BTreeSet<&SoftwareVersion> = all.map(|backend| &backend.version).collect();
+        let origins = versions.into_iter().map(|version| StreamOrigin {
+            service: service.clone(),
+            version: version.clone(),
+        });
+        origins.collect()
+    }
+
     /// Whether a backend server accepts new work for any service.
     pub fn contains(&self, id: &BackendId) -> bool {
         let mut all = self.services.values().flatten();
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -28,5 +28,6 @@
 pub mod stream;
 pub mod stream_attempt;
 pub mod tables;
+mod take_up;
 mod timers;
 pub mod upstream;
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -94,6 +94,10 @@
         mut attempts: AttemptBudget,
     ) {
         attempts.record_running();
+        if matches!(first, StreamRead::Event(_)) {
+            self.relay
+                .stream_began(&self.route, &self.request, &attempt.backend);
+        }
         let mut state = StreamState {
             give_up_at: attempts.deadline,
             attempts,
