Keep a silent run of a batch item open while another slot is sought

Callers saw items run twice or three times, and late, after all replicas had been silent for a second or so: a sound backend server may be silent for that long and go on. A run without a head or an event for 900 ms was closed and reported as silent before anything else was found.

Now the run stays open and is read while a slot is requested elsewhere. If it speaks first the request is withdrawn; if a slot is granted first, the run is closed and reported as silent, and the item resumes there. A slot at a backend server at which all other runs of this instance are silent too is given back. Without a slot the run waits, at most for 10 s; one run that got stuck at a server that speaks to others ends after a slot request without a grant (2 s). The attempt is in a file of its own.

--- /dev/null
+++ b/crates/foxtailhold-relay/src/jobs/item/attempt.rs
@@ -0,0 +1,326 @@
+//! One attempt at a batch item, at one backend server.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use foxtailhold::ids::BackendId;
+use foxtailhold::routes::Route;
+use foxtailhold::slots::{SlotOutcome, Urgency};
+use foxtailhold_engine::sse::RawEvent;
+use foxtailhold_platform::{ObjectStore, RowStore};
+use http::uri::PathAndQuery;
+use http::{HeaderMap, Method, StatusCode};
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use super::{GrantedSlot, ItemRunner, RETRY_DELAY_MS};
+use crate::connections::BusyConnection;
+use crate::dialect::Dialect;
+use crate::events::{EventReader, StreamRead, push_data};
+use crate::fleet::BackendServer;
+use crate::jobs::{Job, PartialOutput};
+use crate::metrics::AttemptOutcome;
+use crate::peers::{Slot, SlotError, SlotQuery};
+use crate::upstream::{self, AttemptFailure, UpstreamRequest};
+
+/// A run without a head or an event for this time ends, also if no slot is free elsewhere. Sound
+/// backend servers are silent for a second or so.
+const MAX_RUN_SILENCE_MS: u64 = 10_000;
+/// Size limit of the output of an item, as much as one read of results returns.
+const MAX_OUTPUT_BYTES: usize = 1 << 20;
+/// Time limit of one slot request; afterwards route, job and deadline are checked again.
+const SLOT_TIMEOUT_MS: u64 = 2_000;
+
+/// What all attempts at an item send.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ItemRequest<'a> {
+    pub(super) job: &'a Job,
+    pub(super) target: &'a PathAndQuery,
+    pub(super) headers: &'a HeaderMap,
+}
+
+/// A run in progress, as its parts see it.
+#[derive(Debug, Clone, Copy)]
+struct Run<'a> {
+    backend: &'a BackendServer,
+    slot: &'a Slot,
+    /// Time of the last head or event.
+    heard_at: &'a watch::Sender<Instant>,
+    deadline: Instant,
+}
+
+impl Run<'_> {
+    fn record_activity(&self) {
+        self.heard_at.send_replace(Instant::now());
+    }
+}
+
+/// How an attempt ended.
+pub(super) enum AttemptEnd {
+    Complete,
+    Impossible,
+    ServerError,
+    /// Preempted or not started: the item resumes after its last event.
+    Suspended,
+    /// The backend server failed or broke off the response.
+    Interrupted(AttemptFailure),
+}
+
+impl From<&AttemptEnd> for AttemptOutcome {
+    fn from(result: &AttemptEnd) -> Self {
+        match result {
+            AttemptEnd::Complete => AttemptOutcome::Done,
+            AttemptEnd::Impossible => AttemptOutcome::Impossible,
+            AttemptEnd::ServerError => AttemptOutcome::Failed(AttemptFailure::Failed),
+            AttemptEnd::Suspended => AttemptOutcome::Preempted,
+            AttemptEnd::Interrupted(failure) => AttemptOutcome::Failed(*failure),
+        }
+    }
+}
+
+impl<S: RowStore + ObjectStore, D: Dialect> ItemRunner<'_, S, D> {
+    /// Requests a slot for an attempt, at a backend server that is not in `avoid`.
+    pub(super) async fn request_slot(
+        &self,
+        route: &Route,
+        job: &Job,
+        avoid: &[BackendId],
+    ) -> Result<GrantedSlot, SlotError> {
+        let relay = &self.jobs.relay;
+        let service = route.service(rand::random());
+        let left_ms = job.due_unix_ms.saturating_sub(relay.clock.wall().0);
+        let query = SlotQuery {
+            pool: service,
+            urgency: Urgency::Batch,
+            slack_ms: left_ms
+                .saturating_sub(self.jobs.item_durations().remaining_ms(self.events())),
+            avoid,
+            deadline: Instant::now() + Duration::from_millis(SLOT_TIMEOUT_MS),
+        };
+        relay.acquire_slot(&query).await
+    }
+
+    /// Runs the item once, at the slot granted before if there is one.
+    pub(super) async fn attempt_once(
+        &mut self,
+        route: &Route,
+        request: ItemRequest<'_>,
+    ) -> AttemptEnd {
+        let job = request.job;
+        let relay = &self.jobs.relay;
+        let granted = match self.granted.take() {
+            Some(granted) => Ok(granted),
+            None => self.request_slot(route, job, &self.avoided_backends).await,
+        };
+        let (slot, backend) = match granted {
+            Ok(granted) => granted,
+            Err(SlotError::TimedOut) => {
+                self.avoided_backends.clear();
+                return AttemptEnd::Suspended;
+            }
+            Err(SlotError::Refused { .. }) => {
+                tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
+                return AttemptEnd::Suspended;
+            }
+        };
+        self.is_start_saved = self.events() == 0 && self.counts.must_record_start(job.lost_owners);
+        if self.is_start_saved {
+            self.write_counts(self.counts.with_pending_attempt()).await;
+        }
+        if !self.is_still_owned() {
+            return AttemptEnd::Suspended;
+        }
+        self.avoided_backends.clear();
+        let (started, events) = (Instant::now(), self.events());
+        let evidence = relay.begin_attempt(self.fingerprints(job), &backend, self.resume_after());
+        let (result, next_slot) = self.run_or_move(request, &backend, &slot).await;
+        self.granted = next_slot;
+        relay
+            .metrics
+            .attempt_ended(&backend.id, AttemptOutcome::from(&result), started);
+        let took_ms = started.elapsed().as_millis() as u64;
+        self.jobs
+            .item_durations()
+            .record_attempt(self.events() - events, took_ms);
+        let outcome = match &result {
+            AttemptEnd::Complete => {
+                evidence.completed();
+                self.jobs.item_durations().record_finished(self.events());
+                SlotOutcome::Done { held_ms: took_ms }
+            }
+            AttemptEnd::Interrupted(failure) => {
+                self.avoided_backends.push(backend.id.clone());
+                evidence.failed(*failure);
+                failure.outcome()
+            }
+            AttemptEnd::ServerError => {
+                self.avoided_backends.push(backend.id.clone());
+                evidence.failed(AttemptFailure::Failed);
+                SlotOutcome::Abandoned
+            }
+            AttemptEnd::Impossible => {
+                evidence.completed();
+                SlotOutcome::Abandoned
+            }
+            AttemptEnd::Suspended => SlotOutcome::Abandoned,
+        };
+        slot.close(outcome);
+        result
+    }
+
+    /// Runs the item until its response ends, or until another backend server has a slot for it
+    /// while this one is silent. The run is closed on return.
+    async fn run_or_move(
+        &self,
+        request: ItemRequest<'_>,
+        backend: &BackendServer,
+        slot: &Slot,
+    ) -> (AttemptEnd, Option<GrantedSlot>) {
+        let left_ms = request
+            .job
+            .give_up_unix_ms
+            .saturating_sub(self.jobs.relay.clock.wall().0);
+        let heard_at = watch::Sender::new(Instant::now());
+        let heard = heard_at.subscribe();
+        let run = Run {
+            backend,
+            slot,
+            heard_at: &heard_at,
+            deadline: Instant::now() + Duration::from_millis(left_ms),
+        };
+        tokio::select! {
+            // What the run has received counts before a slot granted at the same moment.
+            biased;
+            end = self.send(request, run) => (end, None),
+            moved = self.slot_after_silence(request.job, slot, heard) => match moved {
+                Ok(granted) => (AttemptEnd::Interrupted(AttemptFailure::Silent), Some(granted)),
+                Err(end) => (end, None),
+            },
+        }
+    }
+
+    async fn send(&self, request: ItemRequest<'_>, run: Run<'_>) -> AttemptEnd {
+        let relay = &self.jobs.relay;
+        let body = Bytes::copy_from_slice(&self.item.body);
+        let upstream_request = UpstreamRequest {
+            request_id: &self.item.id,
+            method: &Method::POST,
+            target: request.target,
+            headers: request.headers,
+            body: &body,
+            after_event: self.resume_after(),
+            is_idempotent: true,
+        };
+        let head_deadline = Instant::now() + Duration::from_millis(MAX_RUN_SILENCE_MS);
+        let head_deadline = run.deadline.min(head_deadline);
+        let response_head =
+            relay.send_to(run.backend, &upstream_request, run.deadline, head_deadline);
+        let sent = tokio::select! {
+            // A response that has arrived counts even if the slot is preempted at the same moment.
+            biased;
+            sent = response_head => sent,
+            () = run.slot.preempted() => return AttemptEnd::Suspended,
+        };
+        match sent {
+            Err(failure) => AttemptEnd::Interrupted(failure),
+            Ok((response, _)) if relay.dialect.is_impossible(response.status()) => {
+                log::info!(
+                    job = self.id.as_str(), item = self.item.id.as_str(),
+                    backend = run.backend.id.as_str();
+                    "backend server reports that the item can never be completed, giving it up"
+                );
+                AttemptEnd::Impossible
+            }
+            Ok((response, connection)) if response.status().is_success() => {
+                let body = response.into_body();
+                self.read(body, connection, run).await
+            }
+            Ok((response, connection)) => {
+                let status = response.status();
+                log::info!(
+                    job = self.id.as_str(), item = self.item.id.as_str(),
+                    backend = run.backend.id.as_str(), status = status.as_u16(),
+                    failures = self.counts.failed, open = self.counts.pending;
+                    "attempt of an item failed with a server error status"
+                );
+                upstream::drain_and_put_back(response.into_body(), connection);
+                match status {
+                    StatusCode::INTERNAL_SERVER_ERROR => AttemptEnd::ServerError,
+                    _ => AttemptEnd::Interrupted(AttemptFailure::Broken),
+                }
+            }
+        }
+    }
+
+    async fn read(
+        &self,
+        body: hyper::body::Incoming,
+        connection: BusyConnection,
+        run: Run<'_>,
+    ) -> AttemptEnd {
+        run.record_activity();
+        let mut reader = EventReader::new(body, connection, self.resume_after());
+        let start = self.partial_outputs.get(&self.item.id).position();
+        let mut events = 0;
+        loop {
+            let read = tokio::select! {
+                read = reader.read_event(MAX_RUN_SILENCE_MS, run.deadline) => read,
+                () = run.slot.preempted() => {
+                    self.jobs.relay.metrics.item_outcome("cut");
+                    log::info!(
+                        job = self.id.as_str(), item = self.item.id.as_str(),
+                        after = self.events(); "item preempted"
+                    );
+                    return AttemptEnd::Suspended;
+                }
+            };
+            match read {
+                StreamRead::Event(event) => {
+                    run.slot.record_activity();
+                    run.record_activity();
+                    if !self.append_event(&event, reader.last_id()) {
+                        self.drop_output_after(start);
+                        return AttemptEnd::Interrupted(AttemptFailure::Broken);
+                    }
+                    events += 1;
+                    if events == 1 && self.is_start_saved {
+                        let mut counts = self.counts;
+                        counts.record_events();
+                        self.write_counts(counts).await;
+                    }
+                    if events == self.trial_events() {
+                        self.pass_trial();
+                    }
+                }
+                StreamRead::End => {
+                    reader.close();
+                    return AttemptEnd::Complete;
+                }
+                StreamRead::Closed => return AttemptEnd::Interrupted(AttemptFailure::Closed),
+                StreamRead::Broken => return AttemptEnd::Interrupted(AttemptFailure::Broken),
+                StreamRead::Silent => return AttemptEnd::Interrupted(AttemptFailure::Silent),
+            }
+        }
+    }
+
+    /// Appends an event to the output. Returns `false` if the output has become too large.
+    fn append_event(&self, event: &RawEvent, id: Option<u64>) -> bool {
+        let mut is_within = true;
+        self.partial_outputs.update(&self.item.id, |output| {
+            push_data(&mut output.text, event, output.last == 0);
+            output.last = id.unwrap_or(output.last + 1);
+            is_within = output.text.len() <= MAX_OUTPUT_BYTES;
+        });
+        is_within
+    }
+
+    /// Drops what an attempt has added, because its backend server does not end its response.
+    fn drop_output_after(&self, start: (usize, u64)) {
+        log::warn!(
+            job = self.id.as_str(), item = self.item.id.as_str();
+            "output of an item exceeds {MAX_OUTPUT_BYTES} bytes, dropping its last attempt"
+        );
+        let drop_tail = |output: &mut PartialOutput| output.truncate(start);
+        self.partial_outputs.update(&self.item.id, drop_tail);
+    }
+}
--- a/crates/foxtailhold-relay/src/jobs/item/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/backoff.rs
@@ -42,6 +42,7 @@
             job = self.id.as_str(), item = self.item.id.as_str(),
             open = self.counts.pending, rest_ms = PENDING_BACKOFF_MS; "item in backoff"
         );
+        self.granted = None;
         let until = Instant::now() + Duration::from_millis(PENDING_BACKOFF_MS);
         let is_open = || self.jobs.relay.clock.wall().0 < job.give_up_unix_ms;
         while Instant::now() < until && self.is_still_owned() && is_open() {
@@ -69,6 +70,7 @@
         if remaining.is_zero() {
             return false;
         }
+        self.granted = None;
         tokio::time::sleep(remaining.min(Duration::from_millis(BACKOFF_CHECK_MS))).await;
         true
     }
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -1,68 +1,39 @@
 //! Runs one batch item, from its first slot request to its result.
 
+mod attempt;
 mod backoff;
+mod silence;
 
+use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::time::Duration;
 
-use bytes::Bytes;
 use foxtailhold::attempt_counts::{AttemptCounts, AttemptDecision};
 use foxtailhold::ids::{BackendId, JobId};
 use foxtailhold::quarantine::RequestFingerprints;
-use foxtailhold::routes::Route;
-use foxtailhold::slots::{SlotOutcome, Urgency};
-use foxtailhold_engine::sse::RawEvent;
 use foxtailhold_platform::{ObjectStore, RowStore};
 use http::uri::PathAndQuery;
-use http::{HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header};
+use http::{HeaderMap, HeaderName, HeaderValue, header};
 use parking_lot::Mutex;
 use tokio::time::Instant;
 
-use crate::connections::BusyConnection;
 use crate::dialect::Dialect;
-use crate::events::{EventReader, StreamRead, push_data};
 use crate::fleet::BackendServer;
 use crate::jobs::backoff::Backoff;
-use crate::jobs::{Item, ItemState, Job, Jobs, ListedResult, PartialOutput, PartialOutputs};
-use crate::metrics::AttemptOutcome;
-use crate::peers::{Slot, SlotError, SlotQuery};
-use crate::upstream::{self, AttemptFailure, UpstreamRequest};
+use crate::jobs::{Item, ItemState, Job, Jobs, ListedResult, PartialOutputs};
+use crate::peers::Slot;
+use attempt::{AttemptEnd, ItemRequest};
 use backoff::Trial;
 
-/// An engine without an event for this time counts as silent; the item is resumed elsewhere.
-const EVENT_TIMEOUT_MS: u64 = 900;
 /// Delay after a failed response.
 const RETRY_DELAY_MS: u64 = 60;
 /// An item is given up if its route has been missing from the configuration for this time.
 const NO_ROUTE_MS: u64 = 5_000;
 /// Time limit for writing attempt counts, many times the store's usual latency; the slot is held.
 const WRITE_LIMIT_MS: u64 = 300;
-/// Size limit of the output of an item, as much as one read of results returns.
-const MAX_OUTPUT_BYTES: usize = 1 << 20;
-/// Time limit of one slot request; afterwards route, job and deadline are checked again.
-const SLOT_TIMEOUT_MS: u64 = 2_000;
 
-enum AttemptEnd {
-    Complete,
-    Impossible,
-    ServerError,
-    /// Preempted or not started: the item resumes after its last event.
-    Suspended,
-    /// The backend server failed or broke off the response.
-    Interrupted(AttemptFailure),
-}
-
-impl From<&AttemptEnd> for AttemptOutcome {
-    fn from(result: &AttemptEnd) -> Self {
-        match result {
-            AttemptEnd::Complete => AttemptOutcome::Done,
-            AttemptEnd::Impossible => AttemptOutcome::Impossible,
-            AttemptEnd::ServerError => AttemptOutcome::Failed(AttemptFailure::Failed),
-            AttemptEnd::Suspended => AttemptOutcome::Preempted,
-            AttemptEnd::Interrupted(failure) => AttemptOutcome::Failed(*failure),
-        }
-    }
-}
+/// A slot and the backend server at which it was granted.
+type GrantedSlot = (Slot, Arc<BackendServer>);
 
 /// Runs one item and keeps its partial output.
 pub struct ItemRunner<'a, S, D> {
@@ -76,6 +47,8 @@
     /// Consecutive interruptions without a new event.
     interruptions: u32,
     avoided_backends: Vec<BackendId>,
+    /// Slot for the next attempt, granted while the attempt before was silent.
+    granted: Option<GrantedSlot>,
     /// Largest number of events after which a trial was interrupted.
     trial_interrupted_after: u64,
     backoff: Backoff,
@@ -103,6 +76,7 @@
             is_start_saved: false,
             interruptions: 0,
             avoided_backends: Vec::new(),
+            granted: None,
             trial_interrupted_after: 0,
             backoff: Backoff::default(),
             is_pending_backoff_over: false,
@@ -133,6 +107,7 @@
                 if routes.version() > 0 && since.elapsed() > Duration::from_millis(NO_ROUTE_MS) {
                     return Some(self.into_result(ItemState::GivenUp));
                 }
+                self.granted = None;
                 tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
                 continue;
             };
@@ -147,11 +122,17 @@
                 }
             }
             if self.back_off(job).await || !self.is_admitted(job).await {
+                self.granted = None;
                 continue;
             }
             let events = self.events();
             let is_trial = self.trial.lock().is_some();
-            let result = self.attempt_once(route, job, &target, &headers).await;
+            let request = ItemRequest {
+                job,
+                target: &target,
+                headers: &headers,
+            };
+            let result = self.attempt_once(route, request).await;
             self.trial.lock().take();
             if self.events() > events {
                 self.interruptions = 0;
@@ -269,208 +250,4 @@
             text,
         }
     }
-
-    async fn attempt_once(
-        &mut self,
-        route: &Route,
-        job: &Job,
-        target: &PathAndQuery,
-        headers: &HeaderMap,
-    ) -> AttemptEnd {
-        let relay = &self.jobs.relay;
-        let service = route.service(rand::random()).clone();
-        let left_ms = job.due_unix_ms.saturating_sub(relay.clock.wall().0);
-        let query = SlotQuery {
-            pool: &service,
-            urgency: Urgency::Batch,
-            slack_ms: left_ms
-                .saturating_sub(self.jobs.item_durations().remaining_ms(self.events())),
-            avoid: &self.avoided_backends,
-            deadline: Instant::now() + Duration::from_millis(SLOT_TIMEOUT_MS),
-        };
-        let (slot, backend) = match relay.acquire_slot(&query).await {
-            Ok(granted) => granted,
-            Err(SlotError::TimedOut) => {
-                self.avoided_backends.clear();
-                return AttemptEnd::Suspended;
-            }
-            Err(SlotError::Refused { .. }) => {
-                tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
-                return AttemptEnd::Suspended;
-            }
-        };
-        self.is_start_saved = self.events() == 0 && self.counts.must_record_start(job.lost_owners);
-        if self.is_start_saved {
-            self.write_counts(self.counts.with_pending_attempt()).await;
-        }
-        if !self.is_still_owned() {
-            return AttemptEnd::Suspended;
-        }
-        self.avoided_backends.clear();
-        let (started, events) = (Instant::now(), self.events());
-        let evidence = relay.begin_attempt(self.fingerprints(job), &backend, self.resume_after());
-        let result = self.send(job, target, headers, &backend, &slot).await;
-        relay
-            .metrics
-            .attempt_ended(&backend.id, AttemptOutcome::from(&result), started);
-        let took_ms = started.elapsed().as_millis() as u64;
-        self.jobs
-            .item_durations()
-            .record_attempt(self.events() - events, took_ms);
-        let outcome = match &result {
-            AttemptEnd::Complete => {
-                evidence.completed();
-                self.jobs.item_durations().record_finished(self.events());
-                SlotOutcome::Done { held_ms: took_ms }
-            }
-            AttemptEnd::Interrupted(failure) => {
-                self.avoided_backends.push(backend.id.clone());
-                evidence.failed(*failure);
-                failure.outcome()
-            }
-            AttemptEnd::ServerError => {
-                self.avoided_backends.push(backend.id.clone());
-                evidence.failed(AttemptFailure::Failed);
-                SlotOutcome::Abandoned
-            }
-            AttemptEnd::Impossible => {
-                evidence.completed();
-                SlotOutcome::Abandoned
-            }
-            AttemptEnd::Suspended => SlotOutcome::Abandoned,
-        };
-        slot.close(outcome);
-        result
-    }
-
-    async fn send(
-        &self,
-        job: &Job,
-        target: &PathAndQuery,
-        headers: &HeaderMap,
-        backend: &BackendServer,
-        slot: &Slot,
-    ) -> AttemptEnd {
-        let relay = &self.jobs.relay;
-        let body = Bytes::copy_from_slice(&self.item.body);
-        let request = UpstreamRequest {
-            request_id: &self.item.id,
-            method: &Method::POST,
-            target,
-            headers,
-            body: &body,
-            after_event: self.resume_after(),
-            is_idempotent: true,
-        };
-        let left_ms = job.give_up_unix_ms.saturating_sub(relay.clock.wall().0);
-        let deadline = Instant::now() + Duration::from_millis(left_ms);
-        let head_deadline = deadline.min(Instant::now() + Duration::from_millis(EVENT_TIMEOUT_MS));
-        let response_head = relay.send_to(backend, &request, deadline, head_deadline);
-        let sent = tokio::select! {
-            // A response that has arrived counts even if the slot is preempted at the same moment.
-            biased;
-            sent = response_head => sent,
-            () = slot.preempted() => return AttemptEnd::Suspended,
-        };
-        match sent {
-            Err(failure) => AttemptEnd::Interrupted(failure),
-            Ok((response, _)) if relay.dialect.is_impossible(response.status()) => {
-                log::info!(
-                    job = self.id.as_str(), item = self.item.id.as_str(),
-                    backend = backend.id.as_str();
-                    "backend server reports that the item can never be completed, giving it up"
-                );
-                AttemptEnd::Impossible
-            }
-            Ok((response, connection)) if response.status().is_success() => {
-                let body = response.into_body();
-                self.read(body, connection, slot, deadline).await
-            }
-            Ok((response, connection)) => {
-                let status = response.status();
-                log::info!(
-                    job = self.id.as_str(), item = self.item.id.as_str(),
-                    backend = backend.id.as_str(), status = status.as_u16(),
-                    failures = self.counts.failed, open = self.counts.pending;
-                    "attempt of an item failed with a server error status"
-                );
-                upstream::drain_and_put_back(response.into_body(), connection);
-                match status {
-                    StatusCode::INTERNAL_SERVER_ERROR => AttemptEnd::ServerError,
-                    _ => AttemptEnd::Interrupted(AttemptFailure::Broken),
-                }
-            }
-        }
-    }
-
-    async fn read(
-        &self,
-        body: hyper::body::Incoming,
-        connection: BusyConnection,
-        slot: &Slot,
-        deadline: Instant,
-    ) -> AttemptEnd {
-        let mut reader = EventReader::new(body, connection, self.resume_after());
-        let start = self.partial_outputs.get(&self.item.id).position();
-        let mut events = 0;
-        loop {
-            let read = tokio::select! {
-                read = reader.read_event(EVENT_TIMEOUT_MS, deadline) => read,
-                () = slot.preempted() => {
-                    self.jobs.relay.metrics.item_outcome("cut");
-                    log::info!(
-                        job = self.id.as_str(), item = self.item.id.as_str(),
-                        after = self.events(); "item preempted"
-                    );
-                    return AttemptEnd::Suspended;
-                }
-            };
-            match read {
-                StreamRead::Event(event) => {
-                    slot.record_activity();
-                    if !self.append_event(&event, reader.last_id()) {
-                        self.drop_output_after(start);
-                        return AttemptEnd::Interrupted(AttemptFailure::Broken);
-                    }
-                    events += 1;
-                    if events == 1 && self.is_start_saved {
-                        let mut counts = self.counts;
-                        counts.record_events();
-                        self.write_counts(counts).await;
-                    }
-                    if events == self.trial_events() {
-                        self.pass_trial();
-                    }
-                }
-                StreamRead::End => {
-                    reader.close();
-                    return AttemptEnd::Complete;
-                }
-                StreamRead::Closed => return AttemptEnd::Interrupted(AttemptFailure::Closed),
-                StreamRead::Broken => return AttemptEnd::Interrupted(AttemptFailure::Broken),
-                StreamRead::Silent => return AttemptEnd::Interrupted(AttemptFailure::Silent),
-            }
-        }
-    }
-
-    /// Appends an event to the output. Returns `false` if the output has become too large.
-    fn append_event(&self, event: &RawEvent, id: Option<u64>) -> bool {
-        let mut is_within = true;
-        self.partial_outputs.update(&self.item.id, |output| {
-            push_data(&mut output.text, event, output.last == 0);
-            output.last = id.unwrap_or(output.last + 1);
-            is_within = output.text.len() <= MAX_OUTPUT_BYTES;
-        });
-        is_within
-    }
-
-    /// Drops what an attempt has added, because its backend server does not end its response.
-    fn drop_output_after(&self, start: (usize, u64)) {
-        log::warn!(
-            job = self.id.as_str(), item = self.item.id.as_str();
-            "output of an item exceeds {MAX_OUTPUT_BYTES} bytes, dropping its last attempt"
-        );
-        let drop_tail = |output: &mut PartialOutput| output.truncate(start);
-        self.partial_outputs.update(&self.item.id, drop_tail);
-    }
 }
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -8,7 +8,7 @@
 use evidence::EvidenceSends;
 pub use members::{Member, Members};
 pub use message::{Datagram, InstanceHash, PeerMessage};
-pub use slot::{Slot, SlotError, SlotQuery};
+pub use slot::{BackendLiveness, Slot, SlotError, SlotQuery};
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -45,6 +45,8 @@
     backend: BackendId,
     urgency: Urgency,
     last_activity: MonoMs,
+    /// Whether the backend server has sent anything for the slot.
+    is_answered: bool,
     preempted: CancellationToken,
 }
 
--- a/crates/foxtailhold-relay/src/peers/slot.rs
+++ b/crates/foxtailhold-relay/src/peers/slot.rs
@@ -4,7 +4,9 @@
 use std::time::Duration;
 
 use foxtailhold::ids::{BackendId, TargetName};
-use foxtailhold::slots::{SlotDecision, SlotOutcome, SlotRequest, SlotRequestId, Urgency};
+use foxtailhold::slots::{
+    MAX_SILENCE_MS, SlotDecision, SlotOutcome, SlotRequest, SlotRequestId, Urgency,
+};
 use thiserror::Error;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -56,6 +58,17 @@
     pub deadline: Instant,
 }
 
+/// Whether a backend server sends anything, as far as one instance sees.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BackendLiveness {
+    /// No slot shows it.
+    Unknown,
+    /// A request has received something a short time ago.
+    Speaking,
+    /// All requests have received nothing for a while.
+    Silent,
+}
+
 /// A slot at a backend server. Dropping it releases the slot as abandoned.
 #[derive(Debug)]
 pub struct Slot {
@@ -78,7 +91,26 @@
         let now = self.peers.inner.clock.mono();
         if let Some(local_slot) = self.peers.inner.slots.lock().held.get_mut(&self.number) {
             local_slot.last_activity = now;
+            local_slot.is_answered = true;
+        }
+    }
+
+    /// What the other slots of this instance at the same backend server show about it.
+    pub fn backend_liveness(&self) -> BackendLiveness {
+        let now = self.peers.inner.clock.mono();
+        let slots = self.peers.inner.slots.lock();
+        let mut liveness = BackendLiveness::Unknown;
+        for (number, other) in &slots.held {
+            if *number == self.number || other.backend != self.backend {
+                continue;
+            }
+            if now.since_ms(other.last_activity) > MAX_SILENCE_MS {
+                liveness = BackendLiveness::Silent;
+            } else if other.is_answered {
+                return BackendLiveness::Speaking;
+            }
         }
+        liveness
     }
 
     /// Waits until the slot is preempted for more urgent work.
@@ -182,6 +214,7 @@
             backend: backend.clone(),
             urgency: query.urgency,
             last_activity: self.inner.clock.mono(),
+            is_answered: false,
             preempted: preempted.clone(),
         };
         self.inner.slots.lock().held.insert(number, local_slot);
--- a/crates/foxtailhold/src/slots/mod.rs
+++ b/crates/foxtailhold/src/slots/mod.rs
@@ -13,6 +13,7 @@
 
 pub use allocator::{Allocator, SlotNotice};
 pub use health::BackendHealth;
+pub use pool::MAX_SILENCE_MS;
 
 use serde::{Deserialize, Serialize};
 
