--- a/crates/foxtailhold-relay/src/jobs/item/attempt.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/attempt.rs
@@ -96,6 +96,7 @@
                 .saturating_sub(self.jobs.item_durations().remaining_ms(self.events())),
             avoid,
             deadline: Instant::now() + Duration::from_millis(SLOT_TIMEOUT_MS),
+            version: None,
         };
         relay.acquire_slot(&query).await
     }
@@ -114,7 +115,7 @@
         };
         let (slot, backend) = match granted {
             Ok(granted) => granted,
-            Err(SlotError::TimedOut) => {
+            Err(SlotError::TimedOut | SlotError::VersionGone) => {
                 self.avoided_backends.clear();
                 return AttemptEnd::Suspended;
             }
--- a/crates/foxtailhold-relay/src/peers/slot.rs
+++ b/crates/foxtailhold-relay/src/peers/slot.rs
@@ -7,6 +7,7 @@
 use foxtailhold::slots::{
     MAX_SILENCE_MS, SlotDecision, SlotOutcome, SlotRequest, SlotRequestId, Urgency,
 };
+use foxtailhold::software_version::SoftwareVersion;
 use thiserror::Error;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -40,6 +41,9 @@
     /// No slot became free before the deadline.
     #[error("no slot became free before the deadline")]
     TimedOut,
+    /// No backend server of the requested version is listed.
+    #[error("no backend server of the requested version is listed")]
+    VersionGone,
 }
 
 /// What a request needs from the allocator.
@@ -56,6 +60,8 @@
     pub avoid: &'a [BackendId],
     /// Deadline for waiting.
     pub deadline: Instant,
+    /// Version of the software that the backend server must run; `None` for any.
+    pub version: Option<&'a SoftwareVersion>,
 }
 
 /// Whether a backend server sends anything, as far as one instance sees.
@@ -189,6 +195,7 @@
             slack_ms: query.slack_ms,
             avoid: query.avoid.to_vec(),
             zone: self.inner.zone.clone(),
+            version: query.version.cloned(),
         };
         let decision = self
             .wait_for_decision(&request, query.deadline, &mut decisions)
@@ -203,6 +210,10 @@
                 waiting.is_settled = true;
                 Err(SlotError::Refused { retry_after_ms })
             }
+            SlotDecision::VersionGone => {
+                waiting.is_settled = true;
+                Err(SlotError::VersionGone)
+            }
             SlotDecision::Queued => Err(SlotError::TimedOut),
         }
     }
