--- a/crates/foxtailhold-relay/src/jobs/item/silence.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/silence.rs
@@ -71,6 +71,7 @@
                 Err(SlotError::TimedOut | SlotError::VersionGone) => {}
                 Err(SlotError::Refused { .. }) => {
                     tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
+                    continue;
                 }
             }
             if silent.backend_liveness() == BackendLiveness::Speaking {
