OpenAI form: silence ends no answer and no item

What callers saw: a stream whose engine fell silent for longer than its stall bound was cut with `backend_failed` or `overloaded` if no other engine could take it, though its engine was sound and went on a moment later; requests that began in silence were refused, and items failed after four silent attempts.

Cause: `EntryStream::resume` closed the silent attempt before another one was found, and the time limits of heads, whole answers and items closed the run as well.

Change: a silent run stays open while another engine is sought; whichever speaks first goes on and the others are closed. Both count as attempts and take from the retry budget, and only an engine that another one overtook has failed for its breaker. An item waits at its engine until another one has a slot for it, and does not leave on its last attempt. Calls of plain services and requests that must not be repeated already waited and are unchanged.

--- a/crates/foxtailhold-entry/src/gateway/dispatch.rs
+++ b/crates/foxtailhold-entry/src/gateway/dispatch.rs
@@ -1,19 +1,18 @@
-//! Sends one request to an engine, and retries on another one if that is allowed.
+//! Routes one request to an engine, and to another one if a retry is allowed.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use foxtailhold::ids::{BackendId, RequestId, TargetName};
-use foxtailhold::quarantine::{Fingerprint, ProbeOutcome, QuarantineStatus};
+use foxtailhold::quarantine::{Fingerprint, QuarantineStatus};
 use foxtailhold::refusal::{ExecutionStatus, Refusal, RefusalReason, Result};
 use foxtailhold::replicas::{BackendKind, FleetState};
 use foxtailhold::routing::{BoundedAffinity, LeastLoaded, RoutePolicy, RouteQuery};
 use foxtailhold::stall;
 use foxtailhold::suspect::{ProbeNegotiation, SuspectAction};
 use foxtailhold::time::MonoMs;
-use foxtailhold::timeline::TimelineEvent;
-use foxtailhold_engine::{EngineAnswer, EngineError, EngineRequest, Resume};
+use foxtailhold_engine::{EngineAnswer, EngineError};
 use foxtailhold_platform::Platform;
 use rand::Rng;
 use tokio::time::Instant;
@@ -21,7 +20,6 @@
 
 use crate::backends::{BackendState, InFlightGuard, RoutingCandidates};
 use crate::crashes::{self, ProbeGuard};
-use crate::online_load;
 use crate::shared::Shared;
 
 /// Attempts that may have run the request, for one request.
@@ -100,13 +98,14 @@
 }
 
 impl AttemptHistory {
-    /// Records a failed attempt, and the failure at its backend server.
+    /// Records a failed attempt, and the failure at its backend server. An attempt that was silent
+    /// before is already counted.
     pub fn record_failure(&mut self, server: &BackendState, error: EngineError, now: MonoMs) {
-        self.tried.push(server.backend.id.clone());
-        if !error.is_not_run() {
-            self.may_have_run = true;
-            self.run_attempts += 1;
+        if !self.tried.contains(&server.backend.id) {
+            self.tried.push(server.backend.id.clone());
+            self.run_attempts += usize::from(!error.is_not_run());
         }
+        self.may_have_run |= !error.is_not_run();
         match error {
             EngineError::Full => {}
             EngineError::Leaving => server.refused_as_leaving(),
@@ -119,13 +118,26 @@
         self.last_error = Some(error);
     }
 
-    /// Resets the attempts after a stream made progress: only the last backend server stays
-    /// excluded, and it counts as one attempt.
-    pub fn progressed(&mut self) {
-        let last = self.tried.pop();
+    /// Counts an attempt that is silent and stays open. Its backend server has not failed: that is
+    /// known only once another one has answered.
+    pub fn record_silence(&mut self, server: &BackendState, bound_ms: u64) {
+        if self.tried.contains(&server.backend.id) {
+            return;
+        }
+        self.tried.push(server.backend.id.clone());
+        self.may_have_run = true;
+        self.run_attempts += 1;
+        log::info!(
+            "backend server {} has been silent for {bound_ms} ms, its run stays open",
+            server.backend.id
+        );
+        self.last_error = Some(EngineError::Stalled { bound_ms });
+    }
+
+    /// Starts the count of attempts anew after a stream made progress.
+    pub fn restart(&mut self) {
         self.tried.clear();
-        self.tried.extend(last);
-        self.run_attempts = 1;
+        self.run_attempts = 0;
     }
 
     fn ran(&self) -> ExecutionStatus {
@@ -217,9 +229,23 @@
     }
 }
 
-struct Route<P: Platform> {
-    server: Arc<BackendState>,
-    probe: Option<ProbeGuard<P>>,
+/// Whether another attempt could go to a backend server now, besides those that are tried.
+pub fn has_untried<P: Platform>(
+    shared: &Shared<P>,
+    outgoing: &OutgoingRequest,
+    attempts: &AttemptHistory,
+) -> bool {
+    let exhausted = attempts.run_attempts >= MAX_ATTEMPTS;
+    outgoing.retry_allowed && !exhausted && !probe_servers(shared, outgoing, attempts).is_empty()
+}
+
+/// Where an attempt goes.
+#[derive(Debug)]
+pub struct Route<P: Platform> {
+    /// Backend server that gets the attempt.
+    pub server: Arc<BackendState>,
+    /// The probe that the attempt is, for a suspect request.
+    pub probe: Option<ProbeGuard<P>>,
 }
 
 fn route_normally<P: Platform>(
@@ -236,7 +262,7 @@
     })
 }
 
-/// Backend servers that may run a probe, the least loaded first.
+/// Backend servers that may run a probe or take over from a silent one, the least loaded first.
 fn probe_servers<P: Platform>(
     shared: &Shared<P>,
     outgoing: &OutgoingRequest,
@@ -263,7 +289,7 @@
 }
 
 /// Routes an attempt. A suspect request first waits for a probe, and a convicted one is refused.
-async fn route<P: Platform>(
+pub async fn route<P: Platform>(
     shared: &Shared<P>,
     outgoing: &OutgoingRequest,
     attempts: &AttemptHistory,
@@ -316,7 +342,7 @@
 }
 
 /// Whether another attempt is allowed; a retry is taken from the retry budget.
-fn may_attempt<P: Platform>(
+pub fn may_attempt<P: Platform>(
     shared: &Shared<P>,
     outgoing: &OutgoingRequest,
     attempts: &AttemptHistory,
@@ -339,90 +365,6 @@
     true
 }
 
-async fn send<P: Platform>(
-    shared: &Shared<P>,
-    outgoing: &OutgoingRequest,
-    resume: Option<Resume<'_>>,
-    server: &BackendState,
-    timeout_ms: u64,
-) -> std::result::Result<EngineAnswer, EngineError> {
-    let request = EngineRequest {
-        id: &outgoing.id,
-        path: outgoing.path,
-        body: &outgoing.body,
-        streamed: outgoing.streamed,
-        resume,
-        timeout_ms,
-        not_after: outgoing.not_after(shared),
-    };
-    let answer = shared
-        .engines
-        .send(server.backend.address, &request)
-        .await?;
-    match &answer {
-        EngineAnswer::Whole(whole) if resume.is_some() => {
-            let status = whole.status.as_u16();
-            Err(EngineError::Failed { status })
-        }
-        _ => Ok(answer),
-    }
-}
-
-/// Sends the request until an answer begins. Refuses when no attempt is left or a retry is not
-/// allowed.
-pub async fn open<P: Platform>(
-    shared: &Shared<P>,
-    outgoing: &OutgoingRequest,
-    resume: Option<Resume<'_>>,
-    attempts: &mut AttemptHistory,
-) -> Result<StartedAnswer<P>> {
-    while may_attempt(shared, outgoing, attempts) {
-        let Route { server, probe } = route(shared, outgoing, attempts).await?;
-        let left_ms = time_left_ms(shared, outgoing, attempts)?;
-        let timeout_ms = left_ms.min(answer_timeout_ms(&server, outgoing));
-        let in_flight = server.start_tracked_request(Some(outgoing.fingerprint));
-        online_load::sent(shared, &server);
-        shared.timeline.note(TimelineEvent::Sent {
-            request: outgoing.id.clone(),
-            backend: server.backend.id.clone(),
-        });
-        let started_at = Instant::now();
-        let error = match send(shared, outgoing, resume, &server, timeout_ms).await {
-            Ok(answer) => {
-                let probe = record_answer(&server, &answer, probe, started_at);
-                return Ok(StartedAnswer {
-                    server,
-                    in_flight,
-                    probe,
-                    answer,
-                });
-            }
-            Err(error) => error,
-        };
-        record_failed_attempt(shared, &server, &in_flight, probe, &error).await;
-        attempts.record_failure(&server, error, shared.clock.mono());
-    }
-    Err(attempts.refusal(&outgoing.model))
-}
-
-/// Records a full response as a success and ends its probe. For a stream the probe goes on.
-fn record_answer<P: Platform>(
-    server: &BackendState,
-    answer: &EngineAnswer,
-    probe: Option<ProbeGuard<P>>,
-    started_at: Instant,
-) -> Option<ProbeGuard<P>> {
-    if matches!(answer, EngineAnswer::Stream(_)) {
-        return probe;
-    }
-    server.record_success();
-    server.record_service_time(started_at.elapsed());
-    if let Some(probe) = probe {
-        probe.close(ProbeOutcome::Survived);
-    }
-    None
-}
-
 /// Checks whether a failure was a crash, and ends the attempt's probe with that result.
 pub async fn record_failed_attempt<P: Platform>(
     shared: &Shared<P>,
--- a/crates/foxtailhold-entry/src/gateway/infer.rs
+++ b/crates/foxtailhold-entry/src/gateway/infer.rs
@@ -9,9 +9,9 @@
 use foxtailhold_engine::{EngineAnswer, WholeAnswer};
 use foxtailhold_platform::Platform;
 
-use crate::gateway::dispatch::{self, AttemptHistory, OutgoingRequest};
+use crate::gateway::dispatch::{AttemptHistory, OutgoingRequest};
 use crate::gateway::stream::EntryStream;
-use crate::gateway::{EntryGateway, idempotency};
+use crate::gateway::{EntryGateway, idempotency, sending};
 use crate::shared::Shared;
 
 /// Converts an engine's full response for the caller side.
@@ -78,7 +78,7 @@
         return Ok(InferenceAnswer::Whole(answer));
     }
     let mut attempts = AttemptHistory::default();
-    let opened = dispatch::open(shared, &outgoing, None, &mut attempts).await?;
+    let opened = sending::open(shared, &outgoing, None, &mut attempts).await?;
     if let EngineAnswer::Whole(answer) = opened.answer {
         admitted.count_response_tokens(&answer.body);
         shared.timeline.note(TimelineEvent::Answered {
--- a/crates/foxtailhold-entry/src/gateway/mod.rs
+++ b/crates/foxtailhold-entry/src/gateway/mod.rs
@@ -10,6 +10,7 @@
 pub mod orders;
 pub mod results;
 pub mod rows;
+pub mod sending;
 pub mod service_call;
 pub mod stream;
 
--- a/crates/foxtailhold-entry/src/jobs/item_attempt.rs
+++ b/crates/foxtailhold-entry/src/jobs/item_attempt.rs
@@ -17,6 +17,7 @@
 use crate::crashes::ProbeGuard;
 use crate::gateway::dispatch::{self, OutgoingRequest, StartedAnswer};
 use crate::jobs::item_body::ReceivedOutput;
+use crate::jobs::silence::SilenceWatch;
 use crate::online_load;
 use crate::shared::Shared;
 
@@ -27,7 +28,7 @@
     Whole(WholeAnswer),
     /// The stream has ended normally.
     Finished,
-    /// The engine refused the item, failed or stalled.
+    /// The engine refused the item or failed, or an item under probe met a silent engine.
     Failed(EngineError),
 }
 
@@ -45,12 +46,13 @@
 
 impl<P: Platform> ItemAttempt<P> {
     /// Sends the item to the engine at which it has a slot, as a continuation if output was
-    /// received before.
+    /// received before. Waits up to `timeout_ms` for the response to begin.
     pub async fn open(
         shared: &Shared<P>,
         outgoing: &OutgoingRequest,
         received: &ReceivedOutput,
         server: &Arc<BackendState>,
+        timeout_ms: u64,
     ) -> foxtailhold_engine::Result<Self> {
         let batch = online_load::start_batch_item(shared, &server.backend.id);
         let in_flight = server.start_tracked_request(Some(outgoing.fingerprint));
@@ -68,7 +70,7 @@
             body: &outgoing.body,
             streamed: outgoing.streamed,
             resume: (received.tokens > 0).then_some(resume),
-            timeout_ms: dispatch::answer_timeout_ms(server, outgoing),
+            timeout_ms,
             not_after: outgoing.not_after(shared),
         };
         let answer = match shared.engines.send(server.backend.address, &request).await {
@@ -106,9 +108,15 @@
         }
     }
 
-    /// Reads the stream to its end. Everything read so far is in `received`, also when the future
-    /// is dropped.
-    pub async fn run(self, received: &mut ReceivedOutput) -> AttemptEnd {
+    /// Reads the stream to its end, however long the engine is silent. Everything read so far is in
+    /// `received`, also when the future is dropped. The first event shows that the engines in
+    /// `overtaken`, which were silent before, failed.
+    pub async fn run(
+        self,
+        received: &mut ReceivedOutput,
+        watch: &SilenceWatch,
+        overtaken: &mut Vec<Arc<BackendState>>,
+    ) -> AttemptEnd {
         let ItemAttempt {
             shared,
             server,
@@ -119,7 +127,10 @@
             body_bytes,
         } = self;
         let mut stream = match answer {
-            EngineAnswer::Whole(answer) => return AttemptEnd::Whole(answer),
+            EngineAnswer::Whole(answer) => {
+                record_overtaken(&shared, overtaken);
+                return AttemptEnd::Whole(answer);
+            }
             EngineAnswer::Stream(stream) => stream,
         };
         let mut last_event: Option<Instant> = None;
@@ -128,7 +139,12 @@
                 None => stall::first_event_bound_ms(&server.load(), server.latency(), body_bytes),
                 Some(_) => stall::next_event_bound_ms(server.latency()),
             };
-            let error = match next_event(&mut stream, bound_ms).await {
+            watch.record_event(bound_ms);
+            let event = match received.finished {
+                true => last_event_within(&mut stream, bound_ms).await,
+                false => stream.next().await,
+            };
+            let error = match event.and_then(|event| event.ok_or(EngineError::Unfinished)) {
                 Ok(TokenEvent::Chunk {
                     raw,
                     text,
@@ -136,9 +152,12 @@
                     ..
                 }) => {
                     received.push(raw, &text, finished);
+                    record_overtaken(&shared, overtaken);
                     let now = Instant::now();
-                    if let Some(last) = last_event.replace(now) {
-                        server.record_token_gap(now - last);
+                    let gap = last_event.replace(now).map(|last| now - last);
+                    let bound = Duration::from_millis(bound_ms);
+                    if let Some(gap) = gap.filter(|gap| *gap < bound) {
+                        server.record_token_gap(gap);
                     }
                     if let Some(probe) = probe.take_if(|probe| !probe.is_strict()) {
                         probe.close(ProbeOutcome::Survived);
@@ -162,14 +181,22 @@
     }
 }
 
-async fn next_event(
+/// Waits for the end of a stream whose text is complete, so that nothing is lost by giving up.
+async fn last_event_within(
     stream: &mut EngineStream,
     bound_ms: u64,
-) -> foxtailhold_engine::Result<TokenEvent> {
-    let wait = Duration::from_millis(bound_ms);
-    let event = tokio::time::timeout(wait, stream.next()).await;
-    let event = event.unwrap_or(Err(EngineError::Stalled { bound_ms }))?;
-    event.ok_or(EngineError::Unfinished)
+) -> foxtailhold_engine::Result<Option<TokenEvent>> {
+    let event = tokio::time::timeout(Duration::from_millis(bound_ms), stream.next());
+    event
+        .await
+        .unwrap_or(Err(EngineError::Stalled { bound_ms }))
+}
+
+/// Records the failure of engines that were silent until another one answered.
+fn record_overtaken<P: Platform>(shared: &Shared<P>, overtaken: &mut Vec<Arc<BackendState>>) {
+    for server in overtaken.drain(..) {
+        server.record_failure(shared.clock.mono());
+    }
 }
 
 /// Reports the failure, which decides whether it was a crash, and opens the engine's breaker unless
--- a/crates/foxtailhold-entry/src/jobs/mod.rs
+++ b/crates/foxtailhold-entry/src/jobs/mod.rs
@@ -10,6 +10,7 @@
 pub mod owner;
 pub mod policy;
 pub mod runner;
+pub mod silence;
 pub mod slot_wait;
 pub mod store;
 pub mod streamed_item;
--- a/crates/foxtailhold-entry/src/jobs/ordinary.rs
+++ b/crates/foxtailhold-entry/src/jobs/ordinary.rs
@@ -8,7 +8,8 @@
 use foxtailhold_engine::EngineAnswer;
 use foxtailhold_platform::Platform;
 
-use crate::gateway::dispatch::{self, AttemptHistory};
+use crate::gateway::dispatch::AttemptHistory;
+use crate::gateway::sending;
 use crate::jobs::item::{FinishedItem, ItemPolicy, ItemTask};
 use crate::jobs::item_body::ItemBody;
 use crate::shared::Shared;
@@ -41,7 +42,7 @@
                 continue;
             }
             let mut attempts = AttemptHistory::default();
-            match dispatch::open(shared, &outgoing, None, &mut attempts).await {
+            match sending::open(shared, &outgoing, None, &mut attempts).await {
                 Ok(opened) => {
                     if let EngineAnswer::Whole(answer) = opened.answer
                         && let Some(ended) = task.handle_answer(&id, &answer)
--- a/crates/foxtailhold-entry/src/jobs/streamed_item.rs
+++ b/crates/foxtailhold-entry/src/jobs/streamed_item.rs
@@ -1,7 +1,9 @@
 //! Runs items as streams within the congestion windows of the batch controllers. A preempted item
-//! keeps the output it has received and is continued at the next engine that gives it a slot. An
-//! item suspected of crashing engines takes no slot: it runs at the engine of its granted probe.
+//! keeps the output it has received and is continued at the next engine that gives it a slot. An item
+//! at a silent engine goes on waiting there until another one gives it a slot. An item suspected of
+//! crashing engines takes no slot: it runs at the engine of its granted probe.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use foxtailhold::batch::MAX_ITEM_ATTEMPTS;
@@ -14,10 +16,13 @@
 use foxtailhold_engine::{EngineError, Resume, WholeAnswer};
 use foxtailhold_platform::Platform;
 
+use crate::backends::BackendState;
 use crate::gateway::dispatch::{self, AttemptHistory, OutgoingRequest};
+use crate::gateway::sending;
 use crate::jobs::item::{FinishedItem, ItemPolicy, ItemTask};
 use crate::jobs::item_attempt::{AttemptEnd, ItemAttempt};
 use crate::jobs::item_body::{ItemBody, ReceivedOutput};
+use crate::jobs::silence::SilenceWatch;
 use crate::jobs::slot_wait::SlotChannel;
 use crate::shared::Shared;
 
@@ -38,6 +43,8 @@
     outgoing: OutgoingRequest,
     received: ReceivedOutput,
     waiting: WaitingItem,
+    /// Engines that the item left because they were silent, until another one answers.
+    overtaken: Vec<Arc<BackendState>>,
     failures: u32,
     broken_attempts: u32,
 }
@@ -61,6 +68,7 @@
             outgoing: task.outgoing(shared.request_id(), body),
             received: ReceivedOutput::default(),
             waiting,
+            overtaken: Vec::new(),
             failures: 0,
             broken_attempts: 0,
         };
@@ -68,6 +76,33 @@
     }
 }
 
+/// How the run of an item in a slot ended.
+enum SlotEnd<P: Platform> {
+    /// The slot was taken back.
+    Preempted,
+    /// The attempt ended.
+    Ended(AttemptEnd),
+    /// The engine is silent and another one has given a slot, which this channel holds.
+    Moved(SlotChannel<P>, BackendId),
+}
+
+/// Waits until the run is silent and another engine has a slot for the item.
+async fn wait_for_other<P: Platform>(
+    shared: &Shared<P>,
+    watch: &SilenceWatch,
+    waiting: &WaitingItem,
+) -> (SlotChannel<P>, BackendId) {
+    loop {
+        watch.wait_for_silence().await;
+        let mut channel = SlotChannel::new(shared);
+        tokio::select! {
+            biased;
+            () = watch.wait_for_event() => {}
+            backend = channel.wait_for_slot(waiting) => return (channel, backend),
+        }
+    }
+}
+
 impl<P: Platform> StreamedItem<'_, P> {
     async fn run_to_end(mut self) -> FinishedItem {
         let mut channel = SlotChannel::new(self.shared);
@@ -88,33 +123,100 @@
         }
     }
 
-    /// Waits for a slot and runs the item at its engine until it ends, fails or is preempted.
+    /// Waits for a slot and runs the item at its engine until it ends, fails or is preempted. If
+    /// the engine is silent, the item moves once another one has a slot for it.
     async fn run_in_slot(&mut self, channel: &mut SlotChannel<P>) -> Option<FinishedItem> {
-        let backend = channel.wait_for_slot(&self.waiting).await;
-        if !self.task.is_owned(self.shared) {
-            channel.release();
-            return None;
+        let mut backend = channel.wait_for_slot(&self.waiting).await;
+        loop {
+            if !self.task.is_owned(self.shared) {
+                channel.release();
+                return None;
+            }
+            let tokens_before = self.received.tokens;
+            let Some(server) = self.server(&backend) else {
+                channel.release();
+                let end = AttemptEnd::Failed(EngineError::Leaving);
+                return self.attempt_ended(end, Some(backend), tokens_before).await;
+            };
+            let (other_channel, other_backend) = match self.attempt_at(&server, channel).await {
+                SlotEnd::Preempted => return self.finished(),
+                SlotEnd::Ended(end) => {
+                    channel.release();
+                    return self.attempt_ended(end, Some(backend), tokens_before).await;
+                }
+                SlotEnd::Moved(channel, backend) => (channel, backend),
+            };
+            log::debug!("item {} leaves a silent engine", self.task.item.custom_id);
+            self.overtaken.push(server);
+            self.avoid(std::mem::replace(&mut backend, other_backend));
+            *channel = other_channel;
+            if self.received.finished {
+                return self.finished();
+            }
+            if let Some(ended) = self.count_attempt("the engine was silent", tokens_before) {
+                return Some(ended);
+            }
         }
-        let tokens_before = self.received.tokens;
-        let end = tokio::select! {
-            biased;
-            () = channel.wait_for_preemption() => return self.finished(),
-            end = self.attempt_at(&backend) => end,
-        };
-        channel.release();
-        self.attempt_ended(end, Some(backend), tokens_before).await
     }
 
-    async fn attempt_at(&mut self, backend: &BackendId) -> AttemptEnd {
-        let backends = self.shared.backends.load_full();
+    fn server(&self, backend: &BackendId) -> Option<Arc<BackendState>> {
+        let backends = self.shared.backends.load();
         let mut servers = backends.servers.iter();
-        let Some(server) = servers.find(|server| server.backend.id == *backend) else {
-            return AttemptEnd::Failed(EngineError::Leaving);
+        let server = servers.find(|server| server.backend.id == *backend);
+        server.cloned()
+    }
+
+    /// Whether the item may leave a silent engine. On its last attempt it stays, so that silence
+    /// alone never fails it.
+    fn may_leave(&self) -> bool {
+        self.failures + 1 < MAX_ITEM_ATTEMPTS
+    }
+
+    /// The wait for a slot at another engine than this one. Engines that failed before are avoided
+    /// only if that leaves any.
+    fn waiting_beside(&self, backend: &BackendId) -> WaitingItem {
+        let mut waiting = self.waiting.clone();
+        waiting.avoid.push(backend.clone());
+        let backends = self.shared.backends.load();
+        let mut serving = backends
+            .serving(BackendKind::Engine, &waiting.target)
+            .iter();
+        if serving.all(|server| waiting.avoid.contains(&server.backend.id)) {
+            waiting.avoid = vec![backend.clone()];
+        }
+        waiting
+    }
+
+    async fn attempt_at(
+        &mut self,
+        server: &Arc<BackendState>,
+        channel: &mut SlotChannel<P>,
+    ) -> SlotEnd<P> {
+        let bound_ms = dispatch::answer_timeout_ms(server, &self.outgoing);
+        let watch = SilenceWatch::new(bound_ms);
+        let left_ms = self
+            .task
+            .deadline
+            .0
+            .saturating_sub(self.shared.clock.wall().0);
+        let may_leave = self.may_leave();
+        let waiting = self.waiting_beside(&server.backend.id);
+        let (shared, outgoing) = (self.shared, &self.outgoing);
+        let (received, overtaken) = (&mut self.received, &mut self.overtaken);
+        let run = async {
+            let timeout_ms = left_ms.max(bound_ms);
+            match ItemAttempt::open(shared, outgoing, received, server, timeout_ms).await {
+                Ok(attempt) => attempt.run(received, &watch, overtaken).await,
+                Err(error) => AttemptEnd::Failed(error),
+            }
         };
-        let opened = ItemAttempt::open(self.shared, &self.outgoing, &self.received, server).await;
-        match opened {
-            Ok(attempt) => attempt.run(&mut self.received).await,
-            Err(error) => AttemptEnd::Failed(error),
+        tokio::select! {
+            biased;
+            () = channel.wait_for_preemption() => SlotEnd::Preempted,
+            end = run => SlotEnd::Ended(end),
+            (channel, backend) = wait_for_other(shared, &watch, &waiting), if may_leave => {
+                SlotEnd::Moved(channel, backend)
+            }
         }
     }
 
@@ -127,11 +229,19 @@
             tokens: received.tokens,
             text: &received.text,
         });
-        let opened = dispatch::open(self.shared, &self.outgoing, resume, &mut attempts).await;
+        let opened = sending::open(self.shared, &self.outgoing, resume, &mut attempts).await;
         let end = match opened {
             Ok(opened) => {
+                let bound_ms = dispatch::answer_timeout_ms(&opened.server, &self.outgoing);
+                let (watch, may_leave) = (SilenceWatch::new(bound_ms), self.may_leave());
                 let attempt = ItemAttempt::of_probe(self.shared, &self.outgoing, opened);
-                attempt.run(&mut self.received).await
+                tokio::select! {
+                    biased;
+                    end = attempt.run(&mut self.received, &watch, &mut self.overtaken) => end,
+                    () = watch.wait_for_silence(), if may_leave => {
+                        AttemptEnd::Failed(EngineError::Stalled { bound_ms })
+                    }
+                }
             }
             Err(refusal) if refusal.reason == RefusalReason::Quarantined => {
                 let message = refusal.to_string();
@@ -211,11 +321,16 @@
         if matches!(error, EngineError::Full | EngineError::Leaving) {
             return None;
         }
+        self.count_attempt(&error.to_string(), tokens_before)
+    }
+
+    /// Counts an attempt that did not end the item. It is a failure if it made no progress.
+    fn count_attempt(&mut self, detail: &str, tokens_before: u64) -> Option<FinishedItem> {
         if self.received.tokens > tokens_before && self.broken_attempts < MAX_BROKEN_ATTEMPTS {
             self.broken_attempts += 1;
             return None;
         }
-        self.count_failure(&error.to_string())
+        self.count_failure(detail)
     }
 
     fn count_failure(&mut self, detail: &str) -> Option<FinishedItem> {
--- a/crates/foxtailhold-standin/src/engine/faults.rs
+++ b/crates/foxtailhold-standin/src/engine/faults.rs
@@ -34,6 +34,8 @@
     pub short_answers: bool,
     /// The engine accepts requests but generates no tokens.
     pub frozen: bool,
+    /// The engine is frozen until this time and then goes on, in ms since the Unix epoch.
+    pub silent_until_unix_ms: u64,
     /// New requests are refused with status 503, and the load report marks the engine as leaving.
     pub leaving: bool,
     /// New requests are refused with status 429, as with a full queue.
