OpenAI form: output goes on only at the version that began it

What callers saw: with engines of two software builds on one model, a stream or a batch item that was broken off went on at whichever engine was free, so one answer held tokens of both builds.

Cause: the fleet list of this form knew no software version.

A resumption of a stream, also beside a silent engine, is routed only to engines of the version that sent its first event; without one the stream ends with `backend_failed` as before. The kept output of an item names its version. Output of items is kept in memory only, so there is no row to read. The engine stand-in takes `--software-version`.

--- a/crates/foxtailhold-entry/src/gateway/dispatch.rs
+++ b/crates/foxtailhold-entry/src/gateway/dispatch.rs
@@ -1,5 +1,6 @@
 //! Routes one request to an engine, and to another one if a retry is allowed.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,6 +10,7 @@
 use foxtailhold::refusal::{ExecutionStatus, Refusal, RefusalReason, Result};
 use foxtailhold::replicas::{BackendKind, FleetState};
 use foxtailhold::routing::{BoundedAffinity, LeastLoaded, RoutePolicy, RouteQuery};
+use foxtailhold::software_version::SoftwareVersion;
 use foxtailhold::stall;
 use foxtailhold::suspect::{ProbeNegotiation, SuspectAction};
 use foxtailhold::time::MonoMs;
@@ -93,11 +95,22 @@
     pub tried: Vec<BackendId>,
     /// Whether any attempt may have run the request.
     pub may_have_run: bool,
+    /// Software version of the engine that began the output, once there is any: only engines of
+    /// this version may go on with it.
+    pub version: Option<SoftwareVersion>,
     run_attempts: usize,
     last_error: Option<EngineError>,
 }
 
 impl AttemptHistory {
+    /// No attempts so far, for a request that goes on with output of this version if there is any.
+    pub fn new(version: Option<SoftwareVersion>) -> Self {
+        AttemptHistory {
+            version,
+            ..AttemptHistory::default()
+        }
+    }
+
     /// Records a failed attempt, and the failure at its backend server. An attempt that was silent
     /// before is already counted.
     pub fn record_failure(&mut self, server: &BackendState, error: EngineError, now: MonoMs) {
@@ -248,13 +261,40 @@
     pub probe: Option<ProbeGuard<P>>,
 }
 
+/// Backend servers that the next attempt may not use: those that are tried, and those that run
+/// another version than the one that began the output.
+fn excluded<'a, P: Platform>(
+    shared: &Shared<P>,
+    outgoing: &OutgoingRequest,
+    attempts: &'a AttemptHistory,
+) -> Cow<'a, [BackendId]> {
+    let Some(version) = &attempts.version else {
+        return Cow::Borrowed(&attempts.tried);
+    };
+    let mut excluded = attempts.tried.clone();
+    let backends = shared.backends.load();
+    for server in backends.serving(BackendKind::Engine, &outgoing.model) {
+        if server.backend.software_version != *version {
+            excluded.push(server.backend.id.clone());
+        }
+    }
+    Cow::Owned(excluded)
+}
+
 fn route_normally<P: Platform>(
     shared: &Shared<P>,
     outgoing: &OutgoingRequest,
     attempts: &AttemptHistory,
 ) -> Result<Route<P>> {
-    let (model, tried) = (&outgoing.model, &attempts.tried);
-    let chosen = choose(shared, BackendKind::Engine, model, &outgoing.body, tried);
+    let model = &outgoing.model;
+    let excluded = excluded(shared, outgoing, attempts);
+    let chosen = choose(
+        shared,
+        BackendKind::Engine,
+        model,
+        &outgoing.body,
+        &excluded,
+    );
     let server = chosen.ok_or_else(|| attempts.refusal(model))?;
     Ok(Route {
         server,
@@ -268,12 +308,13 @@
     outgoing: &OutgoingRequest,
     attempts: &AttemptHistory,
 ) -> Vec<Arc<BackendState>> {
+    let excluded = excluded(shared, outgoing, attempts);
     let backends = shared.backends.load();
     let now = shared.clock.mono();
     let mut servers = Vec::new();
     for server in backends.serving(BackendKind::Engine, &outgoing.model) {
-        let tried = attempts.tried.contains(&server.backend.id);
-        if tried || server.state() != FleetState::Live || server.is_ejected(now) {
+        let excluded = excluded.contains(&server.backend.id);
+        if excluded || server.state() != FleetState::Live || server.is_ejected(now) {
             continue;
         }
         servers.push(server.clone());
--- a/crates/foxtailhold-entry/src/gateway/stream.rs
+++ b/crates/foxtailhold-entry/src/gateway/stream.rs
@@ -1,5 +1,5 @@
-//! A streamed answer that is resumed on another engine when its engine fails. A silent engine keeps
-//! its run until another one has spoken.
+//! A streamed answer that is resumed on another engine of the same software version when its engine
+//! fails. A silent engine keeps its run until another one has spoken.
 
 use std::pin::pin;
 use std::sync::Arc;
@@ -378,6 +378,7 @@
         if let (0, Some(attempt)) = (self.tokens, self.open.first()) {
             let took_ms = attempt.started_at.elapsed().as_millis() as u64;
             online_load::first_token(&self.shared, &attempt.server, took_ms);
+            self.attempts.version = Some(attempt.server.backend.software_version.clone());
         }
         self.tokens += 1;
         self.admitted.count_generated(1);
--- a/crates/foxtailhold-entry/src/jobs/item_attempt.rs
+++ b/crates/foxtailhold-entry/src/jobs/item_attempt.rs
@@ -151,7 +151,8 @@
                     finished,
                     ..
                 }) => {
-                    received.push(raw, &text, finished);
+                    received.push(&server.backend.software_version, raw, &text, finished);
+                    watch.record_output();
                     record_overtaken(&shared, overtaken);
                     let now = Instant::now();
                     let gap = last_event.replace(now).map(|last| now - last);
--- a/crates/foxtailhold-entry/src/jobs/item_body.rs
+++ b/crates/foxtailhold-entry/src/jobs/item_body.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use foxtailhold::ids::TargetName;
+use foxtailhold::software_version::SoftwareVersion;
 use foxtailhold_engine::WholeAnswer;
 use foxtailhold_engine::sse::RawEvent;
 use http::StatusCode;
@@ -179,12 +180,20 @@
     pub text: String,
     /// Whether an event carried a finish reason.
     pub finished: bool,
+    /// Software version of the engines that wrote it; `None` before the first event.
+    pub version: Option<SoftwareVersion>,
     last: Bytes,
 }
 
 impl ReceivedOutput {
-    /// Appends the next event.
-    pub fn push(&mut self, raw: Bytes, text: &str, finished: bool) {
+    /// Whether an engine of this version may go on with the output.
+    pub fn fits(&self, version: &SoftwareVersion) -> bool {
+        self.version.as_ref().is_none_or(|wrote| wrote == version)
+    }
+
+    /// Appends the next event, which an engine of this version sent.
+    pub fn push(&mut self, version: &SoftwareVersion, raw: Bytes, text: &str, finished: bool) {
+        self.version.get_or_insert_with(|| version.clone());
         self.tokens += 1;
         self.finished |= finished;
         self.text.push_str(text);
--- a/crates/foxtailhold-entry/src/jobs/silence.rs
+++ b/crates/foxtailhold-entry/src/jobs/silence.rs
@@ -1,5 +1,6 @@
 //! Notices when the run of an item is silent.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use tokio::sync::watch;
@@ -9,13 +10,18 @@
 #[derive(Debug)]
 pub struct SilenceWatch {
     silent_at: watch::Sender<Instant>,
+    has_output: AtomicBool,
 }
 
 impl SilenceWatch {
-    /// Expects the first sign of life within `bound_ms`.
-    pub fn new(bound_ms: u64) -> Self {
+    /// Expects the first sign of life within `bound_ms`. `has_output` states whether the run goes on
+    /// with output of an earlier one.
+    pub fn new(bound_ms: u64, has_output: bool) -> Self {
         let (silent_at, _) = watch::channel(Instant::now() + Duration::from_millis(bound_ms));
-        SilenceWatch { silent_at }
+        SilenceWatch {
+            silent_at,
+            has_output: AtomicBool::new(has_output),
+        }
     }
 
     /// Records a sign of life, and expects the next one within `bound_ms`.
@@ -24,6 +30,16 @@
         self.silent_at.send_replace(silent_at);
     }
 
+    /// Records that the run has output.
+    pub fn record_output(&self) {
+        self.has_output.store(true, Ordering::Relaxed);
+    }
+
+    /// Whether there is output, which only engines of the same software version may go on with.
+    pub fn has_output(&self) -> bool {
+        self.has_output.load(Ordering::Relaxed)
+    }
+
     /// Waits until the run is silent.
     pub async fn wait_for_silence(&self) {
         loop {
--- a/crates/foxtailhold-entry/src/jobs/streamed_item.rs
+++ b/crates/foxtailhold-entry/src/jobs/streamed_item.rs
@@ -3,6 +3,7 @@
 //! at a silent engine goes on waiting there until another one gives it a slot. An item suspected of
 //! crashing engines takes no slot: it runs at the engine of its granted probe.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -11,7 +12,8 @@
 use foxtailhold::ids::BackendId;
 use foxtailhold::quarantine::QuarantineStatus;
 use foxtailhold::refusal::RefusalReason;
-use foxtailhold::replicas::BackendKind;
+use foxtailhold::replicas::{BackendKind, FleetState};
+use foxtailhold::stall::MAX_BOUND_MS;
 use foxtailhold::timeline::TimelineEvent;
 use foxtailhold_engine::{EngineError, Resume, WholeAnswer};
 use foxtailhold_platform::Platform;
@@ -29,6 +31,8 @@
 /// Wait before the next attempt after an engine failed or refused the item, or while the job's
 /// lease is not held.
 const RETRY_DELAY_MS: u64 = 100;
+/// How often an item that waits with output checks whether an engine of its version is left.
+const VERSION_CHECK_MS: u64 = 1_000;
 /// Most attempts of one item that may fail after they returned tokens without counting as failures.
 const MAX_BROKEN_ATTEMPTS: u32 = 32;
 
@@ -86,23 +90,43 @@
     Moved(SlotChannel<P>, BackendId),
 }
 
-/// Waits until the run is silent and another engine has a slot for the item.
+/// The waits of an item at a silent engine for another one.
+struct WaitingBeside {
+    /// At engines that may go on with its output.
+    same_version: WaitingItem,
+    /// At any other engine.
+    any: WaitingItem,
+}
+
+/// Waits until the run is silent and another engine has a slot for the item: one that may go on
+/// with its output, or after [`MAX_BOUND_MS`] any other.
 async fn wait_for_other<P: Platform>(
     shared: &Shared<P>,
     watch: &SilenceWatch,
-    waiting: &WaitingItem,
+    waiting: &WaitingBeside,
 ) -> (SlotChannel<P>, BackendId) {
+    let mut gives_up_output = false;
     loop {
         watch.wait_for_silence().await;
         let mut channel = SlotChannel::new(shared);
+        let keeps_output = watch.has_output() && !gives_up_output;
+        let waiting = match keeps_output {
+            true => &waiting.same_version,
+            false => &waiting.any,
+        };
         tokio::select! {
             biased;
-            () = watch.wait_for_event() => {}
+            () = watch.wait_for_event() => gives_up_output = false,
             backend = channel.wait_for_slot(waiting) => return (channel, backend),
+            () = sleep_ms(MAX_BOUND_MS), if keeps_output => gives_up_output = true,
         }
     }
 }
 
+async fn sleep_ms(time_ms: u64) {
+    tokio::time::sleep(Duration::from_millis(time_ms)).await;
+}
+
 impl<P: Platform> StreamedItem<'_, P> {
     async fn run_to_end(mut self) -> FinishedItem {
         let mut channel = SlotChannel::new(self.shared);
@@ -126,18 +150,27 @@
     /// Waits for a slot and runs the item at its engine until it ends, fails or is preempted. If
     /// the engine is silent, the item moves once another one has a slot for it.
     async fn run_in_slot(&mut self, channel: &mut SlotChannel<P>) -> Option<FinishedItem> {
-        let mut backend = channel.wait_for_slot(&self.waiting).await;
+        let mut backend = self.wait_for_slot(channel).await;
+        let mut has_moved = false;
         loop {
             if !self.task.is_owned(self.shared) {
                 channel.release();
                 return None;
             }
-            let tokens_before = self.received.tokens;
             let Some(server) = self.server(&backend) else {
                 channel.release();
                 let end = AttemptEnd::Failed(EngineError::Leaving);
+                let tokens_before = self.received.tokens;
                 return self.attempt_ended(end, Some(backend), tokens_before).await;
             };
+            if !self.received.fits(&server.backend.software_version) {
+                if !has_moved {
+                    channel.release();
+                    return None;
+                }
+                self.drop_output("its engine was silent and another version has a slot");
+            }
+            let tokens_before = self.received.tokens;
             let (other_channel, other_backend) = match self.attempt_at(&server, channel).await {
                 SlotEnd::Preempted => return self.finished(),
                 SlotEnd::Ended(end) => {
@@ -150,6 +183,7 @@
             self.overtaken.push(server);
             self.avoid(std::mem::replace(&mut backend, other_backend));
             *channel = other_channel;
+            has_moved = true;
             if self.received.finished {
                 return self.finished();
             }
@@ -159,6 +193,61 @@
         }
     }
 
+    /// Waits for a slot at an engine that may go on with the output. Without such an engine the item
+    /// starts again from nothing.
+    async fn wait_for_slot(&mut self, channel: &mut SlotChannel<P>) -> BackendId {
+        let mut waited_ms = 0;
+        loop {
+            let versions = self.versions();
+            let (others, has_own) = &versions;
+            if !others.is_empty() && (!has_own || waited_ms >= MAX_BOUND_MS) {
+                self.drop_output("no engine of its version can go on with it");
+            }
+            let has_output = self.received.version.is_some();
+            let mut waiting = self.waiting.clone();
+            if has_output {
+                waiting.avoid.extend(others.iter().cloned());
+            }
+            {
+                let mut slot = pin!(channel.wait_for_slot(&waiting));
+                loop {
+                    tokio::select! {
+                        backend = &mut slot => return backend,
+                        () = sleep_ms(VERSION_CHECK_MS), if has_output => {}
+                    }
+                    waited_ms += VERSION_CHECK_MS;
+                    let waited_enough = waited_ms >= MAX_BOUND_MS && !others.is_empty();
+                    if waited_enough || self.versions() != versions {
+                        break;
+                    }
+                }
+            }
+            *channel = SlotChannel::new(self.shared);
+        }
+    }
+
+    /// The engines that may not go on with the output, and whether any other one is left that has
+    /// not failed.
+    fn versions(&self) -> (Vec<BackendId>, bool) {
+        let backends = self.shared.backends.load();
+        let (mut others, mut has_own) = (Vec::new(), false);
+        for server in backends.serving(BackendKind::Engine, &self.waiting.target) {
+            if !self.received.fits(&server.backend.software_version) {
+                others.push(server.backend.id.clone());
+                continue;
+            }
+            let has_failed = self.waiting.avoid.contains(&server.backend.id);
+            has_own |= server.state() == FleetState::Live && !has_failed;
+        }
+        (others, has_own)
+    }
+
+    /// Drops the output, so that the item starts again from nothing. Its attempts stay counted.
+    fn drop_output(&mut self, reason: &str) {
+        log::info!("item {} starts again, {reason}", self.task.item.custom_id);
+        self.received = ReceivedOutput::default();
+    }
+
     fn server(&self, backend: &BackendId) -> Option<Arc<BackendState>> {
         let backends = self.shared.backends.load();
         let mut servers = backends.servers.iter();
@@ -172,19 +261,24 @@
         self.failures + 1 < MAX_ITEM_ATTEMPTS
     }
 
-    /// The wait for a slot at another engine than this one. Engines that failed before are avoided
+    /// The waits for a slot at another engine than this one. Engines that failed before are avoided
     /// only if that leaves any.
-    fn waiting_beside(&self, backend: &BackendId) -> WaitingItem {
-        let mut waiting = self.waiting.clone();
-        waiting.avoid.push(backend.clone());
+    fn waiting_beside(&self, server: &BackendState) -> WaitingBeside {
+        let mut any = self.waiting.clone();
+        any.avoid.push(server.backend.id.clone());
         let backends = self.shared.backends.load();
-        let mut serving = backends
-            .serving(BackendKind::Engine, &waiting.target)
-            .iter();
-        if serving.all(|server| waiting.avoid.contains(&server.backend.id)) {
-            waiting.avoid = vec![backend.clone()];
+        let serving = backends.serving(BackendKind::Engine, &any.target);
+        let mut ids = serving.iter().map(|server| &server.backend.id);
+        if ids.all(|id| any.avoid.contains(id)) {
+            any.avoid = vec![server.backend.id.clone()];
         }
-        waiting
+        let mut same_version = any.clone();
+        for other in serving {
+            if other.backend.software_version != server.backend.software_version {
+                same_version.avoid.push(other.backend.id.clone());
+            }
+        }
+        WaitingBeside { same_version, any }
     }
 
     async fn attempt_at(
@@ -193,14 +287,14 @@
         channel: &mut SlotChannel<P>,
     ) -> SlotEnd<P> {
         let bound_ms = dispatch::answer_timeout_ms(server, &self.outgoing);
-        let watch = SilenceWatch::new(bound_ms);
+        let watch = SilenceWatch::new(bound_ms, self.received.tokens > 0);
         let left_ms = self
             .task
             .deadline
             .0
             .saturating_sub(self.shared.clock.wall().0);
         let may_leave = self.may_leave();
-        let waiting = self.waiting_beside(&server.backend.id);
+        let waiting = self.waiting_beside(server);
         let (shared, outgoing) = (self.shared, &self.outgoing);
         let (received, overtaken) = (&mut self.received, &mut self.overtaken);
         let run = async {
@@ -222,9 +316,13 @@
 
     /// Runs an item that was in flight at an engine crash as a probe.
     async fn run_as_probe(&mut self) -> Option<FinishedItem> {
+        let (others, has_own) = self.versions();
+        if !others.is_empty() && !has_own {
+            self.drop_output("no engine of its version can go on with it");
+        }
         let tokens_before = self.received.tokens;
-        let mut attempts = AttemptHistory::default();
         let received = self.received.clone();
+        let mut attempts = AttemptHistory::new(received.version.clone());
         let resume = (received.tokens > 0).then_some(Resume {
             tokens: received.tokens,
             text: &received.text,
@@ -233,7 +331,7 @@
         let end = match opened {
             Ok(opened) => {
                 let bound_ms = dispatch::answer_timeout_ms(&opened.server, &self.outgoing);
-                let (watch, may_leave) = (SilenceWatch::new(bound_ms), self.may_leave());
+                let (watch, may_leave) = (SilenceWatch::new(bound_ms, false), self.may_leave());
                 let attempt = ItemAttempt::of_probe(self.shared, &self.outgoing, opened);
                 tokio::select! {
                     biased;
@@ -249,6 +347,9 @@
             }
             Err(refusal) => {
                 self.failures += attempts.tried.len() as u32;
+                if !others.is_empty() {
+                    self.drop_output("no engine of its version went on with it");
+                }
                 tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
                 return self.fail_if_exhausted(&refusal.to_string());
             }
--- a/crates/foxtailhold-entry/tests/backends.rs
+++ b/crates/foxtailhold-entry/tests/backends.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use foxtailhold::replicas::{Backend, BackendKind, FleetState, LoadReport};
+use foxtailhold::software_version::SoftwareVersion;
 use foxtailhold::time::MonoMs;
 use foxtailhold_entry::backends::BackendTable;
 
@@ -14,6 +15,7 @@
         availability_zone: "concord-hall".try_into().unwrap(),
         state: FleetState::Live,
         targets: vec!["ranger".try_into().unwrap()],
+        software_version: SoftwareVersion::default(),
     }])
 }
 
--- a/crates/foxtailhold-standin/src/cli.rs
+++ b/crates/foxtailhold-standin/src/cli.rs
@@ -66,6 +66,9 @@
     /// model served; default "ranger"
     #[argh(option, default = "String::from(\"ranger\")")]
     pub model: String,
+    /// software version in the fleet list; default none
+    #[argh(option, default = "String::new()")]
+    pub software_version: String,
     /// IP and port of the platform's stand-in
     #[argh(option)]
     pub platform_address: String,
--- a/crates/foxtailhold-standin/src/command.rs
+++ b/crates/foxtailhold-standin/src/command.rs
@@ -4,6 +4,7 @@
 
 use foxtailhold::orders::FencingCheck;
 use foxtailhold::replicas::BackendKind;
+use foxtailhold::software_version::SoftwareVersion;
 use foxtailhold_http::server::Server;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -89,7 +90,8 @@
 async fn serve_engine(command: &EngineCommand, server: &Server) -> Result<()> {
     let (id, zone) = (&command.id, &command.availability_zone);
     let kind = BackendKind::Engine;
-    let entry = backend(id, kind, server.address(), zone, &command.model)?;
+    let mut entry = backend(id, kind, server.address(), zone, &command.model)?;
+    entry.software_version = SoftwareVersion::try_from(command.software_version.as_str())?;
     register(&command.platform_address, entry).await?;
     announce(server.address());
     terminated().await
--- a/crates/foxtailhold-standin/src/error.rs
+++ b/crates/foxtailhold-standin/src/error.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use foxtailhold::ids::IdError;
+use foxtailhold::software_version::VersionError;
 use foxtailhold_entry::EntryError;
 use foxtailhold_http::client::SendError;
 use foxtailhold_http::server::ServerError;
@@ -43,6 +44,9 @@
     /// An identifier has an invalid format.
     #[error(transparent)]
     Id(#[from] IdError),
+    /// A software version has an invalid format.
+    #[error(transparent)]
+    Version(#[from] VersionError),
     /// A step of a command had an unexpected result.
     #[error("{step}: {detail}")]
     #[diagnostic(help("set RUST_LOG=debug for a log of what the processes did before this step"))]
--- a/crates/foxtailhold-standin/src/registry.rs
+++ b/crates/foxtailhold-standin/src/registry.rs
@@ -4,6 +4,7 @@
 
 use foxtailhold::ids::{AvailabilityZone, BackendId, InstanceId, TargetName};
 use foxtailhold::replicas::{Backend, BackendKind, FleetState};
+use foxtailhold::software_version::SoftwareVersion;
 use foxtailhold_http::client::{Call, HttpClient, Reuse};
 use foxtailhold_platform::FleetInstance;
 use http::Method;
@@ -37,7 +38,8 @@
     })
 }
 
-/// Builds a fleet list entry of a live backend server that serves one target.
+/// Builds a fleet list entry of a live backend server that serves one target and states no software
+/// version.
 pub fn backend(
     id: &str,
     kind: BackendKind,
@@ -52,6 +54,7 @@
         availability_zone: AvailabilityZone::try_from(availability_zone)?,
         state: FleetState::Live,
         targets: vec![TargetName::try_from(target)?],
+        software_version: SoftwareVersion::default(),
     })
 }
 
--- a/crates/foxtailhold/src/replicas.rs
+++ b/crates/foxtailhold/src/replicas.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::ids::{AvailabilityZone, BackendId, TargetName};
+use crate::software_version::SoftwareVersion;
 use crate::time::MonoMs;
 
 /// Kind of a backend server.
@@ -43,6 +44,9 @@
     pub state: FleetState,
     /// Models or services that it serves.
     pub targets: Vec<TargetName>,
+    /// Version of the software that it runs; empty if the entry states none.
+    #[serde(default)]
+    pub software_version: SoftwareVersion,
 }
 
 /// A load report of a backend server. It describes the past, by `age_ms`.
