OpenAI form: a run that ends with its caller's time counts as failed

What callers saw since silence no longer ends a run: beside a dead engine that holds its connections open, callers with deadlines shorter than the time limits of silence met it again and again, because no other engine was ever asked and its breaker never opened.

Change: when a request's time is over, the runs that are still open and silent count as failures of their engines, as they did before.

--- a/crates/foxtailhold-entry/src/gateway/sending.rs
+++ b/crates/foxtailhold-entry/src/gateway/sending.rs
@@ -133,7 +133,9 @@
             .take_if(|newest| newest.server.backend.id == *id);
     }
 
-    /// Closes all exchanges after another engine answered, which shows that the silent ones failed.
+    /// Closes all exchanges after another engine answered or the time is over. The silent ones count
+    /// as failed: with deadlines shorter than the time limits of silence, nothing else would show a
+    /// dead engine.
     fn close(self, shared: &Shared<P>) {
         for server in &self.silent {
             server.record_failure(shared.clock.mono());
@@ -228,6 +230,7 @@
             Step::Silent => {
                 exchanges.record_silence(attempts);
                 if Instant::now() >= ends_at {
+                    exchanges.close(shared);
                     dispatch::time_left_ms(shared, outgoing, attempts)?;
                     return Err(attempts.refusal(&outgoing.model));
                 }
--- a/crates/foxtailhold-entry/src/gateway/stream.rs
+++ b/crates/foxtailhold-entry/src/gateway/stream.rs
@@ -107,7 +107,8 @@
         self.stream.close();
     }
 
-    /// Ends the attempt because another engine spoke first. Only now its silence is a failure.
+    /// Ends the attempt because another engine spoke first or the time is over. Only now its silence
+    /// is a failure.
     fn close_overtaken(self, now: MonoMs) {
         if self.is_silent {
             self.server.record_failure(now);
@@ -354,8 +355,14 @@
         Some(Ok(raw))
     }
 
+    /// Ends the stream because no attempt is left or the time is over. Attempts that are still open
+    /// were silent until then.
     fn fail(&mut self, refusal: Refusal) -> Option<Result<Bytes>> {
-        self.open.clear();
+        let now = self.shared.clock.mono();
+        for mut attempt in self.open.drain(..) {
+            attempt.is_silent = true;
+            attempt.close_overtaken(now);
+        }
         Some(Err(refusal.with_ran(self.ran())))
     }
 }
--- a/crates/foxtailhold-standin/tests/silent_engines.rs
+++ b/crates/foxtailhold-standin/tests/silent_engines.rs
@@ -91,7 +91,8 @@
         false => {
             let whole: Value = serde_json::from_slice(&body).unwrap();
             let content = &whole["choices"][0]["message"]["content"];
-            (content.as_str().unwrap_or_default().to_owned(), true)
+            let content = content.as_str();
+            (content.unwrap_or_default().to_owned(), content.is_some())
         }
     };
     assert!(expected.starts_with(&found), "{question}: {found}");
@@ -192,6 +193,27 @@
     assert!(attempts <= 2, "{attempts} attempts");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn dead_engine_is_noticed_although_all_deadlines_are_short() {
+    let requests = 90;
+    let deployment = Deployment::start(3, 1).await;
+    deployment.set_demo_contract().await;
+    let faults = EngineFaults {
+        frozen: true,
+        ..EngineFaults::default()
+    };
+    set_faults(&deployment, 1, &faults).await;
+    let mut late = 0;
+    for index in 0..requests {
+        let question = format!("short deadline {index}");
+        let stream = index % 2 == 0;
+        let (_, is_whole, _) = ask(&deployment, question, 10, stream, 1_000).await;
+        late += usize::from(!is_whole);
+    }
+    println!("figure: {late} of {requests} short requests late beside a dead engine");
+    assert!(late <= 15, "{late} of {requests} were late");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn answers_that_begin_in_silence_are_whole() {
     let deployment = Deployment::start(2, 1).await;
