--- a/crates/foxtailhold-entry/src/gateway/stream.rs
+++ b/crates/foxtailhold-entry/src/gateway/stream.rs
@@ -1,5 +1,5 @@
-//! A streamed answer that is resumed on another engine when its engine fails. A silent engine keeps
-//! its run until another one has spoken.
+//! A streamed answer that is resumed on another engine of the same software version when its engine
+//! fails. A silent engine keeps its run until another one has spoken.
 
 use std::pin::pin;
 use std::sync::Arc;
@@ -107,7 +107,8 @@
         self.stream.close();
     }
 
-    /// Ends the attempt because another engine spoke first. Only now its silence is a failure.
+    /// Ends the attempt because another engine spoke first or the time is over. Only now its silence
+    /// is a failure.
     fn close_overtaken(self, now: MonoMs) {
         if self.is_silent {
             self.server.record_failure(now);
@@ -354,8 +355,14 @@
         Some(Ok(raw))
     }
 
+    /// Ends the stream because no attempt is left or the time is over. Attempts that are still open
+    /// were silent until then.
     fn fail(&mut self, refusal: Refusal) -> Option<Result<Bytes>> {
-        self.open.clear();
+        let now = self.shared.clock.mono();
+        for mut attempt in self.open.drain(..) {
+            attempt.is_silent = true;
+            attempt.close_overtaken(now);
+        }
         Some(Err(refusal.with_ran(self.ran())))
     }
 }
@@ -378,6 +385,7 @@
         if let (0, Some(attempt)) = (self.tokens, self.open.first()) {
             let took_ms = attempt.started_at.elapsed().as_millis() as u64;
             online_load::first_token(&self.shared, &attempt.server, took_ms);
+            self.attempts.version = Some(attempt.server.backend.software_version.clone());
         }
         self.tokens += 1;
         self.admitted.count_generated(1);
