--- a/crates/foxtailhold-relay/src/peers/origins.rs
+++ b/crates/foxtailhold-relay/src/peers/origins.rs
@@ -157,15 +157,16 @@
         let mut by_holder: BTreeMap<SocketAddr, Vec<AttemptOrigin>> = BTreeMap::new();
         {
             let members = self.members();
-            let live: Vec<&Member> = members.live(self.now());
-            let live = live.iter().filter(|member| member.instance != *self.me());
-            let addresses: HashMap<&InstanceId, SocketAddr> = live
-                .map(|member| (&member.instance, member.peer_address))
-                .collect();
+            let mut live = members.live(self.now());
+            live.retain(|member| member.instance != *self.me());
             for origin in origins {
-                let key = origin.0.to_bytes();
-                for holder in rendezvous::first(addresses.keys().copied(), &key, HOLDERS) {
-                    let held = by_holder.entry(addresses[holder]).or_default();
+                let (key, instances) = (origin.0.to_bytes(), live.iter().map(|m| &m.instance));
+                let holders = rendezvous::first(instances, &key, HOLDERS);
+                for holder in live
+                    .iter()
+                    .filter(|member| holders.contains(&&member.instance))
+                {
+                    let held = by_holder.entry(holder.peer_address).or_default();
                     held.push(origin.clone());
                 }
             }
--- a/crates/foxtailhold/src/rendezvous.rs
+++ b/crates/foxtailhold/src/rendezvous.rs
@@ -41,7 +41,10 @@
         .into_iter()
         .map(|member| (weight(member, key), member))
         .collect();
+    if weighted.len() > count {
+        weighted.select_nth_unstable_by(count, |a, b| b.cmp(a));
+        weighted.truncate(count);
+    }
     weighted.sort_unstable_by(|a, b| b.cmp(a));
-    weighted.truncate(count);
     weighted.into_iter().map(|(_, member)| member).collect()
 }
