--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod instance;
 pub mod jobs;
 pub mod metrics;
+pub mod outcomes;
 pub mod peers;
 pub mod pending_attempts;
 pub mod plain;
