--- a/crates/foxtailhold-relay/src/engine.rs
+++ b/crates/foxtailhold-relay/src/engine.rs
@@ -25,9 +25,7 @@
 use crate::fleet::BackendServer;
 use crate::metrics::{AttemptOutcome, RelayMetrics};
 use crate::peers::{Slot, SlotActivity, SlotError, SlotQuery};
-use crate::relay::{
-    FIRST_EVENT_TIMEOUT_MS, PLAIN_RETRY_AFTER_MS, Relay, slot_wait, upstream_request,
-};
+use crate::relay::{FIRST_EVENT_TIMEOUT_MS, PLAIN_RETRY_AFTER_MS, Relay, upstream_request};
 use crate::request::{NotRunReason, OpaqueRequest, RelayOutcome};
 use crate::stream::StreamForwarder;
 use crate::stream_attempt::StreamAttempt;
@@ -192,23 +190,22 @@
     ) -> RelayOutcome {
         let service = &destination.service;
         let deadline = progress.attempts.deadline;
-        let request_slot = |avoid: Vec<BackendId>, is_first: bool| {
+        let request_slot = |avoid: Vec<BackendId>, has_open: bool| {
             let spent_ms = request.received.elapsed().as_millis() as u64;
-            let slack_ms = match is_first {
-                true => route.objective_ms.saturating_sub(spent_ms),
-                false => u64::from(u32::MAX),
+            let slack_ms = match has_open {
+                true => u64::from(u32::MAX),
+                false => route.objective_ms.saturating_sub(spent_ms),
             };
             Box::pin(self.request_slot(route, destination, avoid, slack_ms, deadline))
         };
         let mut attempts = Attempts {
             open: Vec::new(),
-            slot_request: Some(request_slot(Vec::new(), true)),
+            slot_request: Some(request_slot(Vec::new(), false)),
             seek_at: None,
             retry_delay_ms: SLOT_RETRY_DELAY_MS.0,
             failure_response: None,
         };
         let mut waiting_since = Instant::now();
-        let mut give_up_at = deadline;
         loop {
             let (index, opened) = match attempts.next().await {
                 Step::Timer => {
@@ -218,7 +215,8 @@
                         let open = attempts.open.iter().map(|open| open.backend.id.clone());
                         let mut avoid = progress.attempts.failed_backends.clone();
                         avoid.extend(open);
-                        attempts.slot_request = Some(request_slot(avoid, false));
+                        let has_open = !attempts.open.is_empty();
+                        attempts.slot_request = Some(request_slot(avoid, has_open));
                     } else if attempts.open.is_empty() && attempts.slot_request.is_none() {
                         return self.without_response(attempts.failure_response, progress);
                     }
@@ -233,10 +231,7 @@
                     let (slot, backend) = match granted {
                         Ok(granted) => granted,
                         Err(error) => {
-                            let is_retried = progress.attempts.maybe_executed > 0
-                                && Instant::now() < give_up_at
-                                && matches!(error, SlotError::Refused { .. });
-                            if attempts.open.is_empty() && !is_retried {
+                            if attempts.open.is_empty() {
                                 if attempts.failure_response.is_some() {
                                     return self
                                         .without_response(attempts.failure_response, progress);
@@ -324,7 +319,6 @@
                 return self.without_response(attempts.failure_response, progress);
             }
             waiting_since = Instant::now();
-            give_up_at = deadline.min(waiting_since + slot_wait(route));
             attempts.seek_at = Some(waiting_since);
         }
     }
--- a/crates/foxtailhold-relay/src/jobs/item/attempt.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/attempt.rs
@@ -25,7 +25,7 @@
 
 /// A run without a head or an event for this time ends, also if no slot is free elsewhere. Sound
 /// backend servers are silent for a second or so.
-const MAX_RUN_SILENCE_MS: u64 = 5_000;
+const MAX_RUN_SILENCE_MS: u64 = 2_500;
 /// Size limit of the output of an item, as much as one read of results returns.
 const MAX_OUTPUT_BYTES: usize = 1 << 20;
 
