Read a body within a budget in parts of limited size

Since the frames of a body are copied into one buffer, which takes up to three times the bytes that the budget counts while it grows. Now it is kept in parts of 64 KiB, joined at its end.

--- a/crates/foxtailhold-http/src/body.rs
+++ b/crates/foxtailhold-http/src/body.rs
@@ -104,6 +104,9 @@
 /// Bytes that each body may have without a reservation.
 pub const FREE_BYTES: usize = 64 << 10;
 
+/// Largest part in which a body is kept while it is read.
+const PART_BYTES: usize = 64 << 10;
+
 /// Memory for bodies that are being read at the same time; clones share it.
 #[derive(Debug, Clone)]
 pub struct ReadBudget {
@@ -166,20 +169,55 @@
         budget,
         reserved_bytes: 0,
     };
-    let mut whole = BytesMut::new();
+    let mut parts = BodyParts::default();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| BodyError::Ended(error.into().to_string()))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        let total_bytes = whole.len() + data.len();
+        let total_bytes = parts.total_bytes + data.len();
         if total_bytes > limit_bytes {
             return Err(BodyError::TooLarge { limit_bytes });
         }
         reservation.grow_to(total_bytes)?;
-        whole.extend_from_slice(&data);
+        parts.push(&data);
+    }
+    Ok(parts.into_bytes())
+}
+
+/// Bytes of a body in parts of limited size. One buffer would take up to three times the bytes of
+/// the body while it grows.
+#[derive(Debug, Default)]
+struct BodyParts {
+    full: Vec<BytesMut>,
+    last: BytesMut,
+    total_bytes: usize,
+}
+
+impl BodyParts {
+    fn push(&mut self, mut data: &[u8]) {
+        self.total_bytes += data.len();
+        while !data.is_empty() {
+            if self.last.len() == PART_BYTES {
+                self.full.push(std::mem::take(&mut self.last));
+            }
+            let count = data.len().min(PART_BYTES - self.last.len());
+            self.last.extend_from_slice(&data[..count]);
+            data = &data[count..];
+        }
+    }
+
+    fn into_bytes(self) -> Bytes {
+        if self.full.is_empty() {
+            return self.last.freeze();
+        }
+        let mut whole = BytesMut::with_capacity(self.total_bytes);
+        for part in self.full {
+            whole.extend_from_slice(&part);
+        }
+        whole.extend_from_slice(&self.last);
+        whole.freeze()
     }
-    Ok(whole.freeze())
 }
 
 /// Reads a body of at most `limit_bytes` to its end.
