Tests: take the table away from an owner that runs

The table was taken away as soon as the job had an owner, which then reads the finished chunks before it starts an item, and waits for the table. The test now waits until an item has started, which its assertions need; they are as they were.

--- a/crates/foxtailhold-standin/tests/batch_faults.rs
+++ b/crates/foxtailhold-standin/tests/batch_faults.rs
@@ -145,6 +145,11 @@
     deployment.set_demo_contract().await;
     let job = Job::start(&deployment, 0, "stored", ITEMS, TOKENS).await;
     let owner = job.owner_other_than(None).await;
+    // An owner reads the finished chunks before it starts an item.
+    until("the owner to start items", async || {
+        job.fresh_starts().await > 0
+    })
+    .await;
     platform_faults(&deployment, json!({ "table_down": true })).await;
     until("a result object that no chunk row refers to", async || {
         !job.objects().await.is_empty()
