Do not wait until the deadline for a second attempt once the first has failed

Found by reading: a slot request that was made beside a silent attempt waits for as long as that is open. If the attempt then broke off before its first event, the request went on waiting with nothing open, until its deadline. Now it is withdrawn and a slot is asked for as after any other failure.

--- a/crates/foxtailhold-relay/src/engine.rs
+++ b/crates/foxtailhold-relay/src/engine.rs
@@ -320,6 +320,8 @@
             }
             waiting_since = Instant::now();
             attempts.seek_at = Some(waiting_since);
+            // It may wait for as long as an attempt is open.
+            attempts.slot_request = None;
         }
     }
 
