Take-ups: keep the record of listed origins in the store

Cause: an instance that has just started took its own short view for the past. With a name it was unsure for a minute and rejected all, also where there never was a second version.

Change: one row beside those of the instances holds the origins listed in the last 60 s. It is written when a version appears and a minute after one has left; a started instance is sure after one read if row and list hold the same single origin. The first streams of a version wait until it is on record, at most 200 ms. Without a name a stream goes on only where the route has one origin for sure.

--- a/crates/foxtailhold-relay/src/feeds.rs
+++ b/crates/foxtailhold-relay/src/feeds.rs
@@ -17,6 +17,7 @@
 use crate::dialect::Dialect;
 use crate::fleet::{BackendFate, BackendServer, Backends, FleetTable};
 use crate::follow::TableSink;
+use crate::origin_rows::{ORIGIN_RECORD_KEY, apply_record};
 use crate::part_rows::PART_CRASH_PREFIX;
 use crate::peers::{Member, Peers};
 use crate::platform_tables::PlatformTables;
@@ -305,6 +306,10 @@
                 self.0.crashes().apply_part_row(row);
                 continue;
             }
+            if row.key.key == ORIGIN_RECORD_KEY {
+                apply_record(&self.0, Some(row));
+                continue;
+            }
             let Ok(instance) = InstanceId::try_from(row.key.key.as_str()) else {
                 log::warn!(
                     "ignoring row {} in the table of instances: unknown key",
@@ -329,6 +334,10 @@
 impl TableSink for MembersSink {
     fn replace(&mut self, snapshot: Snapshot) {
         self.0.members().clear();
+        let mut rows = snapshot.rows.iter();
+        if !rows.any(|row| row.key.key == ORIGIN_RECORD_KEY) {
+            apply_record(&self.0, None);
+        }
         self.apply_rows(&snapshot.rows);
         self.0.set_table_read();
     }
@@ -337,5 +346,9 @@
         self.apply_rows(&rows);
     }
 
-    fn call_ended(&mut self, _is_ok: bool) {}
+    fn call_ended(&mut self, is_ok: bool) {
+        if is_ok {
+            self.0.confirm_origin_record();
+        }
+    }
 }
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -24,6 +24,7 @@
 use crate::follow::{FeedTiming, TableSource, follow};
 use crate::jobs::{JOBS_TABLE, JobCache, JobCacheSink, JobStore, Jobs, own_jobs, sweep_jobs};
 use crate::metrics::{GaugeValues, RelayMetrics};
+use crate::origin_rows::persist_origins;
 use crate::peers::{INSTANCES_TABLE, Member, Peers};
 use crate::pending_attempts::PendingAttempts;
 use crate::plain::PlainServiceLoads;
@@ -77,6 +78,8 @@
     pub job_retention_ms: u64,
     /// Time within which a change of the platform's tables has to be in effect.
     pub change_bound_ms: u64,
+    /// Whether the whole deployment starts for the first time.
+    pub is_first_start: bool,
 }
 
 /// A running instance.
@@ -170,6 +173,11 @@
         tokio::spawn(peers.run());
         tokio::spawn(backends_sink.expire());
         tokio::spawn(persist_crashes(store.clone(), relay.peers.clone()));
+        tokio::spawn(persist_origins(
+            store.clone(),
+            relay.peers.clone(),
+            identity.is_first_start,
+        ));
         tokio::spawn(sweep_jobs(Arc::clone(&jobs), identity.job_retention_ms));
         let (leaving, hand_over) = (CancellationToken::new(), CancellationToken::new());
         tokio::spawn(own_jobs(Arc::clone(&jobs), hand_over.clone()));
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod jobs;
 pub mod life_signs;
 pub mod metrics;
+pub mod origin_rows;
 pub mod outcomes;
 pub mod part_evidence;
 pub mod part_rows;
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -9,8 +9,8 @@
 use evidence::EvidenceSends;
 pub use members::{Member, Members};
 pub use message::{Datagram, FoundOrigin, InstanceHash, PeerMessage};
-use origins::OriginState;
 pub use origins::{OriginCounts, OriginSource};
+use origins::{OriginState, RecordSignals};
 pub use slot::{BackendLiveness, Slot, SlotActivity, SlotError, SlotQuery};
 
 use std::collections::HashMap;
@@ -77,10 +77,11 @@
     /// Messages to repeat once with the next report, because datagrams may be lost.
     rebroadcasts: Mutex<Vec<PeerMessage>>,
     origins: Mutex<OriginState>,
+    record_signals: RecordSignals,
     /// Notified when rows of instances have changed.
     members_changed: Notify,
     tables: TableStatus,
-    /// Whether the table of instances, which includes the crash evidence, has been read.
+    /// Whether the table of instances has been read.
     is_table_read: AtomicBool,
 }
 
@@ -111,6 +112,7 @@
             evidence_sends: Mutex::default(),
             rebroadcasts: Mutex::default(),
             origins: Mutex::default(),
+            record_signals: RecordSignals::default(),
             members_changed: Notify::new(),
             tables,
             is_table_read: AtomicBool::new(false),
@@ -120,7 +122,7 @@
         }
     }
 
-    /// Records that the table of instances has been read.
+    /// Records that the table of instances, which includes the crash evidence, has been read.
     pub fn set_table_read(&self) {
         self.inner.is_table_read.store(true, Ordering::Relaxed);
     }
@@ -198,8 +200,7 @@
         loop {
             let (length, from) = match self.inner.socket.recv_from(&mut buffer).await {
                 Ok(received) => received,
-                // A send to a peer without a listener is reported here; later datagrams may still
-                // arrive.
+                // Also reports a send to a peer without a listener; later datagrams may still arrive.
                 Err(error) => {
                     log::debug!("cannot receive datagram: {error}");
                     tokio::time::sleep(Duration::from_millis(1)).await;
--- a/crates/foxtailhold-relay/src/peers/origins.rs
+++ b/crates/foxtailhold-relay/src/peers/origins.rs
@@ -8,12 +8,11 @@
 use std::time::Duration;
 
 use foxtailhold::ids::InstanceId;
+use foxtailhold::origin_history::{OriginHistory, OriginRecord};
 use foxtailhold::rendezvous;
-use foxtailhold::stream_origins::{
-    AttemptHash, AttemptOrigin, OriginHistory, StreamOrigin, StreamOrigins,
-};
+use foxtailhold::stream_origins::{AttemptHash, AttemptOrigin, StreamOrigin, StreamOrigins};
 use foxtailhold::time::MonoMs;
-use tokio::sync::mpsc;
+use tokio::sync::{Notify, mpsc};
 use tokio::time::Instant;
 
 use super::members::Member;
@@ -35,6 +34,9 @@
 /// Largest number of origins in one datagram.
 const MAX_ORIGINS_PER_DATAGRAM: usize = 128;
 
+/// Longest time for which the first event of a stream waits until its origin is in the record.
+const RECORD_TIMEOUT_MS: u64 = 200;
+
 /// How the origin of a stream was learnt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum OriginSource {
@@ -75,6 +77,17 @@
     repeats: Vec<AttemptOrigin>,
     handed_on: u64,
     lookups: HashMap<u64, mpsc::UnboundedSender<FoundOrigin>>,
+    /// Version of the row with the record; 0 if there is none.
+    record_version: u64,
+}
+
+/// Notifications about the record of origins.
+#[derive(Debug, Default)]
+pub(super) struct RecordSignals {
+    /// The record in the store may have to change. One task waits for it.
+    due: Notify,
+    /// The record has changed.
+    changed: Notify,
 }
 
 /// A lookup at other instances; dropping it ends it.
@@ -103,9 +116,61 @@
     pub fn set_possible_origins(&self, routes: HashMap<String, BTreeSet<StreamOrigin>>) {
         let now = self.now();
         self.inner.origins.lock().history.set_possible(now, routes);
+        self.inner.record_signals.due.notify_one();
+        self.hand_on_uncertain();
+    }
+
+    /// Records that the store has answered about the table with the record of origins.
+    pub(crate) fn confirm_origin_record(&self) {
+        let now = self.now();
+        self.inner.origins.lock().history.confirm_record(now);
+    }
+
+    /// Sets the record of origins as read from the store or written to it, with the version of its
+    /// row; `None` if the store has none.
+    pub fn set_origin_record(&self, version: u64, record: Option<OriginRecord>) {
+        let now = self.now();
+        {
+            let mut state = self.inner.origins.lock();
+            if version < state.record_version && record.is_some() {
+                return;
+            }
+            state.record_version = record.as_ref().map_or(0, |_| version);
+            state.history.set_record(now, record);
+        }
+        self.inner.record_signals.changed.notify_waiters();
+        self.inner.record_signals.due.notify_one();
         self.hand_on_uncertain();
     }
 
+    /// The record that should be in the store, with the version of the row to replace, if it is not
+    /// there yet.
+    pub fn desired_origin_record(&self, is_first_start: bool) -> Option<(OriginRecord, u64)> {
+        let state = self.inner.origins.lock();
+        let desired = state.history.desired_record(self.now(), is_first_start)?;
+        Some((desired, state.record_version))
+    }
+
+    /// Waits until the record may have to change.
+    pub(crate) async fn wait_origin_record_due(&self) {
+        self.inner.record_signals.due.notified().await;
+    }
+
+    /// Waits until an origin is in the record, but not for long: a store that is away does not stop
+    /// streams.
+    pub(crate) async fn wait_origin_recorded(&self, origin: &StreamOrigin) {
+        let until = Instant::now() + Duration::from_millis(RECORD_TIMEOUT_MS);
+        loop {
+            let changed = self.inner.record_signals.changed.notified();
+            if self.inner.origins.lock().history.is_recorded(origin) {
+                return;
+            }
+            if tokio::time::timeout_at(until, changed).await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Hands on the origins that can no longer be told from the history of the tables.
     fn hand_on_uncertain(&self) {
         let now = self.now();
@@ -194,18 +259,12 @@
     }
 
     /// The only origin that a stream of `route` can have.
-    fn only_origin(&self, now: MonoMs, route: &str) -> Option<StreamOrigin> {
+    pub(crate) fn only_origin(&self, route: &str) -> Option<StreamOrigin> {
         if self.is_behind() {
             return None;
         }
         let state = self.inner.origins.lock();
-        state.history.only_origin(now, route).cloned()
-    }
-
-    /// The only origin that this instance has seen to be possible for the streams of `route`.
-    pub(crate) fn only_seen_origin(&self, route: &str) -> Option<StreamOrigin> {
-        let state = self.inner.origins.lock();
-        state.history.only_seen(self.now(), route).cloned()
+        state.history.only_origin(self.now(), route).cloned()
     }
 
     fn known_origin(
@@ -224,7 +283,7 @@
         if let Some(origin) = recorded {
             return Some((origin, OriginSource::Own));
         }
-        let only = self.only_origin(now, route)?;
+        let only = self.only_origin(route)?;
         Some((only, OriginSource::OnlyVersion))
     }
 
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -103,7 +103,8 @@
         attempts.record_running();
         if matches!(first, StreamRead::Event(_)) {
             self.relay
-                .stream_began(&self.route, self.attempt, &attempt.backend);
+                .stream_began(&self.route, self.attempt, &attempt.backend)
+                .await;
         }
         let mut state = StreamState {
             give_up_at: attempts.deadline,
--- a/crates/foxtailhold-relay/src/take_up.rs
+++ b/crates/foxtailhold-relay/src/take_up.rs
@@ -48,7 +48,7 @@
                 self.peers.find_origin(attempt, &route.name).await
             }
             None => {
-                let only = self.peers.only_seen_origin(&route.name);
+                let only = self.peers.only_origin(&route.name);
                 only.map(|origin| (origin, OriginSource::OnlyVersion))
             }
         };
@@ -81,8 +81,9 @@
         })
     }
 
-    /// Records where a resumable stream began, before its first event is passed on.
-    pub(crate) fn stream_began(
+    /// Records where a resumable stream began, before its first event is passed on. The first streams
+    /// of a version wait until it is on record in the store.
+    pub(crate) async fn stream_began(
         &self,
         route: &Route,
         attempt: AttemptHash,
@@ -93,6 +94,7 @@
         }
         let origin = backend.origin();
         self.peers.record_origin(attempt, &origin, &route.name);
+        self.peers.wait_origin_recorded(&origin).await;
     }
 }
 
--- a/crates/foxtailhold/src/lib.rs
+++ b/crates/foxtailhold/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod limits;
 pub mod membership;
 pub mod orders;
+pub mod origin_history;
 pub mod part_crash;
 pub mod part_crashes;
 mod part_groups;
--- a/crates/foxtailhold/src/stream_origins.rs
+++ b/crates/foxtailhold/src/stream_origins.rs
@@ -1,10 +1,9 @@
 //! Where resumable streams began: service and software version.
 //!
 //! A stream may only go on at the version that began it. [`StreamOrigins`] remembers where the
-//! streams of recent attempts began. [`OriginHistory`] tells where the streams of a route can have
-//! begun at all, so that nothing needs to be remembered elsewhere while there is only one answer.
+//! streams of recent attempts began. [`crate::origin_history`] tells where they can have begun at all.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
@@ -20,8 +19,6 @@
 pub const ORIGIN_TTL_MS: u64 = 60_000;
 /// Largest number of origins that are remembered.
 pub const MAX_ORIGINS: usize = 65_536;
-/// Longest time between two answers of the store after which the history counts as unbroken.
-pub const MAX_HISTORY_GAP_MS: u64 = 6_000;
 
 /// Result of parsing the identifier of an attempt.
 pub type Result<T> = std::result::Result<T, AttemptIdError>;
@@ -211,104 +208,3 @@
         self.evicted
     }
 }
-
-/// Where the streams of one route can have begun.
-#[derive(Debug)]
-struct RouteHistory {
-    /// When this instance first saw the route. Streams of its paths may have begun on another one.
-    since: MonoMs,
-    /// Possible origins, and when each one stopped to be possible.
-    origins: BTreeMap<StreamOrigin, Option<MonoMs>>,
-}
-
-/// Where the streams of each route can have begun within [`ORIGIN_TTL_MS`], by the route table and
-/// the list of backend servers.
-#[derive(Debug, Default)]
-pub struct OriginHistory {
-    /// Since when this instance has followed the tables without a gap.
-    followed_since: Option<MonoMs>,
-    last_confirmed: MonoMs,
-    routes: HashMap<String, RouteHistory>,
-}
-
-impl OriginHistory {
-    /// Records that the store has answered about the tables. Returns whether that was too late for
-    /// the history, which then begins anew.
-    pub fn confirm(&mut self, now: MonoMs) -> bool {
-        let is_late = now.since_ms(self.last_confirmed) > MAX_HISTORY_GAP_MS;
-        let is_broken = is_late && self.followed_since.is_some();
-        if is_broken {
-            self.followed_since = Some(now);
-        }
-        self.last_confirmed = now;
-        is_broken
-    }
-
-    /// Sets the possible origins of all routes.
-    pub fn set_possible(&mut self, now: MonoMs, routes: HashMap<String, BTreeSet<StreamOrigin>>) {
-        if self.followed_since.is_none() {
-            self.followed_since = Some(now);
-            self.last_confirmed = now;
-        }
-        for (route, history) in &mut self.routes {
-            let possible = routes.get(route);
-            for (origin, ended) in &mut history.origins {
-                if possible.is_none_or(|possible| !possible.contains(origin)) {
-                    ended.get_or_insert(now);
-                }
-            }
-            history.origins.retain(|_, ended| is_within(now, *ended));
-        }
-        self.routes.retain(|_, history| !history.origins.is_empty());
-        for (route, possible) in routes {
-            let history = self.routes.entry(route).or_insert_with(|| RouteHistory {
-                since: now,
-                origins: BTreeMap::new(),
-            });
-            let listed = possible.into_iter().map(|origin| (origin, None));
-            history.origins.extend(listed);
-        }
-    }
-
-    fn origins(&self, now: MonoMs, route: &str) -> impl Iterator<Item = &StreamOrigin> {
-        let history = self.routes.get(route).into_iter();
-        let origins = history.flat_map(|history| &history.origins);
-        let recent = origins.filter(move |(_, ended)| is_within(now, **ended));
-        recent.map(|(origin, _)| origin)
-    }
-
-    /// The only origin that this instance has seen to be possible for a route, which it may not have
-    /// followed for long; `None` if there are several or none.
-    pub fn only_seen(&self, now: MonoMs, route: &str) -> Option<&StreamOrigin> {
-        let mut origins = self.origins(now, route);
-        let only = origins.next()?;
-        origins.next().is_none().then_some(only)
-    }
-
-    /// The only origin that any stream of a route can have; `None` if there are several, or if this
-    /// instance has not followed the tables for long enough to know.
-    pub fn only_origin(&self, now: MonoMs, route: &str) -> Option<&StreamOrigin> {
-        let since = self.followed_since?.max(self.routes.get(route)?.since);
-        if now.since_ms(since) < ORIGIN_TTL_MS {
-            return None;
-        }
-        self.only_seen(now, route)
-    }
-
-    /// Services of the routes that have no [`OriginHistory::only_origin`].
-    pub fn uncertain_services(&self, now: MonoMs) -> BTreeSet<TargetName> {
-        let mut services = BTreeSet::new();
-        for route in self.routes.keys() {
-            if self.only_origin(now, route).is_some() {
-                continue;
-            }
-            let origins = self.origins(now, route);
-            services.extend(origins.map(|origin| origin.service.clone()));
-        }
-        services
-    }
-}
-
-fn is_within(now: MonoMs, ended: Option<MonoMs>) -> bool {
-    ended.is_none_or(|ended| now.since_ms(ended) < ORIGIN_TTL_MS)
-}
--- a/crates/foxtailhold/tests/stream_origins.rs
+++ b/crates/foxtailhold/tests/stream_origins.rs
@@ -3,10 +3,10 @@
 use std::collections::{BTreeSet, HashMap};
 
 use foxtailhold::ids::{InstanceId, TargetName};
+use foxtailhold::origin_history::{MAX_HISTORY_GAP_MS, OriginHistory};
 use foxtailhold::rendezvous;
 use foxtailhold::stream_origins::{
-    AttemptHash, AttemptId, MAX_HISTORY_GAP_MS, MAX_ORIGINS, ORIGIN_TTL_MS, OriginHistory,
-    StreamOrigin, StreamOrigins,
+    AttemptHash, AttemptId, MAX_ORIGINS, ORIGIN_TTL_MS, StreamOrigin, StreamOrigins,
 };
 use foxtailhold::time::MonoMs;
 use test_case::test_case;
