Store outages: callers come back after about as long again as the outage has lasted

Cause: instances that start while the store is away, and batch jobs that it has to keep, were turned away with a fixed 0.3 s to come back. A restarted instance named only itself in its directory. It counted as ready with the route table alone, and its first requests were refused for want of a backend server.

Change: Retry-After follows the outage seen so far, from 1.5 s on, at most a third of the caller's time. A batch job is refused at once while the store is known to be away, after a read that shows whether it is back.

--- a/crates/foxtailhold-relay/src/feeds.rs
+++ b/crates/foxtailhold-relay/src/feeds.rs
@@ -228,7 +228,6 @@
             self.relay.peers.set_possible_origins(possible);
         }
         self.relay.backends.store(Arc::new(snapshot));
-        self.loaded.send_replace(true);
     }
 
     /// Drops entries that have been missing for too long, until aborted.
@@ -269,6 +268,7 @@
         log::info!(backends = all.len(), version = snapshot.version; "backend servers read");
         self.table().replace(now, all);
         self.publish();
+        self.loaded.send_replace(true);
     }
 
     fn change(&mut self, rows: Vec<VersionedRow>) {
--- a/crates/foxtailhold-relay/src/follow.rs
+++ b/crates/foxtailhold-relay/src/follow.rs
@@ -166,7 +166,7 @@
                 follower.follow_changes(version).await;
             }
             Err(error) => {
-                follower.sink.call_ended(false);
+                follower.fail();
                 log::warn!(table = name, error = error.to_string().as_str(); "table not read, retrying");
             }
         }
@@ -174,6 +174,11 @@
 }
 
 impl<S: RowStore + ObjectStore, K: TableSink> Follower<S, K> {
+    fn fail(&mut self) {
+        self.sink.call_ended(false);
+        self.source.status.record_failure(self.source.table);
+    }
+
     fn confirm(&mut self, access: StoreAccess) {
         self.sink.call_ended(true);
         let Some(gap) = self.source.status.confirm(self.source.table, access) else {
@@ -203,7 +208,7 @@
                         table = name, version = after, error = error.to_string().as_str();
                         "change feed failed, trying all paths to the store"
                     );
-                    self.sink.call_ended(false);
+                    self.fail();
                     is_direct = false;
                     continue;
                 }
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -7,6 +7,7 @@
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use foxtailhold::ids::{AvailabilityZone, InstanceId};
+use foxtailhold::outage_return::return_after_ms;
 use foxtailhold::routes::RouteTable;
 use foxtailhold_http::server::{Server, ServerError};
 use foxtailhold_platform::{Changes, Committed, ObjectStore, RowKey, RowStore};
@@ -202,6 +203,15 @@
         knows_routes && *self.backends_loaded.borrow() && self.relay.peers.is_table_read()
     }
 
+    /// Time after which a caller that is turned away should come back, because this instance has not
+    /// read its tables yet. `left_ms`: the time that the caller has left, if it says.
+    pub fn return_after_start_ms(&self, left_ms: Option<u64>) -> u64 {
+        let tables = self.relay.metrics.tables();
+        let outages = FollowedTable::ALL.into_iter();
+        let longest = outages.filter_map(|table| tables.outage(table)).max();
+        return_after_ms(longest.map(|outage| outage.as_millis() as u64), left_ms)
+    }
+
     /// Whether callers should be sent to this instance.
     pub fn is_ready(&self) -> bool {
         self.has_loaded_tables() && !self.leaving.is_cancelled()
--- a/crates/foxtailhold-relay/src/jobs/accept.rs
+++ b/crates/foxtailhold-relay/src/jobs/accept.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use foxtailhold::ids::JobId;
+use foxtailhold::outage_return::return_after_ms;
 use foxtailhold::routes::{BatchLimits, Route};
 use foxtailhold_platform::{Committed, ObjectStore, PlatformError, RowStore, VersionedRow};
 use tokio::sync::MutexGuard;
@@ -11,6 +12,7 @@
 use crate::dialect::Dialect;
 use crate::jobs::cache::{CachedJob, JOB_PREFIX, QuotaView, parse_quota};
 use crate::jobs::{Job, JobError, Jobs, NewJob, QuotaRow, Result};
+use crate::tables::FollowedTable;
 
 /// Attempts to end a job against concurrent changes of its row.
 const MAX_COMMIT_ATTEMPTS: u32 = 8;
@@ -26,6 +28,8 @@
 const LOOKUP_TIMEOUT_MS: u64 = 1_500;
 /// Interval between two lookups.
 const LOOKUP_INTERVAL_MS: u64 = 150;
+/// Time limit of the read that shows whether the store is back.
+const OUTAGE_PROBE_MS: u64 = 80;
 /// Items are given up this much later than the contract allows, because the clocks of instances
 /// differ by seconds.
 const GIVE_UP_MARGIN_MS: u64 = 6_000;
@@ -87,6 +91,7 @@
         if self.cache.get(&new.id).is_some() {
             return Ok(AcceptOutcome::AlreadyAccepted);
         }
+        self.check_store(&new.id).await?;
         let new_tokens: u64 = new.items.iter().map(|item| item.tokens).sum();
         check_quota(&self.cache.quota(&route.name), limits, new_tokens)?;
         let bodies = self.store.put_bodies(new).await?;
@@ -133,6 +138,35 @@
         Err(lost_to_concurrent_changes("acceptances of the route"))
     }
 
+    /// Refuses a job at once while the store is known to be away, with nothing done. A commit would
+    /// end late, and may leave its effect unknown.
+    async fn check_store(&self, id: &JobId) -> Result<()> {
+        let tables = self.relay.metrics.tables();
+        let Some(outage) = tables.outage(FollowedTable::Jobs) else {
+            return Ok(());
+        };
+        let limit = Duration::from_millis(OUTAGE_PROBE_MS);
+        let detail = match tokio::time::timeout(limit, self.store.read_job(id)).await {
+            Ok(Ok(row)) => {
+                row.iter().for_each(|row| self.cache.put_row(row));
+                return Ok(());
+            }
+            Ok(Err(error)) => error.to_string(),
+            Err(_) => format!("no answer within {OUTAGE_PROBE_MS} ms"),
+        };
+        Err(JobError::Unavailable(PlatformError::Unavailable {
+            service: "row store",
+            detail: format!("away for {} ms: {detail}", outage.as_millis()),
+        }))
+    }
+
+    /// Time after which the caller of a job that the store did not take should come back.
+    pub fn return_after_ms(&self) -> u64 {
+        let tables = self.relay.metrics.tables();
+        let outage = tables.outage(FollowedTable::Jobs).unwrap_or_default();
+        return_after_ms(Some(outage.as_millis() as u64), None)
+    }
+
     async fn wait_for_turn(&self, deadline: Instant) -> Result<MutexGuard<'_, ()>> {
         let turn = tokio::time::timeout_at(deadline, self.acceptances.lock()).await;
         turn.map_err(|_| lost_to_concurrent_changes("acceptances of the route"))
--- a/crates/foxtailhold-relay/src/tables.rs
+++ b/crates/foxtailhold-relay/src/tables.rs
@@ -80,6 +80,8 @@
     complete_up_to: u64,
     newest_announcement: Option<Announcement>,
     confirmed: Option<Confirmation>,
+    /// Since when the store has not answered, though it was called.
+    failing_since: Option<Instant>,
 }
 
 impl TableState {
@@ -105,10 +107,24 @@
     pub fn confirm(&self, table: FollowedTable, access: StoreAccess) -> Option<Duration> {
         let at = Instant::now();
         let state = &mut self.states.lock()[table as usize];
+        state.failing_since = None;
         let before = state.confirmed.replace(Confirmation { at, access });
         before.map(|before| at.duration_since(before.at))
     }
 
+    /// Records that a call about a table had no answer of the store.
+    pub fn record_failure(&self, table: FollowedTable) {
+        let state = &mut self.states.lock()[table as usize];
+        state.failing_since.get_or_insert_with(Instant::now);
+    }
+
+    /// How long the store has been away, as far as the calls about a table show; `None` if the last
+    /// one was answered.
+    pub fn outage(&self, table: FollowedTable) -> Option<Duration> {
+        let since = self.states.lock()[table as usize].failing_since?;
+        Some(since.elapsed())
+    }
+
     /// Records that rows of a table were applied.
     pub fn record_changes(&self, table: FollowedTable, rows: &[VersionedRow]) {
         let newest = rows.iter().map(|row| row.version).max().unwrap_or(0);
