--- a/crates/foxtailhold/src/slots/mod.rs
+++ b/crates/foxtailhold/src/slots/mod.rs
@@ -13,6 +13,7 @@
 pub mod health;
 mod pool;
 mod preemption;
+mod queue;
 mod supply;
 
 pub use allocator::{Allocator, SlotNotice};
--- a/crates/foxtailhold/src/slots/pool.rs
+++ b/crates/foxtailhold/src/slots/pool.rs
@@ -7,6 +7,7 @@
 use crate::slots::backend::{Backend, Grant};
 use crate::slots::health::MAX_EJECTION_MS;
 use crate::slots::preemption::{self, Candidate};
+use crate::slots::queue::{FreeSlots, QueuedRequest, queue_key};
 use crate::slots::supply::OnlineSupply;
 use crate::slots::{
     BackendSlots, HeldSlot, SlotDecision, SlotNotice, SlotOutcome, SlotRequest, SlotRequestId,
@@ -33,8 +34,6 @@
 /// `foxtailhold-experiment`, twice as much headroom makes up to 1 in 100 batch items late, and no
 /// headroom makes 1 in 100 online requests late.
 const ARRIVALS_PER_HEADROOM: u64 = 28;
-/// A batch item with less slack than this may use the headroom.
-const URGENT_SLACK_MS: u64 = 2_500;
 /// The headroom is at most one slot in this many.
 const MIN_SLOTS_PER_HEADROOM: u64 = 4;
 /// Period over which arrivals are counted.
@@ -46,56 +45,6 @@
 /// Least and largest time after which a refused caller should retry.
 const RETRY_AFTER_MS: (u64, u64) = (150, 1_500);
 
-#[derive(Debug)]
-struct QueuedRequest {
-    request: SlotRequest,
-    slack_until: MonoMs,
-    last_request_at: MonoMs,
-}
-
-/// Free slots that remain during one round of grants.
-#[derive(Debug)]
-struct FreeSlots {
-    free: u64,
-    headroom: u64,
-    /// Free slots of each listed version; empty if no queued request names a version.
-    by_version: Vec<(SoftwareVersion, u64)>,
-}
-
-impl FreeSlots {
-    /// Whether a slot may be granted to the waiting request. A batch item that is close to missing
-    /// its deadline may use the headroom, since it is preempted anyway when an online request needs
-    /// its slot.
-    fn allows(&self, now: MonoMs, waiting: &QueuedRequest) -> bool {
-        let until = waiting.slack_until;
-        let is_urgent = until > now && until < now + URGENT_SLACK_MS;
-        if let Some(version) = &waiting.request.version {
-            let mut versions = self.by_version.iter();
-            if !versions.any(|(listed, free)| listed == version && *free > 0) {
-                return false;
-            }
-        }
-        match waiting.request.urgency {
-            Urgency::Batch if !is_urgent => self.free > self.headroom,
-            _ => self.free > 0,
-        }
-    }
-
-    /// Like [`Pool::is_version_gone`].
-    fn is_gone(&self, version: &SoftwareVersion) -> bool {
-        let mut versions = self.by_version.iter();
-        !self.by_version.is_empty() && versions.all(|(listed, _)| listed != version)
-    }
-
-    fn take(&mut self, version: &SoftwareVersion) {
-        self.free -= 1;
-        let mut versions = self.by_version.iter_mut();
-        if let Some((_, free)) = versions.find(|(listed, _)| listed == version) {
-            *free -= 1;
-        }
-    }
-}
-
 /// The slots and the queue of one service.
 #[derive(Debug)]
 pub struct Pool {
@@ -481,17 +430,6 @@
     }
 }
 
-/// Queue order: online before batch, then by priority. Requests that can still be on time go before
-/// late ones, since above capacity, serving late requests first makes the following ones late as
-/// well. Then by deadline.
-fn queue_key(now: MonoMs, waiting: &QueuedRequest) -> (bool, u8, bool, MonoMs) {
-    let until = waiting.slack_until;
-    match waiting.request.urgency {
-        Urgency::Online { priority } => (false, priority, until < now + FIRST_EVENT_MS, until),
-        Urgency::Batch => (true, 0, until <= now, until),
-    }
-}
-
 fn count<T>(items: impl Iterator<Item = T>, matches_item: impl Fn(&T) -> bool) -> u64 {
     items.filter(|item| matches_item(item)).count() as u64
 }
--- /dev/null
+++ b/crates/foxtailhold/src/slots/queue.rs
@@ -0,0 +1,71 @@
+//! The requests that wait for a slot, their order, and which of them a free slot may go to.
+
+use crate::slots::pool::FIRST_EVENT_MS;
+use crate::slots::{SlotRequest, Urgency};
+use crate::software_version::SoftwareVersion;
+use crate::time::MonoMs;
+
+/// A batch item with less slack than this may use the headroom.
+const URGENT_SLACK_MS: u64 = 2_500;
+
+/// A request that waits for a slot.
+#[derive(Debug)]
+pub(super) struct QueuedRequest {
+    pub(super) request: SlotRequest,
+    pub(super) slack_until: MonoMs,
+    pub(super) last_request_at: MonoMs,
+}
+
+/// Free slots that remain during one round of grants.
+#[derive(Debug)]
+pub(super) struct FreeSlots {
+    pub(super) free: u64,
+    pub(super) headroom: u64,
+    /// Free slots of each listed version; empty if no queued request names a version.
+    pub(super) by_version: Vec<(SoftwareVersion, u64)>,
+}
+
+impl FreeSlots {
+    /// Whether a slot may be granted to the waiting request. A batch item that is close to missing
+    /// its deadline may use the headroom, since it is preempted anyway when an online request needs
+    /// its slot.
+    pub(super) fn allows(&self, now: MonoMs, waiting: &QueuedRequest) -> bool {
+        let until = waiting.slack_until;
+        let is_urgent = until > now && until < now + URGENT_SLACK_MS;
+        if let Some(version) = &waiting.request.version {
+            let mut versions = self.by_version.iter();
+            if !versions.any(|(listed, free)| listed == version && *free > 0) {
+                return false;
+            }
+        }
+        match waiting.request.urgency {
+            Urgency::Batch if !is_urgent => self.free > self.headroom,
+            _ => self.free > 0,
+        }
+    }
+
+    /// Whether no engine of a version is listed. Without any engine, nothing can be told.
+    pub(super) fn is_gone(&self, version: &SoftwareVersion) -> bool {
+        let mut versions = self.by_version.iter();
+        !self.by_version.is_empty() && versions.all(|(listed, _)| listed != version)
+    }
+
+    pub(super) fn take(&mut self, version: &SoftwareVersion) {
+        self.free -= 1;
+        let mut versions = self.by_version.iter_mut();
+        if let Some((_, free)) = versions.find(|(listed, _)| listed == version) {
+            *free -= 1;
+        }
+    }
+}
+
+/// Queue order: online before batch, then by priority. Requests that can still be on time go before
+/// late ones, since above capacity, serving late requests first makes the following ones late as
+/// well. Then by deadline.
+pub(super) fn queue_key(now: MonoMs, waiting: &QueuedRequest) -> (bool, u8, bool, MonoMs) {
+    let until = waiting.slack_until;
+    match waiting.request.urgency {
+        Urgency::Online { priority } => (false, priority, until < now + FIRST_EVENT_MS, until),
+        Urgency::Batch => (true, 0, until <= now, until),
+    }
+}
