Take-ups: a version that cannot be recorded delays its first streams only

While the store is away, every stream of a version that is not on record waited 200 ms for its first event. Found by reading the diff; one stream waits now.

--- a/crates/foxtailhold-relay/src/peers/origins.rs
+++ b/crates/foxtailhold-relay/src/peers/origins.rs
@@ -79,6 +79,8 @@
     lookups: HashMap<u64, mpsc::UnboundedSender<FoundOrigin>>,
     /// Version of the row with the record; 0 if there is none.
     record_version: u64,
+    /// Origins that a stream has waited for in vain since the record last changed.
+    unrecorded: BTreeSet<StreamOrigin>,
 }
 
 /// Notifications about the record of origins.
@@ -137,6 +139,7 @@
             }
             state.record_version = record.as_ref().map_or(0, |_| version);
             state.history.set_record(now, record);
+            state.unrecorded.clear();
         }
         self.inner.record_signals.changed.notify_waiters();
         self.inner.record_signals.due.notify_one();
@@ -156,16 +159,21 @@
         self.inner.record_signals.due.notified().await;
     }
 
-    /// Waits until an origin is in the record, but not for long: a store that is away does not stop
-    /// streams.
-    pub(crate) async fn wait_origin_recorded(&self, origin: &StreamOrigin) {
+    /// Waits until an origin is in the record, but not for long, and only once: a store that is away
+    /// does not delay all streams.
+    pub async fn wait_origin_recorded(&self, origin: &StreamOrigin) {
         let until = Instant::now() + Duration::from_millis(RECORD_TIMEOUT_MS);
         loop {
             let changed = self.inner.record_signals.changed.notified();
-            if self.inner.origins.lock().history.is_recorded(origin) {
-                return;
+            {
+                let state = self.inner.origins.lock();
+                if state.history.is_recorded(origin) || state.unrecorded.contains(origin) {
+                    return;
+                }
             }
             if tokio::time::timeout_at(until, changed).await.is_err() {
+                let mut state = self.inner.origins.lock();
+                state.unrecorded.insert(origin.clone());
                 return;
             }
         }
--- a/crates/foxtailhold-relay/tests/origins.rs
+++ b/crates/foxtailhold-relay/tests/origins.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use foxtailhold::ids::InstanceId;
+use foxtailhold::origin_history::OriginRecord;
 use foxtailhold::stream_origins::{AttemptHash, StreamOrigin};
 use foxtailhold_http::clock::Clock;
 use foxtailhold_relay::peers::{Member, OriginSource, Peers};
@@ -138,3 +139,31 @@
         "{took:?}"
     );
 }
+
+/// The first streams of a version wait for the record, but not all of them while it cannot be written.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_version_that_is_not_recorded_delays_its_first_streams_only() {
+    let instances = Instances::start(1).await;
+    let peers = &instances.peers[0];
+    let record = |versions: &[&str]| OriginRecord {
+        origins: versions.iter().map(|version| origin(version)).collect(),
+        is_complete: true,
+    };
+    let waited = async |version: &str| {
+        let started = Instant::now();
+        peers.wait_origin_recorded(&origin(version)).await;
+        started.elapsed() >= Duration::from_millis(150)
+    };
+    peers.set_origin_record(1, Some(record(&["v1"])));
+    assert!(!waited("v1").await);
+    assert!(waited("v2").await);
+    assert!(!waited("v2").await);
+    peers.set_origin_record(2, Some(record(&["v1", "v3"])));
+    assert!(waited("v2").await);
+    let written = async {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+        peers.set_origin_record(3, Some(record(&["v1", "v2", "v4"])));
+    };
+    let (is_late, ()) = tokio::join!(waited("v4"), written);
+    assert!(!is_late);
+}
