--- a/crates/foxtailhold/src/slots/pool.rs
+++ b/crates/foxtailhold/src/slots/pool.rs
@@ -7,7 +7,7 @@
 use crate::slots::backend::{Backend, Grant};
 use crate::slots::health::MAX_EJECTION_MS;
 use crate::slots::preemption::{self, Candidate};
-use crate::slots::queue::{FreeSlots, QueuedRequest, queue_key};
+use crate::slots::queue::{FIRST_EVENT_MS, FreeSlots, QueuedRequest, queue_key};
 use crate::slots::supply::OnlineSupply;
 use crate::slots::{
     BackendSlots, HeldSlot, SlotDecision, SlotNotice, SlotOutcome, SlotRequest, SlotRequestId,
@@ -24,9 +24,6 @@
 pub const ONLINE_REQUEST_TTL_MS: u64 = 450;
 /// Same limit for batch items, which are repeated every second.
 pub const BATCH_REQUEST_TTL_MS: u64 = 2_600;
-/// Time that an engine needs for a first event once it starts a request: reading the prompt and
-/// running a few steps.
-pub const FIRST_EVENT_MS: u64 = 110;
 /// Slots kept free of batch work without online arrivals, so that a single arrival need not preempt
 /// a batch item.
 const MIN_HEADROOM: u64 = 1;
--- a/crates/foxtailhold/src/slots/queue.rs
+++ b/crates/foxtailhold/src/slots/queue.rs
@@ -1,10 +1,12 @@
 //! The requests that wait for a slot, their order, and which of them a free slot may go to.
 
-use crate::slots::pool::FIRST_EVENT_MS;
 use crate::slots::{SlotRequest, Urgency};
 use crate::software_version::SoftwareVersion;
 use crate::time::MonoMs;
 
+/// Time that an engine needs for a first event once it starts a request: reading the prompt and
+/// running a few steps.
+pub(super) const FIRST_EVENT_MS: u64 = 110;
 /// A batch item with less slack than this may use the headroom.
 const URGENT_SLACK_MS: u64 = 2_500;
 
