Record of origins: nothing that was listed is lost with the row

Cause, found by reading: a row that was deleted or overwritten was written anew as complete without the versions that had left within the last minute, so that an instance that started then could take a stream up at another version; an instance of the first start called its record complete after a gap too; and a version could be removed while the store did not answer about the list.

--- a/crates/foxtailhold/src/origin_history.rs
+++ b/crates/foxtailhold/src/origin_history.rs
@@ -45,7 +45,7 @@
 struct KnownRecord {
     /// `None` if the store has none.
     record: Option<OriginRecord>,
-    /// When the store last answered about the record.
+    /// When it was last known to be the one in the store.
     confirmed: MonoMs,
     /// Recorded origins that are not listed, and since when.
     unlisted: BTreeMap<StreamOrigin, MonoMs>,
@@ -57,6 +57,8 @@
 pub struct OriginHistory {
     /// Since when this instance has followed the tables without a gap.
     followed_since: Option<MonoMs>,
+    /// Whether there was a gap.
+    was_broken: bool,
     last_confirmed: MonoMs,
     routes: HashMap<String, RouteHistory>,
     /// Origins that are possible now.
@@ -73,6 +75,7 @@
         let is_broken = is_late && self.followed_since.is_some();
         if is_broken {
             self.followed_since = Some(now);
+            self.was_broken = true;
             if let Some(known) = &mut self.known_record {
                 known.unlisted.values_mut().for_each(|since| *since = now);
             }
@@ -120,7 +123,7 @@
         self.note_unlisted(now);
     }
 
-    /// Records that the store has answered about the table of the record.
+    /// Records that the record is the one in the store at this time.
     pub fn confirm_record(&mut self, now: MonoMs) {
         if let Some(known) = &mut self.known_record {
             known.confirmed = now;
@@ -141,22 +144,27 @@
         }
     }
 
-    /// The record that should be in the store, if it differs from the one that is known to be.
+    /// The record that should be in the store, if it differs from the one that is known to be. While
+    /// the store does not answer about the tables, there is none: they may have changed.
     /// `is_first_start`: nothing was served before this instance started.
     pub fn desired_record(&self, now: MonoMs, is_first_start: bool) -> Option<OriginRecord> {
         let known = self.known_record.as_ref()?;
         let followed_since = self.followed_since?;
+        if now.since_ms(self.last_confirmed) > MAX_HISTORY_GAP_MS {
+            return None;
+        }
         let has_followed = now.since_ms(followed_since) >= ORIGIN_TTL_MS;
         let recorded = known.record.iter().flat_map(|record| &record.origins);
         let recent = recorded.filter(|origin| {
             let since = known.unlisted.get(*origin).copied();
             is_within(now, since)
         });
+        let recent = recent.chain(self.seen(now));
         let origins: BTreeSet<StreamOrigin> = recent.chain(&self.listed).cloned().collect();
         let was_complete = match &known.record {
             Some(record) => record.is_complete,
             None if self.listed.is_empty() => return None,
-            None => is_first_start,
+            None => is_first_start && !self.was_broken,
         };
         let desired = OriginRecord {
             origins: origins.into_iter().take(MAX_RECORDED_ORIGINS).collect(),
@@ -205,9 +213,13 @@
         if known.confirmed + RECORD_LAG_MS < self.followed_since? {
             return None;
         }
-        let seen = self.routes.values();
-        let seen = seen.flat_map(|history| recent_origins(now, history));
-        only(record.origins.iter().chain(seen))
+        only(record.origins.iter().chain(self.seen(now)))
+    }
+
+    /// The recent origins of all routes, as far as this instance has followed them.
+    fn seen(&self, now: MonoMs) -> impl Iterator<Item = &StreamOrigin> {
+        let routes = self.routes.values();
+        routes.flat_map(move |history| recent_origins(now, history))
     }
 
     /// Services of the routes that have no [`OriginHistory::only_origin`].
--- a/crates/foxtailhold/tests/origin_record.rs
+++ b/crates/foxtailhold/tests/origin_record.rs
@@ -193,3 +193,37 @@
     let read: OriginRecord = serde_json::from_str(&text).unwrap();
     assert_eq!(read, record(&["v1", "v2"]));
 }
+
+/// The row may be deleted or overwritten by another writer; what this instance has seen still counts.
+#[test_case(None ; "deleted")]
+#[test_case(Some(OriginRecord::default()) ; "unreadable")]
+fn a_lost_record_is_restored_with_the_versions_that_left(lost: Option<OriginRecord>) {
+    let mut history = started(&["v1", "v2"], Some(record(&["v1", "v2"])));
+    let now = follow(&mut history, START, 70);
+    list(&mut history, now, &["v2"]);
+    let now = follow(&mut history, now, 30);
+    history.set_record(now, lost);
+    assert_eq!(
+        history.desired_record(now, false),
+        Some(record(&["v1", "v2"]))
+    );
+}
+
+/// After a gap, an instance of the first start no longer knows all that was listed.
+#[test]
+fn a_record_that_is_lost_after_a_gap_is_not_complete() {
+    let mut history = started(&["v1"], Some(record(&["v1"])));
+    let now = START + MAX_HISTORY_GAP_MS + 1;
+    assert!(history.confirm(now));
+    history.set_record(now, None);
+    let expected = Some(incomplete(record(&["v1"])));
+    assert_eq!(history.desired_record(now, true), expected);
+}
+
+/// The list may have changed meanwhile.
+#[test]
+fn nothing_is_removed_while_the_list_is_not_confirmed() {
+    let mut history = started(&["v2"], Some(record(&["v1", "v2"])));
+    let now = follow(&mut history, START, 50);
+    assert_eq!(history.desired_record(now + 11_000, false), None);
+}
