Take-ups: the record counts as current only once its changes are applied

Cause, found by reading: any answer of the store confirmed the record, also the one that says that the history is gone, after which the table is read again and that read may fail for long. A stale record could make a stream's version seem certain.

Change: a consumer of a table is told when it has caught up: after a whole read and after the changes of an answer, never after a gone history.

--- a/crates/foxtailhold-relay/src/feeds.rs
+++ b/crates/foxtailhold-relay/src/feeds.rs
@@ -346,9 +346,9 @@
         self.apply_rows(&rows);
     }
 
-    fn call_ended(&mut self, is_ok: bool) {
-        if is_ok {
-            self.0.confirm_origin_record();
-        }
+    fn call_ended(&mut self, _is_ok: bool) {}
+
+    fn caught_up(&mut self) {
+        self.0.confirm_origin_record();
     }
 }
--- a/crates/foxtailhold-relay/src/follow.rs
+++ b/crates/foxtailhold-relay/src/follow.rs
@@ -67,6 +67,8 @@
     fn change(&mut self, rows: Vec<VersionedRow>);
     /// Called after every store call; `is_ok` is `false` if it failed.
     fn call_ended(&mut self, is_ok: bool);
+    /// Called when all changes that an answer of the store covers have been applied.
+    fn caught_up(&mut self) {}
     /// Delay after a batch of changes, so that several are read with one call.
     fn batch_delay_ms(&self) -> u64 {
         0
@@ -162,6 +164,7 @@
                 log::info!(table = name, version = version, rows = snapshot.rows.len(); "table read");
                 status.record_changes(table, &snapshot.rows);
                 follower.sink.replace(snapshot);
+                follower.sink.caught_up();
                 status.record_complete(table, complete_up_to);
                 follower.follow_changes(version).await;
             }
@@ -242,6 +245,7 @@
                 log::warn!(table = name, version = after; "change feed left out a change, reading the whole table");
                 return;
             }
+            self.sink.caught_up();
         }
     }
 
--- a/crates/foxtailhold-relay/src/peers/origins.rs
+++ b/crates/foxtailhold-relay/src/peers/origins.rs
@@ -122,7 +122,7 @@
         self.hand_on_uncertain();
     }
 
-    /// Records that the store has answered about the table with the record of origins.
+    /// Records that all changes of the table with the record of origins have been applied.
     pub(crate) fn confirm_origin_record(&self) {
         let now = self.now();
         self.inner.origins.lock().history.confirm_record(now);
--- a/crates/foxtailhold-relay/tests/origins.rs
+++ b/crates/foxtailhold-relay/tests/origins.rs
@@ -167,3 +167,14 @@
     let (is_late, ()) = tokio::join!(waited("v4"), written);
     assert!(!is_late);
 }
+
+/// The build before reads every row of the table as one of an instance, and skips those that are none.
+#[test]
+fn the_row_of_the_record_is_none_of_an_instance() {
+    let record = OriginRecord {
+        origins: BTreeSet::from([origin("v1")]),
+        is_complete: true,
+    };
+    let row = serde_json::to_vec(&record).unwrap();
+    assert!(serde_json::from_slice::<Member>(&row).is_err());
+}
