Batch jobs: a lost race is no outage

Cause: a job that others came before each time was refused like one that the store did not take, since with 1.5 s to come back, though nothing was away.

Change: an error of its own; its callers may come back after 0.3 s as before.

--- a/crates/foxtailhold-relay/src/jobs/accept.rs
+++ b/crates/foxtailhold-relay/src/jobs/accept.rs
@@ -28,6 +28,8 @@
 const LOOKUP_TIMEOUT_MS: u64 = 1_500;
 /// Interval between two lookups.
 const LOOKUP_INTERVAL_MS: u64 = 150;
+/// Changes that an acceptance competes with.
+const ACCEPTANCES: &str = "acceptances of the route";
 /// Time limit of the read that shows whether the store is back.
 const OUTAGE_PROBE_MS: u64 = 80;
 /// Items are given up this much later than the contract allows, because the clocks of instances
@@ -69,13 +71,6 @@
     Ok(Some((view.version, row)))
 }
 
-fn lost_to_concurrent_changes(changes: &str) -> JobError {
-    JobError::Unavailable(PlatformError::Unavailable {
-        service: "row store",
-        detail: format!("other {changes} came first each time"),
-    })
-}
-
 fn is_job(row: &VersionedRow) -> bool {
     row.key.key.starts_with(JOB_PREFIX)
 }
@@ -135,7 +130,9 @@
                 Err(error) => return Err(error),
             }
         }
-        Err(lost_to_concurrent_changes("acceptances of the route"))
+        Err(JobError::Contended {
+            changes: ACCEPTANCES,
+        })
     }
 
     /// Refuses a job at once while the store is known to be away, with nothing done. A commit would
@@ -169,7 +166,9 @@
 
     async fn wait_for_turn(&self, deadline: Instant) -> Result<MutexGuard<'_, ()>> {
         let turn = tokio::time::timeout_at(deadline, self.acceptances.lock()).await;
-        turn.map_err(|_| lost_to_concurrent_changes("acceptances of the route"))
+        turn.map_err(|_| JobError::Contended {
+            changes: ACCEPTANCES,
+        })
     }
 
     fn new_row(&self, route: &Route, limits: BatchLimits, new: &NewJob) -> Job {
@@ -274,6 +273,8 @@
                 Err(error) => return Err(error),
             }
         }
-        Err(lost_to_concurrent_changes("changes of the job"))
+        Err(JobError::Contended {
+            changes: "changes of the job",
+        })
     }
 }
--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -65,6 +65,12 @@
     /// The job or the item does not exist.
     #[error("there is no such job or item")]
     NotFound,
+    /// Other changes came first each time, and the operation had no effect.
+    #[error("nothing was done: other {changes} came first each time")]
+    Contended {
+        /// What was changed.
+        changes: &'static str,
+    },
     /// The store did not answer, and the operation had no effect.
     #[error("nothing was done: {0}")]
     Unavailable(PlatformError),
