--- a/crates/foxtailhold/src/slots/mod.rs
+++ b/crates/foxtailhold/src/slots/mod.rs
@@ -7,7 +7,6 @@
 //! regularly reports the slots that it holds, so another instance can take over at any time. Two
 //! allocators at the same time reduce capacity but do not affect correctness.
 
-mod affinity;
 mod allocator;
 mod backend;
 pub mod health;
--- a/crates/foxtailhold/src/slots/pool.rs
+++ b/crates/foxtailhold/src/slots/pool.rs
@@ -3,7 +3,6 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::ids::BackendId;
-use crate::slots::affinity::{self, IdleConnections};
 use crate::slots::backend::{Backend, Grant};
 use crate::slots::health::MAX_EJECTION_MS;
 use crate::slots::preemption::{self, Candidate};
@@ -49,7 +48,6 @@
     waiting: Vec<QueuedRequest>,
     arrivals: VecDeque<MonoMs>,
     held_ms: f64,
-    idle: IdleConnections,
 }
 
 impl Default for Pool {
@@ -59,7 +57,6 @@
             waiting: Vec::new(),
             arrivals: VecDeque::new(),
             held_ms: INITIAL_HELD_MS,
-            idle: IdleConnections::default(),
         }
     }
 }
@@ -175,8 +172,6 @@
             };
             if matches!(outcome, SlotOutcome::Done { .. }) {
                 backend.record_done(now);
-                let instance = &id.instance;
-                self.idle.put(now, instance, &backend.config.backend);
             }
             match outcome {
                 SlotOutcome::Silent if is_herd_silent => backend.suspect(),
@@ -247,13 +242,6 @@
             backend.grants.retain(|request, _| !is_gone(request));
             backend.forget_quiet_if_idle();
         }
-        self.idle.keep_only(|instance| {
-            let instance = instance.clone();
-            !is_gone(&SlotRequestId {
-                instance,
-                number: 0,
-            })
-        });
     }
 
     /// Grants free slots to queued requests and preempts batch items for online requests.
@@ -305,26 +293,26 @@
         });
     }
 
-    /// Selects one of the engines with the fewest slots in use. An engine in another availability
-    /// zone must have at least two fewer, since one more request slows an engine's step only a
-    /// little and traffic between availability zones is costly.
+    /// Selects the engine with the fewest slots in use. An engine in another availability zone must
+    /// have at least two fewer, since one more request slows an engine's step only a little and
+    /// traffic between availability zones is costly.
     fn select_backend(&self, now: MonoMs, request: &SlotRequest) -> Option<BackendId> {
-        let mut candidates = Vec::new();
+        let mut best: Option<(u32, bool, &BackendId)> = None;
         for (id, backend) in &self.backends {
+            let free = backend.free(now);
             let version = request.version.as_ref();
             let has_version = version.is_none_or(|version| *version == backend.config.version);
-            if backend.free(now) == 0 || !has_version || request.avoid.contains(id) {
+            if free == 0 || !has_version || request.avoid.contains(id) {
                 continue;
             }
+            let used = backend.grants.len() as u32;
             let is_far = backend.config.zone != request.zone;
-            candidates.push(affinity::Candidate {
-                backend: id,
-                load: backend.grants.len() as u32 + u32::from(is_far),
-                is_far,
-            });
+            let rank = (used + u32::from(is_far), is_far, id);
+            if best.is_none_or(|current| rank < current) {
+                best = Some(rank);
+            }
         }
-        let chosen = self.idle.choose(now, &request.id.instance, &candidates);
-        chosen.cloned()
+        best.map(|(_, _, id)| id.clone())
     }
 
     /// Counts the free slots once for the whole round: hundreds of items may wait for slots at
@@ -380,7 +368,6 @@
             preempting: false,
         };
         let mut version = SoftwareVersion::default();
-        self.idle.take(&waiting.request.id.instance, &id);
         if let Some(backend) = self.backends.get_mut(&id) {
             version = backend.config.version.clone();
             backend.grants.insert(waiting.request.id.clone(), grant);
