Take-ups: origins of single streams outlive the loss of all instances

Cause: with two versions in service, an instance that has just started knows no origin of a single stream once all instances were lost, since these were handed on between instances only. Callers who named their first attempt were rejected, 24 of 24, also where servers of its version served.

Change: while streams of several origins can be taken up, each instance saves the origins of its streams in rows of its own, in batches of at most 100 transactions a second for all instances together; an instance reads them when a stream is taken up that no instance remembers. Nothing is written while there is one version.

--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -31,6 +31,7 @@
 use crate::plain::PlainServiceLoads;
 use crate::platform_tables::PlatformTables;
 use crate::relay::Relay;
+use crate::saved_origin_rows::{load_origins, save_origins, sweep_origins};
 use crate::shared_store::SharedStore;
 use crate::tables::FollowedTable;
 use crate::timers::watch_timers;
@@ -179,6 +180,9 @@
             relay.peers.clone(),
             identity.is_first_start,
         ));
+        tokio::spawn(save_origins(store.clone(), relay.peers.clone()));
+        tokio::spawn(load_origins(store.clone(), relay.peers.clone()));
+        tokio::spawn(sweep_origins(store.clone(), relay.peers.clone()));
         tokio::spawn(sweep_jobs(Arc::clone(&jobs), identity.job_retention_ms));
         let (leaving, hand_over) = (CancellationToken::new(), CancellationToken::new());
         tokio::spawn(own_jobs(Arc::clone(&jobs), hand_over.clone()));
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod platform_tables;
 pub mod relay;
 pub mod request;
+pub mod saved_origin_rows;
 pub mod shared_store;
 pub mod store_access;
 pub mod stream;
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -4,6 +4,7 @@
 mod members;
 mod message;
 mod origins;
+mod saved_origins;
 mod slot;
 
 use evidence::EvidenceSends;
@@ -11,6 +12,7 @@
 pub use message::{Datagram, FoundOrigin, InstanceHash, PeerMessage};
 pub use origins::{OriginCounts, OriginSource};
 use origins::{OriginState, RecordSignals};
+use saved_origins::SavedOrigins;
 pub use slot::{BackendLiveness, Slot, SlotActivity, SlotError, SlotQuery};
 
 use std::collections::HashMap;
@@ -22,8 +24,8 @@
 use foxtailhold::ids::{AvailabilityZone, BackendId, InstanceId, TargetName};
 use foxtailhold::rendezvous;
 use foxtailhold::slots::{
-    Allocator, BackendSlots, HeldSlot, SlotDecision, SlotNotice, SlotOutcome, SlotRequest,
-    SlotRequestId, Urgency,
+    Allocator, BackendSlots, SlotDecision, SlotNotice, SlotOutcome, SlotRequest, SlotRequestId,
+    Urgency,
 };
 use foxtailhold::time::{MonoMs, WallMs};
 use parking_lot::{Mutex, MutexGuard};
@@ -78,6 +80,7 @@
     rebroadcasts: Mutex<Vec<PeerMessage>>,
     origins: Mutex<OriginState>,
     record_signals: RecordSignals,
+    saved_origins: SavedOrigins,
     /// Notified when rows of instances have changed.
     members_changed: Notify,
     tables: TableStatus,
@@ -113,6 +116,7 @@
             rebroadcasts: Mutex::default(),
             origins: Mutex::default(),
             record_signals: RecordSignals::default(),
+            saved_origins: SavedOrigins::default(),
             members_changed: Notify::new(),
             tables,
             is_table_read: AtomicBool::new(false),
@@ -271,24 +275,6 @@
         self.inner.members_changed.notify_one();
     }
 
-    fn held_slots(&self, now: MonoMs) -> Vec<HeldSlot> {
-        let slots = self.inner.slots.lock();
-        let held = slots.held.iter().map(|(number, local_slot)| HeldSlot {
-            number: *number,
-            pool: local_slot.pool.clone(),
-            backend: local_slot.backend.clone(),
-            urgency: local_slot.urgency,
-            quiet_ms: now.since_ms(local_slot.last_activity),
-        });
-        held.collect()
-    }
-
-    /// Number of slots held and of slot requests waiting here.
-    pub fn slot_usage(&self) -> (usize, usize) {
-        let slots = self.inner.slots.lock();
-        (slots.held.len(), slots.waiting.len())
-    }
-
     /// Sends without blocking. A datagram that the socket cannot take now is treated like one lost
     /// on the network.
     fn send(&self, to: SocketAddr, message: &PeerMessage) {
--- a/crates/foxtailhold-relay/src/peers/origins.rs
+++ b/crates/foxtailhold-relay/src/peers/origins.rs
@@ -46,6 +46,8 @@
     OnlyVersion,
     /// Another instance told it.
     Peer,
+    /// It was saved in the platform's store.
+    Store,
 }
 
 impl OriginSource {
@@ -55,6 +57,7 @@
             OriginSource::Own => "own",
             OriginSource::OnlyVersion => "only_version",
             OriginSource::Peer => "peer",
+            OriginSource::Store => "store",
         }
     }
 }
@@ -71,7 +74,7 @@
 /// What this instance knows about the origins of streams.
 #[derive(Debug, Default)]
 pub(super) struct OriginState {
-    origins: StreamOrigins,
+    pub(super) origins: StreamOrigins,
     history: OriginHistory,
     /// Origins to hand on once more with the next report, because datagrams may be lost.
     repeats: Vec<AttemptOrigin>,
@@ -196,20 +199,32 @@
         let is_behind = self.is_behind();
         {
             let mut state = self.inner.origins.lock();
-            if !is_behind && state.history.only_origin(now, route).is_some() {
+            if state.history.only_origin(now, route).is_some() {
                 state.origins.record(now, attempt, origin);
-                return;
+                if !is_behind {
+                    return;
+                }
+            } else {
+                state.origins.record_shared(now, attempt, origin);
             }
-            state.origins.record_shared(now, attempt, origin);
         }
         self.hand_on(vec![(attempt, origin.clone())]);
     }
 
+    /// Whether streams of several origins can be taken up.
+    pub(crate) fn has_mixed_origins(&self) -> bool {
+        let now = self.now();
+        self.inner.origins.lock().history.is_mixed(now)
+    }
+
     fn hand_on(&self, origins: Vec<AttemptOrigin>) {
         if origins.is_empty() {
             return;
         }
         self.send_origins(&origins);
+        if self.has_mixed_origins() {
+            self.save_origins(&origins);
+        }
         let mut state = self.inner.origins.lock();
         state.handed_on += origins.len() as u64;
         let room = MAX_HANDED_ON.saturating_sub(state.repeats.len());
@@ -322,7 +337,7 @@
     }
 
     /// Finds where the stream of an attempt on `route` began: from what this instance knows, else
-    /// from the others. The first that knows decides.
+    /// from the others, of which the first that knows decides, else from the store.
     pub async fn find_origin(
         &self,
         attempt: AttemptHash,
@@ -364,7 +379,8 @@
                 return Some(known);
             }
         }
-        None
+        let saved = self.find_saved_origin(attempt).await?;
+        Some((saved, OriginSource::Store))
     }
 
     /// The instances to ask for the origin of an attempt.
--- a/crates/foxtailhold-relay/src/peers/slot.rs
+++ b/crates/foxtailhold-relay/src/peers/slot.rs
@@ -5,7 +5,7 @@
 
 use foxtailhold::ids::{BackendId, TargetName};
 use foxtailhold::slots::{
-    MAX_SILENCE_MS, SlotDecision, SlotOutcome, SlotRequest, SlotRequestId, Urgency,
+    HeldSlot, MAX_SILENCE_MS, SlotDecision, SlotOutcome, SlotRequest, SlotRequestId, Urgency,
 };
 use foxtailhold::software_version::SoftwareVersion;
 use foxtailhold::time::MonoMs;
@@ -203,6 +203,24 @@
 }
 
 impl Peers {
+    pub(super) fn held_slots(&self, now: MonoMs) -> Vec<HeldSlot> {
+        let slots = self.inner.slots.lock();
+        let held = slots.held.iter().map(|(number, local_slot)| HeldSlot {
+            number: *number,
+            pool: local_slot.pool.clone(),
+            backend: local_slot.backend.clone(),
+            urgency: local_slot.urgency,
+            quiet_ms: now.since_ms(local_slot.last_activity),
+        });
+        held.collect()
+    }
+
+    /// Number of slots held and of slot requests waiting here.
+    pub fn slot_usage(&self) -> (usize, usize) {
+        let slots = self.inner.slots.lock();
+        (slots.held.len(), slots.waiting.len())
+    }
+
     fn record_heard(&self, released: Option<LocalSlot>, now: MonoMs) {
         let Some(slot) = released.filter(|slot| slot.is_answered) else {
             return;
--- a/crates/foxtailhold/src/lib.rs
+++ b/crates/foxtailhold/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod membership;
 pub mod orders;
 pub mod origin_history;
+pub mod origin_log;
 pub mod outage_return;
 pub mod part_crash;
 pub mod part_crashes;
--- a/crates/foxtailhold/src/origin_history.rs
+++ b/crates/foxtailhold/src/origin_history.rs
@@ -216,6 +216,16 @@
         only(record.origins.iter().chain(self.seen(now)))
     }
 
+    /// Whether streams of several origins can be taken up.
+    pub fn is_mixed(&self, now: MonoMs) -> bool {
+        let record = self.known_record.iter().flat_map(|known| &known.record);
+        let mut origins = record
+            .flat_map(|record| &record.origins)
+            .chain(self.seen(now));
+        let first = origins.next();
+        origins.any(|origin| Some(origin) != first)
+    }
+
     /// The recent origins of all routes, as far as this instance has followed them.
     fn seen(&self, now: MonoMs) -> impl Iterator<Item = &StreamOrigin> {
         let routes = self.routes.values();
