review: items are left lying because servers crashed beside them

What it shows: LOST. Crashes of backend servers for reasons of their own are held against the shared part of the prompts of batch items. After a crash in a row of three and one or two under probes, every item with the part is refused for 20 s or 24 h, though all servers are idle.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -4,6 +4,7 @@
 //! if the case could not run. Without `TROUBLE=0` in the environment the disruption is played.
 
 mod client;
+mod crashes;
 mod deployment;
 mod outage;
 mod record;
@@ -34,6 +35,7 @@
     record.line(format!("case {case}, with the disruption: {has_trouble}"));
     match case {
         "outage" => outage::run(has_trouble, folder, record).await,
+        "crashes" => crashes::run(has_trouble, folder, record).await,
         _ => Err(format!("there is no case {case}").into()),
     }
 }
--- a/review/standin/src/outage.rs
+++ b/review/standin/src/outage.rs
@@ -9,7 +9,7 @@
 use crate::client::Client;
 use crate::record::Record;
 use crate::replica::{Pace, Replica, SLOTS, whole_text};
-use crate::site::{Site, batch_job, item_id};
+use crate::site::{NewItem, Site, batch_job, item_id};
 use crate::{Result, Verdict};
 
 const JOB: &str = "7c41e09b52d6a3f8";
@@ -18,6 +18,7 @@
     event_ms: 12,
     event_bytes: 330,
 };
+const REPLICAS: usize = 3;
 const ITEMS: u64 = 20;
 const LEAST_EVENTS: u64 = 160;
 const EVENT_STEP: u64 = 13;
@@ -88,15 +89,20 @@
 
 /// Plays the case.
 pub async fn run(has_trouble: bool, folder: &Path, record: &Record) -> Result<Verdict> {
-    let mut site = Site::start(PACE, folder, record).await?;
+    let mut site = Site::start(REPLICAS, PACE, folder, record).await?;
     let client = Client::new();
-    let events: Vec<u64> = (0..ITEMS).map(events_of).collect();
+    let items: Vec<NewItem> = (0..ITEMS)
+        .map(|index| NewItem {
+            events: events_of(index),
+            shared_part: 0x9c2e41,
+        })
+        .collect();
     let submitted = client
         .submit(
             site.nodes[0].caller_address,
             "/reports/1",
             JOB,
-            &batch_job(JOB, &events),
+            &batch_job(JOB, &items),
         )
         .await?;
     record.line(format!(
--- a/review/standin/src/replica.rs
+++ b/review/standin/src/replica.rs
@@ -1,16 +1,23 @@
-//! Stand-in for a backend server that streams events at a steady pace.
+//! Stand-in for a backend server that streams events at a steady pace and may crash. Each start has a
+//! new identity.
 
+use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use bytes::Bytes;
 use foxtailhold_http::body::{self, AnswerBody, AnswerSender};
-use foxtailhold_http::server::{Handler, Server};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
 use serde_json::json;
+use tokio::net::TcpListener;
+use tokio::sync::Notify;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
 
 use crate::Result;
 use crate::record::Record;
@@ -22,6 +29,12 @@
 const QUEUE: usize = 24;
 /// Time from the request to the first event.
 const FIRST_EVENT_MS: u64 = 70;
+/// Time from a crash to the next start.
+const DOWN_MS: u64 = 1_500;
+/// Time from a crash until the entry of that start has lapsed: three heartbeats.
+const LAPSE_MS: u64 = 3_600;
+/// Limit of a request.
+const MAX_REQUEST_BYTES: usize = 16 << 20;
 
 /// What a backend server sends.
 #[derive(Debug, Clone, Copy)]
@@ -32,22 +45,38 @@
     pub event_bytes: usize,
 }
 
+/// A request that runs.
+#[derive(Debug, Clone)]
+struct Run {
+    item: String,
+    begun: Instant,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    starts: u64,
+    runs: Vec<Run>,
+}
+
 /// A backend server; clones share its state.
 #[derive(Debug, Clone)]
 pub struct Replica {
-    /// Identity in the platform's list.
-    pub id: String,
+    name: String,
+    service: &'static str,
     pace: Pace,
+    store: Store,
     record: Record,
-    running: Arc<AtomicUsize>,
+    state: Arc<Mutex<State>>,
+    crash: Arc<Notify>,
 }
 
-/// A request that runs; dropping it frees its place.
-struct Running(Arc<AtomicUsize>);
+/// Removes a run when it is dropped.
+struct RunGuard(Replica, Run);
 
-impl Drop for Running {
+impl Drop for RunGuard {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
+        let is_other = |run: &Run| run.item != self.1.item || run.begun != self.1.begun;
+        self.0.state().runs.retain(is_other);
     }
 }
 
@@ -74,31 +103,123 @@
 impl Replica {
     /// Starts a backend server of `service` and lists it in the store.
     pub async fn start(
-        id: &str,
-        service: &str,
+        name: &str,
+        service: &'static str,
         pace: Pace,
         store: &Store,
         record: &Record,
-    ) -> Result<(Replica, Server)> {
+    ) -> Result<Replica> {
         let replica = Replica {
-            id: id.to_owned(),
+            name: name.to_owned(),
+            service,
             pace,
+            store: store.clone(),
             record: record.clone(),
-            running: Arc::default(),
+            state: Arc::default(),
+            crash: Arc::default(),
         };
-        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
-        let server = Server::bind(any_port, replica.clone()).await?;
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await?;
+        let address = listener.local_addr()?;
+        tokio::spawn(replica.clone().serve_across_crashes(listener, address));
+        Ok(replica)
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Identity of the current start.
+    pub fn id(&self) -> String {
+        format!("{}-{}", self.name, self.state().starts)
+    }
+
+    /// Number of requests that run now.
+    pub fn running(&self) -> usize {
+        self.state().runs.len()
+    }
+
+    /// How long an item has been running here; `None` if it does not.
+    pub fn running_for(&self, item: &str) -> Option<Duration> {
+        let state = self.state();
+        let run = state.runs.iter().find(|run| run.item == item)?;
+        Some(run.begun.elapsed())
+    }
+
+    /// Ends all connections and starts again a moment later.
+    pub fn crash(&self) {
+        let runs = std::mem::take(&mut self.state().runs);
+        let items: Vec<String> = runs.into_iter().map(|run| run.item).collect();
+        self.record
+            .line(format!("{} crashes under {}", self.id(), items.join(" ")));
+        self.crash.notify_one();
+    }
+
+    fn list(&self, address: SocketAddr) {
         let entry = json!({
-            "Service": service, "Address": server.address().to_string(), "Zone": "concord-hall",
+            "Service": self.service, "Address": address.to_string(), "Zone": "concord-hall",
             "Version": "v1", "Slots": SLOTS, "State": "ready", "ColdLeftMs": 0, "Seq": 1,
         });
-        store.put("servers", id, &entry);
-        Ok((replica, server))
+        self.store.put("servers", &self.id(), &entry);
     }
 
-    /// Number of requests that run now.
-    pub fn running(&self) -> usize {
-        self.running.load(Ordering::Relaxed)
+    async fn serve_across_crashes(self, listener: TcpListener, address: SocketAddr) {
+        let mut listener = Some(listener);
+        loop {
+            let Some(current) = listener.take() else {
+                match TcpListener::bind(address).await {
+                    Ok(next) => listener = Some(next),
+                    Err(error) => {
+                        self.record
+                            .line(format!("{} cannot listen: {error}", self.name));
+                        sleep(Duration::from_millis(50)).await;
+                    }
+                }
+                continue;
+            };
+            self.state().starts += 1;
+            self.list(address);
+            let mut connections = JoinSet::new();
+            tokio::select! {
+                () = self.accept(&current, &mut connections) => {}
+                () = self.crash.notified() => {}
+            }
+            drop(current);
+            connections.shutdown().await;
+            self.state().runs.clear();
+            let (store, former) = (self.store.clone(), self.id());
+            tokio::spawn(async move {
+                sleep(Duration::from_millis(LAPSE_MS)).await;
+                store.remove("servers", &former);
+            });
+            sleep(Duration::from_millis(DOWN_MS)).await;
+        }
+    }
+
+    async fn accept(&self, listener: &TcpListener, connections: &mut JoinSet<()>) {
+        loop {
+            let stream = match listener.accept().await {
+                Ok((stream, _)) => stream,
+                Err(error) => {
+                    self.record
+                        .line(format!("{} cannot accept: {error}", self.name));
+                    continue;
+                }
+            };
+            if let Err(error) = stream.set_nodelay(true) {
+                self.record.line(format!("{}: {error}", self.name));
+            }
+            let replica = self.clone();
+            connections.spawn(async move {
+                let service = service_fn(|request| {
+                    let replica = replica.clone();
+                    async move { Ok::<_, Infallible>(replica.respond(request).await) }
+                });
+                // A client may end its connection at any time.
+                let _ = http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service)
+                    .await;
+            });
+        }
     }
 
     fn not_run(&self, status: StatusCode) -> Response<AnswerBody> {
@@ -108,41 +229,31 @@
         response
     }
 
-    async fn send_events(
-        self,
-        sender: AnswerSender,
-        item: String,
-        (after, events): (u64, u64),
-        running: Running,
-    ) {
-        tokio::time::sleep(Duration::from_millis(FIRST_EVENT_MS)).await;
+    async fn send_events(self, sender: AnswerSender, run: Run, (after, events): (u64, u64)) {
+        let (id, item) = (self.id(), run.item.clone());
+        let _guard = RunGuard(self.clone(), run);
+        sleep(Duration::from_millis(FIRST_EVENT_MS)).await;
         for event in after + 1..=events {
             let data = event_data(&item, event, self.pace.event_bytes);
             let bytes = Bytes::from(format!("id: {event}\ndata: {data}\n\n"));
             if !sender.send(bytes).await {
-                self.record.line(format!(
-                    "{} stops {item} before event {event}: connection closed",
-                    self.id
-                ));
+                self.record
+                    .line(format!("{id} ends its run of {item} before event {event}"));
                 return;
             }
-            tokio::time::sleep(Duration::from_millis(self.pace.event_ms)).await;
+            sleep(Duration::from_millis(self.pace.event_ms)).await;
         }
-        drop(running);
-        self.record.line(format!(
-            "{} has run {item} to its end, event {events}",
-            self.id
-        ));
+        self.record
+            .line(format!("{id} has run {item} to its end, event {events}"));
         sender.finish();
     }
-}
 
-impl Handler for Replica {
-    async fn handle(&self, _: SocketAddr, request: Request<Incoming>) -> Response<AnswerBody> {
+    async fn respond(&self, request: Request<Incoming>) -> Response<AnswerBody> {
         let (head, incoming) = request.into_parts();
-        if let Err(error) = body::read_whole(incoming, 16 << 20).await {
+        let id = self.id();
+        if let Err(error) = body::read_whole(incoming, MAX_REQUEST_BYTES).await {
             self.record
-                .line(format!("{} cannot read a request: {error}", self.id));
+                .line(format!("{id} cannot read a request: {error}"));
             return body::empty(StatusCode::BAD_REQUEST);
         }
         if head.uri.path() == "/health" {
@@ -150,7 +261,7 @@
         }
         let item = text(&head.headers, "attempt-id").to_owned();
         let expected = text(&head.headers, "expect-instance");
-        if !expected.is_empty() && expected != self.id {
+        if !expected.is_empty() && expected != id {
             return body::empty(StatusCode::MISDIRECTED_REQUEST);
         }
         if self.running() >= SLOTS + QUEUE {
@@ -163,21 +274,21 @@
             return self.not_run(StatusCode::BAD_REQUEST);
         };
         self.record
-            .line(format!("{} runs {item} after event {after}", self.id));
-        self.running.fetch_add(1, Ordering::Relaxed);
-        let running = Running(Arc::clone(&self.running));
+            .line(format!("{id} runs {item} after event {after}"));
+        let run = Run {
+            item: item.clone(),
+            begun: Instant::now(),
+        };
+        self.state().runs.push(run.clone());
         let (sender, stream) = body::streamed();
-        let run = self
-            .clone()
-            .send_events(sender, item.clone(), (after, events), running);
-        tokio::spawn(run);
+        tokio::spawn(self.clone().send_events(sender, run, (after, events)));
         let mut response = Response::new(stream);
         let headers = response.headers_mut();
         headers.insert(
             "Content-Type",
             HeaderValue::from_static("text/event-stream"),
         );
-        for (name, value) in [("Attempt-Id", &item), ("Response-Signature", &self.id)] {
+        for (name, value) in [("Attempt-Id", &item), ("Response-Signature", &id)] {
             if let Ok(value) = HeaderValue::try_from(value) {
                 headers.insert(name, value);
             }
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -1,7 +1,9 @@
-//! A small deployment: one store, three backend servers and three instances.
+//! A small deployment: one store, some backend servers and three instances.
 
 use std::path::Path;
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD as BASE64;
 use foxtailhold_http::server::Server;
 use serde_json::{Value, json};
 
@@ -12,9 +14,7 @@
 use crate::replica::{Pace, Replica};
 use crate::store::Store;
 
-/// Number of backend servers and of instances.
-const COUNT: usize = 3;
-const ZONES: [&str; COUNT] = ["concord-hall", "nashua-hall", "keene-hall"];
+const ZONES: [&str; 3] = ["concord-hall", "nashua-hall", "keene-hall"];
 
 /// The running deployment.
 pub struct Site {
@@ -24,7 +24,7 @@
     pub replicas: Vec<Replica>,
     /// The instances.
     pub nodes: Vec<Node>,
-    _servers: Vec<Server>,
+    _store_server: Server,
 }
 
 /// The configuration: one batch route.
@@ -50,17 +50,20 @@
 
 impl Site {
     /// Starts everything and waits until all instances are ready.
-    pub async fn start(pace: Pace, folder: &Path, record: &Record) -> Result<Site> {
+    pub async fn start(
+        replica_count: usize,
+        pace: Pace,
+        folder: &Path,
+        record: &Record,
+    ) -> Result<Site> {
         let store = Store::new();
-        let mut servers = vec![store.listen().await?];
-        let store_address = servers[0].address();
+        let store_server = store.listen().await?;
+        let store_address = store_server.address();
         store.put("op", "config", &config());
         let mut replicas = Vec::new();
-        for number in 1..=COUNT {
-            let id = format!("i-{number}");
-            let (replica, server) = Replica::start(&id, "writers", pace, &store, record).await?;
-            replicas.push(replica);
-            servers.push(server);
+        for number in 1..=replica_count {
+            let name = format!("i-{number}");
+            replicas.push(Replica::start(&name, "writers", pace, &store, record).await?);
         }
         let mut nodes = Vec::new();
         for (number, zone) in ZONES.iter().enumerate() {
@@ -73,21 +76,31 @@
             store,
             replicas,
             nodes,
-            _servers: servers,
+            _store_server: store_server,
         })
     }
 }
 
-/// A batch job whose items have these numbers of events.
-pub fn batch_job(job: &str, events: &[u64]) -> Value {
-    let items = events.iter().enumerate().map(|(index, events)| {
+/// An item of a batch job.
+#[derive(Debug, Clone, Copy)]
+pub struct NewItem {
+    /// Number of events of its output.
+    pub events: u64,
+    /// Number of the part of its prompt that other items share.
+    pub shared_part: u64,
+}
+
+/// The body of a batch job.
+pub fn batch_job(job: &str, items: &[NewItem]) -> Value {
+    let items = items.iter().enumerate().map(|(index, item)| {
+        let (events, shared_part) = (item.events, item.shared_part);
         json!({
             "Id": item_id(job, index), "Path": format!("/reports/{index}"),
             "Headers": {
                 "Model": "m", "Token-Usage": format!("350,{events}"),
-                "Prompt-Prefix": format!("9c2e41:100,{index:x}d07b8:250"),
+                "Prompt-Prefix": format!("{shared_part:x}:100,{:x}:250", 0x5d07_b800 + index),
             },
-            "Body": "q83vEjRWeJA=", "TokenCount": 350 + events,
+            "Body": BASE64.encode(format!("prompt of item {index}")), "TokenCount": 350 + events,
         })
     });
     json!({"Items": items.collect::<Vec<_>>()})
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -138,6 +138,16 @@
         self.changed.send_replace(version);
     }
 
+    /// Removes a row as the platform does.
+    pub fn remove(&self, table: &str, key: &str) {
+        let mut state = self.state();
+        state.version += 1;
+        state.apply((table.to_owned(), String::new(), key.to_owned()), None);
+        let version = state.version;
+        drop(state);
+        self.changed.send_replace(version);
+    }
+
     /// Begins or ends an outage. While it lasts every call is answered 503 and has no effect.
     pub fn set_down(&self, is_down: bool) {
         self.state().is_down = is_down;
