review: batch jobs of a killed instance are run by nobody

A write about the planned stop of an instance that the store does late, after the next start of that instance, hides the live instance from most others and from itself. When another instance is killed, the instances disagree on who takes its batch jobs over, and some are taken by nobody.

--- a/review/standin/src/client.rs
+++ b/review/standin/src/client.rs
@@ -70,6 +70,11 @@
         Ok((status, bytes))
     }
 
+    /// The HTTP client.
+    pub fn http(&self) -> &HttpClient {
+        &self.http
+    }
+
     /// Submits a batch job.
     pub async fn submit(
         &self,
--- a/review/standin/src/deployment.rs
+++ b/review/standin/src/deployment.rs
@@ -14,6 +14,10 @@
 
 /// The command of the deploy file, from the repository's root.
 const PROGRAM: &str = "target/release/foxtailhold-node";
+/// `GraceS`, and the platform's delay before it starts a process again.
+const GRACE_MS: u64 = 8_000;
+const RESTART_DELAY_MS: u64 = 500;
+const RESOLVE_PATH: &str = "/v1/resolve?Name=records.example&Region=new-england&Zone=concord-hall";
 /// Time limit for all instances to be ready and to know each other.
 const READY_MS: u64 = 20_000;
 
@@ -92,6 +96,57 @@
         Ok(())
     }
 
+    /// Sends SIGTERM, waits until the process has ended and starts it again a moment later.
+    pub async fn restart_planned(&mut self) -> Result<()> {
+        let Some(child) = &mut self.child else {
+            return Err(format!("{} does not run", self.name).into());
+        };
+        let id = child.id().to_string();
+        if !Command::new("kill")
+            .args(["-TERM", &id])
+            .status()?
+            .success()
+        {
+            return Err(format!("{} cannot be sent SIGTERM", self.name).into());
+        }
+        let until = Instant::now() + Duration::from_millis(GRACE_MS);
+        while child.try_wait()?.is_none() {
+            if Instant::now() > until {
+                child.kill()?;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        self.start_again().await
+    }
+
+    /// Sends SIGKILL and starts the process again a moment later.
+    pub async fn restart_killed(&mut self) -> Result<()> {
+        if let Some(mut child) = self.child.take() {
+            child.kill()?;
+            child.wait()?;
+        }
+        self.start_again().await
+    }
+
+    /// Only the first start is told that the whole system starts for the first time.
+    async fn start_again(&mut self) -> Result<()> {
+        tokio::time::sleep(Duration::from_millis(RESTART_DELAY_MS)).await;
+        let text = std::fs::read_to_string(&self.settings)?;
+        let text = text.replace("Bootstrap = true", "Bootstrap = false");
+        std::fs::write(&self.settings, text)?;
+        self.spawn()
+    }
+
+    /// Addresses that clients are told at this instance.
+    pub async fn addresses(&self, client: &HttpClient) -> Result<Vec<String>> {
+        let resolve = Call::new(Method::GET, self.directory_address, RESOLVE_PATH);
+        let (_, bytes) = client.call::<()>(&resolve, None).await?;
+        let answer: serde_json::Value = serde_json::from_slice(&bytes)?;
+        let all = answer["Addresses"].as_array().cloned().unwrap_or_default();
+        let texts = all.iter().filter_map(|address| address.as_str());
+        Ok(texts.map(str::to_owned).collect())
+    }
+
     /// Whether the process still runs.
     pub fn is_running(&mut self) -> Result<bool> {
         match &mut self.child {
@@ -107,16 +162,11 @@
 
     async fn is_ready(&self, client: &HttpClient, count: usize) -> bool {
         let ready = Call::new(Method::GET, self.ready_address, "/v1/ready");
-        let path = "/v1/resolve?Name=records.example&Region=new-england&Zone=concord-hall";
-        let resolve = Call::new(Method::GET, self.directory_address, path);
         let Ok((StatusCode::OK, _)) = client.call::<()>(&ready, None).await else {
             return false;
         };
-        let Ok((StatusCode::OK, bytes)) = client.call::<()>(&resolve, None).await else {
-            return false;
-        };
-        let answer: serde_json::Value = serde_json::from_slice(&bytes).unwrap_or_default();
-        answer["Addresses"].as_array().map_or(0, Vec::len) == count
+        let addresses = self.addresses(client).await;
+        addresses.is_ok_and(|addresses| addresses.len() == count)
     }
 }
 
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -6,6 +6,7 @@
 mod client;
 mod crashes;
 mod deployment;
+mod late_row;
 mod outage;
 mod record;
 mod replica;
@@ -35,6 +36,7 @@
     record.line(format!("case {case}, with the disruption: {has_trouble}"));
     match case {
         "outage" => outage::run(has_trouble, folder, record).await,
+        "late-row" => late_row::run(has_trouble, folder, record).await,
         "crashes" => crashes::run(has_trouble, folder, record).await,
         _ => Err(format!("there is no case {case}").into()),
     }
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -29,6 +29,8 @@
 const MAX_PAGE_BYTES: usize = 1 << 20;
 /// Limit of one object (`BlobBytes`).
 const MAX_OBJECT_BYTES: usize = 8 << 20;
+/// Time after which a transaction without an answer is done, if it is late.
+pub const LATE_MS: u64 = 6_000;
 /// Time of one call.
 const CALL_MS: u64 = 4;
 
@@ -54,6 +56,8 @@
     version: u64,
     objects: HashMap<String, Bytes>,
     is_down: bool,
+    /// The next transaction whose values contain this text is done late and not answered.
+    late_text: Option<String>,
     too_large: u64,
 }
 
@@ -154,6 +158,29 @@
         self.changed.send_modify(|_| {});
     }
 
+    /// The next transaction with a value that contains `text` gets no answer and is done
+    /// [`LATE_MS`] later, if its conditions hold then.
+    pub fn delay_next(&self, text: &str) {
+        self.state().late_text = Some(text.to_owned());
+    }
+
+    fn take_late(&self, bytes: &Bytes) -> bool {
+        let mut state = self.state();
+        let Some(text) = state.late_text.clone() else {
+            return false;
+        };
+        let call: Value = serde_json::from_slice(bytes).unwrap_or_default();
+        let contains = |row: &Value| {
+            let value = BASE64.decode(row["Value"].as_str().unwrap_or_default());
+            value.is_ok_and(|value| String::from_utf8_lossy(&value).contains(&text))
+        };
+        let is_late = entries(&call, "Writes").iter().any(contains);
+        if is_late {
+            state.late_text = None;
+        }
+        is_late
+    }
+
     /// Number of transactions that were refused because they were too large.
     pub fn too_large(&self) -> u64 {
         self.state().too_large
@@ -311,6 +338,14 @@
         let object = path
             .strip_prefix("/v1/blob-")
             .and_then(|rest| rest.split_once('/'));
+        if path == "/v1/rows-tx" && self.take_late(&bytes) {
+            let store = self.clone();
+            tokio::spawn(async move {
+                tokio::time::sleep(Duration::from_millis(LATE_MS)).await;
+                store.transact(&bytes);
+            });
+            return std::future::pending().await;
+        }
         match (path, object) {
             ("/v1/rows-tx", _) => self.transact(&bytes),
             ("/v1/rows-get", _) => self.read(&query),
