review: a sound batch job is run by nobody after deadly items

Two items of a batch job that crash the servers that run them have the first part of their prompts refused for 24 h. A later batch job with that part, all items sound, is answered 202 and never reaches a server.

--- a/review/standin/src/crashes.rs
+++ b/review/standin/src/crashes.rs
@@ -26,6 +26,7 @@
 const SHARED_PART: u64 = 0x9c2e41;
 /// A backend server crashes when it has run the item for this long.
 const CRASH_AFTER_MS: u64 = 600;
+const DOWN_MS: u64 = 1_500;
 /// The items under which backend servers crash first, by number.
 const CRASHES: [usize; 4] = [0, 0, 0, 1];
 /// Crashes after these, under the next runs of either item, at most.
@@ -45,7 +46,7 @@
         for replica in replicas {
             let runs = items.iter().filter_map(|item| replica.running_for(item));
             if runs.max().is_some_and(|longest| longest >= least) {
-                replica.crash();
+                replica.crash(DOWN_MS);
                 return true;
             }
         }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -5,6 +5,7 @@
 
 mod client;
 mod crashes;
+mod deadly_items;
 mod deployment;
 mod late_row;
 mod outage;
@@ -19,8 +20,11 @@
 use record::Record;
 use tokio::signal::unix::{SignalKind, signal};
 
+/// Why a case could not run.
+pub type Error = Box<dyn std::error::Error + Send + Sync>;
+
 /// Result of a step of a case.
-pub type Result<T> = std::result::Result<T, Box<dyn std::error::Error + Send + Sync>>;
+pub type Result<T> = std::result::Result<T, Error>;
 
 /// What a case has shown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -36,6 +40,7 @@
     record.line(format!("case {case}, with the disruption: {has_trouble}"));
     match case {
         "outage" => outage::run(has_trouble, folder, record).await,
+        "deadly-items" => deadly_items::run(has_trouble, folder, record).await,
         "late-row" => late_row::run(has_trouble, folder, record).await,
         "crashes" => crashes::run(has_trouble, folder, record).await,
         _ => Err(format!("there is no case {case}").into()),
--- a/review/standin/src/replica.rs
+++ b/review/standin/src/replica.rs
@@ -29,8 +29,9 @@
 const QUEUE: usize = 24;
 /// Time from the request to the first event.
 const FIRST_EVENT_MS: u64 = 70;
-/// Time from a crash to the next start.
-const DOWN_MS: u64 = 1_500;
+/// Time from a request that crashes the server to the crash, and from there to the next start.
+const DEADLY_MS: u64 = 120;
+const DEADLY_DOWN_MS: u64 = 3_000;
 /// Time from a crash until the entry of that start has lapsed: three heartbeats.
 const LAPSE_MS: u64 = 3_600;
 /// Limit of a request.
@@ -55,6 +56,9 @@
 #[derive(Debug, Default)]
 struct State {
     starts: u64,
+    /// Items that crash the server when they run.
+    deadly: Vec<String>,
+    down_ms: u64,
     runs: Vec<Run>,
 }
 
@@ -145,9 +149,18 @@
         Some(run.begun.elapsed())
     }
 
-    /// Ends all connections and starts again a moment later.
-    pub fn crash(&self) {
-        let runs = std::mem::take(&mut self.state().runs);
+    /// Sets the items that crash the server when they run.
+    pub fn set_deadly(&self, items: &[String]) {
+        self.state().deadly = items.to_vec();
+    }
+
+    /// Ends all connections and starts again after `down_ms`.
+    pub fn crash(&self, down_ms: u64) {
+        let runs = {
+            let mut state = self.state();
+            state.down_ms = down_ms;
+            std::mem::take(&mut state.runs)
+        };
         let items: Vec<String> = runs.into_iter().map(|run| run.item).collect();
         self.record
             .line(format!("{} crashes under {}", self.id(), items.join(" ")));
@@ -191,7 +204,8 @@
                 sleep(Duration::from_millis(LAPSE_MS)).await;
                 store.remove("servers", &former);
             });
-            sleep(Duration::from_millis(DOWN_MS)).await;
+            let down_ms = self.state().down_ms;
+            sleep(Duration::from_millis(down_ms)).await;
         }
     }
 
@@ -222,6 +236,13 @@
         }
     }
 
+    async fn crash_under(self, item: String) {
+        sleep(Duration::from_millis(DEADLY_MS)).await;
+        if self.running_for(&item).is_some() {
+            self.crash(DEADLY_DOWN_MS);
+        }
+    }
+
     fn not_run(&self, status: StatusCode) -> Response<AnswerBody> {
         let mut response = body::empty(status);
         let headers = response.headers_mut();
@@ -279,7 +300,14 @@
             item: item.clone(),
             begun: Instant::now(),
         };
-        self.state().runs.push(run.clone());
+        let is_deadly = {
+            let mut state = self.state();
+            state.runs.push(run.clone());
+            state.deadly.contains(&item)
+        };
+        if is_deadly {
+            tokio::spawn(self.clone().crash_under(item.clone()));
+        }
         let (sender, stream) = body::streamed();
         tokio::spawn(self.clone().send_events(sender, run, (after, events)));
         let mut response = Response::new(stream);
