review: case 1, an instance hangs when the record of versions comes first

One connection of one instance to the platform's store goes silent, and 0.2 s later the first backend server of another software version is listed. The instance reads the record of versions before the changed list, takes the lock of the members twice in its only thread and never answers again.

--- a/review/standin/src/crashes.rs
+++ b/review/standin/src/crashes.rs
@@ -81,7 +81,7 @@
             return Err(format!("{} answers {status} to a read", node.name).into());
         }
         for (item, state, text) in &page.results {
-            let is_whole = *text == whole_text(item, EVENTS, PACE.event_bytes);
+            let is_whole = *text == whole_text(("writers", "v1"), item, EVENTS, PACE.event_bytes);
             wrong += u64::from(state != "done" || !is_whole);
             record.line(format!("{item} is listed as {state}, whole: {is_whole}"));
         }
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -9,8 +9,10 @@
 mod deployment;
 mod late_row;
 mod outage;
+mod proxy;
 mod record;
 mod replica;
+mod silent_feed;
 mod site;
 mod store;
 
@@ -41,6 +43,7 @@
     match case {
         "outage" => outage::run(has_trouble, folder, record).await,
         "deadly-items" => deadly_items::run(has_trouble, folder, record).await,
+        "silent-feed" => silent_feed::run(has_trouble, folder, record).await,
         "late-row" => late_row::run(has_trouble, folder, record).await,
         "crashes" => crashes::run(has_trouble, folder, record).await,
         _ => Err(format!("there is no case {case}").into()),
--- a/review/standin/src/outage.rs
+++ b/review/standin/src/outage.rs
@@ -51,7 +51,8 @@
 /// Whether a result is the whole output of its item.
 fn is_whole((id, state, text): &(String, String, String)) -> bool {
     let index = (0..ITEMS).find(|index| item_id(JOB, *index as usize) == *id);
-    let whole = index.map(|index| whole_text(id, events_of(index), PACE.event_bytes));
+    let whole =
+        index.map(|index| whole_text(("writers", "v1"), id, events_of(index), PACE.event_bytes));
     state == "done" && whole.as_ref() == Some(text)
 }
 
--- a/review/standin/src/replica.rs
+++ b/review/standin/src/replica.rs
@@ -34,6 +34,9 @@
 const DEADLY_DOWN_MS: u64 = 3_000;
 /// Time from a crash until the entry of that start has lapsed: three heartbeats.
 const LAPSE_MS: u64 = 3_600;
+/// Paths of a plain service, and its time for a request.
+const STATUS_PATH: &str = "/status/";
+const STATUS_MS: u64 = 15;
 /// Limit of a request.
 const MAX_REQUEST_BYTES: usize = 16 << 20;
 
@@ -67,6 +70,7 @@
 pub struct Replica {
     name: String,
     service: &'static str,
+    version: &'static str,
     pace: Pace,
     store: Store,
     record: Record,
@@ -89,26 +93,31 @@
     value.unwrap_or_default()
 }
 
-/// The data of an event of an item.
-pub fn event_data(item: &str, event: u64, event_bytes: usize) -> String {
-    let mut data = format!("event {event} of {item} ");
+/// The data of an event of an item, as written by a service at a software version.
+pub fn event_data(
+    (service, version): (&str, &str),
+    item: &str,
+    event: u64,
+    event_bytes: usize,
+) -> String {
+    let mut data = format!("event {event} of {item} by {service} {version} ");
     while data.len() < event_bytes {
         data.push('x');
     }
     data
 }
 
-/// The whole output of an item.
-pub fn whole_text(item: &str, events: u64, event_bytes: usize) -> String {
-    let all = (1..=events).map(|event| event_data(item, event, event_bytes));
+/// The whole output of an item at a service and software version.
+pub fn whole_text(author: (&str, &str), item: &str, events: u64, event_bytes: usize) -> String {
+    let all = (1..=events).map(|event| event_data(author, item, event, event_bytes));
     all.collect::<Vec<_>>().join("\n")
 }
 
 impl Replica {
-    /// Starts a backend server of `service` and lists it in the store.
+    /// Starts a backend server of `service` with software `version` and lists it in the store.
     pub async fn start(
         name: &str,
-        service: &'static str,
+        (service, version): (&'static str, &'static str),
         pace: Pace,
         store: &Store,
         record: &Record,
@@ -116,6 +125,7 @@
         let replica = Replica {
             name: name.to_owned(),
             service,
+            version,
             pace,
             store: store.clone(),
             record: record.clone(),
@@ -170,7 +180,7 @@
     fn list(&self, address: SocketAddr) {
         let entry = json!({
             "Service": self.service, "Address": address.to_string(), "Zone": "concord-hall",
-            "Version": "v1", "Slots": SLOTS, "State": "ready", "ColdLeftMs": 0, "Seq": 1,
+            "Version": self.version, "Slots": SLOTS, "State": "ready", "ColdLeftMs": 0, "Seq": 1,
         });
         self.store.put("servers", &self.id(), &entry);
     }
@@ -255,7 +265,8 @@
         let _guard = RunGuard(self.clone(), run);
         sleep(Duration::from_millis(FIRST_EVENT_MS)).await;
         for event in after + 1..=events {
-            let data = event_data(&item, event, self.pace.event_bytes);
+            let author = (self.service, self.version);
+            let data = event_data(author, &item, event, self.pace.event_bytes);
             let bytes = Bytes::from(format!("id: {event}\ndata: {data}\n\n"));
             if !sender.send(bytes).await {
                 self.record
@@ -269,6 +280,15 @@
         sender.finish();
     }
 
+    /// Answers a request of a plain service.
+    async fn status(&self, request: &str, id: &str) -> Response<AnswerBody> {
+        self.record.line(format!("{id} runs {request}"));
+        sleep(Duration::from_millis(STATUS_MS)).await;
+        let mut response = Response::new(body::whole(format!("status of {request}")));
+        sign(response.headers_mut(), request, id);
+        response
+    }
+
     async fn respond(&self, request: Request<Incoming>) -> Response<AnswerBody> {
         let (head, incoming) = request.into_parts();
         let id = self.id();
@@ -288,6 +308,9 @@
         if self.running() >= SLOTS + QUEUE {
             return self.not_run(StatusCode::SERVICE_UNAVAILABLE);
         }
+        if head.uri.path().starts_with(STATUS_PATH) {
+            return self.status(&item, &id).await;
+        }
         let after = text(&head.headers, "last-event-id").parse().unwrap_or(0);
         let usage = text(&head.headers, "token-usage");
         let events = usage.split(',').nth(1).and_then(|count| count.parse().ok());
@@ -316,11 +339,15 @@
             "Content-Type",
             HeaderValue::from_static("text/event-stream"),
         );
-        for (name, value) in [("Attempt-Id", &item), ("Response-Signature", &id)] {
-            if let Ok(value) = HeaderValue::try_from(value) {
-                headers.insert(name, value);
-            }
-        }
+        sign(headers, &item, &id);
         response
     }
 }
+
+fn sign(headers: &mut HeaderMap, request: &str, id: &str) {
+    for (name, value) in [("Attempt-Id", request), ("Response-Signature", id)] {
+        if let Ok(value) = HeaderValue::try_from(value) {
+            headers.insert(name, value);
+        }
+    }
+}
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -55,15 +55,28 @@
         pace: Pace,
         folder: &Path,
         record: &Record,
+    ) -> Result<Site> {
+        let servers = vec![("writers", "v1"); replica_count];
+        Site::start_with(&config(), &servers, pace, folder, record).await
+    }
+
+    /// The same with a configuration, and with a service and a software version for each backend
+    /// server.
+    pub async fn start_with(
+        config: &Value,
+        servers: &[(&'static str, &'static str)],
+        pace: Pace,
+        folder: &Path,
+        record: &Record,
     ) -> Result<Site> {
         let store = Store::new();
         let store_server = store.listen().await?;
         let store_address = store_server.address();
-        store.put("op", "config", &config());
+        store.put("op", "config", config);
         let mut replicas = Vec::new();
-        for number in 1..=replica_count {
-            let name = format!("i-{number}");
-            replicas.push(Replica::start(&name, "writers", pace, &store, record).await?);
+        for (index, server) in servers.iter().enumerate() {
+            let name = format!("i-{}", index + 1);
+            replicas.push(Replica::start(&name, *server, pace, &store, record).await?);
         }
         let mut nodes = Vec::new();
         for (number, zone) in ZONES.iter().enumerate() {
