--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -8,6 +8,7 @@
 mod deadly_items;
 mod deployment;
 mod late_row;
+mod moved_route;
 mod outage;
 mod proxy;
 mod record;
@@ -44,6 +45,7 @@
         "outage" => outage::run(has_trouble, folder, record).await,
         "deadly-items" => deadly_items::run(has_trouble, folder, record).await,
         "silent-feed" => silent_feed::run(has_trouble, folder, record).await,
+        "moved-route" => moved_route::run(has_trouble, folder, record).await,
         "late-row" => late_row::run(has_trouble, folder, record).await,
         "crashes" => crashes::run(has_trouble, folder, record).await,
         _ => Err(format!("there is no case {case}").into()),
