--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -8,6 +8,6 @@
 folder="$(mktemp -d)" || exit 2
 trap 'kill "$driver" 2>/dev/null; wait "$driver" 2>/dev/null; rm -rf "$folder"' EXIT
 trap 'exit 2' INT TERM
-target/review/release/review-standin crashes "$folder" "$case_folder/record.txt" &
+target/review/release/review-standin outage "$folder" "$case_folder/record.txt" &
 driver=$!
 wait "$driver"
