instances: write the own row again when it is not listed

Callers saw batch jobs that nobody works on, and addresses without a live instance. A write about a former start of an instance, done late by the store, hid the live one from the others and from itself, for good. Instances that read the table later knew it, so that those which looked for the successor of a lost owner had different lists, and each left some jobs to another one.

Cause: rows of instances were written without a condition and only until the first confirmed write, and a start was marked as replaced for ever.

Change: an instance keeps its row as it should be. Each write expects the version that it knows, so that a late copy has no effect once the row has changed or was deleted; where the table as read is newer than the row and lists another start at the address, or none, the row is written again after two checks, 0.5 to 1 s apart. Only an instance whose own row is missing writes. An instance that is heard directly is alive whatever a row says, and one that is listed again is not replaced. Rows have the same content as before.

--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
-use bytes::Bytes;
 use foxtailhold::ids::{AvailabilityZone, InstanceId};
 use foxtailhold::outage_return::return_after_ms;
 use foxtailhold::routes::RouteTable;
@@ -28,6 +27,7 @@
 };
 use crate::metrics::{GaugeValues, RelayMetrics};
 use crate::origin_rows::persist_origins;
+use crate::own_row::{OwnRow, row_key};
 use crate::peers::{INSTANCES_TABLE, Member, Peers};
 use crate::pending_attempts::PendingAttempts;
 use crate::plain::PlainServiceLoads;
@@ -46,8 +46,6 @@
 
 /// Rows of instances that have been down for this time are deleted.
 const DOWN_ROW_TTL_MS: u64 = 15_000;
-/// Delay before a failed write of this instance's row is retried.
-const RETRY_DELAY_MS: u64 = 250;
 
 /// Why an instance could not start.
 #[derive(Debug, Error)]
@@ -98,6 +96,7 @@
     peer_server: Server,
     backends_loaded: watch::Receiver<bool>,
     leaving: CancellationToken,
+    closing: CancellationToken,
     hand_over: CancellationToken,
 }
 
@@ -197,9 +196,10 @@
             peer_server,
             backends_loaded,
             leaving,
+            closing: CancellationToken::new(),
             hand_over,
         });
-        tokio::spawn(Arc::clone(&instance).write_own_row());
+        tokio::spawn(instance.own_row().keep());
         tokio::spawn(Arc::clone(&instance).delete_down_rows());
         Ok(instance)
     }
@@ -240,42 +240,26 @@
         addresses
     }
 
-    fn own_row(&self, is_leaving: bool) -> (RowKey, Bytes) {
+    fn member(&self) -> Member {
         let identity = &self.identity;
-        let member = Member {
+        Member {
             instance: identity.instance.clone(),
             peer_address: identity.peer_address,
             caller_address: identity.caller_address,
             zone: identity.zone.clone(),
             core_permille: identity.core_permille,
-            is_leaving,
-        };
-        let key = RowKey::new(INSTANCES_TABLE, identity.instance.as_str());
-        let value = serde_json::to_vec(&member).unwrap_or_else(|error| {
-            log::error!("cannot encode the row of this instance: {error}");
-            Vec::new()
-        });
-        (key, value.into())
-    }
-
-    async fn write_row(&self, is_leaving: bool) -> bool {
-        let changes = Changes {
-            puts: vec![self.own_row(is_leaving)],
-            ..Changes::default()
-        };
-        match self.store.commit(&changes).await {
-            Ok(_) => true,
-            Err(error) => {
-                log::warn!(leaving = is_leaving; "row of this instance not written: {error}");
-                false
-            }
+            is_leaving: false,
         }
     }
 
-    /// Writes the row of this instance, with retries until the write is confirmed.
-    async fn write_own_row(self: Arc<Self>) {
-        while !self.leaving.is_cancelled() && !self.write_row(false).await {
-            tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
+    fn own_row(&self) -> OwnRow<SharedStore<S>> {
+        OwnRow {
+            store: self.store.clone(),
+            peers: self.relay.peers.clone(),
+            tables: self.relay.metrics.tables().clone(),
+            member: self.member(),
+            leaving: self.leaving.clone(),
+            closing: self.closing.clone(),
         }
     }
 
@@ -309,9 +293,8 @@
     }
 
     /// Begins a planned stop: callers are no longer sent here, accepted work continues.
-    pub async fn leave(&self) {
+    pub fn leave(&self) {
         self.leaving.cancel();
-        self.write_row(true).await;
     }
 
     /// Starts to hand over batch jobs to other instances.
@@ -361,8 +344,9 @@
     /// `wait_ms`.
     pub async fn close(self: Arc<Self>, wait_ms: u64) {
         self.peer_server.end_connections();
+        self.closing.cancel();
         let changes = Changes {
-            deletes: vec![self.own_row(true).0],
+            deletes: vec![row_key(&self.member())],
             ..Changes::default()
         };
         let limit = Duration::from_millis(wait_ms);
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod metrics;
 pub mod origin_rows;
 pub mod outcomes;
+mod own_row;
 pub mod part_evidence;
 pub mod part_rows;
 pub mod peers;
--- a/crates/foxtailhold-relay/src/peers/members.rs
+++ b/crates/foxtailhold-relay/src/peers/members.rs
@@ -53,7 +53,8 @@
     skipped_until: HashMap<InstanceId, MonoMs>,
     live_lists: HashMap<InstanceId, (MonoMs, Vec<InstanceHash>)>,
     down_since: HashMap<InstanceId, MonoMs>,
-    /// Instances whose address has been taken over by a newer start.
+    /// Instances whose address is listed with another start. They are down unless they are heard
+    /// from, because the row of a former start may be written late.
     replaced: HashSet<InstanceId>,
 }
 
@@ -93,9 +94,16 @@
                 self.replaced.insert(old.instance);
             }
         }
+        self.replaced.remove(&member.instance);
         self.rows.insert(version, member);
     }
 
+    /// Whether the row of this instance is listed and says `is_leaving`.
+    pub fn lists_me(&self, is_leaving: bool) -> bool {
+        let mut rows = self.rows.values();
+        rows.any(|member| member.instance == self.me && member.is_leaving == is_leaving)
+    }
+
     /// Removes the row of an instance.
     pub fn remove(&mut self, instance: &InstanceId) {
         self.rows.retain(|_, member| member.instance != *instance);
@@ -247,7 +255,9 @@
     pub fn live_hashes(&self, now: MonoMs) -> HashSet<InstanceHash> {
         let mut live = self.live_set(now);
         for replaced in &self.replaced {
-            live.remove(&InstanceHash::from(replaced));
+            if !self.is_heard(now, replaced) {
+                live.remove(&InstanceHash::from(replaced));
+            }
         }
         live
     }
@@ -285,17 +295,23 @@
     /// Whether an instance has been down for `for_ms`, or its address has been taken over. It must
     /// be called regularly because it notes when an instance goes down.
     pub fn is_down(&mut self, now: MonoMs, instance: &InstanceId, for_ms: u64) -> bool {
-        if self.replaced.contains(instance) {
-            return true;
-        }
         self.down_ms(now, instance)
-            .is_some_and(|down_ms| down_ms >= for_ms)
+            .is_some_and(|down_ms| down_ms >= for_ms || self.is_replaced(instance))
+    }
+
+    /// Whether the address of an instance is listed with another start.
+    pub fn is_replaced(&self, instance: &InstanceId) -> bool {
+        self.replaced.contains(instance)
     }
 
     /// For how long an instance has not been heard from; `None` if it is alive. It must be called
     /// regularly because it notes when an instance goes down.
     pub fn down_ms(&mut self, now: MonoMs, instance: &InstanceId) -> Option<u64> {
-        if self.live_set(now).contains(&InstanceHash::from(instance)) || *instance == self.me {
+        if *instance == self.me
+            || self
+                .live_hashes(now)
+                .contains(&InstanceHash::from(instance))
+        {
             self.down_since.remove(instance);
             return None;
         }
--- a/crates/foxtailhold-relay/tests/members.rs
+++ b/crates/foxtailhold-relay/tests/members.rs
@@ -163,6 +163,29 @@
     assert!(members.is_down(MonoMs(0), &id("i1"), 60_000));
 }
 
+/// Guards against a late write about a former start, which hid the live one for good.
+#[test]
+fn an_instance_that_is_heard_is_up_though_its_address_is_listed_with_another_start() {
+    let mut members = five_members();
+    members.record_message(MonoMs(0), &id("i1"));
+    members.put(9, member("i1-former", 1));
+    assert!(!members.is_down(MonoMs(10), &id("i1"), 0));
+    assert!(members.is_down(MonoMs(10_000), &id("i1"), 60_000));
+}
+
+#[test]
+fn a_start_that_is_listed_again_is_not_replaced() {
+    let mut members = five_members();
+    members.put(9, member("i3-former", 3));
+    assert!(!members.lists_me(false));
+    members.put(10, member("i3", 3));
+    assert!(members.lists_me(false) && !members.lists_me(true));
+    members.put(11, member("i1-former", 1));
+    members.put(12, member("i1", 1));
+    assert!(!members.is_down(MonoMs(0), &id("i1"), 60_000));
+    assert!(members.is_down(MonoMs(0), &id("i1-former"), 60_000));
+}
+
 #[test]
 fn reports_go_to_three_instances_and_skip_unresponsive_ones() {
     let mut members = five_members();
