jobs: every instance takes its turn at the jobs of a lost owner

Callers saw batch jobs that nobody works on after their owner was killed.

Cause: only the instance that is first by its own list took over. Where the first one cannot write, or lists differ, no instance finds itself first, and no later round changes that.

Evidence: before this change jobs_of_a_lost_owner_are_run_though_the_first_candidate_cannot_write ended with "6 of 12 jobs listed" after 12 s: the other six were left to an instance whose writes the store refuses.

Change: the order of the candidates only says when each of them steps in: the first at once, the next ones 0.6 s apart, from the seventh on faster and at most 6.6 s after the first. The condition of the write decides. One that failed tries again after a delay that grows with its place, with jitter, so that an outage leaves no herd of writes.

--- a/crates/foxtailhold-relay/src/jobs/owner.rs
+++ b/crates/foxtailhold-relay/src/jobs/owner.rs
@@ -6,6 +6,7 @@
 
 use foxtailhold::ids::{InstanceId, JobId};
 use foxtailhold::rendezvous;
+use foxtailhold::time::MonoMs;
 use foxtailhold_platform::{Committed, ObjectStore, RowStore};
 use tokio::task::{JoinHandle, JoinSet};
 use tokio_util::sync::CancellationToken;
@@ -25,6 +26,16 @@
 /// one, so it waits longer.
 const OWNER_TIMEOUT_ISOLATED_MS: u64 = 3_600;
 
+/// Interval between the turns of the candidates that take over the jobs of a lost owner. The first
+/// one takes over at once; the others do if it has not, whoever they take for the first one.
+const TURN_MS: u64 = 600;
+/// Turns of this interval; after them turns come faster, up to the last one.
+const MAX_TURNS: u64 = 6;
+const LATE_TURN_MS: u64 = 25;
+const MAX_LATE_MS: u64 = 3_000;
+/// Delay after a failed attempt to take over, and the bound of its jitter.
+const RETRY_DELAY_MS: u64 = 300;
+
 /// Runs the jobs of this instance and takes over those of instances that are down. When `leave` is
 /// cancelled it hands over the remaining jobs and returns.
 pub async fn own_jobs<S: RowStore + ObjectStore, D: Dialect>(
@@ -55,10 +66,17 @@
                 lost_seen.remove(&id);
                 continue;
             };
-            lost.log_change(&id, lost_seen.get(&id));
-            let is_successor = lost.rank == 0;
-            lost_seen.insert(id.clone(), lost);
-            if is_successor {
+            let before = lost_seen.get(&id);
+            lost.log_change(&id, before);
+            let now = jobs.relay.clock.mono();
+            let retry_at = before.and_then(|before| before.retry_at);
+            let is_due = lost.is_due() && retry_at.is_none_or(|at| at <= now);
+            let retry_at = match is_due {
+                true => Some(now + lost.retry_delay_ms()),
+                false => retry_at,
+            };
+            lost_seen.insert(id.clone(), LostOwner { retry_at, ..lost });
+            if is_due {
                 let next = Job {
                     owner: jobs.me().clone(),
                     lost_owners: cached.job.lost_owners + 1,
@@ -103,9 +121,30 @@
     /// Number of candidates that come before this instance.
     rank: usize,
     candidates: usize,
+    /// Time for which the owner has to be down before this instance takes over.
+    takeover_after_ms: u64,
+    /// Time of the next attempt to take over, after a first one.
+    retry_at: Option<MonoMs>,
+}
+
+/// Time from the turn of the first candidate to the one of the candidate at `rank`.
+pub(crate) fn turn_ms(rank: usize) -> u64 {
+    let rank = rank as u64;
+    let late_ms = rank.saturating_sub(MAX_TURNS) * LATE_TURN_MS;
+    rank.min(MAX_TURNS) * TURN_MS + late_ms.min(MAX_LATE_MS)
 }
 
 impl LostOwner {
+    fn is_due(&self) -> bool {
+        self.down_ms >= self.takeover_after_ms
+    }
+
+    /// Those that come later try less often.
+    fn retry_delay_ms(&self) -> u64 {
+        let jitter_ms = rand::random_range(0..RETRY_DELAY_MS);
+        RETRY_DELAY_MS + turn_ms(self.rank) + jitter_ms
+    }
+
     fn log_change(&self, id: &JobId, before: Option<&LostOwner>) {
         let is_same = |before: &LostOwner| {
             (&before.owner, before.rank, before.candidates)
@@ -116,7 +155,8 @@
         }
         log::info!(
             job = id.as_str(), owner = self.owner.as_str(), down_ms = self.down_ms,
-            rank = self.rank, candidates = self.candidates;
+            rank = self.rank, candidates = self.candidates,
+            takeover_after_ms = self.takeover_after_ms;
             "owner of the job is down"
         );
     }
@@ -140,7 +180,13 @@
     if !members.is_down(now, owner, timeout_ms) {
         return None;
     }
-    let candidates = members.not_down(now, timeout_ms);
+    let candidate_timeout_ms = timeout_ms;
+    // A replaced owner is lost at once.
+    let timeout_ms = match members.is_replaced(owner) {
+        true => 0,
+        false => timeout_ms,
+    };
+    let candidates = members.not_down(now, candidate_timeout_ms);
     let rank = match candidates.contains(jobs.me()) {
         true => rendezvous::rank(&candidates, id.as_str().as_bytes(), jobs.me()),
         false => candidates.len(),
@@ -150,6 +196,8 @@
         down_ms: members.down_ms(now, owner).unwrap_or(0),
         rank,
         candidates: candidates.len(),
+        takeover_after_ms: timeout_ms + turn_ms(rank),
+        retry_at: None,
     })
 }
 
