--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -12,8 +12,10 @@
 mod checkpoint;
 mod item;
 mod owner;
+mod progress;
 mod read;
 mod run;
+mod split;
 mod store;
 mod sweep;
 
@@ -21,6 +23,7 @@
 pub use cache::{Job, JobCache, JobCacheSink};
 pub use checkpoint::{Checkpoint, PartialOutput, PartialOutputs};
 pub use owner::own_jobs;
+pub use progress::JobProgress;
 pub use read::{ListedResult, ResultPage};
 pub use store::{JobStore, QuotaRow};
 pub use sweep::sweep_jobs;
@@ -74,6 +77,9 @@
     /// The store did not answer, and the operation had no effect.
     #[error("nothing was done: {0}")]
     Unavailable(PlatformError),
+    /// The store refuses the operation itself, which had no effect and never will.
+    #[error("nothing was done: {0}")]
+    Rejected(PlatformError),
     /// The store did not answer, and the operation may have had an effect.
     #[error("it is not known what was done: {0}")]
     Unknown(PlatformError),
@@ -92,6 +98,9 @@
         if error.may_have_taken_effect() {
             return JobError::Unknown(error);
         }
+        if error.is_rejected() {
+            return JobError::Rejected(error);
+        }
         JobError::Unavailable(error)
     }
 }
@@ -144,6 +153,8 @@
     pub item_durations: Mutex<ItemDurationEstimate>,
     /// Held while a job with a quota is accepted.
     pub acceptances: tokio::sync::Mutex<()>,
+    /// Tasks of this instance that run jobs.
+    pub progress: JobProgress,
 }
 
 impl<S: RowStore + ObjectStore, D> Jobs<S, D> {
