relay: name the waits of batch items in log and metrics

A batch item that did not run left no trace of what held it: a slot, the version of its output, suspected parts of its prompt, the turn to probe them, a trial permit, or one of three backoffs.

Each wait now has a cause, a begin and, where it is known, a latest end. Two gauges show the waiting items by cause and the longest time for which one has not run.

--- a/crates/foxtailhold-relay/src/jobs/item/attempt.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/attempt.rs
@@ -13,10 +13,11 @@
 use tokio::time::Instant;
 
 use super::version::VersionWait;
-use super::{GrantedSlot, ItemRunner, RETRY_DELAY_MS};
+use super::{GrantedSlot, ItemRunner, RETRY_DELAY_MS, WRITE_LIMIT_MS};
 use crate::dialect::Dialect;
 use crate::events::{EventReader, StreamRead, push_data};
 use crate::fleet::BackendServer;
+use crate::item_waits::WaitCause;
 use crate::jobs::{Job, PartialOutput};
 use crate::metrics::AttemptOutcome;
 use crate::peers::{Slot, SlotError};
@@ -101,6 +102,11 @@
         let granted = match self.granted.take() {
             Some(granted) => Ok(granted),
             None => {
+                let cause = match self.partial_outputs.version(&self.item.id) {
+                    Some(_) => WaitCause::Version,
+                    None => WaitCause::Slot,
+                };
+                self.wait_for(cause, None);
                 let mut wait = std::mem::take(&mut self.version_wait);
                 let avoid = &self.avoided_backends;
                 let granted = self.request_slot(route, job, avoid, &mut wait).await;
@@ -131,6 +137,8 @@
         self.drop_output_of_other_version(&backend);
         self.is_start_saved = self.events() == 0 && self.counts.must_record_start(job.lost_owners);
         if self.is_start_saved {
+            let limit = Duration::from_millis(WRITE_LIMIT_MS);
+            self.wait_for(WaitCause::Store, Some(limit));
             self.write_counts(self.counts.with_pending_attempt()).await;
         }
         if !self.is_still_owned() {
@@ -138,6 +146,7 @@
             return (AttemptEnd::Suspended, 0);
         }
         self.avoided_backends.clear();
+        self.wait.end();
         let (started, events_before) = (Instant::now(), self.events());
         let evidence = relay.begin_attempt(self.evidence_keys(job), &backend, self.resume_after());
         let number = evidence.number();
--- a/crates/foxtailhold-relay/src/jobs/item/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/backoff.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use foxtailhold::crashes::MAX_CRASHES;
+use foxtailhold::crashes::{CrashStatus, MAX_CRASHES};
 use foxtailhold::ids::{BackendId, TargetName};
 use foxtailhold::time::MonoMs;
 use foxtailhold_platform::{ObjectStore, RowStore};
@@ -15,6 +15,7 @@
 use crate::crashes::TrialPermit;
 use crate::dialect::Dialect;
 use crate::fleet::BackendServer;
+use crate::item_waits::WaitCause;
 use crate::jobs::Job;
 use crate::jobs::backoff::Backoff;
 use crate::relay::Admission;
@@ -60,6 +61,8 @@
         );
         self.granted = None;
         let until = Instant::now() + Duration::from_millis(PENDING_BACKOFF_MS);
+        let limit = Duration::from_millis(PENDING_BACKOFF_MS);
+        self.wait_for(WaitCause::LostOwners, Some(limit));
         let is_open = || self.jobs.relay.clock.wall().0 < job.give_up_unix_ms;
         while Instant::now() < until && self.is_still_owned() && is_open() {
             let check_at = Instant::now() + Duration::from_millis(BACKOFF_CHECK_MS);
@@ -85,11 +88,13 @@
             }
             self.back_off_after_unknown_ends(crashes);
         }
-        let remaining = self.backoff.remaining();
-        let remaining = remaining.max(self.unknown_backoff.remaining());
+        let known = (self.backoff.remaining(), WaitCause::Backoff);
+        let unknown = (self.unknown_backoff.remaining(), WaitCause::UnknownEnds);
+        let (remaining, cause) = if unknown.0 > known.0 { unknown } else { known };
         if remaining.is_zero() {
             return false;
         }
+        self.wait_for(cause, Some(remaining));
         self.granted = None;
         tokio::time::sleep(remaining.min(Duration::from_millis(BACKOFF_CHECK_MS))).await;
         true
@@ -132,7 +137,7 @@
 
     /// Whether the item may run now. One under which too many backend servers crashed needs a permit,
     /// unless it has passed a trial since; without one this waits a little.
-    pub(super) async fn is_admitted(&self, job: &Job) -> bool {
+    pub(super) async fn is_admitted(&mut self, job: &Job) -> bool {
         let relay = &self.jobs.relay;
         let evidence = relay.peers.crashes();
         if evidence.is_empty() {
@@ -149,6 +154,7 @@
             _permit: permit,
         });
         if !is_admitted {
+            self.wait_for(WaitCause::TrialPermit, None);
             tokio::time::sleep(Duration::from_millis(TRIAL_CHECK_MS)).await;
         }
         is_admitted
@@ -166,11 +172,21 @@
     /// Waits after a refusal until a part is acquitted, the refusal is over or the route, job and
     /// deadline are due for a check.
     pub(super) async fn wait_for_parts(
-        &self,
+        &mut self,
+        service: Option<&TargetName>,
         acquittals: watch::Receiver<()>,
         retry_after_ms: u64,
     ) {
         let crashes = self.jobs.relay.peers.crashes();
+        let now = self.jobs.relay.clock.wall();
+        let status = service.map(|service| crashes.group_status(&self.parts, service, now).0);
+        match status {
+            Some(CrashStatus::Refused { left_ms }) => {
+                let left = Duration::from_millis(left_ms);
+                self.wait_for(WaitCause::SuspectedParts, Some(left));
+            }
+            _ => self.wait_for(WaitCause::ProbeTurn, None),
+        }
         let limit = Duration::from_millis(retry_after_ms.min(BACKOFF_CHECK_MS));
         crashes.wait_acquittal(acquittals, limit).await;
     }
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -21,6 +21,7 @@
 
 use crate::dialect::Dialect;
 use crate::fleet::BackendServer;
+use crate::item_waits::{ItemWait, WaitCause};
 use crate::jobs::backoff::Backoff;
 use crate::jobs::{Item, ItemState, Job, Jobs, ListedResult, PartialOutputs};
 use crate::peers::Slot;
@@ -73,6 +74,8 @@
     parts: SharedParts,
     /// Number of crashes with which the item has passed a trial.
     passed_crashes: AtomicUsize,
+    /// What it waits for while it does not run.
+    wait: ItemWait,
 }
 
 impl<'a, S: RowStore + ObjectStore, D: Dialect> ItemRunner<'a, S, D> {
@@ -103,6 +106,7 @@
             trial: Mutex::default(),
             parts: SharedParts::default(),
             passed_crashes: AtomicUsize::new(0),
+            wait: jobs.relay.metrics.item_waits().of_item(id, &item.id),
         }
     }
 
@@ -130,6 +134,7 @@
                     return Some(self.into_result(ItemState::GivenUp));
                 }
                 self.granted = None;
+                self.wait_for(WaitCause::Route, Some(Duration::from_millis(NO_ROUTE_MS)));
                 tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
                 continue;
             };
@@ -155,7 +160,9 @@
             if let Admission::Refused { retry_after_ms } = admission {
                 self.trial.lock().take();
                 self.granted = None;
-                self.wait_for_parts(acquittals, retry_after_ms).await;
+                let service = route.active_services().next();
+                self.wait_for_parts(service, acquittals, retry_after_ms)
+                    .await;
                 continue;
             }
             let is_trial = self.trial.lock().is_some();
@@ -192,6 +199,10 @@
                 }
                 AttemptEnd::ServerError => {
                     self.counts.record_failure();
+                    self.wait_for(
+                        WaitCause::Store,
+                        Some(Duration::from_millis(WRITE_LIMIT_MS)),
+                    );
                     self.write_counts(self.counts).await;
                     tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
                 }
@@ -222,6 +233,11 @@
         log::info!(job = self.id.as_str(), item = self.item.id.as_str(); "attempt counts not written, item continues: {error}");
     }
 
+    /// States what the item waits for, at the longest for `limit` if that is known.
+    fn wait_for(&mut self, cause: WaitCause, limit: Option<Duration>) {
+        self.wait.begin(cause, self.jobs.relay.clock.wall(), limit);
+    }
+
     fn fingerprints(&self, job: &Job) -> RequestFingerprints {
         RequestFingerprints::of_opaque(&job.host, &self.item.target, &self.item.body)
     }
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod fleet;
 pub mod follow;
 pub mod instance;
+pub mod item_waits;
 pub mod jobs;
 pub mod life_signs;
 pub mod metrics;
--- a/crates/foxtailhold-relay/src/metrics.rs
+++ b/crates/foxtailhold-relay/src/metrics.rs
@@ -15,6 +15,7 @@
 use prometheus_client::registry::{Registry, Unit};
 use tokio::time::Instant;
 
+use crate::item_waits::{ItemWaits, WaitCause, WaitCounts};
 pub use crate::outcomes::{AttemptOutcome, CutReason};
 use crate::peers::OriginCounts;
 use crate::request::NotRunReason;
@@ -124,6 +125,8 @@
     table_versions: Family<TableLabel, Gauge>,
     announced_versions: Family<TableLabel, Gauge>,
     timer_delay: Gauge<f64, AtomicU64>,
+    items_waiting: Family<CauseLabel, Gauge>,
+    longest_item_wait: Gauge<f64, AtomicU64>,
     evicted_origins: Counter,
     handed_on_origins: Counter,
 }
@@ -157,12 +160,28 @@
         let help = "Longest delay of a timer beyond its time since the metrics were last read";
         let delay = self.timer_delay.clone();
         registry.register_with_unit("timer_delay", help, Unit::Seconds, delay);
+        let help = "Batch items of this instance that wait, by what they wait for";
+        registry.register("batch_items_waiting", help, self.items_waiting.clone());
+        let help = "Longest time for which a waiting batch item of this instance has not run";
+        let longest = self.longest_item_wait.clone();
+        registry.register_with_unit("batch_item_longest_wait", help, Unit::Seconds, longest);
         let help = "Origins of streams that were dropped before their time";
         registry.register("evicted_origins", help, self.evicted_origins.clone());
         let help = "Origins of streams that were handed on to other instances";
         registry.register("handed_on_origins", help, self.handed_on_origins.clone());
     }
 
+    fn set_item_waits(&self, counts: &WaitCounts) {
+        for cause in WaitCause::ALL {
+            let items = counts.items.get(&cause).copied().unwrap_or(0);
+            let label = CauseLabel {
+                cause: cause.as_str(),
+            };
+            self.items_waiting.get_or_create(&label).set(items as i64);
+        }
+        self.longest_item_wait.set(counts.longest.as_secs_f64());
+    }
+
     fn set(&self, values: &GaugeValues, tables: &TableStatus) {
         self.slots_in_use.set(values.slots_in_use as i64);
         self.requests_waiting.set(values.requests_waiting as i64);
@@ -224,6 +243,7 @@
     gauges: Gauges,
     sampled: Arc<Mutex<SampledAttempts>>,
     tables: TableStatus,
+    item_waits: ItemWaits,
 }
 
 impl Default for RelayMetrics {
@@ -299,6 +319,7 @@
             gauges,
             sampled: Arc::default(),
             tables: TableStatus::default(),
+            item_waits: ItemWaits::default(),
         }
     }
 }
@@ -411,6 +432,11 @@
         &self.tables
     }
 
+    /// Waits of batch items, which are metrics.
+    pub fn item_waits(&self) -> &ItemWaits {
+        &self.item_waits
+    }
+
     /// Counts a route table that is not valid.
     pub fn route_table_rejected(&self) {
         self.rejected_route_tables.inc();
@@ -448,6 +474,7 @@
     /// All metrics in the Prometheus text format.
     pub fn text(&self, values: &GaugeValues) -> Result<String, std::fmt::Error> {
         self.gauges.set(values, &self.tables);
+        self.gauges.set_item_waits(&self.item_waits.counts());
         let delay = std::mem::take(&mut *self.longest_timer_delay.lock());
         self.gauges.timer_delay.set(delay.as_secs_f64());
         let registry = self.registry.lock();
