relay: admit a probe of suspected parts only with a slot in hand

Batch items of accepted jobs were not run by anyone, though their parts were due for a probe. An instance admitted and announced the only probe before it sought a slot. Its slot request timed out, and the instance first in turn took the next probe too; every other instance held back for 5 s after each announcement.

A request now only reserves the right to seek a slot, within its instance and for 2 s. The first request that holds a slot is admitted, announced and sent. Items wait 25 ms after the announcement: of instances that announce side by side, the first in the order of the instances sends its probe. Requests of engines take the same two steps without that wait. A probe without a result is nobody's after 5 s, as before. Messages and rows are unchanged.

The permit for a trial is still taken before the slot; it is one of its instance and no other instance waits for it.

--- a/crates/foxtailhold-relay/src/crashes.rs
+++ b/crates/foxtailhold-relay/src/crashes.rs
@@ -19,6 +19,7 @@
 use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
 
+use crate::group_probes::GroupProbes;
 use crate::life_signs::LifeSigns;
 use crate::part_rows::PartRow;
 
@@ -34,24 +35,11 @@
 /// Least time from a crash under such an item, at any instance, to the next trial at this one. Up to
 /// as long again is added at random, so that the instances do not begin together.
 const TRIAL_GAP_MS: u64 = 1_000;
-/// Time after which the next probe of a request is admitted if the previous one gave no result. It
+/// Time after which the next probe of a request or a suspected group is admitted if the previous one gave no result. It
 /// is longer than attempts usually take.
 const PROBE_INTERVAL_MS: u64 = 5_000;
 /// Time after which the next instance in order may probe, if no caller asks those before it.
 pub const PROBE_TURN_MS: u64 = 2_000;
-/// The same for probes of suspected groups, which are announced to the other instances, and once more
-/// with the next report.
-const GROUP_PROBE_TURN_MS: u64 = 500;
-/// Instances that take turns of this length; those of the others only outlast an announcement.
-const FULL_GROUP_TURNS: usize = 3;
-const SHORT_GROUP_TURN_MS: u64 = 50;
-
-/// Time after the refusal of a group from which the instance at this place in order may probe it.
-pub(crate) fn group_probe_turn_ms(rank: usize) -> u64 {
-    let full = rank.min(FULL_GROUP_TURNS) as u64;
-    full * GROUP_PROBE_TURN_MS + (rank as u64 - full) * SHORT_GROUP_TURN_MS
-}
-
 /// A row of the store as last read or written.
 #[derive(Debug, Clone, Default)]
 struct KnownRow {
@@ -69,8 +57,8 @@
     pub(crate) needs_review: bool,
     /// Suspected groups that are in the log, with the number of probes that crashed.
     pub(crate) logged_groups: BTreeSet<(TargetName, Vec<PartId>, usize)>,
-    /// When a probe of a suspected group was last admitted here or announced by another instance.
-    last_group_probes: HashMap<Vec<PartId>, MonoMs>,
+    /// Probes of suspected groups.
+    pub(crate) group_probes: GroupProbes,
     /// Known rows.
     rows: HashMap<Fingerprint, KnownRow>,
     /// When this instance last admitted a probe, by request.
@@ -97,7 +85,7 @@
             refreshed: None,
             needs_review: false,
             logged_groups: BTreeSet::new(),
-            last_group_probes: HashMap::new(),
+            group_probes: GroupProbes::default(),
             rows: HashMap::new(),
             last_probes: HashMap::new(),
             dirty: BTreeSet::new(),
@@ -122,7 +110,7 @@
     /// Forgets the probes of groups that are no longer suspected.
     fn expire_group_probes(&mut self) {
         if self.parts.is_empty() {
-            self.last_group_probes.clear();
+            self.group_probes.clear();
         }
     }
 
@@ -135,7 +123,7 @@
     }
 }
 
-fn is_recent(last_probe: Option<&MonoMs>, now: MonoMs) -> bool {
+pub(crate) fn is_recent(last_probe: Option<&MonoMs>, now: MonoMs) -> bool {
     last_probe.is_some_and(|at| now.since_ms(*at) < PROBE_INTERVAL_MS)
 }
 
@@ -230,31 +218,6 @@
         true
     }
 
-    /// Admits a probe of a suspected group whose refusal is over. At most one is admitted at a time,
-    /// of all requests that hold the group.
-    pub fn admit_group_probe(&self, group: &[PartId], now: MonoMs) -> bool {
-        let mut state = self.state.lock();
-        if is_recent(state.last_group_probes.get(group), now) {
-            return false;
-        }
-        state.last_group_probes.insert(group.to_vec(), now);
-        true
-    }
-
-    /// Admits the next probe of the groups that a request holds at once, because its own has ended or
-    /// has not reached a backend server.
-    pub fn release_probe(&self, held: &SharedParts) {
-        let mut state = self.state.lock();
-        state
-            .last_group_probes
-            .retain(|group, _| !held.contains_all(group));
-    }
-
-    /// Records that another instance has admitted a probe of a suspected group.
-    pub fn record_probe(&self, group: Vec<PartId>, now: MonoMs) {
-        self.state.lock().last_group_probes.insert(group, now);
-    }
-
     /// Number of backend servers that crashed under a request.
     pub fn crash_count(&self, request: RequestFingerprints) -> usize {
         let state = self.state.lock();
--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -129,14 +129,18 @@
         };
         let service = &destination.service;
         let keys = request.evidence_keys();
-        progress.admission = self.admit(&keys, service, Admission::Free);
+        let limits = routes.service(service);
+        let is_engine = limits.is_some_and(|limits| limits.is_engine);
+        progress.admission = match is_engine {
+            true => self.admit_to_slot(&keys, service),
+            false => self.admit(&keys, service, Admission::Free),
+        };
         if let Admission::Refused { retry_after_ms } = progress.admission {
             let reason = NotRunReason::Crashing;
             progress.refused_as = Some(keys.fingerprints.path);
             return RelayOutcome::Unserved(progress.unserved(reason, retry_after_ms));
         }
-        let limits = routes.service(service);
-        if limits.is_some_and(|limits| limits.is_engine) {
+        if is_engine {
             return self
                 .serve_engine(route, &destination, request, &keys, progress, unanswered)
                 .await;
--- a/crates/foxtailhold-relay/src/engine.rs
+++ b/crates/foxtailhold-relay/src/engine.rs
@@ -225,7 +225,7 @@
                 Step::Timer => {
                     let is_due = attempts.handle_timer(&progress.attempts, route);
                     if is_due {
-                        progress.admission = self.admit(keys, service, Admission::Free);
+                        progress.admission = self.admit_to_slot(keys, service);
                     }
                     if is_due && !progress.admission.is_refused() {
                         let open = attempts.open.iter().map(|open| open.backend.id.clone());
--- /dev/null
+++ b/crates/foxtailhold-relay/src/group_probes.rs
@@ -0,0 +1,137 @@
+//! Which request probes a suspected group of parts. At most one is admitted at a time over all
+//! instances, and only one that holds a slot, so that none waits for a probe that is not sent.
+
+use std::collections::HashMap;
+
+use foxtailhold::prompt_parts::{PartId, SharedParts};
+use foxtailhold::time::MonoMs;
+
+use crate::crashes::{CrashTracker, is_recent};
+
+/// Time after which the next instance in order may probe a suspected group. Probes are announced to
+/// the other instances, and once more with the next report.
+const GROUP_PROBE_TURN_MS: u64 = 500;
+/// Instances that take turns of this length; those of the others only outlast an announcement.
+const FULL_GROUP_TURNS: usize = 3;
+const SHORT_GROUP_TURN_MS: u64 = 50;
+/// Time for which a reserved probe keeps other requests of this instance from seeking a slot for one,
+/// as long as an item waits for a slot at a time.
+const PROBE_RESERVATION_MS: u64 = 2_000;
+/// Probes that two instances announce within this time are announced side by side: a datagram between
+/// availability zones takes 3 ms at most. Only the instance that goes first sends its probe.
+pub(crate) const PROBE_SETTLE_MS: u64 = 25;
+
+/// Time after the refusal of a group from which the instance at this place in order may probe it.
+pub(crate) fn group_probe_turn_ms(rank: usize) -> u64 {
+    let full = rank.min(FULL_GROUP_TURNS) as u64;
+    full * GROUP_PROBE_TURN_MS + (rank as u64 - full) * SHORT_GROUP_TURN_MS
+}
+
+/// A probe of a suspected group.
+#[derive(Debug, Clone, Copy)]
+struct GroupProbe {
+    at: MonoMs,
+    /// Whether this instance admitted it.
+    is_own: bool,
+}
+
+/// Probes of suspected groups, as known to one instance.
+#[derive(Debug, Default)]
+pub(crate) struct GroupProbes {
+    /// The last probe of each group, admitted here or announced by another instance.
+    last: HashMap<Vec<PartId>, GroupProbe>,
+    /// When a request of this instance began to seek a slot for a probe.
+    reserved: HashMap<Vec<PartId>, MonoMs>,
+}
+
+impl GroupProbes {
+    pub(crate) fn clear(&mut self) {
+        self.last.clear();
+        self.reserved.clear();
+    }
+
+    fn is_running(&self, group: &[PartId], now: MonoMs) -> bool {
+        let probe = self.last.get(group);
+        is_recent(probe.map(|probe| &probe.at), now)
+    }
+
+    fn reserve(&mut self, group: &[PartId], now: MonoMs) -> bool {
+        let is_held = |at: &MonoMs| now.since_ms(*at) < PROBE_RESERVATION_MS;
+        if self.is_running(group, now) || self.reserved.get(group).is_some_and(is_held) {
+            return false;
+        }
+        self.reserved.insert(group.to_vec(), now);
+        true
+    }
+
+    fn admit(&mut self, group: &[PartId], now: MonoMs) -> bool {
+        if self.is_running(group, now) {
+            return false;
+        }
+        self.reserved.remove(group);
+        let probe = GroupProbe {
+            at: now,
+            is_own: true,
+        };
+        self.last.insert(group.to_vec(), probe);
+        true
+    }
+
+    fn record(&mut self, group: Vec<PartId>, goes_first: bool, now: MonoMs) {
+        let is_beside = |own: &GroupProbe| own.is_own && now.since_ms(own.at) < PROBE_SETTLE_MS;
+        if self.last.get(&group).is_some_and(is_beside) && !goes_first {
+            return;
+        }
+        let probe = GroupProbe {
+            at: now,
+            is_own: false,
+        };
+        self.last.insert(group, probe);
+    }
+}
+
+impl CrashTracker {
+    /// Reserves the probe of a suspected group for a request of this instance, which may seek a slot
+    /// for it. Other instances may do so too; the first one with a slot is admitted.
+    pub fn reserve_group_probe(&self, group: &[PartId], now: MonoMs) -> bool {
+        self.state.lock().group_probes.reserve(group, now)
+    }
+
+    /// Lets another request of this instance seek a slot for a probe of the groups that a request
+    /// holds, because it has not reached a backend server.
+    pub fn release_reservation(&self, held: &SharedParts) {
+        let reserved = &mut self.state.lock().group_probes.reserved;
+        reserved.retain(|group, _| !held.contains_all(group));
+    }
+
+    /// Whether no probe of a suspected group runs, as far as is known here.
+    pub fn is_group_probe_free(&self, group: &[PartId], now: MonoMs) -> bool {
+        !self.state.lock().group_probes.is_running(group, now)
+    }
+
+    /// Admits a probe of a suspected group whose refusal is over, for a request that is sent right
+    /// after. At most one is admitted at a time, of all requests that hold the group.
+    pub fn admit_group_probe(&self, group: &[PartId], now: MonoMs) -> bool {
+        self.state.lock().group_probes.admit(group, now)
+    }
+
+    /// Whether the probe that was admitted here still goes first.
+    pub fn keeps_group_probe(&self, group: &[PartId]) -> bool {
+        let state = self.state.lock();
+        let probe = state.group_probes.last.get(group);
+        probe.is_some_and(|probe| probe.is_own)
+    }
+
+    /// Admits the next probe of the groups that a request holds at once, because its own has ended.
+    pub fn release_probe(&self, held: &SharedParts) {
+        let last = &mut self.state.lock().group_probes.last;
+        last.retain(|group, _| !held.contains_all(group));
+    }
+
+    /// Records that another instance has admitted a probe of a suspected group. `goes_first`: of two
+    /// that are announced side by side, it is the one that is sent.
+    pub fn record_probe(&self, group: Vec<PartId>, goes_first: bool, now: MonoMs) {
+        let mut state = self.state.lock();
+        state.group_probes.record(group, goes_first, now);
+    }
+}
--- a/crates/foxtailhold-relay/src/jobs/item/attempt.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/attempt.rs
@@ -21,7 +21,7 @@
 use crate::jobs::{Job, PartialOutput};
 use crate::metrics::AttemptOutcome;
 use crate::peers::{Slot, SlotError};
-use crate::relay::Admission;
+use crate::relay::{Admission, ProbeStage};
 use crate::upstream::{self, AttemptFailure, ResponseEnd, UpstreamRequest};
 
 /// A run without a head or an event for this time ends, also if no slot is free elsewhere. Sound
@@ -117,19 +117,24 @@
         let (slot, backend) = match granted {
             Ok(granted) => granted,
             Err(SlotError::TimedOut | SlotError::VersionGone) => {
-                self.release_probe(admission);
+                self.release_reservation(admission);
                 self.avoided_backends.clear();
                 return (AttemptEnd::Suspended, 0);
             }
             Err(SlotError::Refused { .. }) => {
-                self.release_probe(admission);
+                self.release_reservation(admission);
                 tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
                 return (AttemptEnd::Suspended, 0);
             }
         };
         self.version_wait = VersionWait::default();
-        let admission = relay.admit_parts(&self.parts, &backend.service, admission);
-        if admission.is_refused() {
+        let service = &backend.service;
+        let parts = &self.parts;
+        if relay
+            .admit_parts(ProbeStage::HoldSlot, parts, service, admission)
+            .is_refused()
+        {
+            self.release_reservation(admission);
             drop(slot);
             tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
             return (AttemptEnd::Suspended, 0);
@@ -142,7 +147,19 @@
             self.write_counts(self.counts.with_pending_attempt()).await;
         }
         if !self.is_still_owned() {
-            self.release_probe(admission);
+            self.release_reservation(admission);
+            return (AttemptEnd::Suspended, 0);
+        }
+        let sent_as = relay.admit_parts(ProbeStage::Send, &self.parts, &backend.service, admission);
+        let is_sent = match sent_as {
+            Admission::Free => true,
+            Admission::Probe => relay.settle_probe(&self.parts, &backend.service).await,
+            Admission::Refused { .. } => false,
+        };
+        if !is_sent {
+            self.release_reservation(admission);
+            drop(slot);
+            tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
             return (AttemptEnd::Suspended, 0);
         }
         self.avoided_backends.clear();
--- a/crates/foxtailhold-relay/src/jobs/item/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/backoff.rs
@@ -18,7 +18,7 @@
 use crate::item_waits::WaitCause;
 use crate::jobs::Job;
 use crate::jobs::backoff::Backoff;
-use crate::relay::Admission;
+use crate::relay::{Admission, ProbeStage};
 use crate::upstream::AttemptFailure;
 
 /// Longest delay after interruptions in a row without a new event. An item with only broken responses
@@ -160,13 +160,13 @@
         is_admitted
     }
 
-    /// Whether an attempt at `service` may run, given what its prompt shares with others.
+    /// Whether an attempt at `service` may seek a slot, given what its prompt shares with others.
     pub(super) fn admit_parts(&self, service: &TargetName) -> Admission {
         let relay = &self.jobs.relay;
         if relay.peers.crashes().is_empty() {
             return Admission::Free;
         }
-        relay.admit_parts(&self.parts, service, Admission::Free)
+        relay.admit_parts(ProbeStage::SeekSlot, &self.parts, service, Admission::Free)
     }
 
     /// Waits after a refusal until a part is acquitted, the refusal is over or the route, job and
@@ -191,10 +191,12 @@
         crashes.wait_acquittal(acquittals, limit).await;
     }
 
-    /// Lets another item probe the parts of this one, which has not reached a backend server.
-    pub(super) fn release_probe(&self, admission: Admission) {
+    /// Lets another item seek a slot for a probe of the parts of this one, which has not reached a
+    /// backend server.
+    pub(super) fn release_reservation(&self, admission: Admission) {
         if admission == Admission::Probe {
-            self.jobs.relay.peers.crashes().release_probe(&self.parts);
+            let crashes = self.jobs.relay.peers.crashes();
+            crashes.release_reservation(&self.parts);
         }
     }
 
--- a/crates/foxtailhold-relay/src/peers/members.rs
+++ b/crates/foxtailhold-relay/src/peers/members.rs
@@ -131,6 +131,14 @@
         Some(member.peer_address)
     }
 
+    /// Whether the instance at a peer address comes before this one in the order that all share; one
+    /// that is not listed does.
+    pub fn goes_before_me(&self, address: SocketAddr) -> bool {
+        let mut others = self.other_members();
+        let other = others.find(|member| member.peer_address == address);
+        other.is_none_or(|other| other.instance < self.me)
+    }
+
     /// Records a message from an instance, which proves that it is alive.
     pub fn record_message(&mut self, now: MonoMs, instance: &InstanceId) {
         self.last_heard.insert(instance.clone(), now);
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -354,7 +354,10 @@
             PeerMessage::PartCrash { crash, record } => {
                 self.merge_part_crash(&crash, &record);
             }
-            PeerMessage::ProbeAdmitted { group } => self.inner.crashes.record_probe(group, now),
+            PeerMessage::ProbeAdmitted { group } => {
+                let goes_first = self.members().goes_before_me(from);
+                self.inner.crashes.record_probe(group, goes_first, now);
+            }
             PeerMessage::Origins { origins } => self.record_handed_on(now, &origins),
             PeerMessage::FindOrigin {
                 number,
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -20,9 +20,10 @@
 use crate::attempt_evidence::{AttemptEvidence, has_lived_on};
 use crate::attempts::AttemptBudget;
 use crate::connections::{BusyConnection, Connections};
-use crate::crashes::{PROBE_TURN_MS, group_probe_turn_ms};
+use crate::crashes::PROBE_TURN_MS;
 use crate::dialect::Dialect;
 use crate::fleet::{BackendServer, Backends};
+use crate::group_probes::{PROBE_SETTLE_MS, group_probe_turn_ms};
 use crate::metrics::RelayMetrics;
 use crate::peers::{Peers, Slot, SlotError, SlotQuery};
 use crate::pending_attempts::{PendingAttempts, TrackedAttempt};
@@ -102,6 +103,17 @@
     }
 }
 
+/// How far a request is that may be a probe.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum ProbeStage {
+    /// It is about to seek a slot. Others may do so too.
+    SeekSlot,
+    /// It holds a slot.
+    HoldSlot,
+    /// It is sent right after. No other one is admitted meanwhile.
+    Send,
+}
+
 /// An attempt that gave no response to pass on.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct FailedAttempt<'a> {
@@ -195,13 +207,28 @@
         )
     }
 
-    /// Whether a request to `service` may run. `earlier` is what it was told before it waited for a
-    /// slot; a probe that was admitted then still may run.
+    /// Whether a request to `service` may run, which is sent right after. `earlier` is what it was told
+    /// before it waited for a slot; a probe still may run then if no other one does.
     pub(crate) fn admit(
         &self,
         keys: &EvidenceKeys,
         service: &TargetName,
         earlier: Admission,
+    ) -> Admission {
+        self.admit_at(ProbeStage::Send, keys, service, earlier)
+    }
+
+    /// Whether a request to `service` may seek a slot.
+    pub(crate) fn admit_to_slot(&self, keys: &EvidenceKeys, service: &TargetName) -> Admission {
+        self.admit_at(ProbeStage::SeekSlot, keys, service, Admission::Free)
+    }
+
+    fn admit_at(
+        &self,
+        stage: ProbeStage,
+        keys: &EvidenceKeys,
+        service: &TargetName,
+        earlier: Admission,
     ) -> Admission {
         let crashes = self.peers.crashes();
         if crashes.is_empty() {
@@ -215,8 +242,8 @@
         });
         match by_request {
             Admission::Refused { .. } => by_request,
-            Admission::Free => self.admit_held_parts(keys, service, earlier),
-            Admission::Probe => match self.admit_held_parts(keys, service, earlier) {
+            Admission::Free => self.admit_held_parts(stage, keys, service, earlier),
+            Admission::Probe => match self.admit_held_parts(stage, keys, service, earlier) {
                 Admission::Free => Admission::Probe,
                 by_parts => by_parts,
             },
@@ -225,12 +252,13 @@
 
     fn admit_held_parts(
         &self,
+        stage: ProbeStage,
         keys: &EvidenceKeys,
         service: &TargetName,
         earlier: Admission,
     ) -> Admission {
         if !keys.is_taken_up {
-            return self.admit_parts(&keys.parts, service, earlier);
+            return self.admit_parts(stage, &keys.parts, service, earlier);
         }
         let crashes = self.peers.crashes();
         match crashes
@@ -247,9 +275,10 @@
         }
     }
 
-    /// Whether a request with these parts may run at `service`, by its parts alone.
+    /// Whether a request with these parts may take a step towards `service`, by its parts alone.
     pub(crate) fn admit_parts(
         &self,
+        stage: ProbeStage,
         parts: &SharedParts,
         service: &TargetName,
         earlier: Admission,
@@ -258,20 +287,45 @@
         let (status, group) = crashes.group_status(parts, service, self.clock.wall());
         let group = group.unwrap_or_default();
         let subject = group.first().map_or([0; 8], |part| part.0.to_be_bytes());
-        let turn_ms = || group_probe_turn_ms(self.peers.rank(&subject));
-        self.admission(status, turn_ms, earlier, || {
-            let is_admitted = crashes.admit_group_probe(&group, self.clock.mono());
-            if is_admitted {
-                log::info!(
-                    parts:% = SharedParts::from(group.as_slice()), service = service.as_str();
-                    "probe of suspected parts admitted"
-                );
-                self.peers.announce_probe(group.clone());
+        let turn_ms = || match earlier {
+            Admission::Probe => 0,
+            _ => group_probe_turn_ms(self.peers.rank(&subject)),
+        };
+        let now = self.clock.mono();
+        // What was admitted before the wait for a slot was a reservation only.
+        self.admission(status, turn_ms, Admission::Free, || match stage {
+            ProbeStage::SeekSlot => crashes.reserve_group_probe(&group, now),
+            ProbeStage::HoldSlot => crashes.is_group_probe_free(&group, now),
+            ProbeStage::Send => {
+                let is_admitted = crashes.admit_group_probe(&group, now);
+                if is_admitted {
+                    log::info!(
+                        parts:% = SharedParts::from(group.as_slice()),
+                        service = service.as_str();
+                        "probe of suspected parts admitted"
+                    );
+                    self.peers.announce_probe(group.clone());
+                }
+                is_admitted
             }
-            is_admitted
         })
     }
 
+    /// Waits until instances that have admitted a probe at the same moment know of each other. Returns
+    /// whether the one admitted here is sent.
+    pub(crate) async fn settle_probe(&self, parts: &SharedParts, service: &TargetName) -> bool {
+        tokio::time::sleep(Duration::from_millis(PROBE_SETTLE_MS)).await;
+        let crashes = self.peers.crashes();
+        let (status, group) = crashes.group_status(parts, service, self.clock.wall());
+        match status {
+            CrashStatus::Allowed => true,
+            CrashStatus::Refused { .. } => false,
+            CrashStatus::ProbeAllowed { .. } => {
+                group.is_some_and(|group| crashes.keeps_group_probe(&group))
+            }
+        }
+    }
+
     fn admission(
         &self,
         status: CrashStatus,
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -313,7 +313,7 @@
         if !is_due || !may_start || state.slot_request.is_some() {
             return Progress::Running;
         }
-        state.admission = self.relay.admit(&self.keys, &self.service, Admission::Free);
+        state.admission = self.relay.admit_to_slot(&self.keys, &self.service);
         if state.admission.is_refused() {
             return match open {
                 0 => Progress::Cut(CutReason::Crashing),
