--- a/crates/foxtailhold-relay/src/jobs/item/attempt.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/attempt.rs
@@ -13,14 +13,15 @@
 use tokio::time::Instant;
 
 use super::version::VersionWait;
-use super::{GrantedSlot, ItemRunner, RETRY_DELAY_MS};
+use super::{GrantedSlot, ItemRunner, RETRY_DELAY_MS, WRITE_LIMIT_MS};
 use crate::dialect::Dialect;
 use crate::events::{EventReader, StreamRead, push_data};
 use crate::fleet::BackendServer;
+use crate::item_waits::WaitCause;
 use crate::jobs::{Job, PartialOutput};
 use crate::metrics::AttemptOutcome;
 use crate::peers::{Slot, SlotError};
-use crate::relay::Admission;
+use crate::relay::{Admission, ProbeStage};
 use crate::upstream::{self, AttemptFailure, ResponseEnd, UpstreamRequest};
 
 /// A run without a head or an event for this time ends, also if no slot is free elsewhere. Sound
@@ -101,6 +102,11 @@
         let granted = match self.granted.take() {
             Some(granted) => Ok(granted),
             None => {
+                let cause = match self.partial_outputs.version(&self.item.id) {
+                    Some(_) => WaitCause::Version,
+                    None => WaitCause::Slot,
+                };
+                self.wait_for(cause, None);
                 let mut wait = std::mem::take(&mut self.version_wait);
                 let avoid = &self.avoided_backends;
                 let granted = self.request_slot(route, job, avoid, &mut wait).await;
@@ -111,19 +117,24 @@
         let (slot, backend) = match granted {
             Ok(granted) => granted,
             Err(SlotError::TimedOut | SlotError::VersionGone) => {
-                self.release_probe(admission);
+                self.release_reservation(admission);
                 self.avoided_backends.clear();
                 return (AttemptEnd::Suspended, 0);
             }
             Err(SlotError::Refused { .. }) => {
-                self.release_probe(admission);
+                self.release_reservation(admission);
                 tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
                 return (AttemptEnd::Suspended, 0);
             }
         };
         self.version_wait = VersionWait::default();
-        let admission = relay.admit_parts(&self.parts, &backend.service, admission);
-        if admission.is_refused() {
+        let service = &backend.service;
+        let parts = &self.parts;
+        if relay
+            .admit_parts(ProbeStage::HoldSlot, parts, service, admission)
+            .is_refused()
+        {
+            self.release_reservation(admission);
             drop(slot);
             tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
             return (AttemptEnd::Suspended, 0);
@@ -131,13 +142,28 @@
         self.drop_output_of_other_version(&backend);
         self.is_start_saved = self.events() == 0 && self.counts.must_record_start(job.lost_owners);
         if self.is_start_saved {
+            let limit = Duration::from_millis(WRITE_LIMIT_MS);
+            self.wait_for(WaitCause::Store, Some(limit));
             self.write_counts(self.counts.with_pending_attempt()).await;
         }
         if !self.is_still_owned() {
-            self.release_probe(admission);
+            self.release_reservation(admission);
+            return (AttemptEnd::Suspended, 0);
+        }
+        let sent_as = relay.admit_parts(ProbeStage::Send, &self.parts, &backend.service, admission);
+        let is_sent = match sent_as {
+            Admission::Free => true,
+            Admission::Probe => relay.settle_probe(&self.parts, &backend.service).await,
+            Admission::Refused { .. } => false,
+        };
+        if !is_sent {
+            self.release_reservation(admission);
+            drop(slot);
+            tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
             return (AttemptEnd::Suspended, 0);
         }
         self.avoided_backends.clear();
+        self.wait.end();
         let (started, events_before) = (Instant::now(), self.events());
         let evidence = relay.begin_attempt(self.evidence_keys(job), &backend, self.resume_after());
         let number = evidence.number();
