jobs: log the writer of items' outputs

The record of the incident cannot tell outputs joined from two runs from outputs of one run: no line names the writer of a restored or finished output. Restored outputs and finished items are logged with the software version and the number of events, dropped events with what was kept.

--- a/crates/foxtailhold-relay/src/jobs/checkpoint.rs
+++ b/crates/foxtailhold-relay/src/jobs/checkpoint.rs
@@ -256,7 +256,14 @@
         }
         let mut items = self.items.lock();
         for (item, checkpoints) in checkpoints {
+            let count = checkpoints.len();
             let output = PartialOutput::from_checkpoints(checkpoints, &is_served);
+            log::info!(
+                job = job.as_str(), item = item.as_str(), checkpoints = count,
+                events = output.last,
+                version = output.version.as_ref().map(SoftwareVersion::as_str);
+                "output of an item restored"
+            );
             items.insert(item, output);
         }
     }
--- a/crates/foxtailhold-relay/src/jobs/item/attempt.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/attempt.rs
@@ -332,7 +332,8 @@
     /// Drops what an attempt has added, because its backend server does not end its response.
     fn drop_output_after(&self, start: (usize, u64)) {
         log::warn!(
-            job = self.id.as_str(), item = self.item.id.as_str();
+            job = self.id.as_str(), item = self.item.id.as_str(),
+            events = self.events(), kept = start.1;
             "output of an item exceeds {MAX_OUTPUT_BYTES} bytes, dropping its last attempt"
         );
         let drop_tail = |output: &mut PartialOutput| output.truncate(start);
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -13,6 +13,7 @@
 use foxtailhold::ids::{BackendId, JobId};
 use foxtailhold::prompt_parts::SharedParts;
 use foxtailhold::quarantine::RequestFingerprints;
+use foxtailhold::software_version::SoftwareVersion;
 use foxtailhold_platform::{ObjectStore, RowStore};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue, header};
@@ -273,11 +274,13 @@
             ItemState::GivenUp => "given_up",
         };
         self.jobs.relay.metrics.item_outcome(outcome);
+        let output = self.partial_outputs.get(&self.item.id);
         log::info!(
             job = self.id.as_str(), item = self.item.id.as_str(), outcome = outcome,
-            failures = self.counts.failed, events = self.events(); "item finished"
+            failures = self.counts.failed, events = output.last,
+            version = output.version.as_ref().map(SoftwareVersion::as_str);
+            "item finished"
         );
-        let output = self.partial_outputs.get(&self.item.id);
         self.partial_outputs.remove(&self.item.id);
         let text = match state {
             ItemState::Done => String::from_utf8_lossy(&output.text).into_owned(),
