jobs: join saved outputs only along a chain of runs

Cause: saved ranges of an item's output were joined by position and origin. Two runs that both began from nothing, or went on after different events, save ranges that fit together by number, and ranges with equal bounds replace each other. So a checkpoint that is written late, an owner that was paused, or one that restored an older prefix joins the output of its run with that of another one.

Change: an output is a chain of runs. Each run has a random identifier and states the run and event after which it was asked to go on. A saved range is of one run and names it, also in its key; ranges are joined only along a chain that begins from nothing. An event is appended only if it follows the output and its run was asked to go on where the output ends, so the text of a result is one chain. Rows that name no run are not used. The build before reads the new rows and uses none of their text, since they have no version at the top level.

--- a/crates/foxtailhold-relay/src/jobs/item/attempt.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/attempt.rs
@@ -15,9 +15,9 @@
 use super::version::VersionWait;
 use super::{GrantedSlot, ItemRunner, RETRY_DELAY_MS};
 use crate::dialect::Dialect;
-use crate::events::{EventReader, StreamRead, push_data};
+use crate::events::{EventReader, StreamRead, event_id, push_data};
 use crate::fleet::BackendServer;
-use crate::jobs::{Job, PartialOutput};
+use crate::jobs::{Job, PartialOutput, RunId, Writer};
 use crate::metrics::AttemptOutcome;
 use crate::peers::{Slot, SlotError};
 use crate::relay::Admission;
@@ -213,6 +213,12 @@
 
     async fn send(&self, request: ItemRequest<'_>, run: Run<'_>) -> AttemptEnd {
         let relay = &self.jobs.relay;
+        let writer = Writer {
+            origin: run.backend.origin(),
+            run: RunId::random(),
+            resumed: self.partial_outputs.resume_after(&self.item.id),
+        };
+        let resume_after = writer.resumed.map(|resumed| resumed.event);
         let body = Bytes::copy_from_slice(&self.item.body);
         let upstream_request = UpstreamRequest {
             request_id: &self.item.id,
@@ -220,7 +226,7 @@
             target: request.target,
             headers: request.headers,
             body: &body,
-            after_event: self.resume_after(),
+            after_event: resume_after,
             is_idempotent: true,
         };
         let head_deadline = Instant::now() + Duration::from_millis(MAX_RUN_SILENCE_MS);
@@ -245,9 +251,8 @@
             }
             Ok((response, connection)) if response.status().is_success() => {
                 let end = ResponseEnd::from(response.headers());
-                let resume_after = self.resume_after();
                 let reader = EventReader::new(response.into_body(), end, connection, resume_after);
-                self.read(reader, run).await
+                self.read(reader, run, &writer).await
             }
             Ok((response, connection)) => {
                 let status = response.status();
@@ -266,9 +271,8 @@
         }
     }
 
-    async fn read(&self, mut reader: EventReader, run: Run<'_>) -> AttemptEnd {
+    async fn read(&self, mut reader: EventReader, run: Run<'_>, writer: &Writer) -> AttemptEnd {
         run.record_activity();
-        let start = self.partial_outputs.get(&self.item.id).position();
         let mut events = 0;
         loop {
             let read = tokio::select! {
@@ -286,8 +290,7 @@
                 StreamRead::Event(event) => {
                     run.slot.record_activity();
                     run.record_activity();
-                    if !self.append_event(&event, reader.last_id(), run.backend) {
-                        self.drop_output_after(start);
+                    if !self.append_event(&event, writer) {
                         return AttemptEnd::Interrupted(AttemptFailure::Broken);
                     }
                     events += 1;
@@ -315,26 +318,43 @@
         }
     }
 
-    /// Appends an event to the output. Returns `false` if the output has become too large.
-    fn append_event(&self, event: &RawEvent, id: Option<u64>, backend: &BackendServer) -> bool {
-        let mut is_within = true;
-        self.partial_outputs.update(&self.item.id, |output| {
-            push_data(&mut output.text, event, output.last == 0);
-            output.origin.get_or_insert_with(|| backend.origin());
-            output.last = id.unwrap_or(output.last + 1);
-            is_within = output.text.len() <= MAX_OUTPUT_BYTES;
+    /// Appends an event to the output. Returns `false` if it does not follow or the output has become
+    /// too large.
+    fn append_event(&self, event: &RawEvent, writer: &Writer) -> bool {
+        let outputs = &self.partial_outputs;
+        let (is_appended, bytes) = outputs.update(&self.item.id, |output| {
+            let id = match event_id(event) {
+                Some(id) => id,
+                // Without identifiers, a response from the start looks like a resumed one.
+                None if writer.resumed.is_none() => output.last() + 1,
+                None => return (false, output.text().len()),
+            };
+            let push = |text: &mut Vec<u8>, is_first| push_data(text, event, is_first);
+            (output.append(writer, id, push), output.text().len())
         });
-        is_within
+        if !is_appended {
+            log::warn!(
+                job = self.id.as_str(), item = self.item.id.as_str(),
+                run = writer.run.to_string(), after = self.events(), event = event_id(event);
+                "event of an item does not follow its output, ending the run"
+            );
+            return false;
+        }
+        if bytes > MAX_OUTPUT_BYTES {
+            self.drop_run(writer);
+            return false;
+        }
+        true
     }
 
-    /// Drops what an attempt has added, because its backend server does not end its response.
-    fn drop_output_after(&self, start: (usize, u64)) {
+    /// Drops what a run has added, because its backend server does not end its response.
+    fn drop_run(&self, writer: &Writer) {
         log::warn!(
             job = self.id.as_str(), item = self.item.id.as_str(),
-            events = self.events(), kept = start.1;
+            run = writer.run.to_string(), events = self.events(), kept = writer.after();
             "output of an item exceeds {MAX_OUTPUT_BYTES} bytes, dropping its last attempt"
         );
-        let drop_tail = |output: &mut PartialOutput| output.truncate(start);
-        self.partial_outputs.update(&self.item.id, drop_tail);
+        let drop_run = |output: &mut PartialOutput| output.drop_run(writer.run);
+        self.partial_outputs.update(&self.item.id, drop_run);
     }
 }
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -274,16 +274,18 @@
         };
         self.jobs.relay.metrics.item_outcome(outcome);
         let output = self.partial_outputs.get(&self.item.id);
+        let writer = output.last_writer();
         log::info!(
             job = self.id.as_str(), item = self.item.id.as_str(), outcome = outcome,
-            failures = self.counts.failed, events = output.last,
-            service = output.origin.as_ref().map(|origin| origin.service.as_str()),
-            version = output.origin.as_ref().map(|origin| origin.version.as_str());
+            failures = self.counts.failed, events = output.last(), runs = output.runs(),
+            service = writer.map(|writer| writer.origin.service.as_str()),
+            version = writer.map(|writer| writer.origin.version.as_str()),
+            run = writer.map(|writer| writer.run.to_string());
             "item finished"
         );
         self.partial_outputs.remove(&self.item.id);
         let text = match state {
-            ItemState::Done => String::from_utf8_lossy(&output.text).into_owned(),
+            ItemState::Done => String::from_utf8_lossy(output.text()).into_owned(),
             ItemState::GivenUp => String::new(),
         };
         ListedResult {
--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -11,6 +11,7 @@
 mod cache;
 mod checkpoint;
 mod item;
+mod output;
 mod owner;
 mod read;
 mod run;
@@ -19,7 +20,8 @@
 
 pub use accept::AcceptOutcome;
 pub use cache::{Job, JobCache, JobCacheSink};
-pub use checkpoint::{Checkpoint, PartialOutput, PartialOutputs};
+pub use checkpoint::PartialOutputs;
+pub use output::{Checkpoint, PartialOutput, RunEvent, RunId, Writer};
 pub use owner::own_jobs;
 pub use read::{ListedResult, ResultPage};
 pub use store::{JobStore, QuotaRow};
--- a/crates/foxtailhold-relay/src/jobs/store.rs
+++ b/crates/foxtailhold-relay/src/jobs/store.rs
@@ -218,7 +218,11 @@
     ) -> Result<()> {
         let mut changes = Changes::default();
         for (item, checkpoint) in checkpoints {
-            let key = format!("{id}/{item}/{:06}.{:06}", checkpoint.after, checkpoint.last);
+            // Ranges of two runs never replace each other.
+            let mut key = format!("{id}/{item}/{:06}.{:06}", checkpoint.after, checkpoint.last);
+            if let Some(writer) = &checkpoint.writer {
+                key.push_str(&format!(".{}", writer.run));
+            }
             let key = RowKey::new(CHECKPOINTS_TABLE, &key);
             changes.puts.push((key, encode_row(id, checkpoint)?));
         }
--- a/crates/foxtailhold-relay/tests/checkpoint_versions.rs
+++ b/crates/foxtailhold-relay/tests/checkpoint_versions.rs
@@ -1,15 +1,17 @@
 //! Checkpoints of two services or software versions, whose texts do not fit together, and rows of
-//! builds that did not record both.
+//! builds that recorded no writer.
 
 use foxtailhold::ids::JobId;
 use foxtailhold::software_version::SoftwareVersion;
 use foxtailhold::stream_origins::StreamOrigin;
 use foxtailhold_platform::{RowKey, VersionedRow};
-use foxtailhold_relay::jobs::{CHECKPOINTS_TABLE, Checkpoint, PartialOutput, PartialOutputs};
+use foxtailhold_relay::jobs::{
+    CHECKPOINTS_TABLE, Checkpoint, PartialOutput, PartialOutputs, RunEvent, RunId, Writer,
+};
 use serde::{Deserialize, Serialize};
 use test_case::test_case;
 
-/// A checkpoint as the build before services reads and writes it.
+/// A checkpoint as the build before writers reads and writes it.
 #[derive(Debug, PartialEq, Serialize, Deserialize)]
 struct FormerCheckpoint {
     after: u64,
@@ -33,12 +35,23 @@
     events.collect::<Vec<_>>().join("\n")
 }
 
+/// A run from nothing; each origin has one run, unless `run` differs.
+fn writer(origin_text: &str, run: u64) -> Writer {
+    let origins = ["v1", "v2", "other/v1"];
+    let place = origins.iter().position(|known| *known == origin_text);
+    Writer {
+        origin: origin(origin_text),
+        run: RunId::from(run + place.unwrap() as u64),
+        resumed: None,
+    }
+}
+
 fn checkpoint(origin_text: &str, after: u64, last: u64) -> Checkpoint {
     Checkpoint {
         after,
         last,
         text: text(origin_text, after, last),
-        origin: Some(origin(origin_text)),
+        writer: Some(writer(origin_text, 1)),
     }
 }
 
@@ -81,12 +94,9 @@
         .iter()
         .map(|(version, after, last)| checkpoint(version, *after, *last));
     let output = PartialOutput::from_checkpoints(checkpoints.collect(), |_| true);
-    assert_eq!(output.origin, Some(origin(taken)));
-    assert_eq!(output.last, last);
-    assert_eq!(
-        String::from_utf8(output.text).unwrap(),
-        text(taken, 0, last)
-    );
+    assert_eq!(output.last_writer(), Some(&writer(taken, 1)));
+    assert_eq!(output.last(), last);
+    assert_eq!(output.text(), text(taken, 0, last).as_bytes());
 }
 
 #[test]
@@ -95,19 +105,25 @@
         let checkpoints = || vec![checkpoint("v1", 0, 9), checkpoint(new, 0, 4)];
         let is_new = |served: &StreamOrigin| *served == origin(new);
         let output = PartialOutput::from_checkpoints(checkpoints(), is_new);
-        assert_eq!((output.origin, output.last), (Some(origin(new)), 4));
+        assert_eq!(
+            (output.last_writer(), output.last()),
+            (Some(&writer(new, 1)), 4)
+        );
         let output = PartialOutput::from_checkpoints(checkpoints(), |_| false);
-        assert_eq!((output.origin, output.last), (Some(origin("v1")), 9));
+        assert_eq!(
+            (output.last_writer(), output.last()),
+            (Some(&writer("v1", 1)), 9)
+        );
     }
 }
 
 #[test_case(None ; "without a version")]
 #[test_case(Some("v1") ; "with a version")]
-fn a_row_without_a_service_is_read_and_its_text_is_not_used(version: Option<&str>) {
+fn a_row_without_a_writer_is_read_and_its_text_is_not_used(version: Option<&str>) {
     let former = |after, last| former(version, after, last);
     let read: Checkpoint =
         serde_json::from_slice(&serde_json::to_vec(&former(0, 4)).unwrap()).unwrap();
-    assert_eq!((read.last, read.origin), (4, None));
+    assert_eq!((read.last, read.writer), (4, None));
     let rows = [
         row("a", &former(0, 4)),
         row("b", &former(0, 4)),
@@ -119,8 +135,8 @@
     assert_eq!(partial_outputs.get("a"), PartialOutput::default());
     for item in ["b", "c"] {
         let output = partial_outputs.get(item);
-        assert_eq!(output.last, 2, "{item}");
-        assert_eq!(output.text, text("v1", 0, 2).into_bytes(), "{item}");
+        assert_eq!(output.last(), 2, "{item}");
+        assert_eq!(output.text(), text("v1", 0, 2).as_bytes(), "{item}");
     }
 }
 
@@ -135,9 +151,9 @@
 }
 
 #[test]
-fn a_checkpoint_without_an_origin_has_the_layout_of_the_build_before() {
+fn a_checkpoint_without_a_writer_has_the_layout_of_the_build_before() {
     let current = Checkpoint {
-        origin: None,
+        writer: None,
         text: former(None, 0, 4).text,
         ..checkpoint("v1", 0, 4)
     };
@@ -147,32 +163,69 @@
     );
 }
 
+/// Appends the events of a run that begins or goes on where the output ends.
+fn write(partial_outputs: &PartialOutputs, by: &str, run: u64, last: u64) {
+    partial_outputs.update("a", |output| {
+        for event in output.last() + 1..=last {
+            let is_appended = output.append(&writer(by, run), event, |text, is_first| {
+                if !is_first {
+                    text.push(b'\n');
+                }
+                text.extend_from_slice(format!("{by} e{event}").as_bytes());
+            });
+            assert!(is_appended, "event {event}");
+        }
+    });
+}
+
 #[test]
 fn a_checkpoint_of_dropped_output_that_is_saved_late_counts_for_nothing() {
-    let write = |partial_outputs: &PartialOutputs, by: &str, last: u64| {
-        partial_outputs.update("a", |output| {
-            output.text = text(by, 0, last).into_bytes();
-            output.last = last;
-            output.origin = Some(origin(by));
-        });
-    };
     let partial_outputs = PartialOutputs::default();
-    write(&partial_outputs, "v1", 40);
+    write(&partial_outputs, "v1", 1, 40);
     let saving = partial_outputs.unsaved_checkpoints(40);
-    for by in ["v1", "v2", "other/v1"] {
+    for (by, run) in [("v1", 10), ("v2", 20), ("other/v1", 30)] {
         partial_outputs.clear("a");
         assert_eq!(partial_outputs.origin("a"), None);
-        write(&partial_outputs, by, 5);
+        write(&partial_outputs, by, run, 5);
         partial_outputs.mark_saved("a", &saving[0].1);
-        write(&partial_outputs, by, 85);
+        write(&partial_outputs, by, run, 85);
         let unsaved = partial_outputs.unsaved_checkpoints(40);
-        assert_eq!(unsaved, [("a".to_owned(), checkpoint(by, 0, 85))]);
+        let expected = Checkpoint {
+            writer: Some(writer(by, run)),
+            ..checkpoint(by, 0, 85)
+        };
+        assert_eq!(unsaved, [("a".to_owned(), expected)]);
     }
 }
 
 #[test]
 fn output_that_is_dropped_to_the_start_has_no_origin() {
     let mut output = PartialOutput::from_checkpoints(vec![checkpoint("v1", 0, 4)], |_| true);
-    output.truncate((0, 0));
+    output.drop_run(writer("v1", 1).run);
     assert_eq!(output, PartialOutput::default());
 }
+
+/// A run that was asked to go on after the text of another origin.
+#[test_case("v2" ; "another version")]
+#[test_case("other/v1" ; "another service")]
+fn a_run_is_not_joined_to_the_text_of_another_origin(by: &str) {
+    let resumed = RunEvent {
+        run: writer("v1", 1).run,
+        event: 4,
+    };
+    let next = Writer {
+        resumed: Some(resumed),
+        ..writer(by, 1)
+    };
+    let checkpoints = vec![
+        checkpoint("v1", 0, 4),
+        Checkpoint {
+            writer: Some(next.clone()),
+            ..checkpoint(by, 4, 9)
+        },
+    ];
+    let mut output = PartialOutput::from_checkpoints(checkpoints, |_| true);
+    assert_eq!(output.last_writer(), Some(&writer("v1", 1)));
+    assert_eq!(output.text(), text("v1", 0, 4).as_bytes());
+    assert!(!output.append(&next, 5, |_, _| panic!("nothing to append")));
+}
--- a/crates/foxtailhold-relay/tests/checkpoints.rs
+++ b/crates/foxtailhold-relay/tests/checkpoints.rs
@@ -5,7 +5,9 @@
 use foxtailhold::ids::JobId;
 use foxtailhold::stream_origins::StreamOrigin;
 use foxtailhold_platform::{RowKey, VersionedRow};
-use foxtailhold_relay::jobs::{CHECKPOINTS_TABLE, Checkpoint, PartialOutput, PartialOutputs};
+use foxtailhold_relay::jobs::{
+    CHECKPOINTS_TABLE, Checkpoint, PartialOutput, PartialOutputs, RunEvent, RunId, Writer,
+};
 use test_case::test_case;
 
 fn origin() -> StreamOrigin {
@@ -19,6 +21,15 @@
     true
 }
 
+fn writer(run: u64, resumed: Option<RunEvent>) -> Writer {
+    Writer {
+        origin: origin(),
+        run: RunId::from(run),
+        resumed,
+    }
+}
+
+/// A range of a run that began from nothing.
 fn checkpoint(after: u64, last: u64) -> Checkpoint {
     let events: Vec<String> = (after + 1..=last)
         .map(|event| format!("e{event}"))
@@ -27,7 +38,7 @@
         after,
         last,
         text: events.join("\n"),
-        origin: Some(origin()),
+        writer: Some(writer(1, None)),
     }
 }
 
@@ -47,35 +58,42 @@
         .iter()
         .map(|(after, last)| checkpoint(*after, *last));
     let output = PartialOutput::from_checkpoints(checkpoints.collect(), all_served);
-    assert_eq!(output.last, last);
-    assert_eq!(String::from_utf8(output.text).unwrap(), full_output(last));
+    assert_eq!(output.last(), last);
+    assert_eq!(output.text(), full_output(last).as_bytes());
 }
 
-fn append_events(partial_outputs: &PartialOutputs, item: &str, upto: u64) {
+/// Appends events of a run, which goes on after the output so far if it has not written any.
+fn append_events(partial_outputs: &PartialOutputs, item: &str, run: u64, upto: u64) {
     partial_outputs.update(item, |output| {
-        for event in output.last + 1..=upto {
-            if event > 1 {
-                output.text.push(b'\n');
-            }
-            output
-                .text
-                .extend_from_slice(format!("e{event}").as_bytes());
+        let is_new = output
+            .last_writer()
+            .is_none_or(|last| last.run != RunId::from(run));
+        let writer = match is_new {
+            true => writer(run, output.resume_after()),
+            false => output.last_writer().unwrap().clone(),
+        };
+        for event in output.last() + 1..=upto {
+            let is_appended = output.append(&writer, event, |text, is_first| {
+                if !is_first {
+                    text.push(b'\n');
+                }
+                text.extend_from_slice(format!("e{event}").as_bytes());
+            });
+            assert!(is_appended, "event {event}");
         }
-        output.last = upto;
-        output.origin = Some(origin());
     });
 }
 
 #[test]
 fn only_new_events_are_saved_again() {
     let partial_outputs = PartialOutputs::default();
-    append_events(&partial_outputs, "a", 50);
+    append_events(&partial_outputs, "a", 1, 50);
     assert_eq!(
         partial_outputs.unsaved_checkpoints(40),
         [("a".to_owned(), checkpoint(0, 50))]
     );
     partial_outputs.mark_saved("a", &checkpoint(0, 50));
-    append_events(&partial_outputs, "a", 89);
+    append_events(&partial_outputs, "a", 1, 89);
     assert_eq!(partial_outputs.unsaved_checkpoints(40), []);
     assert_eq!(
         partial_outputs.unsaved_checkpoints(1),
@@ -86,9 +104,9 @@
 #[test]
 fn an_unsaved_checkpoint_is_offered_again_with_later_events() {
     let partial_outputs = PartialOutputs::default();
-    append_events(&partial_outputs, "a", 50);
+    append_events(&partial_outputs, "a", 1, 50);
     assert_eq!(partial_outputs.unsaved_checkpoints(40).len(), 1);
-    append_events(&partial_outputs, "a", 60);
+    append_events(&partial_outputs, "a", 1, 60);
     assert_eq!(
         partial_outputs.unsaved_checkpoints(40),
         [("a".to_owned(), checkpoint(0, 60))]
@@ -98,24 +116,29 @@
 #[test]
 fn another_owner_resumes_after_the_last_checkpoint() {
     let first = PartialOutputs::default();
-    append_events(&first, "a", 45);
+    append_events(&first, "a", 1, 45);
     let mut rows = Vec::new();
     for least in [40, 1] {
         for (item, checkpoint) in first.unsaved_checkpoints(least) {
             first.mark_saved(&item, &checkpoint);
             rows.push(row(&item, &checkpoint));
         }
-        append_events(&first, "a", 60);
+        append_events(&first, "a", 1, 60);
     }
     let second = PartialOutputs::default();
     second.restore(&JobId::try_from("job").unwrap(), &rows, all_served);
     assert_eq!(second.last("a"), 60);
-    assert_eq!(second.get("a").text, full_output(60).into_bytes());
-    append_events(&second, "a", 70);
-    assert_eq!(
-        second.unsaved_checkpoints(1),
-        [("a".to_owned(), checkpoint(60, 70))]
-    );
+    assert_eq!(second.get("a").text(), full_output(60).as_bytes());
+    append_events(&second, "a", 2, 70);
+    let resumed = RunEvent {
+        run: RunId::from(1),
+        event: 60,
+    };
+    let next = Checkpoint {
+        writer: Some(writer(2, Some(resumed))),
+        ..checkpoint(60, 70)
+    };
+    assert_eq!(second.unsaved_checkpoints(1), [("a".to_owned(), next)]);
 }
 
 #[test]
