--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -11,6 +11,7 @@
 mod cache;
 mod checkpoint;
 mod item;
+mod output;
 mod owner;
 mod progress;
 mod read;
@@ -21,7 +22,8 @@
 
 pub use accept::AcceptOutcome;
 pub use cache::{Job, JobCache, JobCacheSink};
-pub use checkpoint::{Checkpoint, PartialOutput, PartialOutputs};
+pub use checkpoint::PartialOutputs;
+pub use output::{Checkpoint, PartialOutput, RunEvent, RunId, Writer};
 pub use owner::own_jobs;
 pub use progress::JobProgress;
 pub use read::{ListedResult, ResultPage};
--- a/crates/foxtailhold-relay/src/jobs/store.rs
+++ b/crates/foxtailhold-relay/src/jobs/store.rs
@@ -78,7 +78,11 @@
 }
 
 fn checkpoint_row(id: &JobId, item: &str, checkpoint: &Checkpoint) -> Result<(RowKey, Bytes)> {
-    let key = format!("{id}/{item}/{:06}.{:06}", checkpoint.after, checkpoint.last);
+    // Ranges of two runs never replace each other.
+    let mut key = format!("{id}/{item}/{:06}.{:06}", checkpoint.after, checkpoint.last);
+    if let Some(writer) = &checkpoint.writer {
+        key.push_str(&format!(".{}", writer.run));
+    }
     let key = RowKey::new(CHECKPOINTS_TABLE, &key);
     Ok((key, encode_row(id, checkpoint)?))
 }
