relay: hold no lock over messages when rows of instances arrive

What callers saw: an instance stopped for good, without a log line, and answered nothing more (CONFIG: requests without an answer at their `TimeoutMs`). It happened when the record of origins reached an instance before the list of backend servers with the version that it names: one feed a moment late at the start of a release was enough.

Cause: `MembersSink::apply_rows` held the lock of the members while it applied all rows of a change. The record of origins leads to `Peers::send_origins`, which takes the same lock; it is not reentrant, and the process has one thread.

Change: rows of instances are applied first, each under the lock for itself; evidence and the record follow with no lock held. So origins that the record makes uncertain are also sent to the instances of the same answer, and not to nobody, when the whole table is read.

--- a/crates/foxtailhold-relay/src/feeds.rs
+++ b/crates/foxtailhold-relay/src/feeds.rs
@@ -295,40 +295,53 @@
 pub(crate) struct MembersSink(pub(crate) Peers);
 
 impl MembersSink {
+    /// Applies the rows of instances first, because the others may lead to messages to instances.
+    /// No lock is held while a row is applied that can lead to one.
     fn apply_rows(&self, rows: &[VersionedRow]) {
-        let mut members = self.0.members();
-        for row in rows {
-            if let Some(key) = row.key.key.strip_prefix(CRASH_PREFIX) {
-                self.0.crashes().apply_row(key, row);
-                continue;
-            }
-            if row.key.key.starts_with(PART_CRASH_PREFIX) {
-                self.0.crashes().apply_part_row(row);
-                continue;
-            }
-            if row.key.key == ORIGIN_RECORD_KEY {
-                apply_record(&self.0, Some(row));
-                continue;
-            }
-            let Ok(instance) = InstanceId::try_from(row.key.key.as_str()) else {
-                log::warn!(
-                    "ignoring row {} in the table of instances: unknown key",
-                    row.key.key
-                );
-                continue;
-            };
-            let Some(value) = &row.value else {
-                members.remove(&instance);
-                continue;
-            };
-            match serde_json::from_slice::<Member>(value) {
-                Ok(member) => members.put(row.version, member),
-                Err(error) => log::warn!("cannot decode row of instance {instance}: {error}"),
-            }
+        let (evidence, instances): (Vec<&VersionedRow>, Vec<&VersionedRow>) =
+            rows.iter().partition(|row| is_evidence(&row.key.key));
+        for row in instances {
+            self.apply_member(row);
+        }
+        for row in evidence {
+            self.apply_evidence(row);
         }
-        drop(members);
         self.0.members_changed();
     }
+
+    fn apply_evidence(&self, row: &VersionedRow) {
+        if row.key.key == ORIGIN_RECORD_KEY {
+            apply_record(&self.0, Some(row));
+            return;
+        }
+        match row.key.key.strip_prefix(CRASH_PREFIX) {
+            Some(key) => self.0.crashes().apply_row(key, row),
+            None => self.0.crashes().apply_part_row(row),
+        }
+    }
+
+    fn apply_member(&self, row: &VersionedRow) {
+        let Ok(instance) = InstanceId::try_from(row.key.key.as_str()) else {
+            log::warn!(
+                "ignoring row {} in the table of instances: unknown key",
+                row.key.key
+            );
+            return;
+        };
+        let Some(value) = &row.value else {
+            self.0.members().remove(&instance);
+            return;
+        };
+        match serde_json::from_slice::<Member>(value) {
+            Ok(member) => self.0.members().put(row.version, member),
+            Err(error) => log::warn!("cannot decode row of instance {instance}: {error}"),
+        }
+    }
+}
+
+/// Whether a row of the table of instances holds crash evidence or the record of origins.
+fn is_evidence(key: &str) -> bool {
+    key == ORIGIN_RECORD_KEY || key.starts_with(CRASH_PREFIX) || key.starts_with(PART_CRASH_PREFIX)
 }
 
 impl TableSink for MembersSink {
