crashes: probes by requests that crash servers themselves spare others

A sound batch job was run by nobody after two items, which share a part of their prompts with it, had crashed backend servers.

The request of a probe that had been lost in a crash before says less about its parts: it may crash backend servers by itself. Such a request now probes 2 s later for each of up to three crashes, so it yields to requests that were lost less often. While only such probes have crashed, the refusal of a request that was never lost stays at 3 s, and it may probe once. Its crash counts together with those before, so a part that is guilty still runs three times at most after it is suspected. All instances derive this from the records of crashes that they share; messages and rows are unchanged.

--- a/crates/foxtailhold-relay/src/crashes.rs
+++ b/crates/foxtailhold-relay/src/crashes.rs
@@ -189,7 +189,7 @@
     }
 
     /// Whether a request with these parts may run at `service`, by its parts alone, and the suspected
-    /// group that decides it.
+    /// group that decides it. The request was never lost in a crash.
     pub fn group_status(
         &self,
         parts: &SharedParts,
@@ -202,6 +202,20 @@
         (status, group.map(|group| group.parts.clone()))
     }
 
+    /// The same for a request that may have been lost in crashes before.
+    pub fn group_status_of(
+        &self,
+        request: Fingerprint,
+        parts: &SharedParts,
+        service: &TargetName,
+        now: WallMs,
+    ) -> (CrashStatus, Option<Vec<PartId>>) {
+        let mut state = self.state.lock();
+        state.refresh_groups();
+        let (status, group) = state.parts.status_of(request, parts, service, now);
+        (status, group.map(|group| group.parts.clone()))
+    }
+
     /// Admits a probe of a request whose refusal is over. At most one is admitted at a time.
     pub fn admit_probe(&self, request: RequestFingerprints, now: MonoMs) -> bool {
         let mut state = self.state.lock();
--- a/crates/foxtailhold-relay/src/jobs/item/attempt.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/attempt.rs
@@ -128,10 +128,9 @@
             }
         };
         self.version_wait = VersionWait::default();
-        let service = &backend.service;
-        let parts = &self.parts;
+        let keys = self.evidence_keys(job);
         if relay
-            .admit_parts(ProbeStage::HoldSlot, parts, service, admission)
+            .admit_parts(ProbeStage::HoldSlot, &keys, &backend.service, admission)
             .is_refused()
         {
             self.release_reservation(admission);
@@ -150,10 +149,10 @@
             self.release_reservation(admission);
             return (AttemptEnd::Suspended, 0);
         }
-        let sent_as = relay.admit_parts(ProbeStage::Send, &self.parts, &backend.service, admission);
+        let sent_as = relay.admit_parts(ProbeStage::Send, &keys, &backend.service, admission);
         let is_sent = match sent_as {
             Admission::Free => true,
-            Admission::Probe => relay.settle_probe(&self.parts, &backend.service).await,
+            Admission::Probe => relay.settle_probe(&keys, &backend.service).await,
             Admission::Refused { .. } => false,
         };
         if !is_sent {
@@ -165,7 +164,7 @@
         self.avoided_backends.clear();
         self.wait.end();
         let (started, events_before) = (Instant::now(), self.events());
-        let evidence = relay.begin_attempt(self.evidence_keys(job), &backend, self.resume_after());
+        let evidence = relay.begin_attempt(keys, &backend, self.resume_after());
         let number = evidence.number();
         let (result, next_slot) = self.run_or_move(request, &backend, &slot).await;
         self.granted = next_slot;
--- a/crates/foxtailhold-relay/src/jobs/item/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/backoff.rs
@@ -161,25 +161,31 @@
     }
 
     /// Whether an attempt at `service` may seek a slot, given what its prompt shares with others.
-    pub(super) fn admit_parts(&self, service: &TargetName) -> Admission {
+    pub(super) fn admit_parts(&self, job: &Job, service: &TargetName) -> Admission {
         let relay = &self.jobs.relay;
         if relay.peers.crashes().is_empty() {
             return Admission::Free;
         }
-        relay.admit_parts(ProbeStage::SeekSlot, &self.parts, service, Admission::Free)
+        let keys = self.evidence_keys(job);
+        relay.admit_parts(ProbeStage::SeekSlot, &keys, service, Admission::Free)
     }
 
     /// Waits after a refusal until a part is acquitted, the refusal is over or the route, job and
     /// deadline are due for a check.
     pub(super) async fn wait_for_parts(
         &mut self,
+        job: &Job,
         service: Option<&TargetName>,
         acquittals: watch::Receiver<()>,
         retry_after_ms: u64,
     ) {
         let crashes = self.jobs.relay.peers.crashes();
         let now = self.jobs.relay.clock.wall();
-        let status = service.map(|service| crashes.group_status(&self.parts, service, now).0);
+        let request = self.fingerprints(job).path;
+        let status = service.map(|service| {
+            let (status, _) = crashes.group_status_of(request, &self.parts, service, now);
+            status
+        });
         match status {
             Some(CrashStatus::Refused { left_ms }) => {
                 let left = Duration::from_millis(left_ms);
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -154,14 +154,14 @@
             }
             let acquittals = self.jobs.relay.peers.crashes().acquittals();
             let admission = match route.active_services().next() {
-                Some(service) => self.admit_parts(service),
+                Some(service) => self.admit_parts(job, service),
                 None => Admission::Free,
             };
             if let Admission::Refused { retry_after_ms } = admission {
                 self.trial.lock().take();
                 self.granted = None;
                 let service = route.active_services().next();
-                self.wait_for_parts(service, acquittals, retry_after_ms)
+                self.wait_for_parts(job, service, acquittals, retry_after_ms)
                     .await;
                 continue;
             }
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -7,7 +7,7 @@
 use arc_swap::ArcSwap;
 use foxtailhold::crashes::CrashStatus;
 use foxtailhold::ids::TargetName;
-use foxtailhold::prompt_parts::SharedParts;
+use foxtailhold::prompt_parts::{PartId, SharedParts};
 use foxtailhold::routes::{Route, RouteTable};
 use foxtailhold::slots::SlotOutcome;
 use foxtailhold_http::body::ReadBudget;
@@ -186,7 +186,7 @@
         let now = self.clock.wall();
         let status = match crashes.is_empty() {
             true => CrashStatus::Allowed,
-            false => crashes.group_status(&keys.parts, &backend.service, now).0,
+            false => self.group_status(&keys, &backend.service).0,
         };
         let attempt = TrackedAttempt {
             keys,
@@ -258,13 +258,9 @@
         earlier: Admission,
     ) -> Admission {
         if !keys.is_taken_up {
-            return self.admit_parts(stage, &keys.parts, service, earlier);
+            return self.admit_parts(stage, keys, service, earlier);
         }
-        let crashes = self.peers.crashes();
-        match crashes
-            .group_status(&keys.parts, service, self.clock.wall())
-            .0
-        {
+        match self.group_status(keys, service).0 {
             CrashStatus::Allowed => Admission::Free,
             CrashStatus::Refused { left_ms } => Admission::Refused {
                 retry_after_ms: left_ms,
@@ -275,16 +271,26 @@
         }
     }
 
-    /// Whether a request with these parts may take a step towards `service`, by its parts alone.
+    fn group_status(
+        &self,
+        keys: &EvidenceKeys,
+        service: &TargetName,
+    ) -> (CrashStatus, Option<Vec<PartId>>) {
+        let (request, now) = (keys.fingerprints.path, self.clock.wall());
+        let crashes = self.peers.crashes();
+        crashes.group_status_of(request, &keys.parts, service, now)
+    }
+
+    /// Whether a request may take a step towards `service`, by its parts alone.
     pub(crate) fn admit_parts(
         &self,
         stage: ProbeStage,
-        parts: &SharedParts,
+        keys: &EvidenceKeys,
         service: &TargetName,
         earlier: Admission,
     ) -> Admission {
         let crashes = self.peers.crashes();
-        let (status, group) = crashes.group_status(parts, service, self.clock.wall());
+        let (status, group) = self.group_status(keys, service);
         let group = group.unwrap_or_default();
         let subject = group.first().map_or([0; 8], |part| part.0.to_be_bytes());
         let turn_ms = || match earlier {
@@ -313,10 +319,10 @@
 
     /// Waits until instances that have admitted a probe at the same moment know of each other. Returns
     /// whether the one admitted here is sent.
-    pub(crate) async fn settle_probe(&self, parts: &SharedParts, service: &TargetName) -> bool {
+    pub(crate) async fn settle_probe(&self, keys: &EvidenceKeys, service: &TargetName) -> bool {
         tokio::time::sleep(Duration::from_millis(PROBE_SETTLE_MS)).await;
         let crashes = self.peers.crashes();
-        let (status, group) = crashes.group_status(parts, service, self.clock.wall());
+        let (status, group) = self.group_status(keys, service);
         match status {
             CrashStatus::Allowed => true,
             CrashStatus::Refused { .. } => false,
--- a/crates/foxtailhold/src/part_crash.rs
+++ b/crates/foxtailhold/src/part_crash.rs
@@ -120,6 +120,10 @@
         self.acquitted.contains(&acquittal)
     }
 
+    pub(crate) fn has_lost_request(&self, request: Fingerprint) -> bool {
+        self.lost.iter().any(|lost| lost.request == request)
+    }
+
     pub(crate) fn has_lost(&self, group: &[PartId]) -> bool {
         let mut all = self.lost.iter();
         !self.is_refuted && all.any(|lost| lost.parts.contains_all(group))
--- a/crates/foxtailhold/src/part_crashes.rs
+++ b/crates/foxtailhold/src/part_crashes.rs
@@ -24,13 +24,18 @@
     MIN_CRASH_SEQUENCE, MIN_CRASHES, MIN_OTHER_CRASHES, PART_REFUSAL_MS, SuspectedGroup,
 };
 use crate::prompt_parts::{PartId, SharedParts};
-use crate::quarantine::{CrashId, SUSPECT_TTL_MS};
+use crate::quarantine::{CrashId, Fingerprint, SUSPECT_TTL_MS};
 use crate::stream_origins::StreamOrigin;
 use crate::time::WallMs;
 
 /// Time after the refusal until a request may run whose crash may have several causes. It says less
 /// than a probe of one of them.
 const SHARED_PROBE_DELAY_MS: u64 = 3_000;
+/// Delay of a probe with a request for each crash in which it was lost, so that it yields to requests
+/// that were lost less often.
+const REPEATED_PROBE_DELAY_MS: u64 = 2_000;
+/// Crashes of one request that delay its probe.
+const MAX_DELAYING_CRASHES: usize = 3;
 /// Records of crashes that are kept.
 pub const MAX_PART_CRASHES: usize = 512;
 /// Time after which a software version that is no longer listed, while its service has another one,
@@ -230,28 +235,62 @@
         newest.is_some_and(|newest| newest.saturating_sub(last.0) >= VERSION_GONE_MS)
     }
 
-    /// The status of a request that is about to be sent to `service`, and the group that decides it.
+    /// The status of a request that was never lost in a crash and is about to be sent to `service`, and
+    /// the group that decides it.
     pub fn status(
         &mut self,
         parts: &SharedParts,
         service: &TargetName,
         now: WallMs,
+    ) -> (CrashStatus, Option<&SuspectedGroup>) {
+        self.status_after(0, parts, service, now)
+    }
+
+    /// The status of a request, and the group that decides it. One that was lost in crashes before may
+    /// have caused them by itself: it yields to others, and its probes count for such requests only.
+    pub fn status_of(
+        &mut self,
+        request: Fingerprint,
+        parts: &SharedParts,
+        service: &TargetName,
+        now: WallMs,
+    ) -> (CrashStatus, Option<&SuspectedGroup>) {
+        if self.status(parts, service, now).0 == CrashStatus::Allowed {
+            return (CrashStatus::Allowed, None);
+        }
+        let crashes = self.crashes.values();
+        let lost = crashes.filter(|crash| !crash.is_refuted && crash.has_lost_request(request));
+        let losses = lost.take(MAX_DELAYING_CRASHES).count();
+        self.status_after(losses, parts, service, now)
+    }
+
+    fn status_after(
+        &mut self,
+        losses: usize,
+        parts: &SharedParts,
+        service: &TargetName,
+        now: WallMs,
     ) -> (CrashStatus, Option<&SuspectedGroup>) {
         if parts.is_empty() || self.crashes.is_empty() {
             return (CrashStatus::Allowed, None);
         }
+        let refused_until_unix_ms = |group: &SuspectedGroup| match losses {
+            0 => group.refused_until_unix_ms,
+            _ => group.repeats_refused_until_unix_ms,
+        };
         let suspects = self.suspects(service);
         let held = suspects.groups.iter();
         let held = held
             .filter(|group| group.held_from_unix_ms <= now.0 && parts.contains_all(&group.parts));
-        let Some(last) = held.max_by_key(|group| group.refused_until_unix_ms) else {
+        let Some(last) = held.max_by_key(|group| refused_until_unix_ms(group)) else {
             return (CrashStatus::Allowed, None);
         };
         let delay_ms = match suspects.has_other_cause(parts, last) {
             true => SHARED_PROBE_DELAY_MS,
             false => 0,
         };
-        let end_unix_ms = last.refused_until_unix_ms.saturating_add(delay_ms);
+        let delay_ms = delay_ms + losses as u64 * REPEATED_PROBE_DELAY_MS;
+        let end_unix_ms = refused_until_unix_ms(last).saturating_add(delay_ms);
         let status = match end_unix_ms.checked_sub(now.0) {
             Some(left_ms) if left_ms > 0 => CrashStatus::Refused { left_ms },
             _ => CrashStatus::ProbeAllowed {
--- a/crates/foxtailhold/src/part_groups.rs
+++ b/crates/foxtailhold/src/part_groups.rs
@@ -48,6 +48,8 @@
     pub probes: usize,
     /// When the refusal ends, in Unix ms.
     pub refused_until_unix_ms: u64,
+    /// When it ends for a request that was lost in a crash before, in Unix ms.
+    pub repeats_refused_until_unix_ms: u64,
     /// From when on requests with the group run only as probes, in Unix ms.
     pub held_from_unix_ms: u64,
     /// Whether each part was seen in a complete response.
@@ -62,7 +64,10 @@
     }
 
     pub(crate) fn expires_unix_ms(&self) -> u64 {
-        self.refused_until_unix_ms.saturating_add(PROBATION_MS)
+        let until = self.repeats_refused_until_unix_ms;
+        until
+            .max(self.refused_until_unix_ms)
+            .saturating_add(PROBATION_MS)
     }
 }
 
@@ -288,6 +293,7 @@
             crashes: explained.map(|(id, _)| id.clone()).collect(),
             probes: 0,
             refused_until_unix_ms: 0,
+            repeats_refused_until_unix_ms: 0,
             held_from_unix_ms: 0,
             has_run: false,
             parts,
@@ -327,6 +333,11 @@
             let is_unfair = |crash: &PartCrash| {
                 holds_unproven(crash) || self.has_crash_without(&group.parts, crash.at_unix_ms)
             };
+            // A request that was lost before may crash backend servers by itself, which says less about
+            // its parts than the crash of a request that was never lost.
+            let is_first_loss =
+                |(id, crash): &(&CrashId, &PartCrash)| self.has_first_loss(id, crash);
+            let has_first_loss = probes().any(|probe| is_first_loss(&probe));
             let unfair = probes().filter(|(_, crash)| is_unfair(crash)).count();
             let probes = probes().count();
             let last_unix_ms = records().map(|(_, crash)| crash.at_unix_ms).max();
@@ -339,20 +350,34 @@
                 false => probes,
             };
             let is_repeated = is_repeated(&self.lost_with(group));
-            let refused_ms = match is_replaced || !is_repeated {
+            let refused_ms = |counted: usize| match is_replaced || !is_repeated {
                 true => 0,
                 false => PART_REFUSAL_MS[counted.min(PART_REFUSAL_MS.len() - 1)],
             };
+            let of_others = if has_first_loss { counted } else { 0 };
             group.has_run = has_run;
             group.held_from_unix_ms = match is_repeated {
                 true => 0,
                 false => last_unix_ms.unwrap_or(0).saturating_add(PROOF_DELAY_MS),
             };
             group.probes = probes;
-            group.refused_until_unix_ms = last_unix_ms.unwrap_or(0).saturating_add(refused_ms);
+            let ends_after = |refused_ms| last_unix_ms.unwrap_or(0).saturating_add(refused_ms);
+            group.refused_until_unix_ms = ends_after(refused_ms(of_others));
+            group.repeats_refused_until_unix_ms = ends_after(refused_ms(counted));
         }
     }
 
+    /// Whether a probe that was lost in a crash was the request's first attempt to be lost.
+    fn has_first_loss(&self, id: &CrashId, crash: &PartCrash) -> bool {
+        let mut probes = crash.lost.iter().filter(|lost| lost.is_probe);
+        probes.any(|probe| {
+            let mut earlier = self.crashes.iter().filter(|(other, record)| {
+                *other != id && record.at_unix_ms < crash.at_unix_ms && !record.is_refuted
+            });
+            earlier.all(|(_, record)| !record.has_lost_request(probe.request))
+        })
+    }
+
     /// Whether a backend server of the service crashed without a request with the group shortly before.
     fn has_crash_without(&self, group: &[PartId], before_unix_ms: u64) -> bool {
         let since_unix_ms = before_unix_ms.saturating_sub(OTHER_CAUSE_MS);
