relay: age of what an instance knew when a stream is taken up

It now has `backends_age_ms`, `record_age_ms` and `asked`, the number of other instances that were asked. No decision is changed.

--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -10,7 +10,7 @@
 use evidence::EvidenceSends;
 pub use members::{Member, Members};
 pub use message::{Datagram, FoundOrigin, InstanceHash, PeerMessage};
-pub use origins::{OriginCounts, OriginSource};
+pub use origins::{OriginCounts, OriginSearch, OriginSource};
 use origins::{OriginState, RecordSignals};
 use saved_origins::SavedOrigins;
 pub use slot::{BackendLiveness, Slot, SlotActivity, SlotError, SlotQuery};
--- a/crates/foxtailhold-relay/src/peers/origins.rs
+++ b/crates/foxtailhold-relay/src/peers/origins.rs
@@ -62,6 +62,15 @@
     }
 }
 
+/// What a search for the origin of a stream has found.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct OriginSearch {
+    /// The origin and how it was learnt; `None` if it is unknown.
+    pub found: Option<(StreamOrigin, OriginSource)>,
+    /// Number of other instances that were asked.
+    pub asked: usize,
+}
+
 /// Number of origins that were dropped early, and that were handed on.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct OriginCounts {
@@ -336,17 +345,41 @@
         }
     }
 
-    /// Finds where the stream of an attempt on `route` began: from what this instance knows, else
-    /// from the others, of which the first that knows decides, else from the store.
+    /// Finds where the stream of an attempt on `route` began, as [`Peers::search_origin`].
     pub async fn find_origin(
         &self,
         attempt: AttemptHash,
         route: &str,
     ) -> Option<(StreamOrigin, OriginSource)> {
-        if let Some(known) = self.known_origin(attempt, route) {
-            return Some(known);
+        self.search_origin(attempt, route).await.found
+    }
+
+    /// Finds where the stream of an attempt on `route` began: from what this instance knows, else
+    /// from the others, of which the first that knows decides, else from the store.
+    pub async fn search_origin(&self, attempt: AttemptHash, route: &str) -> OriginSearch {
+        let found = self.known_origin(attempt, route);
+        if found.is_some() {
+            return OriginSearch { found, asked: 0 };
         }
-        let mut unanswered = self.origin_holders(attempt);
+        let holders = self.origin_holders(attempt);
+        let asked = holders.len();
+        if let Some(found) = self.ask_holders(holders, attempt, route).await {
+            let found = Some(found);
+            return OriginSearch { found, asked };
+        }
+        let saved = self.find_saved_origin(attempt).await;
+        OriginSearch {
+            found: saved.map(|origin| (origin, OriginSource::Store)),
+            asked,
+        }
+    }
+
+    async fn ask_holders(
+        &self,
+        mut unanswered: Vec<(InstanceId, SocketAddr)>,
+        attempt: AttemptHash,
+        route: &str,
+    ) -> Option<(StreamOrigin, OriginSource)> {
         let (sender, mut answers) = mpsc::unbounded_channel();
         let number = rand::random();
         self.inner.origins.lock().lookups.insert(number, sender);
@@ -379,8 +412,7 @@
                 return Some(known);
             }
         }
-        let saved = self.find_saved_origin(attempt).await?;
-        Some((saved, OriginSource::Store))
+        None
     }
 
     /// The instances to ask for the origin of an attempt.
--- a/crates/foxtailhold-relay/src/take_up.rs
+++ b/crates/foxtailhold-relay/src/take_up.rs
@@ -8,9 +8,10 @@
 
 use crate::dialect::Dialect;
 use crate::fleet::BackendServer;
-use crate::peers::OriginSource;
+use crate::peers::{OriginSearch, OriginSource};
 use crate::relay::Relay;
 use crate::request::{NotRunReason, OpaqueRequest};
+use crate::tables::FollowedTable;
 
 /// Where a request may run.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -42,25 +43,35 @@
                 attempt: AttemptHash::from(request.id.as_str()),
             });
         }
-        let found = match &request.resumes {
+        let OriginSearch { found, asked } = match &request.resumes {
             Some(attempt) => {
                 let attempt = AttemptHash::from(attempt);
-                self.peers.find_origin(attempt, &route.name).await
+                self.peers.search_origin(attempt, &route.name).await
             }
             None => {
                 let only = self.peers.only_origin(&route.name);
-                only.map(|origin| (origin, OriginSource::OnlyVersion))
+                OriginSearch {
+                    found: only.map(|origin| (origin, OriginSource::OnlyVersion)),
+                    asked: 0,
+                }
             }
         };
         let source = found
             .as_ref()
             .map_or("unknown", |(_, source)| source.as_str());
         self.metrics.stream_taken_up(source);
+        let age_ms = |table| {
+            let age = self.metrics.tables().age(table);
+            age.map(|(age, _)| age.as_millis() as u64)
+        };
         log::info!(
             request = request.id.as_str(),
             resumes = request.resumes.as_ref().map(AttemptId::as_str),
             service = found.as_ref().map(|(origin, _)| origin.service.as_str()),
             version = found.as_ref().map(|(origin, _)| origin.version.as_str()),
+            backends_age_ms = age_ms(FollowedTable::Backends),
+            record_age_ms = age_ms(FollowedTable::Instances),
+            asked = asked,
             source = source;
             "stream taken up"
         );
