--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -13,6 +13,7 @@
 mod feeds;
 pub mod fleet;
 pub mod follow;
+mod gauges;
 mod group_probes;
 pub mod instance;
 pub mod item_waits;
