http: a mutex that ends a debug build where a thread would wait for itself

A lock that a thread takes twice stops an instance without a log line, as the record of origins did. Nothing found a second case: the tests only show it if they meet the right order of events.

`foxtailhold_http::lock::Mutex` wraps `parking_lot::Mutex`. In a debug build it aborts the process, with both places in the message, when a thread takes a lock that it holds, or two locks in both orders. An abort, because a panic is caught with its connection or task.

Not converted: foxtailhold-entry, foxtailhold-peer and foxtailhold-logs.

--- a/crates/foxtailhold-http/src/client.rs
+++ b/crates/foxtailhold-http/src/client.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::lock::Mutex;
 use bytes::Bytes;
 use http::{HeaderValue, Method, Request, Response, Uri, header};
 use http_body::Body;
@@ -13,7 +14,6 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
-use parking_lot::Mutex;
 use serde::Serialize;
 use thiserror::Error;
 
--- a/crates/foxtailhold-http/src/lib.rs
+++ b/crates/foxtailhold-http/src/lib.rs
@@ -1,8 +1,10 @@
-//! HTTP client and server parts shared by the crates that speak HTTP, and the clocks that their
-//! time-outs use.
+//! HTTP client and server parts shared by the crates that speak HTTP, the clocks that their time-outs
+//! use, and their locks.
 #![warn(clippy::unwrap_used)]
 
 pub mod body;
 pub mod client;
 pub mod clock;
+pub mod lock;
+mod lock_order;
 pub mod server;
--- a/crates/foxtailhold-relay/src/connections.rs
+++ b/crates/foxtailhold-relay/src/connections.rs
@@ -11,12 +11,12 @@
 
 use bytes::Bytes;
 use foxtailhold::ids::BackendId;
+use foxtailhold_http::lock::Mutex;
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use parking_lot::Mutex;
 use thiserror::Error;
 use tokio::io::AsyncReadExt;
 use tokio::net::TcpStream;
--- a/crates/foxtailhold-relay/src/crashes.rs
+++ b/crates/foxtailhold-relay/src/crashes.rs
@@ -15,8 +15,8 @@
 use foxtailhold::recent_parts::RecentParts;
 use foxtailhold::recent_table::RecentTable;
 use foxtailhold::time::{MonoMs, WallMs};
+use foxtailhold_http::lock::Mutex;
 use foxtailhold_platform::VersionedRow;
-use parking_lot::Mutex;
 use tokio::sync::{Notify, watch};
 
 use crate::group_probes::GroupProbes;
--- a/crates/foxtailhold-relay/src/feeds.rs
+++ b/crates/foxtailhold-relay/src/feeds.rs
@@ -9,8 +9,8 @@
 use foxtailhold::routes::RouteTable;
 use foxtailhold::stream_origins::StreamOrigin;
 use foxtailhold::time::MonoMs;
+use foxtailhold_http::lock::{Mutex, MutexGuard};
 use foxtailhold_platform::{Snapshot, VersionedRow};
-use parking_lot::{Mutex, MutexGuard};
 use tokio::sync::watch;
 
 use crate::crashes::CRASH_PREFIX;
--- a/crates/foxtailhold-relay/src/item_waits.rs
+++ b/crates/foxtailhold-relay/src/item_waits.rs
@@ -6,7 +6,7 @@
 
 use foxtailhold::ids::JobId;
 use foxtailhold::time::WallMs;
-use parking_lot::Mutex;
+use foxtailhold_http::lock::Mutex;
 use tokio::time::Instant;
 
 /// A wait of this length is logged.
--- a/crates/foxtailhold-relay/src/jobs/cache.rs
+++ b/crates/foxtailhold-relay/src/jobs/cache.rs
@@ -4,8 +4,8 @@
 use std::sync::Arc;
 
 use foxtailhold::ids::{InstanceId, JobId};
+use foxtailhold_http::lock::Mutex;
 use foxtailhold_platform::{Snapshot, VersionedRow};
-use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::sync::watch;
 
--- a/crates/foxtailhold-relay/src/jobs/checkpoint.rs
+++ b/crates/foxtailhold-relay/src/jobs/checkpoint.rs
@@ -12,8 +12,8 @@
 use foxtailhold::attempt_counts::AttemptCounts;
 use foxtailhold::ids::JobId;
 use foxtailhold::stream_origins::StreamOrigin;
+use foxtailhold_http::lock::Mutex;
 use foxtailhold_platform::VersionedRow;
-use parking_lot::Mutex;
 
 use crate::jobs::{Checkpoint, PartialOutput, RunEvent};
 
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -13,10 +13,10 @@
 use foxtailhold::ids::{BackendId, JobId};
 use foxtailhold::prompt_parts::SharedParts;
 use foxtailhold::quarantine::RequestFingerprints;
+use foxtailhold_http::lock::Mutex;
 use foxtailhold_platform::{ObjectStore, RowStore};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue, header};
-use parking_lot::Mutex;
 use tokio::time::Instant;
 
 use crate::dialect::Dialect;
--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -35,8 +35,8 @@
 
 use foxtailhold::ids::{InstanceId, JobId};
 use foxtailhold::item_duration::ItemDurationEstimate;
+use foxtailhold_http::lock::{Mutex, MutexGuard};
 use foxtailhold_platform::{ObjectStore, PlatformError, RowStore};
-use parking_lot::{Mutex, MutexGuard};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
--- a/crates/foxtailhold-relay/src/jobs/progress.rs
+++ b/crates/foxtailhold-relay/src/jobs/progress.rs
@@ -6,7 +6,7 @@
 
 use foxtailhold::ids::JobId;
 use foxtailhold::time::MonoMs;
-use parking_lot::Mutex;
+use foxtailhold_http::lock::Mutex;
 
 #[derive(Debug)]
 struct Task {
--- a/crates/foxtailhold-relay/src/jobs/store.rs
+++ b/crates/foxtailhold-relay/src/jobs/store.rs
@@ -5,9 +5,9 @@
 use bytes::Bytes;
 use foxtailhold::attempt_counts::AttemptCounts;
 use foxtailhold::ids::JobId;
+use foxtailhold_http::lock::Mutex;
 use foxtailhold_peer::codec;
 use foxtailhold_platform::{Changes, Committed, ObjectStore, RowKey, RowStore, VersionedRow};
-use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
 use crate::jobs::cache::{JOB_PREFIX, QUOTA_PREFIX};
--- a/crates/foxtailhold-relay/src/metrics.rs
+++ b/crates/foxtailhold-relay/src/metrics.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use foxtailhold::ids::BackendId;
-use parking_lot::Mutex;
+use foxtailhold_http::lock::Mutex;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -28,7 +28,7 @@
     Urgency,
 };
 use foxtailhold::time::{MonoMs, WallMs};
-use parking_lot::{Mutex, MutexGuard};
+use foxtailhold_http::lock::{Mutex, MutexGuard};
 use tokio::net::UdpSocket;
 use tokio::sync::{Notify, mpsc};
 use tokio_util::sync::CancellationToken;
--- a/crates/foxtailhold-relay/src/peers/saved_origins.rs
+++ b/crates/foxtailhold-relay/src/peers/saved_origins.rs
@@ -5,7 +5,7 @@
 
 use foxtailhold::origin_log::{LogChanges, OriginLog, OriginRow, commit_interval_ms};
 use foxtailhold::stream_origins::{AttemptHash, AttemptOrigin, StreamOrigin};
-use parking_lot::Mutex;
+use foxtailhold_http::lock::Mutex;
 use tokio::sync::{Notify, watch};
 
 use super::Peers;
--- a/crates/foxtailhold-relay/src/pending_attempts.rs
+++ b/crates/foxtailhold-relay/src/pending_attempts.rs
@@ -9,7 +9,7 @@
 use foxtailhold::ids::BackendId;
 use foxtailhold::quarantine::CrashId;
 use foxtailhold::time::{MonoMs, WallMs};
-use parking_lot::Mutex;
+use foxtailhold_http::lock::Mutex;
 
 use crate::fleet::{BackendFate, BackendServer};
 use crate::request::EvidenceKeys;
--- a/crates/foxtailhold-relay/src/plain.rs
+++ b/crates/foxtailhold-relay/src/plain.rs
@@ -7,7 +7,7 @@
 use foxtailhold::ids::{AvailabilityZone, BackendId};
 use foxtailhold::slots::{BackendHealth, SlotOutcome};
 use foxtailhold::time::MonoMs;
-use parking_lot::Mutex;
+use foxtailhold_http::lock::Mutex;
 
 use crate::dialect::ReportedLoad;
 use crate::fleet::BackendServer;
--- a/crates/foxtailhold-relay/src/tables.rs
+++ b/crates/foxtailhold-relay/src/tables.rs
@@ -7,8 +7,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use foxtailhold_http::lock::Mutex;
 use foxtailhold_platform::VersionedRow;
-use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time::Instant;
