relay: take streams up only at a version that the store confirms

Streams that had begun at the first servers of a new version, and that callers took up at an instance which was cut off or had stood still, got 200 and a text of two versions (ORDER).

Cause: an instance was sure of the only version for 6 s after the last answer of the store, however long ago it had heard anything, and passed that on to others that asked. The decision needed equal views of instances.

An instance now decides by what it remembers of the attempt, by what another instance remembers, or because the store confirms, in answers to calls that began after the request arrived, that there is one origin only: the record names no other, and the newest routes and backend servers are in effect here. Requests that wait share a confirmation. What is not confirmed is rejected within 400 ms as `unconfirmed_version`, with a retry time. While the calls about the backend servers fail, origins are handed on as by an instance that is not sure. Saved origins are looked for although the store was away before.

An answer about an origin carries the table versions; one without them is of the previous version, which also names what it infers, and does not count. The previous version ignores them.

--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -125,7 +125,10 @@
     ) -> RelayOutcome {
         let destination = match self.destination(routes, route, &request).await {
             Ok(destination) => destination,
-            Err(reason) => return RelayOutcome::Unserved(progress.unserved(reason, None)),
+            Err(reason) => {
+                let retry_after_ms = self.retry_take_up_ms(reason);
+                return RelayOutcome::Unserved(progress.unserved(reason, retry_after_ms));
+            }
         };
         let service = &destination.service;
         let keys = request.evidence_keys();
--- a/crates/foxtailhold-relay/src/feeds.rs
+++ b/crates/foxtailhold-relay/src/feeds.rs
@@ -286,7 +286,10 @@
                 self.table().store_answered(now);
                 self.relay.peers.confirm_origin_history();
             }
-            false => self.table().store_failed(),
+            false => {
+                self.table().store_failed();
+                self.relay.peers.hand_on_unconfirmed();
+            }
         }
     }
 }
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -26,6 +26,7 @@
     JOBS_TABLE, JobCache, JobCacheSink, JobProgress, JobStore, Jobs, own_jobs, sweep_jobs,
 };
 use crate::metrics::{GaugeValues, RelayMetrics};
+use crate::origin_confirmation::confirm_origins;
 use crate::origin_rows::persist_origins;
 use crate::own_row::{OwnRow, row_key};
 use crate::peers::{INSTANCES_TABLE, Member, Peers};
@@ -184,6 +185,12 @@
         ));
         tokio::spawn(save_origins(store.clone(), relay.peers.clone()));
         tokio::spawn(load_origins(store.clone(), relay.peers.clone()));
+        tokio::spawn(confirm_origins(
+            store.clone(),
+            relay.peers.clone(),
+            tables.clone(),
+            status.clone(),
+        ));
         tokio::spawn(sweep_origins(store.clone(), relay.peers.clone()));
         tokio::spawn(sweep_jobs(Arc::clone(&jobs), identity.job_retention_ms));
         let (leaving, hand_over) = (CancellationToken::new(), CancellationToken::new());
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod jobs;
 pub mod life_signs;
 pub mod metrics;
+mod origin_confirmation;
 pub mod origin_rows;
 pub mod outcomes;
 mod own_row;
--- a/crates/foxtailhold-relay/src/peers/message.rs
+++ b/crates/foxtailhold-relay/src/peers/message.rs
@@ -72,6 +72,22 @@
     }
 }
 
+impl Datagram {
+    /// The message. An answer about an origin without table versions is one of the previous version,
+    /// which does not tell what it remembers from what it infers, and names no origin.
+    pub fn into_message(self) -> PeerMessage {
+        match self.message {
+            PeerMessage::FoundOrigin(found) if self.tables.is_none() => {
+                PeerMessage::FoundOrigin(FoundOrigin {
+                    origin: None,
+                    ..found
+                })
+            }
+            message => message,
+        }
+    }
+}
+
 impl From<&InstanceId> for InstanceHash {
     fn from(instance: &InstanceId) -> Self {
         InstanceHash(xxh3_64(instance.as_str().as_bytes()) as u32)
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -3,6 +3,7 @@
 mod evidence;
 mod members;
 mod message;
+mod origin_confirmation;
 mod origins;
 mod saved_origins;
 mod slot;
@@ -10,6 +11,8 @@
 use evidence::EvidenceSends;
 pub use members::{Member, Members};
 pub use message::{Datagram, FoundOrigin, InstanceHash, PeerMessage};
+use origin_confirmation::OriginConfirmations;
+pub(crate) use origin_confirmation::{CONFIRM_TIMEOUT_MS, OnlyOrigin};
 pub use origins::{OriginCounts, OriginSearch, OriginSource};
 use origins::{OriginState, RecordSignals};
 use saved_origins::SavedOrigins;
@@ -81,6 +84,7 @@
     origins: Mutex<OriginState>,
     record_signals: RecordSignals,
     saved_origins: SavedOrigins,
+    origin_confirmations: OriginConfirmations,
     /// Notified when rows of instances have changed.
     members_changed: Notify,
     tables: TableStatus,
@@ -117,6 +121,7 @@
             origins: Mutex::default(),
             record_signals: RecordSignals::default(),
             saved_origins: SavedOrigins::default(),
+            origin_confirmations: OriginConfirmations::default(),
             members_changed: Notify::new(),
             tables,
             is_table_read: AtomicBool::new(false),
@@ -216,7 +221,7 @@
                     if let Some(tables) = &datagram.tables {
                         self.inner.tables.apply_announcement(from, tables);
                     }
-                    self.handle_message(from, datagram.message);
+                    self.handle_message(from, datagram.into_message());
                 }
                 Err(error) => log::warn!("cannot decode datagram from {from}: {error}"),
             }
@@ -362,8 +367,8 @@
             PeerMessage::FindOrigin {
                 number,
                 attempt,
-                route,
-            } => self.answer_origin(from, number, attempt, &route),
+                route: _,
+            } => self.answer_origin(from, number, attempt),
             PeerMessage::FoundOrigin(found) => self.deliver_origin(found),
         }
     }
--- a/crates/foxtailhold-relay/src/peers/origins.rs
+++ b/crates/foxtailhold-relay/src/peers/origins.rs
@@ -5,6 +5,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::pin::pin;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::time::Duration;
 
 use foxtailhold::ids::InstanceId;
@@ -16,7 +18,7 @@
 use tokio::time::Instant;
 
 use super::members::Member;
-use super::{FoundOrigin, PeerMessage, Peers};
+use super::{FoundOrigin, OnlyOrigin, PeerMessage, Peers};
 use crate::tables::FollowedTable;
 
 /// Instances that an origin is handed on to.
@@ -34,6 +36,8 @@
 /// Largest number of origins in one datagram.
 const MAX_ORIGINS_PER_DATAGRAM: usize = 128;
 
+/// Time for which the store may confirm that there is only one origin before others are asked.
+const ASK_DELAY_MS: u64 = 30;
 /// Longest time for which the first event of a stream waits until its origin is in the record.
 const RECORD_TIMEOUT_MS: u64 = 200;
 
@@ -69,6 +73,8 @@
     pub found: Option<(StreamOrigin, OriginSource)>,
     /// Number of other instances that were asked.
     pub asked: usize,
+    /// Whether this instance knows of one origin only, and the store has not confirmed it.
+    pub is_unconfirmed: bool,
 }
 
 /// Number of origins that were dropped early, and that were handed on.
@@ -84,7 +90,7 @@
 #[derive(Debug, Default)]
 pub(super) struct OriginState {
     pub(super) origins: StreamOrigins,
-    history: OriginHistory,
+    pub(super) history: OriginHistory,
     /// Origins to hand on once more with the next report, because datagrams may be lost.
     repeats: Vec<AttemptOrigin>,
     handed_on: u64,
@@ -116,6 +122,24 @@
     }
 }
 
+/// What the first of two searches finds, or the other one if that finds nothing.
+async fn first_found<T>(
+    first: impl Future<Output = Option<T>>,
+    second: impl Future<Output = Option<T>>,
+) -> Option<T> {
+    let (mut first, mut second) = (pin!(first), pin!(second));
+    tokio::select! {
+        found = &mut first => match found {
+            Some(found) => Some(found),
+            None => second.await,
+        },
+        found = &mut second => match found {
+            Some(found) => Some(found),
+            None => first.await,
+        },
+    }
+}
+
 impl Peers {
     /// Records that the store has answered about the backend servers.
     pub(crate) fn confirm_origin_history(&self) {
@@ -202,13 +226,31 @@
         self.hand_on(unshared);
     }
 
+    /// Whether the store has not answered the last call about the backend servers. What others have
+    /// to know of a stream is then told to them, as the store cannot confirm anything.
+    fn is_store_away(&self) -> bool {
+        let outage = self.inner.tables.outage(FollowedTable::Backends);
+        outage.is_some()
+    }
+
+    /// Hands on all origins that no other instance has been told, because the store does not answer.
+    pub(crate) fn hand_on_unconfirmed(&self) {
+        let now = self.now();
+        let unshared = {
+            let mut state = self.inner.origins.lock();
+            let services = state.history.services(now);
+            state.origins.take_unshared(now, &services, MAX_HANDED_ON)
+        };
+        self.hand_on(unshared);
+    }
+
     /// Records where the stream of an attempt on `route` began.
     pub fn record_origin(&self, attempt: AttemptHash, origin: &StreamOrigin, route: &str) {
         let now = self.now();
         let is_behind = self.is_behind();
         {
             let mut state = self.inner.origins.lock();
-            if state.history.only_origin(now, route).is_some() {
+            if state.history.only_origin(now, route).is_some() && !self.is_store_away() {
                 state.origins.record(now, attempt, origin);
                 if !is_behind {
                     return;
@@ -284,7 +326,7 @@
     }
 
     /// Whether another instance has a newer change of the tables that decide where streams begin.
-    fn is_behind(&self) -> bool {
+    pub(super) fn is_behind(&self) -> bool {
         let tables = &self.inner.tables;
         let mut decisive = [FollowedTable::Backends, FollowedTable::Routes].into_iter();
         decisive.any(|table| tables.newest_announced(table) > tables.known_up_to(table))
@@ -299,42 +341,27 @@
         state.history.only_origin(self.now(), route).cloned()
     }
 
-    fn known_origin(
-        &self,
-        attempt: AttemptHash,
-        route: &str,
-    ) -> Option<(StreamOrigin, OriginSource)> {
-        let now = self.now();
-        let recorded = self
-            .inner
-            .origins
-            .lock()
-            .origins
-            .find(now, attempt)
-            .cloned();
-        if let Some(origin) = recorded {
-            return Some((origin, OriginSource::Own));
-        }
-        let only = self.only_origin(route)?;
-        Some((only, OriginSource::OnlyVersion))
+    /// Version of the row with the record; 0 if none is known.
+    pub(crate) fn origin_record_version(&self) -> u64 {
+        self.inner.origins.lock().record_version
     }
 
-    /// Answers another instance that asks for an origin.
-    pub(super) fn answer_origin(
-        &self,
-        to: SocketAddr,
-        number: u64,
-        attempt: AttemptHash,
-        route: &str,
-    ) {
-        let origin = self.known_origin(attempt, route).map(|(origin, _)| origin);
-        let instance = self.me().clone();
+    /// The origin of the stream of an attempt, if this instance remembers it.
+    fn remembered_origin(&self, attempt: AttemptHash) -> Option<StreamOrigin> {
+        let (now, state) = (self.now(), self.inner.origins.lock());
+        state.origins.find(now, attempt).cloned()
+    }
+
+    /// Answers another instance that asks for an origin. Only what is remembered counts: that there is
+    /// one version may have ceased to be true. The table versions tell this answer from those of the
+    /// previous version, which also names the only origin that it has seen.
+    pub(super) fn answer_origin(&self, to: SocketAddr, number: u64, attempt: AttemptHash) {
         let found = FoundOrigin {
             number,
-            instance,
-            origin,
+            instance: self.me().clone(),
+            origin: self.remembered_origin(attempt),
         };
-        self.send(to, &PeerMessage::FoundOrigin(found));
+        self.send_heartbeat(to, &PeerMessage::FoundOrigin(found));
     }
 
     pub(super) fn deliver_origin(&self, found: FoundOrigin) {
@@ -354,23 +381,46 @@
         self.search_origin(attempt, route).await.found
     }
 
-    /// Finds where the stream of an attempt on `route` began: from what this instance knows, else
-    /// from the others, of which the first that knows decides, else from the store.
+    /// Finds where the stream of an attempt on `route` began: from what this instance remembers, else
+    /// from the others that remember it, or because the store confirms that there is only one origin,
+    /// else from the saved origins.
     pub async fn search_origin(&self, attempt: AttemptHash, route: &str) -> OriginSearch {
-        let found = self.known_origin(attempt, route);
-        if found.is_some() {
-            return OriginSearch { found, asked: 0 };
+        if let Some(origin) = self.remembered_origin(attempt) {
+            return OriginSearch {
+                found: Some((origin, OriginSource::Own)),
+                ..OriginSearch::default()
+            };
         }
-        let holders = self.origin_holders(attempt);
-        let asked = holders.len();
-        if let Some(found) = self.ask_holders(holders, attempt, route).await {
-            let found = Some(found);
-            return OriginSearch { found, asked };
+        let asked = AtomicUsize::new(0);
+        let ask = async {
+            if self.only_origin(route).is_some() {
+                tokio::time::sleep(Duration::from_millis(ASK_DELAY_MS)).await;
+            }
+            let holders = self.origin_holders(attempt);
+            asked.store(holders.len(), Ordering::Relaxed);
+            self.ask_holders(holders, attempt, route).await
+        };
+        let is_unconfirmed = AtomicBool::new(false);
+        let confirm = async {
+            match self.confirm_only_origin(route).await {
+                OnlyOrigin::Only(origin) => Some((origin, OriginSource::OnlyVersion)),
+                OnlyOrigin::Unsure => None,
+                OnlyOrigin::Unconfirmed => {
+                    is_unconfirmed.store(true, Ordering::Relaxed);
+                    None
+                }
+            }
+        };
+        let mut found = first_found(ask, confirm).await;
+        let is_unconfirmed = is_unconfirmed.into_inner();
+        if found.is_none() && !is_unconfirmed {
+            let saved = self.find_saved_origin(attempt).await;
+            found = saved.map(|origin| (origin, OriginSource::Store));
         }
-        let saved = self.find_saved_origin(attempt).await;
         OriginSearch {
-            found: saved.map(|origin| (origin, OriginSource::Store)),
-            asked,
+            found,
+            asked: asked.into_inner(),
+            is_unconfirmed,
         }
     }
 
@@ -408,8 +458,8 @@
                 unanswered.retain(|(instance, _)| *instance != found.instance);
             }
             // The origin may have been handed on to this instance meanwhile.
-            if let Some(known) = self.known_origin(attempt, route) {
-                return Some(known);
+            if let Some(origin) = self.remembered_origin(attempt) {
+                return Some((origin, OriginSource::Own));
             }
         }
         None
--- a/crates/foxtailhold-relay/src/peers/saved_origins.rs
+++ b/crates/foxtailhold-relay/src/peers/saved_origins.rs
@@ -9,7 +9,6 @@
 use tokio::sync::{Notify, watch};
 
 use super::Peers;
-use crate::tables::FollowedTable;
 
 /// Longest time for which a stream that is taken up waits for the saved origins.
 const LOAD_TIMEOUT_MS: u64 = 500;
@@ -80,12 +79,16 @@
         loads.send_modify(|loads| *loads += 1);
     }
 
-    /// Finds the origin of a stream among the saved ones. While the store is away, it is not waited
-    /// for.
+    /// Records that the saved origins could not be read.
+    pub(crate) fn saved_origins_not_read(&self) {
+        self.inner.saved_origins.loads.send_modify(|_| {});
+    }
+
+    /// Finds the origin of a stream among the saved ones. That the store was away before does not
+    /// count: this instance may have stood still since.
     pub(super) async fn find_saved_origin(&self, attempt: AttemptHash) -> Option<StreamOrigin> {
         let saved = &self.inner.saved_origins;
-        let is_away = self.inner.tables.outage(FollowedTable::Instances).is_some();
-        if is_away || !saved.has_loader.load(Ordering::Relaxed) {
+        if !saved.has_loader.load(Ordering::Relaxed) {
             return None;
         }
         let mut loads = saved.loads.subscribe();
--- a/crates/foxtailhold-relay/src/request.rs
+++ b/crates/foxtailhold-relay/src/request.rs
@@ -85,6 +85,8 @@
     Starting,
     /// It resumes a stream, and no instance knows at which version that began.
     UnknownVersion,
+    /// It resumes a stream, and the store has not confirmed at which version that can have begun.
+    UnconfirmedVersion,
     /// It resumes a stream, and no backend server has the version that began it.
     VersionGone,
     /// This instance is about to end.
@@ -103,6 +105,7 @@
             NotRunReason::NoRoute => "no_route",
             NotRunReason::Starting => "starting",
             NotRunReason::UnknownVersion => "unknown_version",
+            NotRunReason::UnconfirmedVersion => "unconfirmed_version",
             NotRunReason::VersionGone => "version_gone",
             NotRunReason::Ending => "ending",
         }
--- a/crates/foxtailhold-relay/src/saved_origin_rows.rs
+++ b/crates/foxtailhold-relay/src/saved_origin_rows.rs
@@ -109,7 +109,10 @@
                 log::info!(rows = rows.len(); "saved origins read");
                 peers.record_saved_origins(&rows);
             }
-            Err(error) => log::warn!("saved origins not read: {error}"),
+            Err(error) => {
+                log::warn!("saved origins not read: {error}");
+                peers.saved_origins_not_read();
+            }
         }
         tokio::time::sleep_until(next_at).await;
     }
--- a/crates/foxtailhold-relay/src/take_up.rs
+++ b/crates/foxtailhold-relay/src/take_up.rs
@@ -2,13 +2,14 @@
 //! version that began them.
 
 use foxtailhold::ids::TargetName;
+use foxtailhold::outage_return::return_after_ms;
 use foxtailhold::routes::{Route, RouteTable};
 use foxtailhold::software_version::SoftwareVersion;
 use foxtailhold::stream_origins::{AttemptHash, AttemptId, StreamOrigin};
 
 use crate::dialect::Dialect;
 use crate::fleet::BackendServer;
-use crate::peers::{OriginSearch, OriginSource};
+use crate::peers::{OnlyOrigin, OriginSearch, OriginSource};
 use crate::relay::Relay;
 use crate::request::{NotRunReason, OpaqueRequest};
 use crate::tables::FollowedTable;
@@ -43,16 +44,26 @@
                 attempt: AttemptHash::from(request.id.as_str()),
             });
         }
-        let OriginSearch { found, asked } = match &request.resumes {
+        let OriginSearch {
+            found,
+            asked,
+            is_unconfirmed,
+        } = match &request.resumes {
             Some(attempt) => {
                 let attempt = AttemptHash::from(attempt);
                 self.peers.search_origin(attempt, &route.name).await
             }
             None => {
-                let only = self.peers.only_origin(&route.name);
+                let only = self.peers.confirm_only_origin(&route.name).await;
+                let is_unconfirmed = only == OnlyOrigin::Unconfirmed;
+                let found = match only {
+                    OnlyOrigin::Only(origin) => Some((origin, OriginSource::OnlyVersion)),
+                    OnlyOrigin::Unsure | OnlyOrigin::Unconfirmed => None,
+                };
                 OriginSearch {
-                    found: only.map(|origin| (origin, OriginSource::OnlyVersion)),
+                    found,
                     asked: 0,
+                    is_unconfirmed,
                 }
             }
         };
@@ -76,7 +87,10 @@
             "stream taken up"
         );
         let Some((StreamOrigin { service, version }, _)) = found else {
-            return Err(NotRunReason::UnknownVersion);
+            return Err(match is_unconfirmed {
+                true => NotRunReason::UnconfirmedVersion,
+                false => NotRunReason::UnknownVersion,
+            });
         };
         let is_allowed = route.active_services().any(|active| *active == service);
         let backends = self.backends.load();
@@ -92,6 +106,16 @@
         })
     }
 
+    /// Delay after which a stream that could not be taken up may be: the store may answer then.
+    pub(crate) fn retry_take_up_ms(&self, reason: NotRunReason) -> Option<u64> {
+        if reason != NotRunReason::UnconfirmedVersion {
+            return None;
+        }
+        let outage = self.metrics.tables().outage(FollowedTable::Backends);
+        let outage_ms = outage.unwrap_or_default().as_millis() as u64;
+        Some(return_after_ms(Some(outage_ms), None))
+    }
+
     /// Records where a resumable stream began, before its first event is passed on. The first streams
     /// of a version wait until it is on record in the store.
     pub(crate) async fn stream_began(
--- a/crates/foxtailhold-relay/tests/origins.rs
+++ b/crates/foxtailhold-relay/tests/origins.rs
@@ -8,8 +8,8 @@
 use foxtailhold::origin_history::OriginRecord;
 use foxtailhold::stream_origins::{AttemptHash, StreamOrigin};
 use foxtailhold_http::clock::Clock;
-use foxtailhold_relay::peers::{Member, OriginSource, Peers};
-use foxtailhold_relay::tables::TableStatus;
+use foxtailhold_relay::peers::{Datagram, FoundOrigin, Member, OriginSource, PeerMessage, Peers};
+use foxtailhold_relay::tables::{TableStatus, TableVersions};
 use test_case::test_case;
 use tokio::net::UdpSocket;
 use tokio::task::JoinHandle;
@@ -178,3 +178,40 @@
     let row = serde_json::to_vec(&record).unwrap();
     assert!(serde_json::from_slice::<Member>(&row).is_err());
 }
+
+/// The previous version also names the only origin that it has seen, which others may have ceased to
+/// be; its answers have no table versions.
+#[test_case(None, false ; "previous version")]
+#[test_case(Some(TableVersions::default()), true ; "this version")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_answer_counts_only_if_the_origin_is_remembered(
+    tables: Option<TableVersions>,
+    is_found: bool,
+) {
+    let instances = Instances::start(1).await;
+    let other = UdpSocket::bind("127.0.0.1:0").await.unwrap();
+    let answering = member(1, other.local_addr().unwrap());
+    let instance = answering.instance.clone();
+    instances.peers[0].members().put(9, answering);
+    let answers = tokio::spawn(async move {
+        let mut buffer = vec![0; 60_000];
+        loop {
+            let (length, from) = other.recv_from(&mut buffer).await.unwrap();
+            let asked = Datagram::decode(&buffer[..length]).unwrap().message;
+            let PeerMessage::FindOrigin { number, .. } = asked else {
+                continue;
+            };
+            let found = PeerMessage::FoundOrigin(FoundOrigin {
+                number,
+                instance: instance.clone(),
+                origin: Some(origin("v1")),
+            });
+            let bytes = Datagram::encode(&found, tables.as_ref()).unwrap();
+            other.send_to(&bytes, from).await.unwrap();
+        }
+    });
+    let found = instances.peers[0].find_origin(attempt(1), ROUTE).await;
+    answers.abort();
+    let expected = is_found.then(|| (origin("v1"), OriginSource::Peer));
+    assert_eq!(found, expected);
+}
--- a/crates/foxtailhold/src/origin_history.rs
+++ b/crates/foxtailhold/src/origin_history.rs
@@ -216,6 +216,24 @@
         only(record.origins.iter().chain(self.seen(now)))
     }
 
+    /// Like [`OriginHistory::only_origin`], if the record names no recent origin that this instance
+    /// has not seen.
+    pub fn only_recorded_origin(&self, now: MonoMs, route: &str) -> Option<&StreamOrigin> {
+        let only = self.only_origin(now, route)?;
+        let known = self.known_record.as_ref()?;
+        let recorded = known.record.iter().flat_map(|record| &record.origins);
+        let mut recent =
+            recorded.filter(|origin| is_within(now, known.unlisted.get(*origin).copied()));
+        let is_seen = |origin: &StreamOrigin| self.seen(now).any(|seen| seen == origin);
+        recent.all(is_seen).then_some(only)
+    }
+
+    /// Services of all routes.
+    pub fn services(&self, now: MonoMs) -> BTreeSet<TargetName> {
+        let origins = self.seen(now);
+        origins.map(|origin| origin.service.clone()).collect()
+    }
+
     /// Whether streams of several origins can be taken up.
     pub fn is_mixed(&self, now: MonoMs) -> bool {
         let record = self.known_record.iter().flat_map(|known| &known.record);
