jobs: refuse rows of jobs that cannot be

What callers would see: after one row of a job with results listed twice, or with more tokens than can be counted, no batch job of that route is accepted: the tokens that wait wrap around and exceed every quota (in a debug build the request ends with 500 by a panic).

Cause: `Job::waiting_tokens` takes the listed results and the sum of the tokens of any row that can be decoded for sound.

Change: a row is decoded by `TryFrom`, which refuses lists of results that are not distinct items of the job, and too many tokens. Such a row is logged and the job as known before is kept. The count of lost owners stops at its largest value.

--- a/crates/foxtailhold-relay/src/jobs/cache.rs
+++ b/crates/foxtailhold-relay/src/jobs/cache.rs
@@ -1,12 +1,13 @@
 //! Cache of all jobs and quotas, kept up to date by the change feed.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 
 use foxtailhold::ids::{InstanceId, JobId};
 use foxtailhold_http::lock::Mutex;
 use foxtailhold_platform::{Snapshot, VersionedRow};
 use serde::{Deserialize, Serialize};
+use thiserror::Error;
 use tokio::sync::watch;
 
 use crate::follow::TableSink;
@@ -18,6 +19,9 @@
 /// Key prefix of the rows of quotas.
 pub const QUOTA_PREFIX: &str = "quota/";
 
+/// Limit of the tokens of one job, far from where those of all jobs could overflow.
+const MAX_JOB_TOKENS: u128 = 1 << 48;
+
 /// The row of one job.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Job {
@@ -67,6 +71,38 @@
     }
 }
 
+/// Reason why a row is none of a job.
+#[derive(Debug, Error)]
+pub enum JobRowError {
+    /// The row cannot be decoded.
+    #[error(transparent)]
+    Malformed(#[from] serde_json::Error),
+    /// Results are listed for items that the job does not have, or twice.
+    #[error("the listed results are not those of its items")]
+    Listed,
+    /// The tokens of the items cannot be counted.
+    #[error("the tokens of its items are too many")]
+    Tokens,
+}
+
+impl TryFrom<&[u8]> for Job {
+    type Error = JobRowError;
+
+    fn try_from(value: &[u8]) -> std::result::Result<Self, JobRowError> {
+        let job: Job = serde_json::from_slice(value)?;
+        let tokens = job.items.iter().map(|(_, tokens)| *tokens);
+        if tokens.map(u128::from).sum::<u128>() > MAX_JOB_TOKENS {
+            return Err(JobRowError::Tokens);
+        }
+        let listed: BTreeSet<u16> = job.listed.iter().copied().collect();
+        let last = listed.last().copied().map(usize::from);
+        if listed.len() < job.listed.len() || last.is_some_and(|last| last >= job.items.len()) {
+            return Err(JobRowError::Listed);
+        }
+        Ok(job)
+    }
+}
+
 /// A job and the version of its row.
 #[derive(Debug, Clone)]
 pub struct CachedJob {
@@ -225,7 +261,7 @@
     match row
         .value
         .as_ref()
-        .map(|value| serde_json::from_slice(value))
+        .map(|value| Job::try_from(value.as_ref()))
     {
         Some(Ok(job)) => put_job(state, &id, job, row.version),
         Some(Err(error)) => log::error!("cannot decode row of job {id}: {error}"),
--- a/crates/foxtailhold-relay/src/jobs/owner.rs
+++ b/crates/foxtailhold-relay/src/jobs/owner.rs
@@ -98,7 +98,7 @@
 ) {
     let next = Job {
         owner: jobs.me().clone(),
-        lost_owners: cached.job.lost_owners + 1,
+        lost_owners: cached.job.lost_owners.saturating_add(1),
         ..Job::clone(&cached.job)
     };
     change_owner(&jobs, &id, &cached, next).await;
