--- a/crates/foxtailhold-relay/src/crashes.rs
+++ b/crates/foxtailhold-relay/src/crashes.rs
@@ -19,7 +19,7 @@
 use foxtailhold_platform::VersionedRow;
 use tokio::sync::{Notify, watch};
 
-use crate::group_probes::GroupProbes;
+use crate::group_probes::{GroupProbes, is_recent};
 use crate::life_signs::LifeSigns;
 use crate::part_rows::PartRow;
 
@@ -35,9 +35,6 @@
 /// Least time from a crash under such an item, at any instance, to the next trial at this one. Up to
 /// as long again is added at random, so that the instances do not begin together.
 const TRIAL_GAP_MS: u64 = 1_000;
-/// Time after which the next probe of a request or a suspected group is admitted if the previous one gave no result. It
-/// is longer than attempts usually take.
-const PROBE_INTERVAL_MS: u64 = 5_000;
 /// Time after which the next instance in order may probe, if no caller asks those before it.
 pub const PROBE_TURN_MS: u64 = 2_000;
 /// A row of the store as last read or written.
@@ -123,10 +120,6 @@
     }
 }
 
-pub(crate) fn is_recent(last_probe: Option<&MonoMs>, now: MonoMs) -> bool {
-    last_probe.is_some_and(|at| now.since_ms(*at) < PROBE_INTERVAL_MS)
-}
-
 /// Permit for a trial of a batch item; dropping it ends the trial.
 #[derive(Debug)]
 pub struct TrialPermit {
--- a/crates/foxtailhold-relay/src/group_probes.rs
+++ b/crates/foxtailhold-relay/src/group_probes.rs
@@ -6,8 +6,9 @@
 use foxtailhold::prompt_parts::{PartId, SharedParts};
 use foxtailhold::time::MonoMs;
 
-use crate::crashes::{CrashTracker, is_recent};
-
+/// Time after which the next probe of a request or a suspected group is admitted if the previous one
+/// gave no result. It is longer than attempts usually take.
+const PROBE_INTERVAL_MS: u64 = 5_000;
 /// Time after which the next instance in order may probe a suspected group. Probes are announced to
 /// the other instances, and once more with the next report.
 const GROUP_PROBE_TURN_MS: u64 = 500;
@@ -27,6 +28,11 @@
     full * GROUP_PROBE_TURN_MS + (rank as u64 - full) * SHORT_GROUP_TURN_MS
 }
 
+/// Whether the result of a probe may still come.
+pub(crate) fn is_recent(last_probe: Option<&MonoMs>, now: MonoMs) -> bool {
+    last_probe.is_some_and(|at| now.since_ms(*at) < PROBE_INTERVAL_MS)
+}
+
 /// A probe of a suspected group.
 #[derive(Debug, Clone, Copy)]
 struct GroupProbe {
@@ -50,12 +56,12 @@
         self.reserved.clear();
     }
 
-    fn is_running(&self, group: &[PartId], now: MonoMs) -> bool {
+    pub(crate) fn is_running(&self, group: &[PartId], now: MonoMs) -> bool {
         let probe = self.last.get(group);
         is_recent(probe.map(|probe| &probe.at), now)
     }
 
-    fn reserve(&mut self, group: &[PartId], now: MonoMs) -> bool {
+    pub(crate) fn reserve(&mut self, group: &[PartId], now: MonoMs) -> bool {
         let is_held = |at: &MonoMs| now.since_ms(*at) < PROBE_RESERVATION_MS;
         if self.is_running(group, now) || self.reserved.get(group).is_some_and(is_held) {
             return false;
@@ -64,7 +70,7 @@
         true
     }
 
-    fn admit(&mut self, group: &[PartId], now: MonoMs) -> bool {
+    pub(crate) fn admit(&mut self, group: &[PartId], now: MonoMs) -> bool {
         if self.is_running(group, now) {
             return false;
         }
@@ -77,7 +83,7 @@
         true
     }
 
-    fn record(&mut self, group: Vec<PartId>, goes_first: bool, now: MonoMs) {
+    pub(crate) fn record(&mut self, group: Vec<PartId>, goes_first: bool, now: MonoMs) {
         let is_beside = |own: &GroupProbe| own.is_own && now.since_ms(own.at) < PROBE_SETTLE_MS;
         if self.last.get(&group).is_some_and(is_beside) && !goes_first {
             return;
@@ -88,50 +94,16 @@
         };
         self.last.insert(group, probe);
     }
-}
-
-impl CrashTracker {
-    /// Reserves the probe of a suspected group for a request of this instance, which may seek a slot
-    /// for it. Other instances may do so too; the first one with a slot is admitted.
-    pub fn reserve_group_probe(&self, group: &[PartId], now: MonoMs) -> bool {
-        self.state.lock().group_probes.reserve(group, now)
-    }
-
-    /// Lets another request of this instance seek a slot for a probe of the groups that a request
-    /// holds, because it has not reached a backend server.
-    pub fn release_reservation(&self, held: &SharedParts) {
-        let reserved = &mut self.state.lock().group_probes.reserved;
-        reserved.retain(|group, _| !held.contains_all(group));
-    }
-
-    /// Whether no probe of a suspected group runs, as far as is known here.
-    pub fn is_group_probe_free(&self, group: &[PartId], now: MonoMs) -> bool {
-        !self.state.lock().group_probes.is_running(group, now)
-    }
-
-    /// Admits a probe of a suspected group whose refusal is over, for a request that is sent right
-    /// after. At most one is admitted at a time, of all requests that hold the group.
-    pub fn admit_group_probe(&self, group: &[PartId], now: MonoMs) -> bool {
-        self.state.lock().group_probes.admit(group, now)
-    }
 
-    /// Whether the probe that was admitted here still goes first.
-    pub fn keeps_group_probe(&self, group: &[PartId]) -> bool {
-        let state = self.state.lock();
-        let probe = state.group_probes.last.get(group);
-        probe.is_some_and(|probe| probe.is_own)
+    pub(crate) fn release_reservation(&mut self, held: &SharedParts) {
+        self.reserved.retain(|group, _| !held.contains_all(group));
     }
 
-    /// Admits the next probe of the groups that a request holds at once, because its own has ended.
-    pub fn release_probe(&self, held: &SharedParts) {
-        let last = &mut self.state.lock().group_probes.last;
-        last.retain(|group, _| !held.contains_all(group));
+    pub(crate) fn release(&mut self, held: &SharedParts) {
+        self.last.retain(|group, _| !held.contains_all(group));
     }
 
-    /// Records that another instance has admitted a probe of a suspected group. `goes_first`: of two
-    /// that are announced side by side, it is the one that is sent.
-    pub fn record_probe(&self, group: Vec<PartId>, goes_first: bool, now: MonoMs) {
-        let mut state = self.state.lock();
-        state.group_probes.record(group, goes_first, now);
+    pub(crate) fn is_own(&self, group: &[PartId]) -> bool {
+        self.last.get(group).is_some_and(|probe| probe.is_own)
     }
 }
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod plain;
 mod plain_dispatch;
 pub mod platform_tables;
+mod probe_admission;
 pub mod relay;
 pub mod request;
 pub mod saved_origin_rows;
--- /dev/null
+++ b/crates/foxtailhold-relay/src/probe_admission.rs
@@ -0,0 +1,49 @@
+//! Probes of suspected groups, as the requests of this instance and the announcements of others see
+//! them.
+
+use foxtailhold::prompt_parts::{PartId, SharedParts};
+use foxtailhold::time::MonoMs;
+
+use crate::crashes::CrashTracker;
+
+impl CrashTracker {
+    /// Reserves the probe of a suspected group for a request of this instance, which may seek a slot
+    /// for it. Other instances may do so too; the first one with a slot is admitted.
+    pub fn reserve_group_probe(&self, group: &[PartId], now: MonoMs) -> bool {
+        self.state.lock().group_probes.reserve(group, now)
+    }
+
+    /// Lets another request of this instance seek a slot for a probe of the groups that a request
+    /// holds, because it has not reached a backend server.
+    pub fn release_reservation(&self, held: &SharedParts) {
+        self.state.lock().group_probes.release_reservation(held);
+    }
+
+    /// Whether no probe of a suspected group runs, as far as is known here.
+    pub fn is_group_probe_free(&self, group: &[PartId], now: MonoMs) -> bool {
+        !self.state.lock().group_probes.is_running(group, now)
+    }
+
+    /// Admits a probe of a suspected group whose refusal is over, for a request that is sent right
+    /// after. At most one is admitted at a time, of all requests that hold the group.
+    pub fn admit_group_probe(&self, group: &[PartId], now: MonoMs) -> bool {
+        self.state.lock().group_probes.admit(group, now)
+    }
+
+    /// Whether the probe that was admitted here still goes first.
+    pub fn keeps_group_probe(&self, group: &[PartId]) -> bool {
+        self.state.lock().group_probes.is_own(group)
+    }
+
+    /// Admits the next probe of the groups that a request holds at once, because its own has ended.
+    pub fn release_probe(&self, held: &SharedParts) {
+        self.state.lock().group_probes.release(held);
+    }
+
+    /// Records that another instance has admitted a probe of a suspected group. `goes_first`: of two
+    /// that are announced side by side, it is the one that is sent.
+    pub fn record_probe(&self, group: Vec<PartId>, goes_first: bool, now: MonoMs) {
+        let mut state = self.state.lock();
+        state.group_probes.record(group, goes_first, now);
+    }
+}
