--- a/crates/foxtailhold-relay/src/jobs/cache.rs
+++ b/crates/foxtailhold-relay/src/jobs/cache.rs
@@ -19,8 +19,14 @@
 /// Key prefix of the rows of quotas.
 pub const QUOTA_PREFIX: &str = "quota/";
 
-/// Limit of the tokens of one job, far from where those of all jobs could overflow.
-const MAX_JOB_TOKENS: u128 = 1 << 48;
+/// Most tokens that the items of a job may have together, far from where those of all jobs could
+/// overflow.
+pub const MAX_JOB_TOKENS: u64 = 1 << 48;
+
+/// Whether the tokens of a job's items can be counted.
+pub fn are_countable(tokens: impl Iterator<Item = u64>) -> bool {
+    tokens.map(u128::from).sum::<u128>() <= u128::from(MAX_JOB_TOKENS)
+}
 
 /// The row of one job.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -90,8 +96,7 @@
 
     fn try_from(value: &[u8]) -> std::result::Result<Self, JobRowError> {
         let job: Job = serde_json::from_slice(value)?;
-        let tokens = job.items.iter().map(|(_, tokens)| *tokens);
-        if tokens.map(u128::from).sum::<u128>() > MAX_JOB_TOKENS {
+        if !are_countable(job.items.iter().map(|(_, tokens)| *tokens)) {
             return Err(JobRowError::Tokens);
         }
         let listed: BTreeSet<u16> = job.listed.iter().copied().collect();
--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -21,7 +21,7 @@
 mod sweep;
 
 pub use accept::AcceptOutcome;
-pub use cache::{Job, JobCache, JobCacheSink};
+pub use cache::{Job, JobCache, JobCacheSink, MAX_JOB_TOKENS, are_countable};
 pub use checkpoint::PartialOutputs;
 pub use output::{Checkpoint, PartialOutput, RunEvent, RunId, Writer};
 pub use owner::own_jobs;
