--- a/crates/foxtailhold-standin/tests/contract_platform.rs
+++ b/crates/foxtailhold-standin/tests/contract_platform.rs
@@ -18,7 +18,7 @@
 
 fn effect(error: &PlatformError) -> Effect {
     match error {
-        PlatformError::Unavailable { .. } => Effect::No,
+        PlatformError::Unavailable { .. } | PlatformError::Rejected { .. } => Effect::No,
         PlatformError::Unknown { .. } => Effect::Unknown,
         PlatformError::Malformed { .. } => Effect::Malformed,
     }
