relay: call a version gone only by a list of servers that the store confirms

What callers saw: streams that they take up at an instance which has just woken were rejected for good (version_gone), although the version that began them serves and another instance remembers where they began. Cause: the origin came from another instance, the list of backend servers was this instance's own of a second before. Change: before a stream is rejected so, the store confirms that the newest routes and backend servers are in effect here; without a confirmation it is rejected with a retry time.

--- a/crates/foxtailhold-relay/src/peers/origin_confirmation.rs
+++ b/crates/foxtailhold-relay/src/peers/origin_confirmation.rs
@@ -76,7 +76,7 @@
 
     /// Whether the store has confirmed, in answers to calls that began after this one, that this
     /// instance knows where streams can begin.
-    async fn is_confirmed(&self) -> bool {
+    pub(crate) async fn is_confirmed(&self) -> bool {
         let confirmations = &self.inner.origin_confirmations;
         if !confirmations.has_confirmer.load(Ordering::SeqCst) {
             return false;
--- a/crates/foxtailhold-relay/src/take_up.rs
+++ b/crates/foxtailhold-relay/src/take_up.rs
@@ -86,18 +86,22 @@
             source = source;
             "stream taken up"
         );
-        let Some((StreamOrigin { service, version }, _)) = found else {
+        let Some((origin, _)) = found else {
             return Err(match is_unconfirmed {
                 true => NotRunReason::UnconfirmedVersion,
                 false => NotRunReason::UnknownVersion,
             });
         };
-        let is_allowed = route.active_services().any(|active| *active == service);
-        let backends = self.backends.load();
-        let mut servers = backends.for_service(&service).iter();
-        if !is_allowed || !servers.any(|backend| backend.version == version) {
-            return Err(NotRunReason::VersionGone);
+        if !self.backends.load().serves(route, &origin) {
+            // The origin may be newer than the list of backend servers.
+            if !self.peers.is_confirmed().await {
+                return Err(NotRunReason::UnconfirmedVersion);
+            }
+            if !self.backends.load().serves(route, &origin) {
+                return Err(NotRunReason::VersionGone);
+            }
         }
+        let StreamOrigin { service, version } = origin;
         let resumes = request.resumes.as_ref().map(AttemptHash::from);
         Ok(Destination {
             service,
