crashes: requests that all were lost yield to none

What callers saw: batch items that share their parts were done late after all backend servers had been lost several times: 1 of 20 within 6 s. Cause: since a request yields 2 s for each crash in which it was lost. Where all holders of a part were lost, all of them wait, up to 6 s beyond the refusal, and none comes before them. Change: a request that was lost waits 0.5 s longer than one that never was, and 2 s for each crash in which it was lost more often than the holder that was lost least often, which is found together with the groups.

--- a/crates/foxtailhold/src/part_crashes.rs
+++ b/crates/foxtailhold/src/part_crashes.rs
@@ -31,8 +31,11 @@
 /// Time after the refusal until a request may run whose crash may have several causes. It says less
 /// than a probe of one of them.
 const SHARED_PROBE_DELAY_MS: u64 = 3_000;
-/// Delay of a probe with a request for each crash in which it was lost, so that it yields to requests
-/// that were lost less often.
+/// Delay of a probe with a request that was lost in a crash, so that it yields to requests that never
+/// were.
+const LOST_PROBE_DELAY_MS: u64 = 500;
+/// Further delay for each crash in which it was lost more often than the request with the same parts
+/// that was lost least often. All of them may have been lost, and none is left to yield to.
 const REPEATED_PROBE_DELAY_MS: u64 = 2_000;
 /// Crashes of one request that delay its probe.
 const MAX_DELAYING_CRASHES: usize = 3;
@@ -258,10 +261,15 @@
         if self.status(parts, service, now).0 == CrashStatus::Allowed {
             return (CrashStatus::Allowed, None);
         }
+        let losses = self.losses(request);
+        self.status_after(losses, parts, service, now)
+    }
+
+    /// Number of crashes in which a request was lost, as far as they delay its probe.
+    fn losses(&self, request: Fingerprint) -> usize {
         let crashes = self.crashes.values();
         let lost = crashes.filter(|crash| !crash.is_refuted && crash.has_lost_request(request));
-        let losses = lost.take(MAX_DELAYING_CRASHES).count();
-        self.status_after(losses, parts, service, now)
+        lost.take(MAX_DELAYING_CRASHES).count()
     }
 
     fn status_after(
@@ -289,7 +297,12 @@
             true => SHARED_PROBE_DELAY_MS,
             false => 0,
         };
-        let delay_ms = delay_ms + losses as u64 * REPEATED_PROBE_DELAY_MS;
+        let further = losses.saturating_sub(last.least_losses) as u64;
+        let lost_delay_ms = match losses {
+            0 => 0,
+            _ => LOST_PROBE_DELAY_MS + further * REPEATED_PROBE_DELAY_MS,
+        };
+        let delay_ms = delay_ms + lost_delay_ms;
         let end_unix_ms = refused_until_unix_ms(last).saturating_add(delay_ms);
         let status = match end_unix_ms.checked_sub(now.0) {
             Some(left_ms) if left_ms > 0 => CrashStatus::Refused { left_ms },
--- a/crates/foxtailhold/src/part_groups.rs
+++ b/crates/foxtailhold/src/part_groups.rs
@@ -50,6 +50,8 @@
     pub refused_until_unix_ms: u64,
     /// When it ends for a request that was lost in a crash before, in Unix ms.
     pub repeats_refused_until_unix_ms: u64,
+    /// Crashes in which that request with the group was lost which was lost least often.
+    pub least_losses: usize,
     /// From when on requests with the group run only as probes, in Unix ms.
     pub held_from_unix_ms: u64,
     /// Whether each part was seen in a complete response.
@@ -294,6 +296,7 @@
             probes: 0,
             refused_until_unix_ms: 0,
             repeats_refused_until_unix_ms: 0,
+            least_losses: 0,
             held_from_unix_ms: 0,
             has_run: false,
             parts,
@@ -305,6 +308,10 @@
     /// is likelier to be the cause, and one while backend servers crash without the group as well.
     fn set_refusals(&self, groups: &mut [SuspectedGroup]) {
         let acquitted = self.acquitted();
+        let losses = match groups.is_empty() {
+            true => HashMap::new(),
+            false => self.losses(),
+        };
         groups.sort_by_cached_key(|group| (self.longest_run_ms(group), group.parts.clone()));
         for rank in 0..groups.len() {
             let (likelier, rest) = groups.split_at_mut(rank);
@@ -361,12 +368,34 @@
                 false => last_unix_ms.unwrap_or(0).saturating_add(PROOF_DELAY_MS),
             };
             group.probes = probes;
+            group.least_losses = self.least_losses(group, &losses);
             let ends_after = |refused_ms| last_unix_ms.unwrap_or(0).saturating_add(refused_ms);
             group.refused_until_unix_ms = ends_after(refused_ms(of_others));
             group.repeats_refused_until_unix_ms = ends_after(refused_ms(counted));
         }
     }
 
+    /// Number of crashes in which each request was lost.
+    fn losses(&self) -> HashMap<Fingerprint, usize> {
+        let mut losses = HashMap::new();
+        for crash in self.crashes.values().filter(|crash| !crash.is_refuted) {
+            let requests: BTreeSet<Fingerprint> =
+                crash.lost.iter().map(|lost| lost.request).collect();
+            for request in requests {
+                *losses.entry(request).or_default() += 1;
+            }
+        }
+        losses
+    }
+
+    fn least_losses(&self, group: &SuspectedGroup, losses: &HashMap<Fingerprint, usize>) -> usize {
+        let records = group.crashes.iter().map(|id| &self.crashes[id]);
+        let lost = records.flat_map(|crash| &crash.lost);
+        let holders = lost.filter(|lost| lost.parts.contains_all(&group.parts));
+        let losses = holders.filter_map(|lost| losses.get(&lost.request).copied());
+        losses.min().unwrap_or(0)
+    }
+
     /// Whether a probe that was lost in a crash was the request's first attempt to be lost.
     fn has_first_loss(&self, id: &CrashId, crash: &PartCrash) -> bool {
         let mut probes = crash.lost.iter().filter(|lost| lost.is_probe);
--- a/crates/foxtailhold/tests/part_probes.rs
+++ b/crates/foxtailhold/tests/part_probes.rs
@@ -70,8 +70,24 @@
 fn a_request_that_was_lost_before_yields_to_others() {
     let [other, repeated] = probe_times(&mut suspected_by_two_requests(), 400);
     assert_eq!(other, 400 + SHORT_MS);
-    assert!(repeated >= other + 2_000, "{repeated}");
-    assert!(repeated <= other + 6_000, "{repeated}");
+    assert_eq!(repeated, other + 500);
+}
+
+/// Guards against requests that all were lost, as with a rack, and that yield to none.
+#[test_case(1, 500; "as often as the others")]
+#[test_case(2, 2_500; "once more often")]
+#[test_case(3, 4_500; "twice more often")]
+fn a_request_yields_to_those_that_were_lost_less_often(losses: u64, delay_ms: u64) {
+    let mut registry = PartCrashRegistry::default();
+    for request in [2, 3, 4] {
+        crash(&mut registry, request * 100, u128::from(request), false);
+    }
+    for loss in 0..losses {
+        crash(&mut registry, 500 + loss * 100, 1, false);
+    }
+    let last_ms = 400 + losses * 100;
+    let [other, repeated] = probe_times(&mut registry, last_ms);
+    assert_eq!(repeated, other + delay_ms);
 }
 
 #[test]
