--- a/crates/foxtailhold-relay/src/shared_store/hedge.rs
+++ b/crates/foxtailhold-relay/src/shared_store/hedge.rs
@@ -7,7 +7,8 @@
 use foxtailhold_platform::{PlatformError, Result};
 
 /// Starts `second` when `first` has failed, or has not answered within `delay_ms`. The first
-/// success is returned, or the first refusal of the call itself; if both fail, an error that leaves the effect unknown goes first.
+/// success is returned, or the first refusal of the call itself; if both fail, an error that leaves the
+/// effect unknown goes first.
 pub(super) async fn hedge<T>(
     first: impl Future<Output = Result<T>>,
     second: impl Future<Output = Result<T>>,
