members: of several starts at one address, the one that is heard counts

Callers saw an instance vanish from the addresses, and jobs of lost owners were left to it by some instances and not by others, for as long as the store was away.

Cause: a write of the store about a former start may be done seconds late. The list of instances kept one row for each address, that with the highest version, so the late row took the live start out. It came back only when that start saw itself missing twice and had written its row again, which needs the store.

Change: the rows of all starts are kept. At an address with several, the start that counts is the one that is heard; without one, that with the newest row. The live start still writes its row again, for instances of the previous build.

--- a/crates/foxtailhold-relay/src/peers/members.rs
+++ b/crates/foxtailhold-relay/src/peers/members.rs
@@ -46,16 +46,18 @@
 #[derive(Debug)]
 pub struct Members {
     me: InstanceId,
-    /// By row version, oldest first.
+    /// Newest row of each start, by version, oldest first. Several starts may have the same address,
+    /// because the row of a former one stays until it is deleted, and may be written late.
     rows: BTreeMap<u64, Member>,
+    /// The start that counts at each address that is listed with several.
+    current: HashMap<SocketAddr, InstanceId>,
     last_heard: HashMap<InstanceId, MonoMs>,
+    /// Time of the newest message of any instance.
+    newest_message: MonoMs,
     unanswered_since: HashMap<InstanceId, MonoMs>,
     skipped_until: HashMap<InstanceId, MonoMs>,
     live_lists: HashMap<InstanceId, (MonoMs, Vec<InstanceHash>)>,
     down_since: HashMap<InstanceId, MonoMs>,
-    /// Instances whose address is listed with another start. They are down unless they are heard
-    /// from, because the row of a former start may be written late.
-    replaced: HashSet<InstanceId>,
 }
 
 impl Members {
@@ -64,49 +66,105 @@
         Members {
             me,
             rows: BTreeMap::new(),
+            current: HashMap::new(),
             last_heard: HashMap::new(),
+            newest_message: MonoMs(0),
             unanswered_since: HashMap::new(),
             skipped_until: HashMap::new(),
             live_lists: HashMap::new(),
             down_since: HashMap::new(),
-            replaced: HashSet::new(),
         }
     }
 
-    /// Applies a row. Per instance and per address only the newest row counts.
+    /// Applies a row. Of each start only the newest row counts, and of several starts at one address
+    /// only one does: that which is heard, or else the one with the newest row.
     pub fn put(&mut self, version: u64, member: Member) {
-        let stale: Vec<u64> = self
-            .rows
-            .iter()
-            .filter(|(_, other)| {
-                other.instance == member.instance || other.peer_address == member.peer_address
-            })
-            .map(|(version, _)| *version)
-            .collect();
-        if stale.iter().any(|stale_version| *stale_version > version) {
-            return;
-        }
-        for stale_version in stale {
-            let Some(old) = self.rows.remove(&stale_version) else {
-                continue;
-            };
-            if old.instance != member.instance {
-                self.replaced.insert(old.instance);
+        let mut rows = self.rows.iter();
+        let known = rows.find(|(_, other)| other.instance == member.instance);
+        if let Some(known_version) = known.map(|(version, _)| *version) {
+            if known_version > version {
+                return;
             }
+            self.rows.remove(&known_version);
         }
-        self.replaced.remove(&member.instance);
+        let address = member.peer_address;
         self.rows.insert(version, member);
+        self.choose_current(self.newest_message, address);
     }
 
-    /// Whether the row of this instance is listed and says `is_leaving`.
-    pub fn lists_me(&self, is_leaving: bool) -> bool {
+    fn starts_at(&self, address: SocketAddr) -> impl DoubleEndedIterator<Item = &Member> {
+        let all = self.rows.values();
+        all.filter(move |member| member.peer_address == address)
+    }
+
+    /// Chooses the start that counts at an address. One that counts and is alive stays, because the
+    /// row of a former start may be written late.
+    fn choose_current(&mut self, now: MonoMs, address: SocketAddr) {
+        if self.starts_at(address).nth(1).is_none() {
+            self.current.remove(&address);
+            return;
+        }
+        let live = self.live_set(now);
+        let is_alive = |member: &&Member| {
+            member.instance == self.me || live.contains(&InstanceHash::from(&member.instance))
+        };
+        let before = self.current.get(&address);
+        let is_before = |member: &&Member| Some(&member.instance) == before;
+        let newest_first = || self.starts_at(address).rev();
+        let chosen = newest_first()
+            .filter(is_alive)
+            .find(is_before)
+            .or_else(|| newest_first().find(is_alive))
+            .or_else(|| newest_first().next());
+        if let Some(chosen) = chosen.map(|member| member.instance.clone()) {
+            self.current.insert(address, chosen);
+        }
+    }
+
+    /// Whether a listed start is the one that counts at its address.
+    fn is_current(&self, member: &Member) -> bool {
+        let current = self.current.get(&member.peer_address);
+        current.is_none_or(|current| *current == member.instance)
+    }
+
+    /// The starts that count, one for each address, those with the oldest rows first.
+    fn members(&self) -> impl Iterator<Item = &Member> {
+        let all = self.rows.values();
+        all.filter(|member| self.is_current(member))
+    }
+
+    /// Lets a start count at its address, because it is heard.
+    fn make_current(&mut self, instance: &InstanceId) {
         let mut rows = self.rows.values();
-        rows.any(|member| member.instance == self.me && member.is_leaving == is_leaving)
+        let Some(member) = rows.find(|member| member.instance == *instance) else {
+            return;
+        };
+        let address = member.peer_address;
+        if let Some(current) = self.current.get_mut(&address) {
+            *current = instance.clone();
+        }
+    }
+
+    /// Whether the row of this instance says `is_leaving` and is the newest one at its address, so
+    /// that instances which do not hear it list it too.
+    pub fn lists_me(&self, is_leaving: bool) -> bool {
+        let mut newest_first = self.rows.values().rev();
+        let Some(own) = self.rows.values().find(|row| row.instance == self.me) else {
+            return false;
+        };
+        let at_address = newest_first.find(|row| row.peer_address == own.peer_address);
+        own.is_leaving == is_leaving && at_address.is_some_and(|row| row.instance == self.me)
     }
 
     /// Removes the row of an instance.
     pub fn remove(&mut self, instance: &InstanceId) {
+        let mut rows = self.rows.values();
+        let Some(row) = rows.find(|member| member.instance == *instance) else {
+            return;
+        };
+        let address = row.peer_address;
         self.rows.retain(|_, member| member.instance != *instance);
+        self.choose_current(self.newest_message, address);
     }
 
     /// Removes all rows, before a complete list is applied.
@@ -122,8 +180,7 @@
     /// All other instances. Leaving instances are included because they serve for some more
     /// seconds.
     pub fn other_members(&self) -> impl Iterator<Item = &Member> {
-        let all = self.rows.values();
-        all.filter(|member| member.instance != self.me)
+        self.members().filter(|member| member.instance != self.me)
     }
 
     /// Addresses of all other instances.
@@ -134,7 +191,7 @@
 
     /// Peer address of an instance; `None` if it is not listed.
     pub fn address(&self, instance: &InstanceId) -> Option<SocketAddr> {
-        let mut all = self.rows.values();
+        let mut all = self.members();
         let member = all.find(|member| member.instance == *instance)?;
         Some(member.peer_address)
     }
@@ -150,13 +207,27 @@
     /// Records a message from an instance, which proves that it is alive.
     pub fn record_message(&mut self, now: MonoMs, instance: &InstanceId) {
         self.last_heard.insert(instance.clone(), now);
+        self.newest_message = self.newest_message.max(now);
         self.unanswered_since.remove(instance);
         self.skipped_until.remove(instance);
+        if !self.current.is_empty() && *instance != self.me {
+            self.make_current(instance);
+        }
     }
 
     /// Records the list of live instances sent by an allocator or standby.
     pub fn record_live_list(&mut self, now: MonoMs, from: &InstanceId, live: Vec<InstanceHash>) {
         self.live_lists.insert(from.clone(), (now, live));
+        self.newest_message = self.newest_message.max(now);
+        self.review_current(now);
+    }
+
+    /// Chooses again where several starts are listed, because one may have fallen silent.
+    fn review_current(&mut self, now: MonoMs) {
+        let addresses: Vec<SocketAddr> = self.current.keys().copied().collect();
+        for address in addresses {
+            self.choose_current(now, address);
+        }
     }
 
     /// Records that an instance did not answer slot requests in time.
@@ -167,7 +238,7 @@
 
     /// Interval between reports in milliseconds; it grows with the number of instances.
     pub fn report_interval_ms(&self) -> u64 {
-        let instances = self.rows.len() as u64;
+        let instances = self.members().count() as u64;
         (REPORT_INTERVAL_MS.0 * instances / MIN_INTERVAL_INSTANCES)
             .clamp(REPORT_INTERVAL_MS.0, REPORT_INTERVAL_MS.1)
     }
@@ -209,11 +280,12 @@
     }
 
     fn not_leaving(&self) -> impl Iterator<Item = &Member> {
-        self.rows.values().filter(|member| !member.is_leaving)
+        self.members().filter(|member| !member.is_leaving)
     }
 
     /// Addresses for the next report. Instances that do not answer are skipped for a while.
     pub fn report_addresses(&mut self, now: MonoMs) -> Vec<SocketAddr> {
+        self.review_current(now);
         let mut chosen = Vec::new();
         let ranked: Vec<Member> = self.by_allocator_rank().into_iter().cloned().collect();
         let unanswered_ms = self.report_interval_ms() * SKIP_AFTER_TENTHS / 10;
@@ -262,9 +334,10 @@
     /// replaced.
     pub fn live_hashes(&self, now: MonoMs) -> HashSet<InstanceHash> {
         let mut live = self.live_set(now);
-        for replaced in &self.replaced {
-            if !self.is_heard(now, replaced) {
-                live.remove(&InstanceHash::from(replaced));
+        let replaced = self.rows.values().filter(|member| !self.is_current(member));
+        for member in replaced {
+            if !self.is_heard(now, &member.instance) {
+                live.remove(&InstanceHash::from(&member.instance));
             }
         }
         live
@@ -285,6 +358,7 @@
 
     /// Instances that are not leaving and have not been down for `for_ms`, including this one.
     pub fn not_down(&mut self, now: MonoMs, for_ms: u64) -> Vec<InstanceId> {
+        self.review_current(now);
         let candidates: Vec<InstanceId> = self.not_leaving().map(|m| m.instance.clone()).collect();
         let live = self.live_hashes(now);
         let mut up = Vec::new();
@@ -304,6 +378,7 @@
     /// Whether an instance has been down for `for_ms`, or its address has been taken over. It must
     /// be called regularly because it notes when an instance goes down.
     pub fn is_down(&mut self, now: MonoMs, instance: &InstanceId, for_ms: u64) -> bool {
+        self.review_current(now);
         let live = self.live_hashes(now);
         self.is_down_beside(&live, now, instance, for_ms)
     }
@@ -321,12 +396,15 @@
 
     /// Whether the address of an instance is listed with another start.
     pub fn is_replaced(&self, instance: &InstanceId) -> bool {
-        self.replaced.contains(instance)
+        let mut rows = self.rows.values();
+        let row = rows.find(|member| member.instance == *instance);
+        row.is_some_and(|member| !self.is_current(member))
     }
 
     /// For how long an instance has not been heard from; `None` if it is alive. It must be called
     /// regularly because it notes when an instance goes down.
     pub fn down_ms(&mut self, now: MonoMs, instance: &InstanceId) -> Option<u64> {
+        self.review_current(now);
         let live = self.live_hashes(now);
         self.down_ms_beside(&live, now, instance)
     }
@@ -347,6 +425,7 @@
 
     /// Row versions and identifiers of the instances that have been down for `for_ms`.
     pub fn down_rows(&mut self, now: MonoMs, for_ms: u64) -> Vec<(u64, InstanceId)> {
+        self.review_current(now);
         let rows: Vec<(u64, InstanceId)> = self
             .rows
             .iter()
--- a/crates/foxtailhold-relay/tests/members.rs
+++ b/crates/foxtailhold-relay/tests/members.rs
@@ -215,3 +215,56 @@
     }
     assert_eq!(members.report_interval_ms(), 400);
 }
+
+/// Guards against a late row of a former start that hides the live one until the store can be written
+/// again, which may be long.
+#[test_case(true ; "heard directly")]
+#[test_case(false ; "heard by the allocator")]
+fn a_late_row_of_a_former_start_hides_no_live_instance(is_heard_directly: bool) {
+    let mut members = five_members();
+    let hear = |members: &mut Members, at: MonoMs| {
+        members.record_message(at, &id("i2"));
+        let live_list = ["i1", "i2"].map(|name| InstanceHash::from(&id(name)));
+        match is_heard_directly {
+            true => members.record_message(at, &id("i1")),
+            false => members.record_live_list(at, &id("i2"), live_list.to_vec()),
+        }
+    };
+    hear(&mut members, MonoMs(1_000));
+    let former = Member {
+        is_leaving: true,
+        ..member("i1-former", 1)
+    };
+    members.put(9, former);
+    for at_ms in [1_010, 1_200] {
+        assert!(live(&members, at_ms).contains(&"i1".to_owned()));
+        assert_eq!(members.address(&id("i1")), Some(address(1)));
+        assert!(members.others().contains(&address(1)));
+        assert!(!members.is_replaced(&id("i1")) && members.is_replaced(&id("i1-former")));
+        let up = members.not_down(MonoMs(at_ms), 0);
+        assert!(up.contains(&id("i1")) && !up.contains(&id("i1-former")));
+        hear(&mut members, MonoMs(1_200));
+    }
+}
+
+/// The same where the late row comes before any message.
+#[test]
+fn a_start_that_is_heard_counts_instead_of_one_with_a_newer_row() {
+    let mut members = five_members();
+    members.put(9, member("i1-former", 1));
+    assert!(members.is_replaced(&id("i1")));
+    members.record_message(MonoMs(1_000), &id("i1"));
+    assert!(!members.is_replaced(&id("i1")) && members.is_replaced(&id("i1-former")));
+    assert_eq!(members.count(), 5);
+}
+
+#[test]
+fn a_new_start_counts_once_the_one_before_is_silent() {
+    let mut members = five_members();
+    members.record_message(MonoMs(0), &id("i1"));
+    members.record_message(MonoMs(1_000), &id("i2"));
+    members.put(9, member("i1-again", 1));
+    assert!(members.is_replaced(&id("i1")) && !members.is_replaced(&id("i1-again")));
+    members.remove(&id("i1"));
+    assert_eq!(members.address(&id("i1-again")), Some(address(1)));
+}
