jobs: a page of results is bounded as it is encoded

Callers saw a page of 1,090,274 bytes; they accept 1 MB.

Cause: a page was cut by the bytes of its texts. A text full of quotes doubles when it is encoded.

Change: results are counted as they are encoded, with the function that splits texts into rows.

--- a/crates/foxtailhold-relay/src/jobs/read.rs
+++ b/crates/foxtailhold-relay/src/jobs/read.rs
@@ -8,10 +8,13 @@
 use tokio::time::Instant;
 
 use crate::dialect::Dialect;
+use crate::jobs::split::encoded_text_bytes;
 use crate::jobs::{ItemState, JobError, Jobs, Result};
 
-/// Approximate size limit of the results in one page.
-const MAX_PAGE_BYTES: usize = 600_000;
+/// Size limit of the results in one page as they are encoded, below what callers accept (1 MB).
+const MAX_PAGE_BYTES: usize = 950_000;
+/// Bytes of an encoded result beside its identifier and its text.
+const RESULT_OVERHEAD_BYTES: usize = 64;
 /// Results read with one store call.
 const MAX_PAGE_RESULTS: usize = 24;
 
@@ -37,6 +40,10 @@
     pub results: Vec<ListedResult>,
 }
 
+fn encoded_result_bytes(result: &ListedResult) -> usize {
+    RESULT_OVERHEAD_BYTES + encoded_text_bytes(&result.item) + encoded_text_bytes(&result.text)
+}
+
 impl<S: RowStore + ObjectStore, D: Dialect> Jobs<S, D> {
     /// Reads results from position `after` on. Waits until there is one, for `wait_ms` at most.
     pub async fn read(&self, id: &JobId, after: usize, wait_ms: u64) -> Result<ResultPage> {
@@ -62,9 +69,9 @@
         let mut results = self.store.results(id, after, to).await?;
         let mut bytes = 0;
         let fitting_results = results.iter().take_while(|result| {
-            let fits = bytes == 0 || bytes + result.text.len() <= MAX_PAGE_BYTES;
-            bytes += result.text.len();
-            fits
+            let is_first = bytes == 0;
+            bytes += encoded_result_bytes(result);
+            is_first || bytes <= MAX_PAGE_BYTES
         });
         let count = fitting_results.count();
         results.truncate(count);
--- a/crates/foxtailhold-relay/src/jobs/split.rs
+++ b/crates/foxtailhold-relay/src/jobs/split.rs
@@ -17,7 +17,8 @@
     }
 }
 
-fn encoded_text_bytes(text: &str) -> usize {
+/// Bytes of a text in a JSON string, without its quotes.
+pub(super) fn encoded_text_bytes(text: &str) -> usize {
     text.chars().map(encoded_bytes).sum()
 }
 
