jobs: jobs are handed over until the process ends, also those accepted later

Callers saw batch jobs that an instance accepted late in its planned stop, or that it could not hand over at once, run by nobody until its process had ended and others had missed it for 1.2 s.

Cause: the hand-over was tried once for the jobs of that moment. Takeovers under way were dropped with their outcome unknown, and the process did not wait for a hand-over that was late.

Evidence: both tests of hand_over.rs fail on, in 2 of 2 plays: "the process has ended before the item runs" (1.3 s after the 202), "before the job has another owner" (outage of 0.8 s around the hand-over).

Change: from the hand-over on, whatever open job this instance owns is moved, with a delay between attempts; a job accepted then belongs to another instance from the start. Takeovers under way end, and what they bring is moved (no test of its own: the window could not be met reliably).

--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -25,6 +25,7 @@
 use crate::follow::{FeedTiming, TableSource, follow};
 use crate::jobs::{
     JOBS_TABLE, JobCache, JobCacheSink, JobProgress, JobStore, Jobs, own_jobs, sweep_jobs,
+    wait_handed_over,
 };
 use crate::metrics::{GaugeValues, RelayMetrics};
 use crate::origin_confirmation::confirm_origins;
@@ -102,7 +103,6 @@
     backends_loaded: watch::Receiver<bool>,
     leaving: CancellationToken,
     closing: CancellationToken,
-    hand_over: CancellationToken,
 }
 
 impl<S: RowStore + ObjectStore, D: Dialect> Instance<S, D> {
@@ -144,6 +144,7 @@
             item_durations: Mutex::default(),
             acceptances: tokio::sync::Mutex::default(),
             progress: JobProgress::default(),
+            hand_over: CancellationToken::new(),
         });
         let (loaded, backends_loaded) = watch::channel(false);
         let backends_sink = BackendsSink {
@@ -210,8 +211,7 @@
             relay.metrics.clone(),
         ));
         tokio::spawn(sweep_jobs(Arc::clone(&jobs), identity.job_retention_ms));
-        let (leaving, hand_over) = (CancellationToken::new(), CancellationToken::new());
-        tokio::spawn(own_jobs(Arc::clone(&jobs), hand_over.clone()));
+        tokio::spawn(own_jobs(Arc::clone(&jobs)));
         let instance = Arc::new(Instance {
             relay,
             jobs,
@@ -219,9 +219,8 @@
             store,
             peer_server,
             backends_loaded,
-            leaving,
+            leaving: CancellationToken::new(),
             closing: CancellationToken::new(),
-            hand_over,
         });
         tokio::spawn(instance.own_row().keep());
         tokio::spawn(Arc::clone(&instance).delete_down_rows());
@@ -337,7 +336,12 @@
 
     /// Starts to hand over batch jobs to other instances.
     pub fn hand_over_jobs(&self) {
-        self.hand_over.cancel();
+        self.jobs.hand_over.cancel();
+    }
+
+    /// Waits until no open job is left here that another instance could run.
+    pub async fn wait_jobs_handed_over(&self) {
+        wait_handed_over(&self.jobs).await;
     }
 
     /// Answers the requests that have no answer yet, because the process is about to end. Those that
--- a/crates/foxtailhold-relay/src/jobs/accept.rs
+++ b/crates/foxtailhold-relay/src/jobs/accept.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use foxtailhold::ids::JobId;
+use foxtailhold::ids::{InstanceId, JobId};
 use foxtailhold::outage_return::return_after_ms;
 use foxtailhold::routes::{BatchLimits, Route};
 use foxtailhold_platform::{Committed, ObjectStore, PlatformError, RowStore, VersionedRow};
@@ -11,6 +11,7 @@
 
 use crate::dialect::Dialect;
 use crate::jobs::cache::{CachedJob, JOB_PREFIX, QuotaView, parse_quota};
+use crate::jobs::owner::next_owner;
 use crate::jobs::store::JOB_ROWS;
 use crate::jobs::{Job, JobError, Jobs, NewJob, QuotaRow, Result};
 use crate::tables::FollowedTable;
@@ -186,7 +187,7 @@
             host: new.host.clone(),
             path: route.prefix.clone(),
             items: items.map(|item| (item.id.clone(), item.tokens)).collect(),
-            owner: self.me().clone(),
+            owner: self.new_owner(&new.id),
             lost_owners: 0,
             listed: Vec::new(),
             is_ended: false,
@@ -196,6 +197,15 @@
         }
     }
 
+    /// The instance that runs a new job: this one, unless its process is about to end.
+    fn new_owner(&self, id: &JobId) -> InstanceId {
+        let other = match self.hand_over.is_cancelled() {
+            true => next_owner(self, id),
+            false => None,
+        };
+        other.unwrap_or_else(|| self.me().clone())
+    }
+
     /// Returns the version of the quota row that the commit replaces, and the new row. After a
     /// conflict the row that won suffices if the job fits by it; otherwise the job accepted with
     /// that row must be known first.
--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -24,7 +24,7 @@
 pub use cache::{Job, JobCache, JobCacheSink, MAX_JOB_TOKENS, are_countable};
 pub use checkpoint::PartialOutputs;
 pub use output::{Checkpoint, PartialOutput, RunEvent, RunId, Writer};
-pub use owner::own_jobs;
+pub use owner::{own_jobs, wait_handed_over};
 pub use progress::JobProgress;
 pub use read::{ListedResult, ResultPage};
 pub use store::{JobStore, QuotaRow};
@@ -39,6 +39,7 @@
 use foxtailhold_platform::{ObjectStore, PlatformError, RowStore};
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
+use tokio_util::sync::CancellationToken;
 
 use crate::relay::Relay;
 
@@ -173,6 +174,8 @@
     pub acceptances: tokio::sync::Mutex<()>,
     /// Tasks of this instance that run jobs.
     pub progress: JobProgress,
+    /// Begins the hand-over of the jobs of this instance, in its planned stop.
+    pub hand_over: CancellationToken,
 }
 
 impl<S: RowStore + ObjectStore, D> Jobs<S, D> {
--- a/crates/foxtailhold-relay/src/jobs/owner.rs
+++ b/crates/foxtailhold-relay/src/jobs/owner.rs
@@ -1,6 +1,6 @@
 //! Decides which jobs this instance runs.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +16,7 @@
 use crate::jobs::run::run_job;
 use crate::jobs::store::JOB_ROWS;
 use crate::jobs::{Job, JobError, Jobs};
+use crate::retry_delay::RetryDelay;
 
 /// Interval between checks of the owners if no job changes.
 const CHECK_INTERVAL_MS: u64 = 300;
@@ -37,18 +38,18 @@
 /// Delay after a failed attempt to take over, and the bound of its jitter.
 const RETRY_DELAY_MS: u64 = 300;
 
+/// First and longest delay before a hand-over is tried again.
+const TRANSFER_DELAY_MS: (u64, u64) = (100, 600);
+
 /// Jobs that are taken over at the same time.
 const MAX_TAKEOVERS: usize = 16;
 /// Delay before a job is run again whose run has ended while it is open; it doubles up to the
 /// second one.
 const RESTART_DELAY_MS: (u64, u64) = (250, 4_000);
 
-/// Runs the jobs of this instance and takes over those of instances that are down. When `leave` is
-/// cancelled it hands over the remaining jobs and returns.
-pub async fn own_jobs<S: RowStore + ObjectStore, D: Dialect>(
-    jobs: Arc<Jobs<S, D>>,
-    leave: CancellationToken,
-) {
+/// Runs the jobs of this instance and takes over those of instances that are down. From the
+/// hand-over on it moves its jobs to others instead, until it is aborted.
+pub async fn own_jobs<S: RowStore + ObjectStore, D: Dialect>(jobs: Arc<Jobs<S, D>>) {
     let mut running = RunningJobs::default();
     let mut lost_seen: HashMap<JobId, LostOwner> = HashMap::new();
     let mut takeovers = JoinSet::new();
@@ -94,10 +95,10 @@
                 }
             }
             () = check => {}
-            () = leave.cancelled() => break,
+            () = jobs.hand_over.cancelled() => break,
         }
     }
-    hand_over(&jobs, running).await;
+    hand_over(&jobs, running, takeovers).await;
 }
 
 async fn take_over<S: RowStore + ObjectStore, D: Dialect>(
@@ -322,26 +323,64 @@
     OwnerChange::Tried
 }
 
-/// Moves the open jobs of this instance to others, with checkpoints of their items.
+/// Moves the jobs of this instance to others, with checkpoints of their items, until the process ends:
+/// those that are open, and those that it is made the owner of meanwhile, by an acceptance or by a
+/// takeover under way.
 async fn hand_over<S: RowStore + ObjectStore, D: Dialect>(
     jobs: &Arc<Jobs<S, D>>,
     mut running: RunningJobs,
+    mut takeovers: JoinSet<Takeover>,
 ) {
+    let mut moving = HashSet::new();
     let mut transfers = JoinSet::new();
-    for (id, cached) in jobs.cache.open() {
-        if cached.job.owner != *jobs.me() {
-            continue;
+    let mut changes = jobs.cache.changes();
+    loop {
+        for (id, cached) in jobs.cache.open() {
+            if cached.job.owner != *jobs.me() || !moving.insert(id.clone()) {
+                continue;
+            }
+            let jobs = Arc::clone(jobs);
+            let job = running.tasks.remove(&id);
+            transfers.spawn(async move {
+                transfer(&jobs, &id, job).await;
+                id
+            });
+        }
+        // What is left has ended or belongs to others.
+        for (_, job) in running.tasks.drain() {
+            job.stop.cancel();
+        }
+        tokio::select! {
+            _ = changes.changed() => {}
+            Some(_) = takeovers.join_next() => {}
+            Some(moved) = transfers.join_next() => {
+                if let Ok(id) = moved {
+                    moving.remove(&id);
+                }
+            }
         }
-        let jobs = Arc::clone(jobs);
-        let job = running.tasks.remove(&id);
-        transfers.spawn(async move { transfer(&jobs, &id, job).await });
     }
-    for job in running.tasks.values() {
-        job.stop.cancel();
+}
+
+/// Waits until this instance owns no open job that another one could run.
+pub async fn wait_handed_over<S: RowStore + ObjectStore, D: Dialect>(jobs: &Jobs<S, D>) {
+    let mut changes = jobs.cache.changes();
+    loop {
+        let open = jobs.cache.open();
+        let mut own = open
+            .iter()
+            .filter(|(_, cached)| cached.job.owner == *jobs.me());
+        if own.all(|(id, _)| next_owner(jobs, id).is_none()) {
+            return;
+        }
+        let check = Duration::from_millis(CHECK_INTERVAL_MS);
+        if let Ok(Err(_)) = tokio::time::timeout(check, changes.changed()).await {
+            return;
+        }
     }
-    transfers.join_all().await;
 }
 
+/// Moves a job to another instance, and tries again until it has another owner or has ended.
 async fn transfer<S: RowStore + ObjectStore, D: Dialect>(
     jobs: &Jobs<S, D>,
     id: &JobId,
@@ -353,20 +392,38 @@
             log::error!(job = id.as_str(); "task of the job failed: {error}");
         }
     }
-    let (Some(owner), Some(cached)) = (next_owner(jobs, id), jobs.cache.get(id)) else {
-        log::info!(job = id.as_str(); "no other instance to hand the job over to");
-        return;
-    };
-    let next = Job {
-        owner,
-        ..Job::clone(&cached.job)
-    };
-    if let OwnerChange::Refused = change_owner(jobs, id, &cached, next).await {
-        log::error!(job = id.as_str(); "job not handed over");
+    let mut retry_delay = RetryDelay::new(TRANSFER_DELAY_MS.0, TRANSFER_DELAY_MS.1);
+    let mut was_alone = false;
+    loop {
+        let cached = jobs.cache.get(id);
+        let is_mine = |cached: &CachedJob| cached.job.is_open() && cached.job.owner == *jobs.me();
+        let Some(cached) = cached.filter(is_mine) else {
+            return;
+        };
+        match next_owner(jobs, id) {
+            Some(owner) => {
+                let next = Job {
+                    owner,
+                    ..Job::clone(&cached.job)
+                };
+                if let OwnerChange::Refused = change_owner(jobs, id, &cached, next).await {
+                    log::error!(job = id.as_str(); "job not handed over");
+                    return std::future::pending().await;
+                }
+            }
+            None if was_alone => {}
+            None => {
+                log::info!(job = id.as_str(); "no other instance to hand the job over to");
+                was_alone = true;
+            }
+        }
+        tokio::time::sleep(retry_delay.next_delay()).await;
     }
 }
 
-fn next_owner<S: RowStore + ObjectStore, D: Dialect>(
+/// The instance that is to run a job instead of this one, which is about to end; `None` if it knows no
+/// other.
+pub(super) fn next_owner<S: RowStore + ObjectStore, D: Dialect>(
     jobs: &Jobs<S, D>,
     id: &JobId,
 ) -> Option<InstanceId> {
