tables: a complete table removes what it does not have

Cause: an instance that stands still while the store discards its history reads the whole table again. The rows were applied and nothing was removed, so that a deleted job stayed in the cache. The same held for evidence against requests.

Change: what a complete table lacks is removed, unless it was written after the table was read; the same for rows of crash evidence (proven_requests.rs).

--- a/crates/foxtailhold-relay/src/crashes.rs
+++ b/crates/foxtailhold-relay/src/crashes.rs
@@ -1,7 +1,7 @@
 //! Crash evidence against requests as known to this instance: its own observations, reports of
 //! other instances, and rows of the platform's store.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -16,7 +16,7 @@
 use foxtailhold::recent_table::RecentTable;
 use foxtailhold::time::{MonoMs, WallMs};
 use foxtailhold_http::lock::Mutex;
-use foxtailhold_platform::VersionedRow;
+use foxtailhold_platform::{Snapshot, VersionedRow};
 use tokio::sync::{Notify, watch};
 
 use crate::group_probes::{GroupProbes, is_recent};
@@ -111,6 +111,13 @@
         }
     }
 
+    /// Applies the deletion of a row. Crashes that were never in it are newer.
+    fn remove_row(&mut self, fingerprint: Fingerprint) {
+        if let Some(known) = self.rows.remove(&fingerprint) {
+            self.registry.remove(fingerprint, &known.crashes);
+        }
+    }
+
     /// Applies that the evidence against a request was removed.
     pub(crate) fn evidence_removed(&mut self, fingerprint: Fingerprint) {
         self.last_probes.remove(&fingerprint);
@@ -369,10 +376,7 @@
             return;
         }
         let Some(value) = &row.value else {
-            // Crashes that were never in the row are newer than its deletion.
-            if let Some(known) = state.rows.remove(&fingerprint) {
-                state.registry.remove(fingerprint, &known.crashes);
-            }
+            state.remove_row(fingerprint);
             return;
         };
         let evidence = match serde_json::from_slice::<CrashEvidence>(value) {
@@ -390,6 +394,24 @@
         state.rows.insert(fingerprint, known);
     }
 
+    /// Applies the deletion of the rows that a complete table does not have.
+    pub fn remove_deleted_rows(&self, snapshot: &Snapshot) {
+        let rows = snapshot.rows.iter();
+        let keys: HashSet<&str> = rows.map(|row| row.key.key.as_str()).collect();
+        let mut state = self.state.lock();
+        state
+            .part_rows
+            .retain(|key, row| row.version > snapshot.version || keys.contains(key.as_str()));
+        let deleted = state.rows.iter().filter(|(fingerprint, row)| {
+            let key = format!("{CRASH_PREFIX}{fingerprint}");
+            row.version <= snapshot.version && !keys.contains(key.as_str())
+        });
+        let deleted: Vec<Fingerprint> = deleted.map(|(fingerprint, _)| *fingerprint).collect();
+        for fingerprint in deleted {
+            state.remove_row(fingerprint);
+        }
+    }
+
     /// Wakes the task that writes the rows.
     pub(crate) fn notify_dirty(&self) {
         self.dirty_added.notify_one();
--- a/crates/foxtailhold-relay/src/feeds.rs
+++ b/crates/foxtailhold-relay/src/feeds.rs
@@ -354,6 +354,7 @@
         if !rows.any(|row| row.key.key == ORIGIN_RECORD_KEY) {
             apply_record(&self.0, None);
         }
+        self.0.crashes().remove_deleted_rows(&snapshot);
         self.apply_rows(&snapshot.rows);
         self.0.set_table_read();
     }
--- a/crates/foxtailhold-relay/src/jobs/cache.rs
+++ b/crates/foxtailhold-relay/src/jobs/cache.rs
@@ -1,6 +1,6 @@
 //! Cache of all jobs and quotas, kept up to date by the change feed.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 
 use foxtailhold::ids::{InstanceId, JobId};
@@ -254,6 +254,20 @@
     state.jobs.insert(id.clone(), CachedJob { job, version });
 }
 
+/// Removes what was deleted before a complete table was read. A row of a newer version was written
+/// since.
+fn remove_deleted(state: &mut CacheState, snapshot: &Snapshot) {
+    let rows = snapshot.rows.iter();
+    let keys: HashSet<&str> = rows.map(|row| row.key.key.as_str()).collect();
+    let is_there = |prefix: &str, name: &str, version: u64| {
+        version > snapshot.version || keys.contains(format!("{prefix}{name}").as_str())
+    };
+    let jobs = &mut state.jobs;
+    jobs.retain(|id, cached| is_there(JOB_PREFIX, id.as_str(), cached.version));
+    let quotas = &mut state.quotas;
+    quotas.retain(|route, (version, _)| is_there(QUOTA_PREFIX, route, *version));
+}
+
 fn put_row(state: &mut CacheState, row: &VersionedRow) {
     let key = row.key.key.as_str();
     if let Some(route) = key.strip_prefix(QUOTA_PREFIX) {
@@ -317,6 +331,7 @@
 impl TableSink for JobCacheSink {
     fn replace(&mut self, snapshot: Snapshot) {
         let mut state = self.cache.state.lock();
+        remove_deleted(&mut state, &snapshot);
         for row in &snapshot.rows {
             put_row(&mut state, row);
         }
--- a/crates/foxtailhold-relay/src/jobs/sweep.rs
+++ b/crates/foxtailhold-relay/src/jobs/sweep.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use foxtailhold::ids::JobId;
+use foxtailhold::rendezvous;
 use foxtailhold_platform::{Committed, ObjectStore, RowStore};
 
 use crate::dialect::Dialect;
@@ -17,6 +18,8 @@
 const SWEEP_INTERVAL_MS: u64 = 2_000;
 /// Sweeps after which the next instance in order deletes the data of a job that is still there.
 const SWEEPS_PER_TURN: usize = 5;
+/// Sweeps are not left to an instance that has been down for this time.
+const SWEEPER_DOWN_MS: u64 = 5_000;
 /// Jobs are kept this much longer than promised, because the clocks of instances differ.
 const RETENTION_MARGIN_MS: u64 = 10_000;
 
@@ -38,7 +41,13 @@
         });
         refused.retain(|id, version| expired.get(id).is_some_and(|job| job.version == *version));
         expired.retain(|id, _| !refused.contains_key(id));
-        let rank = |id: &JobId| jobs.relay.peers.rank(id.as_str().as_bytes()) * SWEEPS_PER_TURN;
+        let sweepers = {
+            let now = jobs.relay.clock.mono();
+            jobs.relay.peers.members().not_down(now, SWEEPER_DOWN_MS)
+        };
+        let rank = |id: &JobId| {
+            rendezvous::rank(&sweepers, id.as_str().as_bytes(), jobs.me()) * SWEEPS_PER_TURN
+        };
         for id in turns.due(expired.keys().cloned(), rank) {
             let Some(cached) = expired.get(&id) else {
                 continue;
--- a/crates/foxtailhold-relay/tests/proven_requests.rs
+++ b/crates/foxtailhold-relay/tests/proven_requests.rs
@@ -4,7 +4,8 @@
 use foxtailhold::ids::BackendId;
 use foxtailhold::quarantine::{CrashId, RequestFingerprints};
 use foxtailhold::time::{MonoMs, WallMs};
-use foxtailhold_relay::crashes::CrashTracker;
+use foxtailhold_platform::{RowKey, Snapshot, VersionedRow};
+use foxtailhold_relay::crashes::{CRASH_PREFIX, CrashTracker};
 use test_case::test_case;
 
 const NOW: WallMs = WallMs(1_796_000_000_000);
@@ -53,3 +54,28 @@
     assert_eq!(short.contains(&left_ms), is_proven, "{left_ms} ms");
     assert!(is_proven || left_ms == REFUSAL_MS[0], "{left_ms} ms");
 }
+
+/// Guards against evidence that was deleted while an instance stood still, and that it holds on to
+/// because the store has discarded that history.
+#[test_case(7, true; "deleted before the table was read")]
+#[test_case(3, false; "written after it")]
+fn evidence_whose_row_a_complete_table_lacks_is_dropped(version: u64, is_dropped: bool) {
+    const ROW_VERSION: u64 = 5;
+    let (evidence_of, tracker) = (CrashTracker::default(), CrashTracker::default());
+    crash_three_times(&evidence_of, request("/a"), true);
+    let (_, evidence) = evidence_of.newest_evidence(1).remove(0);
+    let key = request("/a").path.to_string();
+    let row = VersionedRow {
+        key: RowKey::new("instances", &format!("{CRASH_PREFIX}{key}")),
+        value: Some(serde_json::to_vec(&evidence).unwrap().into()),
+        version: ROW_VERSION,
+    };
+    tracker.apply_row(&key, &row);
+    assert!(left_ms(&tracker, request("/a")) > 0);
+    tracker.remove_deleted_rows(&Snapshot {
+        rows: Vec::new(),
+        version,
+    });
+    let status = tracker.request_status(request("/a"), NOW);
+    assert_eq!(status == CrashStatus::Allowed, is_dropped, "{status:?}");
+}
