slots: resumed streams wait for a slot and go before new ones

Cause: the slots of a killed instance count as taken until it is missed, 0.7 s or more. A stream that is taken up must run at the version that began it, and was refused at once if a slot would be free later than a new stream's objective (300 ms), behind the new streams in the queue. Its caller has no attempt to spare.

Evidence: streams_of_a_killed_node_go_on_beside_new_ones on: 0 of 16 go on, all refused with 503.

Change: requests that name a version, which only resumed streams do, go before new ones of their priority, and wait for as long as callers wait for an event (2 s, four times the objective or eight times the longest pause, less 0.3 s).

Result: 16 of 16 go on.

--- a/crates/foxtailhold-relay/src/engine.rs
+++ b/crates/foxtailhold-relay/src/engine.rs
@@ -33,7 +33,7 @@
 };
 use crate::stream::StreamForwarder;
 use crate::stream_attempt::StreamAttempt;
-use crate::take_up::Destination;
+use crate::take_up::{Destination, caller_patience_ms};
 use crate::upstream::{self, AttemptFailure, ResponseEnd};
 
 /// Attempts of one request that are open at the same time.
@@ -205,9 +205,13 @@
         let deadline = progress.attempts.deadline;
         let request_slot = |avoid: Vec<BackendId>, has_open: bool| {
             let spent_ms = request.received.elapsed().as_millis() as u64;
+            let patience_ms = match destination.is_taken_up() {
+                true => caller_patience_ms(route),
+                false => route.objective_ms,
+            };
             let slack_ms = match has_open {
                 true => u64::from(u32::MAX),
-                false => route.objective_ms.saturating_sub(spent_ms),
+                false => patience_ms.saturating_sub(spent_ms),
             };
             Box::pin(self.request_slot(route, destination, avoid, slack_ms, deadline))
         };
--- a/crates/foxtailhold/src/slots/pool.rs
+++ b/crates/foxtailhold/src/slots/pool.rs
@@ -139,7 +139,14 @@
         }
         for waiting in &self.waiting {
             match waiting.request.urgency {
-                Urgency::Online { priority: other } if other <= priority => {
+                Urgency::Online { priority: other } if other < priority => {
+                    supply.add_ahead(waiting.request.version.as_ref());
+                }
+                // A resumed stream goes before new ones.
+                Urgency::Online { priority: other }
+                    if other == priority
+                        && (request.version.is_none() || waiting.request.version.is_some()) =>
+                {
                     supply.add_ahead(waiting.request.version.as_ref());
                 }
                 Urgency::Online { .. } | Urgency::Batch => {}
--- a/crates/foxtailhold/src/slots/queue.rs
+++ b/crates/foxtailhold/src/slots/queue.rs
@@ -61,13 +61,18 @@
     }
 }
 
-/// Queue order: online before batch, then by priority. Requests that can still be on time go before
-/// late ones, since above capacity, serving late requests first makes the following ones late as
-/// well. Then by deadline.
-pub(super) fn queue_key(now: MonoMs, waiting: &QueuedRequest) -> (bool, u8, bool, MonoMs) {
+/// Queue order: online before batch, then by priority. Streams that are resumed, which name a
+/// version, go before new ones: their callers have a part of the answer already, and other engines
+/// cannot complete it. Requests that can still be on time go before late ones, since above capacity,
+/// serving late requests first makes the following ones late as well. Then by deadline.
+pub(super) fn queue_key(now: MonoMs, waiting: &QueuedRequest) -> (bool, u8, bool, bool, MonoMs) {
     let until = waiting.slack_until;
     match waiting.request.urgency {
-        Urgency::Online { priority } => (false, priority, until < now + FIRST_EVENT_MS, until),
-        Urgency::Batch => (true, 0, until <= now, until),
+        Urgency::Online { priority } => {
+            let is_late = until < now + FIRST_EVENT_MS;
+            let is_new = waiting.request.version.is_none();
+            (false, priority, is_new, is_late, until)
+        }
+        Urgency::Batch => (true, 0, false, until <= now, until),
     }
 }
