items: the parts of a batch item refuse it for at most 10 s after a crash

Cause: both items share a part of their prompts and were lost with every crash, so the part was suspected. A caller who comes again is told so; an item is owed, and nothing else could show that its part is innocent.

Change: for requests that are owed whatever happens, the refusal by parts ends at most 10 s after the last crash, so that with the delays of a probe they are tried again within 20 s, of all of them one at a time. Other requests are refused as before.

--- a/crates/foxtailhold-relay/src/crashes.rs
+++ b/crates/foxtailhold-relay/src/crashes.rs
@@ -216,6 +216,20 @@
         (status, group.map(|group| group.parts.clone()))
     }
 
+    /// The same for a request that is owed whatever happens.
+    pub fn group_status_of_owed(
+        &self,
+        request: Fingerprint,
+        parts: &SharedParts,
+        service: &TargetName,
+        now: WallMs,
+    ) -> (CrashStatus, Option<Vec<PartId>>) {
+        let mut state = self.state.lock();
+        state.refresh_groups();
+        let (status, group) = state.parts.status_of_owed(request, parts, service, now);
+        (status, group.map(|group| group.parts.clone()))
+    }
+
     /// Admits a probe of a request whose refusal is over. At most one is admitted at a time.
     pub fn admit_probe(&self, request: RequestFingerprints, now: MonoMs) -> bool {
         let mut state = self.state.lock();
--- a/crates/foxtailhold-relay/src/jobs/item/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/backoff.rs
@@ -183,7 +183,7 @@
         let now = self.jobs.relay.clock.wall();
         let request = self.fingerprints(job).path;
         let status = service.map(|service| {
-            let (status, _) = crashes.group_status_of(request, &self.parts, service, now);
+            let (status, _) = crashes.group_status_of_owed(request, &self.parts, service, now);
             status
         });
         match status {
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -291,6 +291,7 @@
             fingerprints: self.fingerprints(job),
             parts: self.parts.clone(),
             is_taken_up: false,
+            is_owed: true,
         }
     }
 
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -278,7 +278,10 @@
     ) -> (CrashStatus, Option<Vec<PartId>>) {
         let (request, now) = (keys.fingerprints.path, self.clock.wall());
         let crashes = self.peers.crashes();
-        crashes.group_status_of(request, &keys.parts, service, now)
+        match keys.is_owed {
+            true => crashes.group_status_of_owed(request, &keys.parts, service, now),
+            false => crashes.group_status_of(request, &keys.parts, service, now),
+        }
     }
 
     /// Whether a request may take a step towards `service`, by its parts alone.
--- a/crates/foxtailhold-relay/src/request.rs
+++ b/crates/foxtailhold-relay/src/request.rs
@@ -19,6 +19,8 @@
     /// Whether it begins with an event that its caller has already. Its response may be short and
     /// then says nothing about its parts, so it is no probe of them.
     pub is_taken_up: bool,
+    /// Whether it is owed whatever happens, as a batch item is.
+    pub is_owed: bool,
 }
 
 /// A request whose body is passed on byte for byte.
@@ -62,6 +64,7 @@
             fingerprints: self.fingerprints(),
             parts: self.parts.clone(),
             is_taken_up: self.after_event.is_some(),
+            is_owed: false,
         }
     }
 }
--- a/crates/foxtailhold-relay/tests/pending_attempts.rs
+++ b/crates/foxtailhold-relay/tests/pending_attempts.rs
@@ -28,6 +28,7 @@
             fingerprints: request(),
             parts: SharedParts::default(),
             is_taken_up: false,
+            is_owed: false,
         },
         backend: Arc::new(backend()),
         begun: EvidenceMark::default(),
--- a/crates/foxtailhold/src/part_crashes.rs
+++ b/crates/foxtailhold/src/part_crashes.rs
@@ -21,7 +21,8 @@
 pub use crate::part_crash::{Acquittal, LostRequest, MAX_LOST_REQUESTS, PartCrash};
 use crate::part_groups::GroupFinder;
 pub use crate::part_groups::{
-    MIN_CRASH_SEQUENCE, MIN_CRASHES, MIN_OTHER_CRASHES, PART_REFUSAL_MS, SuspectedGroup,
+    MIN_CRASH_SEQUENCE, MIN_CRASHES, MIN_OTHER_CRASHES, OWED_REFUSAL_MS, PART_REFUSAL_MS,
+    SuspectedGroup,
 };
 use crate::prompt_parts::{PartId, SharedParts};
 use crate::quarantine::{CrashId, Fingerprint, SUSPECT_TTL_MS};
@@ -246,7 +247,7 @@
         service: &TargetName,
         now: WallMs,
     ) -> (CrashStatus, Option<&SuspectedGroup>) {
-        self.status_after(0, parts, service, now)
+        self.status_after(0, false, parts, service, now)
     }
 
     /// The status of a request, and the group that decides it. One that was lost in crashes before may
@@ -262,7 +263,23 @@
             return (CrashStatus::Allowed, None);
         }
         let losses = self.losses(request);
-        self.status_after(losses, parts, service, now)
+        self.status_after(losses, false, parts, service, now)
+    }
+
+    /// The same for a request that is owed whatever happens: no refusal of it lasts longer than
+    /// [`OWED_REFUSAL_MS`] after the last crash.
+    pub fn status_of_owed(
+        &mut self,
+        request: Fingerprint,
+        parts: &SharedParts,
+        service: &TargetName,
+        now: WallMs,
+    ) -> (CrashStatus, Option<&SuspectedGroup>) {
+        if self.status(parts, service, now).0 == CrashStatus::Allowed {
+            return (CrashStatus::Allowed, None);
+        }
+        let losses = self.losses(request);
+        self.status_after(losses, true, parts, service, now)
     }
 
     /// Number of crashes in which a request was lost, as far as they delay its probe.
@@ -275,6 +292,7 @@
     fn status_after(
         &mut self,
         losses: usize,
+        is_owed: bool,
         parts: &SharedParts,
         service: &TargetName,
         now: WallMs,
@@ -282,9 +300,15 @@
         if parts.is_empty() || self.crashes.is_empty() {
             return (CrashStatus::Allowed, None);
         }
-        let refused_until_unix_ms = |group: &SuspectedGroup| match losses {
-            0 => group.refused_until_unix_ms,
-            _ => group.repeats_refused_until_unix_ms,
+        let refused_until_unix_ms = |group: &SuspectedGroup| {
+            let until_unix_ms = match losses {
+                0 => group.refused_until_unix_ms,
+                _ => group.repeats_refused_until_unix_ms,
+            };
+            match is_owed {
+                true => until_unix_ms.min(group.last_crash_unix_ms + OWED_REFUSAL_MS),
+                false => until_unix_ms,
+            }
         };
         let suspects = self.suspects(service);
         let held = suspects.groups.iter();
--- a/crates/foxtailhold/src/part_groups.rs
+++ b/crates/foxtailhold/src/part_groups.rs
@@ -32,6 +32,9 @@
 /// short, because many requests and items may share a part that is innocent. After the last probe no
 /// caller waits for the end.
 pub const PART_REFUSAL_MS: [u64; 3] = [3_000, 20_000, 86_400_000];
+/// Longest refusal of a request that is owed whatever happens, such as a batch item. It has to be tried
+/// again within 20 s, with the delays of its probe and the wait for a slot.
+pub const OWED_REFUSAL_MS: u64 = 10_000;
 /// A probe that has run for longer is lost by another cause: a guilty part crashes its backend server
 /// as soon as that begins to respond.
 const MAX_PROBE_RUN_MS: u64 = 2_000;
@@ -50,6 +53,8 @@
     pub refused_until_unix_ms: u64,
     /// When it ends for a request that was lost in a crash before, in Unix ms.
     pub repeats_refused_until_unix_ms: u64,
+    /// Time of the last of these crashes, in Unix ms.
+    pub last_crash_unix_ms: u64,
     /// Crashes in which that request with the group was lost which was lost least often.
     pub least_losses: usize,
     /// From when on requests with the group run only as probes, in Unix ms.
@@ -296,6 +301,7 @@
             probes: 0,
             refused_until_unix_ms: 0,
             repeats_refused_until_unix_ms: 0,
+            last_crash_unix_ms: 0,
             least_losses: 0,
             held_from_unix_ms: 0,
             has_run: false,
@@ -368,6 +374,7 @@
                 false => last_unix_ms.unwrap_or(0).saturating_add(PROOF_DELAY_MS),
             };
             group.probes = probes;
+            group.last_crash_unix_ms = last_unix_ms.unwrap_or(0);
             group.least_losses = self.least_losses(group, &losses);
             let ends_after = |refused_ms| last_unix_ms.unwrap_or(0).saturating_add(refused_ms);
             group.refused_until_unix_ms = ends_after(refused_ms(of_others));
--- a/crates/foxtailhold/tests/part_probes.rs
+++ b/crates/foxtailhold/tests/part_probes.rs
@@ -122,3 +122,29 @@
     assert_eq!(other, at_ms + DAY_MS);
     assert!(repeated >= at_ms + DAY_MS);
 }
+
+/// Guards against batch items that backend servers crashed beside, and that are refused for a day
+/// after two probes met crashes of another cause.
+#[test_case(0; "before any probe")]
+#[test_case(1; "after one")]
+#[test_case(2; "after two")]
+#[test_case(5; "after five")]
+fn a_request_that_is_owed_is_probed_again_within_20_s(probes: u64) {
+    const OWED_WITHIN_MS: u64 = 20_000;
+    let mut registry = suspected_by_two_requests();
+    let mut last_ms = 400;
+    for _ in 0..probes {
+        last_ms += 10_000;
+        crash(&mut registry, last_ms, 1, true);
+    }
+    for request in [1, 2, 9] {
+        let now = WallMs(START_MS + last_ms + OWED_WITHIN_MS);
+        let parts = shared_parts();
+        let (status, _) = registry.status_of_owed(Fingerprint(request), &parts, &service(), now);
+        let is_free = !matches!(status, CrashStatus::Refused { .. });
+        assert!(is_free, "request {request}: {status:?}");
+        let now = WallMs(START_MS + last_ms + 100);
+        let (status, _) = registry.status_of_owed(Fingerprint(request), &parts, &service(), now);
+        assert_ne!(status, CrashStatus::Allowed, "request {request}");
+    }
+}
