--- a/crates/foxtailhold-relay/src/crashes.rs
+++ b/crates/foxtailhold-relay/src/crashes.rs
@@ -9,7 +9,7 @@
     CrashEvidence, CrashRegistry, CrashStatus, EvidenceMark, Exoneration, MAX_CRASHES,
 };
 use foxtailhold::ids::TargetName;
-use foxtailhold::part_crashes::PartCrashRegistry;
+use foxtailhold::part_crashes::{PartCrashRegistry, SuspectedGroup};
 use foxtailhold::prompt_parts::{PartId, SharedParts};
 use foxtailhold::quarantine::{CrashId, Fingerprint, RequestFingerprints};
 use foxtailhold::recent_parts::RecentParts;
@@ -196,10 +196,7 @@
         service: &TargetName,
         now: WallMs,
     ) -> (CrashStatus, Option<Vec<PartId>>) {
-        let mut state = self.state.lock();
-        state.refresh_groups();
-        let (status, group) = state.parts.status(parts, service, now);
-        (status, group.map(|group| group.parts.clone()))
+        self.status_by_groups(|registry| registry.status(parts, service, now))
     }
 
     /// The same for a request that may have been lost in crashes before.
@@ -210,10 +207,7 @@
         service: &TargetName,
         now: WallMs,
     ) -> (CrashStatus, Option<Vec<PartId>>) {
-        let mut state = self.state.lock();
-        state.refresh_groups();
-        let (status, group) = state.parts.status_of(request, parts, service, now);
-        (status, group.map(|group| group.parts.clone()))
+        self.status_by_groups(|registry| registry.status_of(request, parts, service, now))
     }
 
     /// The same for a request that is owed whatever happens.
@@ -223,10 +217,17 @@
         parts: &SharedParts,
         service: &TargetName,
         now: WallMs,
+    ) -> (CrashStatus, Option<Vec<PartId>>) {
+        self.status_by_groups(|registry| registry.status_of_owed(request, parts, service, now))
+    }
+
+    fn status_by_groups(
+        &self,
+        status: impl FnOnce(&mut PartCrashRegistry) -> (CrashStatus, Option<&SuspectedGroup>),
     ) -> (CrashStatus, Option<Vec<PartId>>) {
         let mut state = self.state.lock();
         state.refresh_groups();
-        let (status, group) = state.parts.status_of_owed(request, parts, service, now);
+        let (status, group) = status(&mut state.parts);
         (status, group.map(|group| group.parts.clone()))
     }
 
--- a/crates/foxtailhold/src/part_crashes.rs
+++ b/crates/foxtailhold/src/part_crashes.rs
@@ -259,11 +259,7 @@
         service: &TargetName,
         now: WallMs,
     ) -> (CrashStatus, Option<&SuspectedGroup>) {
-        if self.status(parts, service, now).0 == CrashStatus::Allowed {
-            return (CrashStatus::Allowed, None);
-        }
-        let losses = self.losses(request);
-        self.status_after(losses, false, parts, service, now)
+        self.status_of_lost(request, false, parts, service, now)
     }
 
     /// The same for a request that is owed whatever happens: no refusal of it lasts longer than
@@ -274,12 +270,23 @@
         parts: &SharedParts,
         service: &TargetName,
         now: WallMs,
+    ) -> (CrashStatus, Option<&SuspectedGroup>) {
+        self.status_of_lost(request, true, parts, service, now)
+    }
+
+    fn status_of_lost(
+        &mut self,
+        request: Fingerprint,
+        is_owed: bool,
+        parts: &SharedParts,
+        service: &TargetName,
+        now: WallMs,
     ) -> (CrashStatus, Option<&SuspectedGroup>) {
         if self.status(parts, service, now).0 == CrashStatus::Allowed {
             return (CrashStatus::Allowed, None);
         }
         let losses = self.losses(request);
-        self.status_after(losses, true, parts, service, now)
+        self.status_after(losses, is_owed, parts, service, now)
     }
 
     /// Number of crashes in which a request was lost, as far as they delay its probe.
