members: the starts that count are chosen again every 100 ms at most

Callers did not see it. After the loss of all instances there are as many addresses with two starts as instances, and the start that counts was chosen again at each of them whenever an owner was looked at or a live list came, each time with a set of all live instances.

Change: one set for all addresses, at most every 100 ms.

--- a/crates/foxtailhold-relay/src/crash_rows.rs
+++ b/crates/foxtailhold-relay/src/crash_rows.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use foxtailhold::quarantine::{CrashId, Fingerprint};
+use foxtailhold::turns::Turns;
 use foxtailhold_platform::{Changes, Committed, PlatformError, RowKey, RowStore};
 use tokio::time::Instant;
 
@@ -13,7 +14,6 @@
 use crate::part_rows::StoredPartCrash;
 use crate::peers::{INSTANCES_TABLE, Peers};
 use crate::retry_delay::RetryDelay;
-use crate::turns::Turns;
 
 /// Interval between checks for expired evidence.
 const EXPIRY_CHECK_MS: u64 = 10_000;
--- a/crates/foxtailhold-relay/src/jobs/sweep.rs
+++ b/crates/foxtailhold-relay/src/jobs/sweep.rs
@@ -6,13 +6,13 @@
 
 use foxtailhold::ids::JobId;
 use foxtailhold::rendezvous;
+use foxtailhold::turns::Turns;
 use foxtailhold_platform::{Committed, ObjectStore, RowStore};
 
 use crate::dialect::Dialect;
 use crate::jobs::cache::CachedJob;
 use crate::jobs::store::JOB_ROWS;
 use crate::jobs::{JobError, Jobs, Result};
-use crate::turns::Turns;
 
 /// Interval between sweeps; jobs are kept for minutes.
 const SWEEP_INTERVAL_MS: u64 = 2_000;
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -43,5 +43,4 @@
 pub mod tables;
 mod take_up;
 mod timers;
-mod turns;
 pub mod upstream;
--- a/crates/foxtailhold-relay/src/peers/members.rs
+++ b/crates/foxtailhold-relay/src/peers/members.rs
@@ -22,6 +22,8 @@
 const SKIP_AFTER_TENTHS: u64 = 24;
 /// Time for which an instance that did not answer is skipped.
 const SKIP_MS: u64 = 1_500;
+/// Least time between two reviews of the starts that count.
+const REVIEW_INTERVAL_MS: u64 = 100;
 /// Instances that track the slots in use: one allocates, the others are standbys.
 pub const ALLOCATOR_GROUP: usize = 3;
 
@@ -54,6 +56,8 @@
     last_heard: HashMap<InstanceId, MonoMs>,
     /// Time of the newest message of any instance.
     newest_message: MonoMs,
+    /// When the starts that count were last chosen again.
+    reviewed: MonoMs,
     unanswered_since: HashMap<InstanceId, MonoMs>,
     skipped_until: HashMap<InstanceId, MonoMs>,
     live_lists: HashMap<InstanceId, (MonoMs, Vec<InstanceHash>)>,
@@ -69,6 +73,7 @@
             current: HashMap::new(),
             last_heard: HashMap::new(),
             newest_message: MonoMs(0),
+            reviewed: MonoMs(0),
             unanswered_since: HashMap::new(),
             skipped_until: HashMap::new(),
             live_lists: HashMap::new(),
@@ -89,7 +94,7 @@
         }
         let address = member.peer_address;
         self.rows.insert(version, member);
-        self.choose_current(self.newest_message, address);
+        self.choose_at(address);
     }
 
     fn starts_at(&self, address: SocketAddr) -> impl DoubleEndedIterator<Item = &Member> {
@@ -97,14 +102,19 @@
         all.filter(move |member| member.peer_address == address)
     }
 
-    /// Chooses the start that counts at an address. One that counts and is alive stays, because the
-    /// row of a former start may be written late.
-    fn choose_current(&mut self, now: MonoMs, address: SocketAddr) {
+    /// Chooses the start that counts at an address whose rows have changed.
+    fn choose_at(&mut self, address: SocketAddr) {
         if self.starts_at(address).nth(1).is_none() {
             self.current.remove(&address);
             return;
         }
-        let live = self.live_set(now);
+        let live = self.live_set(self.newest_message);
+        self.choose_current(&live, address);
+    }
+
+    /// Chooses the start that counts at an address. One that counts and is alive stays, because the
+    /// row of a former start may be written late.
+    fn choose_current(&mut self, live: &HashSet<InstanceHash>, address: SocketAddr) {
         let is_alive = |member: &&Member| {
             member.instance == self.me || live.contains(&InstanceHash::from(&member.instance))
         };
@@ -164,7 +174,7 @@
         };
         let address = row.peer_address;
         self.rows.retain(|_, member| member.instance != *instance);
-        self.choose_current(self.newest_message, address);
+        self.choose_at(address);
     }
 
     /// Removes all rows, before a complete list is applied.
@@ -222,11 +232,17 @@
         self.review_current(now);
     }
 
-    /// Chooses again where several starts are listed, because one may have fallen silent.
+    /// Chooses again where several starts are listed, because one may have fallen silent. After the
+    /// loss of all instances there are as many such addresses.
     fn review_current(&mut self, now: MonoMs) {
+        if self.current.is_empty() || now.since_ms(self.reviewed) < REVIEW_INTERVAL_MS {
+            return;
+        }
+        self.reviewed = now;
+        let live = self.live_set(now);
         let addresses: Vec<SocketAddr> = self.current.keys().copied().collect();
         for address in addresses {
-            self.choose_current(now, address);
+            self.choose_current(&live, address);
         }
     }
 
--- a/crates/foxtailhold/src/lib.rs
+++ b/crates/foxtailhold/src/lib.rs
@@ -50,3 +50,4 @@
 pub mod suspect;
 pub mod time;
 pub mod timeline;
+pub mod turns;
--- a/crates/foxtailhold-relay/src/turns.rs
+++ b/crates/foxtailhold/src/turns.rs
@@ -7,7 +7,7 @@
 /// each later one if it is found undone once more: it gets done though instances list each other
 /// differently, so that none takes itself for the first.
 #[derive(Debug)]
-pub(crate) struct Turns<K> {
+pub struct Turns<K> {
     found: HashMap<K, usize>,
 }
 
@@ -22,7 +22,7 @@
 impl<K: Clone + Eq + Hash> Turns<K> {
     /// Takes all work that is undone now. Returns what this instance has to do; `rank` is the number
     /// of instances before it.
-    pub(crate) fn due(
+    pub fn due(
         &mut self,
         undone: impl IntoIterator<Item = K>,
         rank: impl Fn(&K) -> usize,
