members: a start with the newest row is not taken for replaced

Callers did not see it. A start that comes within 0.7 s of the last message of the one before at its address was taken for replaced until it was heard: its row could be deleted, and its jobs taken over at once.

Change: only a start with an older row is replaced. Another one that does not count is down after the usual time.

--- a/crates/foxtailhold-relay/src/peers/members.rs
+++ b/crates/foxtailhold-relay/src/peers/members.rs
@@ -410,11 +410,16 @@
             .is_some_and(|down_ms| down_ms >= for_ms || self.is_replaced(instance))
     }
 
-    /// Whether the address of an instance is listed with another start.
+    /// Whether a newer row lists the address of an instance with another start, which counts. A start
+    /// with the newest row may just not be heard yet.
     pub fn is_replaced(&self, instance: &InstanceId) -> bool {
-        let mut rows = self.rows.values();
-        let row = rows.find(|member| member.instance == *instance);
-        row.is_some_and(|member| !self.is_current(member))
+        let mut newest_first = self.rows.values().rev();
+        let Some(member) = self.rows.values().find(|row| row.instance == *instance) else {
+            return false;
+        };
+        let newest = newest_first.find(|row| row.peer_address == member.peer_address);
+        let is_newest = newest.is_some_and(|newest| newest.instance == *instance);
+        !is_newest && !self.is_current(member)
     }
 
     /// For how long an instance has not been heard from; `None` if it is alive. It must be called
