items: the sum of the waits of an item, and the ends of trials and probes are logged

What callers saw: items that nothing works on, and logs in which each wait is short by itself. The lines did not say whether an item ran in between, who held the one trial permit, or what became of a probe.

Change: `item was idle` with the sum by cause, `trial of an item ended`, `probe of suspected parts ended`, and the metric batch_item_longest_hold_seconds.

--- a/crates/foxtailhold-relay/src/attempt_evidence.rs
+++ b/crates/foxtailhold-relay/src/attempt_evidence.rs
@@ -24,6 +24,8 @@
     attempt: TrackedAttempt,
     begun: MonoMs,
     number: u64,
+    /// Whether it is a probe whose end is not logged yet.
+    is_probe_open: bool,
 }
 
 impl AttemptEvidence {
@@ -38,6 +40,7 @@
         let begun = clock.mono();
         AttemptEvidence {
             number: pending.begin(attempt.clone(), begun),
+            is_probe_open: attempt.is_probe,
             begun,
             peers: peers.clone(),
             pending: pending.clone(),
@@ -56,6 +59,7 @@
     /// connection looks the same when its backend server has crashed, so it counts once that is known
     /// to have lived on.
     pub fn completed(mut self, end: ResponseEnd, events: u64) {
+        self.log_probe_end("complete");
         self.attempt.events = events;
         let backend = &self.attempt.backend;
         for earlier in self.pending.take_completed(&backend.id, self.begun) {
@@ -83,6 +87,17 @@
         (self.clock.mono(), self.clock.wall())
     }
 
+    fn log_probe_end(&mut self, outcome: &'static str) {
+        if !std::mem::take(&mut self.is_probe_open) {
+            return;
+        }
+        log::info!(
+            parts:% = self.attempt.keys.parts, backend = self.attempt.backend.id.as_str(),
+            outcome = outcome, took_ms = self.clock.mono().since_ms(self.begun);
+            "probe of suspected parts ended"
+        );
+    }
+
     /// Whether the backend server still listens after it has ended its response with the connection.
     /// If it does not, the response may have been cut off by its crash.
     pub async fn has_lived_on(&self) -> bool {
@@ -90,7 +105,8 @@
     }
 
     /// Records a response which says nothing about whether the request runs.
-    pub fn answered(self) {
+    pub fn answered(mut self) {
+        self.log_probe_end("answered");
         self.pending.resolve(self.number);
     }
 
@@ -110,7 +126,8 @@
     /// Records a failure, and closes the idle connections of a backend server that was silent. For a
     /// request that has already reached the crash limit, silence and broken responses count as
     /// crashes too, because each further attempt can cost a backend server.
-    pub fn failed(self, cause: AttemptFailure) {
+    pub fn failed(mut self, cause: AttemptFailure) {
+        self.log_probe_end(cause.as_str());
         if cause == AttemptFailure::Silent {
             self.connections.close_idle(&self.attempt.backend.id);
         }
@@ -137,6 +154,7 @@
 
 impl Drop for AttemptEvidence {
     fn drop(&mut self) {
+        self.log_probe_end("abandoned");
         let now = self.now();
         self.pending
             .end(self.number, now, EndWithoutResult::Abandoned);
--- a/crates/foxtailhold-relay/src/gauges.rs
+++ b/crates/foxtailhold-relay/src/gauges.rs
@@ -64,6 +64,7 @@
     timer_delay: Gauge<f64, AtomicU64>,
     items_waiting: Family<CauseLabel, Gauge>,
     longest_item_wait: Gauge<f64, AtomicU64>,
+    longest_item_hold: Gauge<f64, AtomicU64>,
     evicted_origins: Counter,
     handed_on_origins: Counter,
 }
@@ -110,6 +111,9 @@
         let help = "Longest time for which a waiting batch item of this instance has not run";
         let longest = self.longest_item_wait.clone();
         registry.register_with_unit("batch_item_longest_wait", help, Unit::Seconds, longest);
+        let help = "Longest time for which crash evidence holds a batch item back since it last ran";
+        let longest = self.longest_item_hold.clone();
+        registry.register_with_unit("batch_item_longest_hold", help, Unit::Seconds, longest);
         let help = "Origins of streams that were dropped before their time";
         registry.register("evicted_origins", help, self.evicted_origins.clone());
         let help = "Origins of streams that were handed on to other instances";
@@ -125,6 +129,8 @@
             self.items_waiting.get_or_create(&label).set(items as i64);
         }
         self.longest_item_wait.set(counts.longest.as_secs_f64());
+        self.longest_item_hold
+            .set(counts.longest_hold.as_secs_f64());
     }
 
     pub(crate) fn set(&self, values: &GaugeValues, tables: &TableStatus) {
--- a/crates/foxtailhold-relay/src/item_waits.rs
+++ b/crates/foxtailhold-relay/src/item_waits.rs
@@ -11,6 +11,8 @@
 
 /// A wait of this length is logged.
 const LOGGED_WAIT_MS: u64 = 1_000;
+/// An item that has not run for this time has the sum of its waits logged.
+const LOGGED_IDLE_MS: u64 = 5_000;
 
 /// What a batch item waits for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -52,6 +54,14 @@
         WaitCause::Store,
     ];
 
+    /// Whether crash evidence holds the item back.
+    pub fn is_gate(self) -> bool {
+        matches!(
+            self,
+            WaitCause::SuspectedParts | WaitCause::ProbeTurn | WaitCause::TrialPermit
+        )
+    }
+
     /// Name in logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -69,6 +79,51 @@
     }
 }
 
+/// Waits of one item since it last ran.
+#[derive(Debug, Clone)]
+struct Idle {
+    since: Instant,
+    /// Time of the waits that have ended, and number of them, by cause.
+    ended: BTreeMap<WaitCause, (Duration, u32)>,
+}
+
+impl Idle {
+    fn begin() -> Self {
+        Idle {
+            since: Instant::now(),
+            ended: BTreeMap::new(),
+        }
+    }
+
+    fn add(&mut self, cause: WaitCause, waited: Duration) {
+        let (sum, count) = self.ended.entry(cause).or_default();
+        *sum += waited;
+        *count += 1;
+    }
+
+    /// Time for which the item was held back, though it was ready to run.
+    fn held(&self) -> Duration {
+        let held = self.ended.iter().filter(|(cause, _)| cause.is_gate());
+        held.map(|(_, (sum, _))| *sum).sum()
+    }
+
+    fn log(&self, job: &JobId, item: &str) {
+        let idle = self.since.elapsed();
+        if idle < Duration::from_millis(LOGGED_IDLE_MS) {
+            return;
+        }
+        let waits = self.ended.iter().map(|(cause, (sum, count))| {
+            format!("{} {count} x, {} ms", cause.as_str(), sum.as_millis())
+        });
+        let waits: Vec<String> = waits.collect();
+        log::info!(
+            job = job.as_str(), item = item, idle_ms = idle.as_millis() as u64,
+            held_ms = self.held().as_millis() as u64, waits = waits.join("; ");
+            "item was idle"
+        );
+    }
+}
+
 #[derive(Debug)]
 struct Wait {
     cause: WaitCause,
@@ -76,8 +131,8 @@
     item: String,
     begun: Instant,
     begun_unix_ms: u64,
-    /// Begin of the first of the waits since the item last ran.
-    idle_since: Instant,
+    /// The waits before this one since the item last ran.
+    idle: Idle,
     /// Its latest end, if it has one.
     ends_unix_ms: Option<u64>,
     is_logged: bool,
@@ -96,6 +151,9 @@
     pub items: BTreeMap<WaitCause, usize>,
     /// Longest time since a waiting item last ran or became ready to run.
     pub longest: Duration,
+    /// Longest time for which crash evidence has held a waiting item back since it last ran, over
+    /// several waits.
+    pub longest_hold: Duration,
 }
 
 /// Waits of all batch items of this instance; cheap to clone.
@@ -121,7 +179,8 @@
         let mut counts = WaitCounts::default();
         for wait in table.waits.values() {
             *counts.items.entry(wait.cause).or_default() += 1;
-            counts.longest = counts.longest.max(wait.idle_since.elapsed());
+            counts.longest = counts.longest.max(wait.idle.since.elapsed());
+            counts.longest_hold = counts.longest_hold.max(wait.held());
         }
         counts
     }
@@ -138,7 +197,7 @@
             log::info!(
                 job = wait.job.as_str(), item = wait.item.as_str(), cause = wait.cause.as_str(),
                 since_unix_ms = wait.begun_unix_ms, until_unix_ms = wait.ends_unix_ms,
-                idle_ms = wait.idle_since.elapsed().as_millis() as u64;
+                idle_ms = wait.idle.since.elapsed().as_millis() as u64;
                 "item waits"
             );
         }
@@ -160,16 +219,18 @@
     pub fn begin(&mut self, cause: WaitCause, now: WallMs, limit: Option<Duration>) {
         let ends_unix_ms = limit.map(|limit| now.0.saturating_add(limit.as_millis() as u64));
         let mut table = self.waits.table.lock();
-        let mut idle_since = Instant::now();
+        let mut idle = Idle::begin();
         if let Some(number) = self.number {
-            if let Some(wait) = table.waits.get_mut(&number) {
-                if wait.cause == cause {
-                    wait.ends_unix_ms = ends_unix_ms;
-                    return;
-                }
-                idle_since = wait.idle_since;
+            if let Some(wait) = table.waits.get_mut(&number)
+                && wait.cause == cause
+            {
+                wait.ends_unix_ms = ends_unix_ms;
+                return;
+            }
+            if let Some(wait) = table.end(number) {
+                idle = wait.idle;
+                idle.add(wait.cause, wait.begun.elapsed());
             }
-            table.end(number);
         }
         table.last_number += 1;
         let number = table.last_number;
@@ -179,7 +240,7 @@
             item: self.item.clone(),
             begun: Instant::now(),
             begun_unix_ms: now.0,
-            idle_since,
+            idle,
             ends_unix_ms,
             is_logged: false,
         };
@@ -189,9 +250,15 @@
 
     /// Ends the wait, because the item runs.
     pub fn end(&mut self) {
-        if let Some(number) = self.number.take() {
-            self.waits.table.lock().end(number);
-        }
+        let Some(number) = self.number.take() else {
+            return;
+        };
+        let ended = self.waits.table.lock().end(number);
+        let Some(mut wait) = ended else {
+            return;
+        };
+        wait.idle.add(wait.cause, wait.begun.elapsed());
+        wait.idle.log(&wait.job, &wait.item);
     }
 }
 
@@ -201,15 +268,26 @@
     }
 }
 
+impl Wait {
+    fn held(&self) -> Duration {
+        let held = self.idle.held();
+        match self.cause.is_gate() {
+            true => held + self.begun.elapsed(),
+            false => held,
+        }
+    }
+}
+
 impl WaitTable {
-    fn end(&mut self, number: u64) {
-        let Some(wait) = self.waits.remove(&number).filter(|wait| wait.is_logged) else {
-            return;
-        };
-        log::info!(
-            job = wait.job.as_str(), item = wait.item.as_str(), cause = wait.cause.as_str(),
-            waited_ms = wait.begun.elapsed().as_millis() as u64;
-            "item waits no longer"
-        );
+    fn end(&mut self, number: u64) -> Option<Wait> {
+        let wait = self.waits.remove(&number)?;
+        if wait.is_logged {
+            log::info!(
+                job = wait.job.as_str(), item = wait.item.as_str(), cause = wait.cause.as_str(),
+                waited_ms = wait.begun.elapsed().as_millis() as u64;
+                "item waits no longer"
+            );
+        }
+        Some(wait)
     }
 }
--- a/crates/foxtailhold-relay/src/jobs/item/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/backoff.rs
@@ -39,6 +39,7 @@
 pub(super) struct Trial {
     /// Crashes that were known when it began.
     crashes: usize,
+    begun: Instant,
     _permit: TrialPermit,
 }
 
@@ -151,6 +152,7 @@
         let is_admitted = permit.is_some();
         *self.trial.lock() = permit.map(|permit| Trial {
             crashes,
+            begun: Instant::now(),
             _permit: permit,
         });
         if !is_admitted {
@@ -215,11 +217,23 @@
 
     /// Ends the trial of an item that has shown that it runs.
     pub(super) fn pass_trial(&self) {
-        if let Some(trial) = self.trial.lock().take() {
-            self.passed_crashes.store(trial.crashes, Ordering::Relaxed);
+        if let Some(crashes) = self.end_trial("passed") {
+            self.passed_crashes.store(crashes, Ordering::Relaxed);
         }
     }
 
+    /// Ends the trial of the item, if it is on trial, and returns the crashes known at its begin.
+    pub(super) fn end_trial(&self, outcome: &'static str) -> Option<usize> {
+        let trial = self.trial.lock().take()?;
+        log::info!(
+            job = self.id.as_str(), item = self.item.id.as_str(), outcome = outcome,
+            crashes = trial.crashes, events = self.events(),
+            held_ms = trial.begun.elapsed().as_millis() as u64;
+            "trial of an item ended"
+        );
+        Some(trial.crashes)
+    }
+
     /// Delays the next attempt, for longer the more often in a row engines broke off without giving
     /// an event, and at least for the backoff of an item that may crash them.
     pub(super) fn delay_after_failure(&mut self, job: &Job, failure: AttemptFailure) {
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -25,6 +25,7 @@
 use crate::jobs::backoff::Backoff;
 use crate::jobs::store::attempt_counts_key;
 use crate::jobs::{Item, ItemState, Job, JobError, Jobs, ListedResult, PartialOutputs, Result};
+use crate::metrics::AttemptOutcome;
 use crate::peers::Slot;
 use crate::relay::Admission;
 use crate::request::EvidenceKeys;
@@ -167,7 +168,7 @@
                 None => Admission::Free,
             };
             if let Admission::Refused { retry_after_ms } = admission {
-                self.trial.lock().take();
+                self.end_trial("parts_refused");
                 self.granted = None;
                 let service = route.active_services().next();
                 self.wait_for_parts(job, service, acquittals, retry_after_ms)
@@ -181,7 +182,7 @@
                 headers: &headers,
             };
             let (result, new_events) = self.attempt_once(route, request, admission).await;
-            self.trial.lock().take();
+            self.end_trial(AttemptOutcome::from(&result).as_str());
             if new_events > 0 {
                 self.interruptions = 0;
                 self.unanswered = 0;
