--- a/crates/foxtailhold-relay/src/gauges.rs
+++ b/crates/foxtailhold-relay/src/gauges.rs
@@ -111,7 +111,8 @@
         let help = "Longest time for which a waiting batch item of this instance has not run";
         let longest = self.longest_item_wait.clone();
         registry.register_with_unit("batch_item_longest_wait", help, Unit::Seconds, longest);
-        let help = "Longest time for which crash evidence holds a batch item back since it last ran";
+        let help =
+            "Longest time for which crash evidence holds a batch item back since it last ran";
         let longest = self.longest_item_hold.clone();
         registry.register_with_unit("batch_item_longest_hold", help, Unit::Seconds, longest);
         let help = "Origins of streams that were dropped before their time";
