jobs: many items that met crashes are tried side by side, those that crashed last

What callers saw: sound items of accepted jobs waited up to 29.4 s for a permit after the last disruption, while nothing worked on them.

Cause: an instance had one permit for a trial. Its holder waited for a slot behind all other items, gave the permit back after 2 s without a run, and the next one was whoever asked first. A permit was also given back where parts refused the item.

Change: items wait in an order (crashes in trials, trials without a slot, crashes, idle time); the number of trials side by side doubles with each one that passes and falls to one with each crash; their slot requests go before those of other items and are preempted after them; parts are looked at first, and a probe needs no permit.

--- a/crates/foxtailhold-relay/src/crashes.rs
+++ b/crates/foxtailhold-relay/src/crashes.rs
@@ -15,6 +15,7 @@
 use foxtailhold::recent_parts::RecentParts;
 use foxtailhold::recent_table::RecentTable;
 use foxtailhold::time::{MonoMs, WallMs};
+use foxtailhold::trials::TrialQueue;
 use foxtailhold_http::lock::Mutex;
 use foxtailhold_platform::{Snapshot, VersionedRow};
 use tokio::sync::{Notify, watch};
@@ -29,9 +30,6 @@
 /// request that was running at the same backend server, and is all that is lost if all instances
 /// stop at once.
 const MIN_PERSISTED_CRASHES: usize = 2;
-/// Trials that an instance runs at once. A trial is an attempt at a batch item under which
-/// [`MAX_CRASHES`] or more backend servers crashed, until it has shown that it runs.
-const MAX_TRIALS: usize = 1;
 /// Least time from a crash under such an item, at any instance, to the next trial at this one. Up to
 /// as long again is added at random, so that the instances do not begin together.
 const TRIAL_GAP_MS: u64 = 1_000;
@@ -68,10 +66,8 @@
     pub(crate) dirty_parts: BTreeSet<CrashId>,
     /// Responses of starts that were taken for crashed.
     pub(crate) life_signs: LifeSigns,
-    /// Trials that are running here.
-    trials: usize,
-    /// No trial begins before this time.
-    next_trial: Option<MonoMs>,
+    /// Trials of batch items under which [`MAX_CRASHES`] or more backend servers crashed.
+    pub(crate) trials: TrialQueue,
 }
 
 impl Default for CrashState {
@@ -89,8 +85,7 @@
             part_rows: HashMap::new(),
             dirty_parts: BTreeSet::new(),
             life_signs: LifeSigns::default(),
-            trials: 0,
-            next_trial: None,
+            trials: TrialQueue::default(),
         }
     }
 }
@@ -100,7 +95,7 @@
     fn delay_trials(&mut self, fingerprint: Fingerprint, now: MonoMs) {
         if self.registry.crashes(fingerprint) >= MAX_CRASHES {
             let delay_ms = TRIAL_GAP_MS + rand::random_range(0..TRIAL_GAP_MS);
-            self.next_trial = Some(now + delay_ms);
+            self.trials.record_crash(now + delay_ms);
         }
     }
 
@@ -127,18 +122,6 @@
     }
 }
 
-/// Permit for a trial of a batch item; dropping it ends the trial.
-#[derive(Debug)]
-pub struct TrialPermit {
-    tracker: CrashTracker,
-}
-
-impl Drop for TrialPermit {
-    fn drop(&mut self) {
-        self.tracker.state.lock().trials -= 1;
-    }
-}
-
 fn log_removal(fingerprint: Fingerprint, cause: &str, removed: &Exoneration) {
     let crashes = removed.before.len() + removed.during.len();
     log::info!(
@@ -254,20 +237,6 @@
         counts.max().unwrap_or(0)
     }
 
-    /// Admits a trial of a batch item; `None` while others are running or a backend server has just
-    /// crashed under one. This bounds what items that crash backend servers cost the fleet.
-    pub fn admit_trial(&self, now: MonoMs) -> Option<TrialPermit> {
-        let mut state = self.state.lock();
-        let is_early = state.next_trial.is_some_and(|next| now < next);
-        if is_early || state.trials >= MAX_TRIALS {
-            return None;
-        }
-        state.trials += 1;
-        Some(TrialPermit {
-            tracker: self.clone(),
-        })
-    }
-
     /// Records a crash seen by this instance at the time `now` of both clocks, under an attempt sent
     /// at `begun`. Returns the evidence to send to other instances, or `None` if the crash was known.
     pub fn record_crash(
--- a/crates/foxtailhold-relay/src/jobs/item/attempt.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/attempt.rs
@@ -163,6 +163,7 @@
         }
         self.avoided_backends.clear();
         self.wait.end();
+        self.is_sent = true;
         let (started, events_before) = (Instant::now(), self.events());
         let evidence = relay.begin_attempt(keys, &backend, self.resume_after());
         let number = evidence.number();
--- a/crates/foxtailhold-relay/src/jobs/item/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/backoff.rs
@@ -7,18 +7,19 @@
 use foxtailhold::crashes::{CrashStatus, MAX_CRASHES};
 use foxtailhold::ids::{BackendId, TargetName};
 use foxtailhold::time::MonoMs;
+use foxtailhold::trials::TrialOrder;
 use foxtailhold_platform::{ObjectStore, RowStore};
 use tokio::sync::watch;
 use tokio::time::Instant;
 
 use super::{ItemRunner, RETRY_DELAY_MS};
-use crate::crashes::TrialPermit;
 use crate::dialect::Dialect;
 use crate::fleet::BackendServer;
 use crate::item_waits::WaitCause;
 use crate::jobs::Job;
 use crate::jobs::backoff::Backoff;
 use crate::relay::{Admission, ProbeStage};
+use crate::trials::TrialPermit;
 use crate::upstream::AttemptFailure;
 
 /// Longest delay after interruptions in a row without a new event. An item with only broken responses
@@ -40,7 +41,7 @@
     /// Crashes that were known when it began.
     crashes: usize,
     begun: Instant,
-    _permit: TrialPermit,
+    permit: TrialPermit,
 }
 
 /// An attempt that may have crashed its backend server: it was ended here, or its backend server
@@ -97,6 +98,7 @@
         }
         self.wait_for(cause, Some(remaining));
         self.granted = None;
+        self.trial_ticket = None;
         tokio::time::sleep(remaining.min(Duration::from_millis(BACKOFF_CHECK_MS))).await;
         true
     }
@@ -148,18 +150,28 @@
         if crashes < MAX_CRASHES || crashes <= self.passed_crashes.load(Ordering::Relaxed) {
             return true;
         }
-        let permit = evidence.admit_trial(relay.clock.mono());
-        let is_admitted = permit.is_some();
-        *self.trial.lock() = permit.map(|permit| Trial {
-            crashes,
-            begun: Instant::now(),
-            _permit: permit,
+        let ticket = self.trial_ticket.take();
+        let ticket = ticket.unwrap_or_else(|| {
+            evidence.seek_trial(TrialOrder {
+                crashed_trials: self.crashed_trials,
+                missed_trials: self.missed_trials,
+                crashes,
+                idle_since: self.idle_since,
+                number: rand::random(),
+            })
         });
-        if !is_admitted {
-            self.wait_for(WaitCause::TrialPermit, None);
-            tokio::time::sleep(Duration::from_millis(TRIAL_CHECK_MS)).await;
+        if let Some(permit) = ticket.admit(relay.clock.mono()) {
+            *self.trial.lock() = Some(Trial {
+                crashes,
+                begun: Instant::now(),
+                permit,
+            });
+            return true;
         }
-        is_admitted
+        self.trial_ticket = Some(ticket);
+        self.wait_for(WaitCause::TrialPermit, None);
+        tokio::time::sleep(Duration::from_millis(TRIAL_CHECK_MS)).await;
+        false
     }
 
     /// Whether an attempt at `service` may seek a slot, given what its prompt shares with others.
@@ -217,13 +229,14 @@
 
     /// Ends the trial of an item that has shown that it runs.
     pub(super) fn pass_trial(&self) {
-        if let Some(crashes) = self.end_trial("passed") {
-            self.passed_crashes.store(crashes, Ordering::Relaxed);
+        if let Some(trial) = self.end_trial("passed") {
+            self.passed_crashes.store(trial.crashes, Ordering::Relaxed);
+            trial.permit.pass();
         }
     }
 
-    /// Ends the trial of the item, if it is on trial, and returns the crashes known at its begin.
-    pub(super) fn end_trial(&self, outcome: &'static str) -> Option<usize> {
+    /// Ends the trial of the item, if it is on trial.
+    pub(super) fn end_trial(&self, outcome: &'static str) -> Option<Trial> {
         let trial = self.trial.lock().take()?;
         log::info!(
             job = self.id.as_str(), item = self.item.id.as_str(), outcome = outcome,
@@ -231,7 +244,7 @@
             held_ms = trial.begun.elapsed().as_millis() as u64;
             "trial of an item ended"
         );
-        Some(trial.crashes)
+        Some(trial)
     }
 
     /// Delays the next attempt, for longer the more often in a row engines broke off without giving
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -13,6 +13,7 @@
 use foxtailhold::ids::{BackendId, JobId};
 use foxtailhold::prompt_parts::SharedParts;
 use foxtailhold::quarantine::RequestFingerprints;
+use foxtailhold::time::MonoMs;
 use foxtailhold_http::lock::Mutex;
 use foxtailhold_platform::{Committed, ObjectStore, RowStore};
 use http::uri::PathAndQuery;
@@ -30,6 +31,7 @@
 use crate::relay::Admission;
 use crate::request::EvidenceKeys;
 use crate::retry_delay::RetryDelay;
+use crate::trials::TrialTicket;
 use attempt::{AttemptEnd, ItemRequest};
 use backoff::{Trial, UnknownEnd};
 use version::VersionWait;
@@ -79,6 +81,18 @@
     /// Whether the delay because of attempts with an unknown outcome is over for the next attempt.
     is_pending_backoff_over: bool,
     trial: Mutex<Option<Trial>>,
+    /// Place among the items that wait for a trial.
+    trial_ticket: Option<TrialTicket>,
+    /// Trials that ended with a crash.
+    crashed_trials: u32,
+    /// Trials in a row for which no slot was found.
+    missed_trials: u32,
+    /// When the item last ran, or became ready to run here.
+    idle_since: MonoMs,
+    /// Whether the current attempt was sent.
+    is_sent: bool,
+    /// Whether other items wait for what the current attempt shows.
+    goes_first: bool,
     /// Parts of its prompt that other requests may share.
     parts: SharedParts,
     /// Number of crashes with which the item has passed a trial.
@@ -114,6 +128,12 @@
             unknown_backoff: Backoff::default(),
             is_pending_backoff_over: false,
             trial: Mutex::default(),
+            trial_ticket: None,
+            crashed_trials: 0,
+            missed_trials: 0,
+            idle_since: jobs.relay.clock.mono(),
+            is_sent: false,
+            goes_first: false,
             parts: SharedParts::default(),
             passed_crashes: AtomicUsize::new(0),
             wait: jobs.relay.metrics.item_waits().of_item(id, &item.id),
@@ -158,8 +178,7 @@
                     continue;
                 }
             }
-            if self.back_off(job).await || !self.is_admitted(job).await {
-                self.granted = None;
+            if self.back_off(job).await {
                 continue;
             }
             let acquittals = self.jobs.relay.peers.crashes().acquittals();
@@ -168,21 +187,28 @@
                 None => Admission::Free,
             };
             if let Admission::Refused { retry_after_ms } = admission {
-                self.end_trial("parts_refused");
+                self.trial_ticket = None;
                 self.granted = None;
                 let service = route.active_services().next();
                 self.wait_for_parts(job, service, acquittals, retry_after_ms)
                     .await;
                 continue;
             }
+            // Probes are fewer than trials.
+            if admission == Admission::Free && !self.is_admitted(job).await {
+                self.granted = None;
+                continue;
+            }
             let is_trial = self.trial.lock().is_some();
+            self.goes_first = is_trial || admission == Admission::Probe;
+            self.is_sent = false;
             let request = ItemRequest {
                 job,
                 target: &target,
                 headers: &headers,
             };
             let (result, new_events) = self.attempt_once(route, request, admission).await;
-            self.end_trial(AttemptOutcome::from(&result).as_str());
+            self.end_attempt(&result);
             if new_events > 0 {
                 self.interruptions = 0;
                 self.unanswered = 0;
@@ -195,6 +221,7 @@
                 AttemptEnd::Interrupted(failure) => {
                     if is_trial {
                         self.trial_interrupted_after = self.trial_interrupted_after.max(new_events);
+                        self.crashed_trials += u32::from(failure.may_have_run());
                     }
                     self.is_pending_backoff_over = false;
                     self.jobs.relay.metrics.attempt_failed(failure.as_str());
@@ -220,6 +247,22 @@
         }
     }
 
+    /// Ends the trial that the attempt was, if it was one, and its claim to go first.
+    fn end_attempt(&mut self, end: &AttemptEnd) {
+        let outcome = match self.is_sent {
+            true => AttemptOutcome::from(end).as_str(),
+            false => "not_sent",
+        };
+        let is_trial_open = self.end_trial(outcome).is_some();
+        self.goes_first = false;
+        if self.is_sent {
+            self.missed_trials = 0;
+            self.idle_since = self.jobs.relay.clock.mono();
+        } else if is_trial_open {
+            self.missed_trials += 1;
+        }
+    }
+
     fn earlier_attempt_counts(&self, job: &Job) -> AttemptCounts {
         let version = self.partial_outputs.attempt_counts_version(&self.item.id);
         self.counts_version.store(version, Ordering::Relaxed);
--- a/crates/foxtailhold-relay/src/jobs/item/version.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/version.rs
@@ -21,6 +21,10 @@
 /// Time limit of one slot request; afterwards route, job and deadline are checked again.
 const SLOT_TIMEOUT_MS: u64 = 2_000;
 
+/// Slack of an attempt that other items wait for, so that it goes before these and is preempted after
+/// them. It lasts for one slot request.
+const FIRST_SLACK_MS: u64 = SLOT_TIMEOUT_MS;
+
 /// Wait of an item for a slot at the version that wrote its output, over several slot requests.
 #[derive(Debug, Default)]
 pub(super) struct VersionWait {
@@ -44,7 +48,10 @@
         let (pool, mut version) = self.select_service(route, written_by.as_ref());
         let left_ms = job.due_unix_ms.saturating_sub(relay.clock.wall().0);
         let remaining_ms = self.jobs.item_durations().remaining_ms(self.events());
-        let slack_ms = left_ms.saturating_sub(remaining_ms);
+        let slack_ms = match (left_ms.saturating_sub(remaining_ms), self.goes_first) {
+            (_, true) => FIRST_SLACK_MS,
+            (slack_ms, false) => slack_ms,
+        };
         let timeout_at = Instant::now() + Duration::from_millis(SLOT_TIMEOUT_MS);
         let wait_ends_at = *wait.ends_at.get_or_insert_with(|| self.version_wait_end());
         let mut avoid_with_others = avoid.to_vec();
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -43,4 +43,5 @@
 pub mod tables;
 mod take_up;
 mod timers;
+pub mod trials;
 pub mod upstream;
--- a/crates/foxtailhold/src/lib.rs
+++ b/crates/foxtailhold/src/lib.rs
@@ -50,4 +50,5 @@
 pub mod suspect;
 pub mod time;
 pub mod timeline;
+pub mod trials;
 pub mod turns;
--- /dev/null
+++ b/crates/foxtailhold/src/trials.rs
@@ -0,0 +1,92 @@
+//! Trials of batch items under which backend servers crashed.
+//!
+//! Such an item runs as a trial until it has shown that it runs. How many trials run side by side
+//! bounds what items that crash backend servers cost the fleet. The number doubles with each trial
+//! that is passed and falls back to one with each crash, so that many items which merely ran beside
+//! crashes are tried within a few rounds.
+
+use std::collections::BTreeSet;
+
+use crate::time::MonoMs;
+
+/// Most trials that an instance runs side by side.
+const MAX_TRIALS: usize = 64;
+
+/// Place of an item among those that wait for a trial. The smaller one goes first: items that crashed
+/// backend servers in trials yield to those that did not.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct TrialOrder {
+    /// Trials of the item that ended with a crash.
+    pub crashed_trials: u32,
+    /// Trials in a row for which the item found no slot.
+    pub missed_trials: u32,
+    /// Backend servers that crashed under the item.
+    pub crashes: usize,
+    /// When the item last ran.
+    pub idle_since: MonoMs,
+    /// Tells items apart that are equal otherwise.
+    pub number: u64,
+}
+
+/// The trials of one instance and the items that wait for one.
+#[derive(Debug, Clone)]
+pub struct TrialQueue {
+    waiting: BTreeSet<TrialOrder>,
+    running: usize,
+    limit: usize,
+    /// No trial begins before this time.
+    next: Option<MonoMs>,
+}
+
+impl Default for TrialQueue {
+    fn default() -> Self {
+        TrialQueue {
+            waiting: BTreeSet::new(),
+            running: 0,
+            limit: 1,
+            next: None,
+        }
+    }
+}
+
+impl TrialQueue {
+    /// Adds an item that asks for a trial from now on.
+    pub fn join(&mut self, order: TrialOrder) {
+        self.waiting.insert(order);
+    }
+
+    /// Removes an item that no longer asks.
+    pub fn leave(&mut self, order: &TrialOrder) {
+        self.waiting.remove(order);
+    }
+
+    /// Begins the trial of a waiting item if it is its turn. Each admitted trial is ended by
+    /// [`TrialQueue::end`].
+    pub fn admit(&mut self, order: &TrialOrder, now: MonoMs) -> bool {
+        let is_early = self.next.is_some_and(|next| now < next);
+        let free = self.limit.saturating_sub(self.running);
+        if is_early || !self.waiting.iter().take(free).any(|first| first == order) {
+            return false;
+        }
+        self.waiting.remove(order);
+        self.running += 1;
+        true
+    }
+
+    /// Ends a trial.
+    pub fn end(&mut self) {
+        self.running = self.running.saturating_sub(1);
+    }
+
+    /// Records that an item has shown in its trial that it runs.
+    pub fn record_pass(&mut self) {
+        self.limit = (2 * self.limit).min(MAX_TRIALS);
+    }
+
+    /// Records that a backend server crashed under an item that needs trials. No trial begins before
+    /// `next`.
+    pub fn record_crash(&mut self, next: MonoMs) {
+        self.limit = 1;
+        self.next = Some(next);
+    }
+}
