items: probes that run on let others begin, and are not preempted

What callers saw: batch items whose prompts share a part wait for its probe for up to 19.9 s after the last crash, and again after each probe that shows nothing.

Cause: one probe at a time over all instances, which was preempted by callers' requests within milliseconds (each costs 5 s), and which acquits only when its response is complete; refusals and delays of items added up to 19 s.

Change: the first probe has a slot that is not preempted; a probe that has run for 2 s and 64 events lets three more begin, as does each of these; one that is preempted after an event lets the next begin at once; refusals of items are 3, 4, 10 and 14 s and the delays of their probes six times shorter. A crash brings back one probe at a time.

--- a/crates/foxtailhold-relay/src/group_probes.rs
+++ b/crates/foxtailhold-relay/src/group_probes.rs
@@ -1,5 +1,6 @@
-//! Which request probes a suspected group of parts. At most one is admitted at a time over all
-//! instances, and only one that holds a slot, so that none waits for a probe that is not sent.
+//! Which requests probe a suspected group of parts. The first is admitted alone over all instances, and
+//! only if it holds a slot, so that none waits for a probe that is not sent. Each probe that runs on
+//! without a crash lets more of them run beside it, until one of them is complete.
 
 use std::collections::HashMap;
 
@@ -22,6 +23,17 @@
 /// availability zones takes 3 ms at most. Only the instance that goes first sends its probe.
 pub(crate) const PROBE_SETTLE_MS: u64 = 25;
 
+/// Probes over all instances that each one which runs on adds to those that may run side by side.
+const PROBES_PER_PASS: usize = 3;
+
+/// Number of probes of a group that the instance at place `rank` of `instances` may run side by side,
+/// once `passes` of them have run on without a crash.
+pub(crate) fn probe_share(passes: usize, rank: usize, instances: usize) -> usize {
+    let all = 1 + PROBES_PER_PASS * passes;
+    let instances = instances.max(1);
+    all / instances + usize::from(rank < all % instances)
+}
+
 /// Time after the refusal of a group from which the instance at this place in order may probe it.
 pub(crate) fn group_probe_turn_ms(rank: usize) -> u64 {
     let full = rank.min(FULL_GROUP_TURNS) as u64;
@@ -48,12 +60,48 @@
     last: HashMap<Vec<PartId>, GroupProbe>,
     /// When a request of this instance began to seek a slot for a probe.
     reserved: HashMap<Vec<PartId>, MonoMs>,
+    /// Probes of each group, here or elsewhere, that have run on without a crash.
+    passes: HashMap<Vec<PartId>, usize>,
+    /// When each probe that this instance runs beside others was admitted.
+    beside: HashMap<Vec<PartId>, Vec<MonoMs>>,
 }
 
 impl GroupProbes {
     pub(crate) fn clear(&mut self) {
         self.last.clear();
         self.reserved.clear();
+        self.forget_passes();
+    }
+
+    /// Probes run one at a time again, because a backend server has crashed.
+    pub(crate) fn forget_passes(&mut self) {
+        self.passes.clear();
+        self.beside.clear();
+    }
+
+    /// Records that a probe has run on without a crash.
+    pub(crate) fn record_pass(&mut self, group: Vec<PartId>) {
+        *self.passes.entry(group).or_default() += 1;
+    }
+
+    /// Number of probes of a group that have run on without a crash.
+    pub(crate) fn passes(&self, group: &[PartId]) -> usize {
+        self.passes.get(group).copied().unwrap_or(0)
+    }
+
+    pub(crate) fn has_passed(&self, held: &SharedParts) -> bool {
+        self.passes.keys().any(|group| held.contains_all(group))
+    }
+
+    /// Admits a probe beside others if fewer than `share` of this instance run.
+    pub(crate) fn admit_beside(&mut self, group: &[PartId], share: usize, now: MonoMs) -> bool {
+        let running = self.beside.entry(group.to_vec()).or_default();
+        running.retain(|at| now.since_ms(*at) < PROBE_INTERVAL_MS);
+        let is_admitted = running.len() < share;
+        if is_admitted {
+            running.push(now);
+        }
+        is_admitted
     }
 
     pub(crate) fn is_running(&self, group: &[PartId], now: MonoMs) -> bool {
@@ -97,10 +145,20 @@
 
     pub(crate) fn release_reservation(&mut self, held: &SharedParts) {
         self.reserved.retain(|group, _| !held.contains_all(group));
+        self.release_beside(held);
     }
 
     pub(crate) fn release(&mut self, held: &SharedParts) {
         self.last.retain(|group, _| !held.contains_all(group));
+        self.release_beside(held);
+    }
+
+    fn release_beside(&mut self, held: &SharedParts) {
+        for (group, running) in &mut self.beside {
+            if held.contains_all(group) {
+                running.pop();
+            }
+        }
     }
 
     pub(crate) fn is_own(&self, group: &[PartId]) -> bool {
--- a/crates/foxtailhold-relay/src/jobs/item/attempt.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/attempt.rs
@@ -22,11 +22,15 @@
 use crate::metrics::AttemptOutcome;
 use crate::peers::{Slot, SlotError};
 use crate::relay::{Admission, ProbeStage};
+use crate::request::EvidenceKeys;
 use crate::upstream::{self, AttemptFailure, ResponseEnd, UpstreamRequest};
 
 /// A run without a head or an event for this time ends, also if no slot is free elsewhere. Sound
 /// backend servers are silent for a second or so.
 pub(super) const MAX_RUN_SILENCE_MS: u64 = 2_500;
+/// A probe that has run for this time and brought this number of events shows that its parts do not
+/// crash a backend server as it begins to respond.
+const PASSED_PROBE: (Duration, u64) = (Duration::from_millis(2_000), 64);
 /// Size limit of the output of an item, as much as one read of results returns.
 const MAX_OUTPUT_BYTES: usize = 1 << 20;
 
@@ -46,6 +50,8 @@
     /// Time of the last head or event.
     heard_at: &'a watch::Sender<Instant>,
     deadline: Instant,
+    /// What evidence about a probe is kept under; `None` if the run is none.
+    probe: Option<&'a EvidenceKeys>,
 }
 
 impl Run<'_> {
@@ -165,9 +171,12 @@
         self.wait.end();
         self.is_sent = true;
         let (started, events_before) = (Instant::now(), self.events());
+        let probe = (sent_as == Admission::Probe).then(|| keys.clone());
         let evidence = relay.begin_attempt(keys, &backend, self.resume_after());
         let number = evidence.number();
-        let (result, next_slot) = self.run_or_move(request, &backend, &slot).await;
+        let (result, next_slot) = self
+            .run_or_move(request, &backend, &slot, probe.as_ref())
+            .await;
         self.granted = next_slot;
         relay
             .metrics
@@ -199,6 +208,9 @@
             }
             AttemptEnd::Suspended => {
                 self.record_unknown_end(number, &backend);
+                if let Some(probe) = probe.filter(|_| events > 0) {
+                    relay.record_harmless_probe(&probe, &backend.service, false);
+                }
                 SlotOutcome::Abandoned
             }
         };
@@ -213,6 +225,7 @@
         request: ItemRequest<'_>,
         backend: &BackendServer,
         slot: &Slot,
+        probe: Option<&EvidenceKeys>,
     ) -> (AttemptEnd, Option<GrantedSlot>) {
         let left_ms = request
             .job
@@ -225,6 +238,7 @@
             slot,
             heard_at: &heard_at,
             deadline: Instant::now() + Duration::from_millis(left_ms),
+            probe,
         };
         tokio::select! {
             // What the run has received counts before a slot granted at the same moment.
@@ -299,6 +313,8 @@
 
     async fn read(&self, mut reader: EventReader, run: Run<'_>, writer: &Writer) -> AttemptEnd {
         run.record_activity();
+        let begun = Instant::now();
+        let mut unpassed_probe = run.probe;
         let mut events = 0;
         loop {
             let read = tokio::select! {
@@ -328,6 +344,14 @@
                     if events == self.trial_events() {
                         self.pass_trial();
                     }
+                    let (least, least_events) = PASSED_PROBE;
+                    if events >= least_events
+                        && begun.elapsed() >= least
+                        && let Some(probe) = unpassed_probe.take()
+                    {
+                        let service = &run.backend.service;
+                        self.jobs.relay.record_harmless_probe(probe, service, true);
+                    }
                 }
                 StreamRead::End => {
                     let end = reader.end();
--- a/crates/foxtailhold-relay/src/jobs/item/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/backoff.rs
@@ -12,6 +12,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+use super::version::Precedence;
 use super::{ItemRunner, RETRY_DELAY_MS};
 use crate::dialect::Dialect;
 use crate::fleet::BackendServer;
@@ -227,6 +228,17 @@
         (2 * self.trial_interrupted_after).clamp(least, most)
     }
 
+    /// Whether other items wait for the next attempt.
+    pub(super) fn precedence_of(&self, admission: Admission, is_trial: bool) -> Precedence {
+        let crashes = self.jobs.relay.peers.crashes();
+        match admission {
+            Admission::Probe if !crashes.has_passed_probe(&self.parts) => Precedence::First,
+            Admission::Probe => Precedence::BeforeItems,
+            _ if is_trial => Precedence::BeforeItems,
+            _ => Precedence::None,
+        }
+    }
+
     /// Ends the trial of an item that has shown that it runs.
     pub(super) fn pass_trial(&self) {
         if let Some(trial) = self.end_trial("passed") {
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -34,7 +34,7 @@
 use crate::trials::TrialTicket;
 use attempt::{AttemptEnd, ItemRequest};
 use backoff::{Trial, UnknownEnd};
-use version::VersionWait;
+use version::{Precedence, VersionWait};
 
 /// Delay after a failed response.
 const RETRY_DELAY_MS: u64 = 60;
@@ -92,7 +92,7 @@
     /// Whether the current attempt was sent.
     is_sent: bool,
     /// Whether other items wait for what the current attempt shows.
-    goes_first: bool,
+    precedence: Precedence,
     /// Parts of its prompt that other requests may share.
     parts: SharedParts,
     /// Number of crashes with which the item has passed a trial.
@@ -133,7 +133,7 @@
             missed_trials: 0,
             idle_since: jobs.relay.clock.mono(),
             is_sent: false,
-            goes_first: false,
+            precedence: Precedence::None,
             parts: SharedParts::default(),
             passed_crashes: AtomicUsize::new(0),
             wait: jobs.relay.metrics.item_waits().of_item(id, &item.id),
@@ -200,7 +200,7 @@
                 continue;
             }
             let is_trial = self.trial.lock().is_some();
-            self.goes_first = is_trial || admission == Admission::Probe;
+            self.precedence = self.precedence_of(admission, is_trial);
             self.is_sent = false;
             let request = ItemRequest {
                 job,
@@ -254,7 +254,7 @@
             false => "not_sent",
         };
         let is_trial_open = self.end_trial(outcome).is_some();
-        self.goes_first = false;
+        self.precedence = Precedence::None;
         if self.is_sent {
             self.missed_trials = 0;
             self.idle_since = self.jobs.relay.clock.mono();
--- a/crates/foxtailhold-relay/src/jobs/item/version.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/version.rs
@@ -21,10 +21,24 @@
 /// Time limit of one slot request; afterwards route, job and deadline are checked again.
 const SLOT_TIMEOUT_MS: u64 = 2_000;
 
+/// Urgency of an attempt that all others with its parts wait for: it is not preempted, and goes after
+/// all requests of callers.
+const FIRST_URGENCY: Urgency = Urgency::Online { priority: u8::MAX };
 /// Slack of an attempt that other items wait for, so that it goes before these and is preempted after
 /// them. It lasts for one slot request.
 const FIRST_SLACK_MS: u64 = SLOT_TIMEOUT_MS;
 
+/// Whether other items wait for what an attempt shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Precedence {
+    /// None does.
+    None,
+    /// Those do that are tried after it.
+    BeforeItems,
+    /// All those with the same suspected parts do.
+    First,
+}
+
 /// Wait of an item for a slot at the version that wrote its output, over several slot requests.
 #[derive(Debug, Default)]
 pub(super) struct VersionWait {
@@ -48,9 +62,10 @@
         let (pool, mut version) = self.select_service(route, written_by.as_ref());
         let left_ms = job.due_unix_ms.saturating_sub(relay.clock.wall().0);
         let remaining_ms = self.jobs.item_durations().remaining_ms(self.events());
-        let slack_ms = match (left_ms.saturating_sub(remaining_ms), self.goes_first) {
-            (_, true) => FIRST_SLACK_MS,
-            (slack_ms, false) => slack_ms,
+        let (urgency, slack_ms) = match self.precedence {
+            Precedence::First => (FIRST_URGENCY, FIRST_SLACK_MS),
+            Precedence::BeforeItems => (Urgency::Batch, FIRST_SLACK_MS),
+            Precedence::None => (Urgency::Batch, left_ms.saturating_sub(remaining_ms)),
         };
         let timeout_at = Instant::now() + Duration::from_millis(SLOT_TIMEOUT_MS);
         let wait_ends_at = *wait.ends_at.get_or_insert_with(|| self.version_wait_end());
@@ -59,7 +74,7 @@
             version = version.filter(|_| Instant::now() < wait_ends_at);
             let query = SlotQuery {
                 pool,
-                urgency: Urgency::Batch,
+                urgency,
                 slack_ms,
                 avoid: version.map_or(avoid, |_| &avoid_with_others),
                 deadline: version.map_or(timeout_at, |_| timeout_at.min(wait_ends_at)),
--- a/crates/foxtailhold-relay/src/peers/evidence.rs
+++ b/crates/foxtailhold-relay/src/peers/evidence.rs
@@ -170,6 +170,14 @@
         self.broadcast(PeerMessage::ProbeAdmitted { group });
     }
 
+    /// Records that a probe of a suspected group goes on, or has ended, without a crash, and informs the
+    /// other instances.
+    pub fn record_harmless_probe(&self, group: Vec<PartId>, has_passed: bool) {
+        let crashes = &self.inner.crashes;
+        crashes.record_harmless_probe(group.clone(), has_passed);
+        self.broadcast(PeerMessage::ProbeHarmless { group, has_passed });
+    }
+
     /// Sends recent evidence to random instances. It also reaches those that have just started at
     /// their former address and cannot read the tables yet, and replaces lost datagrams.
     pub(super) fn gossip_evidence(&self) {
--- a/crates/foxtailhold-relay/src/peers/message.rs
+++ b/crates/foxtailhold-relay/src/peers/message.rs
@@ -183,6 +183,13 @@
         /// The group.
         group: Vec<PartId>,
     },
+    /// States that a probe of a suspected group of parts goes on, or has ended, without a crash.
+    ProbeHarmless {
+        /// The group.
+        group: Vec<PartId>,
+        /// Whether it has run for long enough to let others run beside it.
+        has_passed: bool,
+    },
 }
 
 /// Answer to [`PeerMessage::FindOrigin`].
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -165,6 +165,14 @@
         rendezvous::rank(live.iter().map(|member| &member.instance), key, self.me())
     }
 
+    /// Position of this instance among the live ones, as [`Peers::rank`], and their number.
+    pub fn rank_of(&self, key: &[u8]) -> (usize, usize) {
+        let members = self.members();
+        let live = members.live(self.now());
+        let instances = live.iter().map(|member| &member.instance);
+        (rendezvous::rank(instances, key, self.me()), live.len())
+    }
+
     fn broadcast(&self, message: PeerMessage) {
         let others = self.members().others();
         for address in others {
@@ -363,6 +371,9 @@
                 let goes_first = self.members().goes_before_me(from);
                 self.inner.crashes.record_probe(group, goes_first, now);
             }
+            PeerMessage::ProbeHarmless { group, has_passed } => {
+                self.inner.crashes.record_harmless_probe(group, has_passed);
+            }
             PeerMessage::Origins { origins } => self.record_handed_on(now, &origins),
             PeerMessage::FindOrigin {
                 number,
--- a/crates/foxtailhold-relay/src/probe_admission.rs
+++ b/crates/foxtailhold-relay/src/probe_admission.rs
@@ -5,6 +5,7 @@
 use foxtailhold::time::MonoMs;
 
 use crate::crashes::CrashTracker;
+use crate::group_probes::probe_share;
 
 impl CrashTracker {
     /// Reserves the probe of a suspected group for a request of this instance, which may seek a slot
@@ -46,4 +47,38 @@
         let mut state = self.state.lock();
         state.group_probes.record(group, goes_first, now);
     }
+
+    /// Records that a probe of a suspected group, here or elsewhere, goes on or has ended without a
+    /// crash. `has_passed`: it has run for long enough to let others run beside it.
+    pub fn record_harmless_probe(&self, group: Vec<PartId>, has_passed: bool) {
+        let held = SharedParts::from(group.as_slice());
+        let probes = &mut self.state.lock().group_probes;
+        probes.release(&held);
+        if has_passed {
+            probes.record_pass(group);
+        }
+        self.acquittals.send_replace(());
+    }
+
+    /// Number of probes of a suspected group that have run on without a crash.
+    pub fn probe_passes(&self, group: &[PartId]) -> usize {
+        self.state.lock().group_probes.passes(group)
+    }
+
+    /// Whether a probe has run on without a crash of any group that a request holds.
+    pub fn has_passed_probe(&self, held: &SharedParts) -> bool {
+        self.state.lock().group_probes.has_passed(held)
+    }
+
+    /// Admits a probe beside those that run on, for the instance at place `rank` of `instances`.
+    pub fn admit_probe_beside(
+        &self,
+        group: &[PartId],
+        (rank, instances): (usize, usize),
+        now: MonoMs,
+    ) -> bool {
+        let probes = &mut self.state.lock().group_probes;
+        let share = probe_share(probes.passes(group), rank, instances);
+        probes.admit_beside(group, share, now)
+    }
 }
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -296,11 +296,20 @@
         let (status, group) = self.group_status(keys, service);
         let group = group.unwrap_or_default();
         let subject = group.first().map_or([0; 8], |part| part.0.to_be_bytes());
+        let now = self.clock.mono();
+        if crashes.probe_passes(&group) > 0 {
+            let place = self.peers.rank_of(&subject);
+            return self.admission(
+                status,
+                || 0,
+                earlier,
+                || crashes.admit_probe_beside(&group, place, now),
+            );
+        }
         let turn_ms = || match earlier {
             Admission::Probe => 0,
             _ => group_probe_turn_ms(self.peers.rank(&subject)),
         };
-        let now = self.clock.mono();
         // What was admitted before the wait for a slot was a reservation only.
         self.admission(status, turn_ms, Admission::Free, || match stage {
             ProbeStage::SeekSlot => crashes.reserve_group_probe(&group, now),
@@ -329,9 +338,22 @@
         match status {
             CrashStatus::Allowed => true,
             CrashStatus::Refused { .. } => false,
-            CrashStatus::ProbeAllowed { .. } => {
-                group.is_some_and(|group| crashes.keeps_group_probe(&group))
-            }
+            CrashStatus::ProbeAllowed { .. } => group.is_some_and(|group| {
+                crashes.probe_passes(&group) > 0 || crashes.keeps_group_probe(&group)
+            }),
+        }
+    }
+
+    /// Records that the probe of a request at `service` goes on, or has ended, without a crash.
+    pub(crate) fn record_harmless_probe(
+        &self,
+        keys: &EvidenceKeys,
+        service: &TargetName,
+        has_passed: bool,
+    ) {
+        let (status, group) = self.group_status(keys, service);
+        if let (CrashStatus::ProbeAllowed { .. }, Some(group)) = (status, group) {
+            self.peers.record_harmless_probe(group, has_passed);
         }
     }
 
--- a/crates/foxtailhold-relay/tests/group_probes.rs
+++ b/crates/foxtailhold-relay/tests/group_probes.rs
@@ -1,8 +1,12 @@
 //! Probes of suspected groups. Guards against probes that an instance holds while it sends none, and
 //! against two that are sent side by side.
 
+use foxtailhold::ids::{BackendId, TargetName};
+use foxtailhold::part_crashes::{LostRequest, PartCrash};
 use foxtailhold::prompt_parts::{PartId, SharedParts};
-use foxtailhold::time::MonoMs;
+use foxtailhold::quarantine::{CrashId, Fingerprint};
+use foxtailhold::stream_origins::StreamOrigin;
+use foxtailhold::time::{MonoMs, WallMs};
 use foxtailhold_relay::crashes::CrashTracker;
 use test_case::test_case;
 
@@ -52,3 +56,64 @@
     let kept = [first, second].map(|tracker| usize::from(tracker.keeps_group_probe(&GROUP)));
     assert_eq!(kept.iter().sum::<usize>(), expected);
 }
+
+/// Probes that one instance of ten is admitted beside others.
+fn admitted_beside(tracker: &CrashTracker, rank: usize) -> usize {
+    let admit = || tracker.admit_probe_beside(&GROUP, (rank, 10), NOW);
+    std::iter::repeat_with(admit)
+        .take(1_000)
+        .take_while(|is_admitted| *is_admitted)
+        .count()
+}
+
+/// Guards against sound items that wait for one probe after the other.
+#[test]
+fn each_probe_that_runs_on_adds_three_over_all_instances() {
+    for (passes, expected) in [(1, 4), (5, 16), (21, 64)] {
+        let mut admitted = 0;
+        for rank in 0..10 {
+            let tracker = CrashTracker::default();
+            for _ in 0..passes {
+                tracker.record_harmless_probe(GROUP.to_vec(), true);
+            }
+            admitted += admitted_beside(&tracker, rank);
+        }
+        assert_eq!(admitted, expected, "{passes} passes");
+    }
+}
+
+#[test]
+fn a_crash_lets_probes_run_one_at_a_time_again() {
+    let tracker = CrashTracker::default();
+    assert!(tracker.admit_group_probe(&GROUP, NOW));
+    tracker.record_harmless_probe(GROUP.to_vec(), true);
+    assert_eq!(tracker.probe_passes(&GROUP), 1);
+    let id = CrashId {
+        backend: BackendId::try_from("i-1").unwrap(),
+        started_unix_ms: 1,
+    };
+    let lost = LostRequest {
+        request: Fingerprint(1),
+        parts: SharedParts::from(GROUP.as_slice()),
+        begun_unix_ms: 9_000,
+        is_probe: true,
+    };
+    let origin = StreamOrigin {
+        service: TargetName::try_from("writers").unwrap(),
+        version: "v1".try_into().unwrap(),
+    };
+    let crash = PartCrash::new(origin, WallMs(9_500), Some(lost));
+    assert!(tracker.merge_part_crash(&id, &crash));
+    assert_eq!(tracker.probe_passes(&GROUP), 0);
+}
+
+/// Guards against a probe that is preempted and keeps the next one from its turn.
+#[test]
+fn the_next_probe_is_admitted_once_one_has_ended_without_a_crash() {
+    let tracker = CrashTracker::default();
+    assert!(tracker.admit_group_probe(&GROUP, NOW));
+    assert!(!tracker.is_group_probe_free(&GROUP, NOW + 1));
+    tracker.record_harmless_probe(GROUP.to_vec(), false);
+    assert_eq!(tracker.probe_passes(&GROUP), 0);
+    assert!(tracker.admit_group_probe(&GROUP, NOW + 1));
+}
--- a/crates/foxtailhold-relay/tests/part_evidence.rs
+++ b/crates/foxtailhold-relay/tests/part_evidence.rs
@@ -64,6 +64,13 @@
     let group = vec![GUILTY];
     let encoded = codec::encode(&PeerMessage::ProbeAdmitted { group }).unwrap();
     assert_eq!(encoded[0], 13);
+    let harmless = PeerMessage::ProbeHarmless {
+        group: vec![GUILTY],
+        has_passed: true,
+    };
+    let encoded = codec::encode(&harmless).unwrap();
+    assert_eq!(encoded[0], 14);
+    assert_eq!(codec::decode::<PeerMessage>(&encoded).unwrap(), harmless);
 }
 
 #[test_case(3, true; "three crashes in a row")]
--- a/crates/foxtailhold/src/part_crashes.rs
+++ b/crates/foxtailhold/src/part_crashes.rs
@@ -19,7 +19,7 @@
 use crate::crashes::CrashStatus;
 use crate::ids::TargetName;
 pub use crate::part_crash::{Acquittal, LostRequest, MAX_LOST_REQUESTS, PartCrash};
-use crate::part_groups::GroupFinder;
+use crate::part_groups::{GroupFinder, owed_refusal_ms};
 pub use crate::part_groups::{
     MIN_CRASH_SEQUENCE, MIN_CRASHES, MIN_OTHER_CRASHES, OWED_REFUSAL_MS, PART_REFUSAL_MS,
     SuspectedGroup,
@@ -38,6 +38,9 @@
 /// Further delay for each crash in which it was lost more often than the request with the same parts
 /// that was lost least often. All of them may have been lost, and none is left to yield to.
 const REPEATED_PROBE_DELAY_MS: u64 = 2_000;
+/// The delays of a request that is owed whatever happens are shorter by this factor. Others with its
+/// parts wait for its probe.
+const OWED_DELAY_DIVISOR: u64 = 6;
 /// Crashes of one request that delay its probe.
 const MAX_DELAYING_CRASHES: usize = 3;
 /// Records of crashes that are kept.
@@ -263,7 +266,7 @@
     }
 
     /// The same for a request that is owed whatever happens: no refusal of it lasts longer than
-    /// [`OWED_REFUSAL_MS`] after the last crash.
+    /// the last of [`OWED_REFUSAL_MS`] after the last crash, and the delays of its probe are shorter.
     pub fn status_of_owed(
         &mut self,
         request: Fingerprint,
@@ -313,7 +316,7 @@
                 _ => group.repeats_refused_until_unix_ms,
             };
             match is_owed {
-                true => until_unix_ms.min(group.last_crash_unix_ms + OWED_REFUSAL_MS),
+                true => until_unix_ms.min(group.last_crash_unix_ms + owed_refusal_ms(group.probes)),
                 false => until_unix_ms,
             }
         };
@@ -333,7 +336,10 @@
             0 => 0,
             _ => LOST_PROBE_DELAY_MS + further * REPEATED_PROBE_DELAY_MS,
         };
-        let delay_ms = delay_ms + lost_delay_ms;
+        let delay_ms = match is_owed {
+            true => (delay_ms + lost_delay_ms) / OWED_DELAY_DIVISOR,
+            false => delay_ms + lost_delay_ms,
+        };
         let end_unix_ms = refused_until_unix_ms(last).saturating_add(delay_ms);
         let status = match end_unix_ms.checked_sub(now.0) {
             Some(left_ms) if left_ms > 0 => CrashStatus::Refused { left_ms },
--- a/crates/foxtailhold/src/part_groups.rs
+++ b/crates/foxtailhold/src/part_groups.rs
@@ -32,13 +32,18 @@
 /// short, because many requests and items may share a part that is innocent. After the last probe no
 /// caller waits for the end.
 pub const PART_REFUSAL_MS: [u64; 3] = [3_000, 20_000, 86_400_000];
-/// Longest refusal of a request that is owed whatever happens, such as a batch item. It has to be tried
-/// again within 20 s, with the delays of its probe and the wait for a slot.
-pub const OWED_REFUSAL_MS: u64 = 10_000;
+/// Longest refusal of a request that is owed whatever happens, such as a batch item, after the limit
+/// and after the crash of each probe.
+pub const OWED_REFUSAL_MS: [u64; 4] = [3_000, 4_000, 10_000, 14_000];
 /// A probe that has run for longer is lost by another cause: a guilty part crashes its backend server
 /// as soon as that begins to respond.
 const MAX_PROBE_RUN_MS: u64 = 2_000;
 
+/// Longest refusal after `probes` that crashed their backend server.
+pub(crate) fn owed_refusal_ms(probes: usize) -> u64 {
+    OWED_REFUSAL_MS[probes.min(OWED_REFUSAL_MS.len() - 1)]
+}
+
 /// Parts that crash backend servers together, as far as is known. Requests that hold all of them are
 /// refused.
 #[derive(Debug, Clone, PartialEq, Eq)]
