items: passes before a crash raise no limit, and nobody waits for a place that is not used

What callers would see: more backend servers lost to items that crash them late, and items that wait for a ticket or a share whose holder runs or is elsewhere.

Cause: passes of trials and probes that began before a crash raised the limits after it, and a repeated message counted twice; a ticket stayed first in the order while its item ran as a probe or was acquitted; an instance without a share had no turn; a wait for a version began anew with each slot that was given back.

Change: a pass names what was known when its trial began, and a harmless probe its identifier and time; tickets are dropped before each attempt; instances without a share take turns, and shares lapse 5 s after the last pass; items with crashes of their own need a permit beside the first probe; a preempted probe needs 8 events to be harmless.

--- a/crates/foxtailhold-relay/src/group_probes.rs
+++ b/crates/foxtailhold-relay/src/group_probes.rs
@@ -7,6 +7,8 @@
 use foxtailhold::prompt_parts::{PartId, SharedParts};
 use foxtailhold::time::MonoMs;
 
+use crate::peers::HarmlessProbe;
+
 /// Time after which the next probe of a request or a suspected group is admitted if the previous one
 /// gave no result. It is longer than attempts usually take.
 const PROBE_INTERVAL_MS: u64 = 5_000;
@@ -60,8 +62,13 @@
     last: HashMap<Vec<PartId>, GroupProbe>,
     /// When a request of this instance began to seek a slot for a probe.
     reserved: HashMap<Vec<PartId>, MonoMs>,
-    /// Probes of each group, here or elsewhere, that have run on without a crash.
-    passes: HashMap<Vec<PartId>, usize>,
+    /// Number of probes of each group, here or elsewhere, that have run on without a crash, and when
+    /// the last one was known here.
+    passes: HashMap<Vec<PartId>, (usize, MonoMs)>,
+    /// Harmless probes of which this instance knows, and since when.
+    harmless: HashMap<u64, MonoMs>,
+    /// Time of the last crash, in Unix ms.
+    last_crash_unix_ms: u64,
     /// When each probe that this instance runs beside others was admitted.
     beside: HashMap<Vec<PartId>, Vec<MonoMs>>,
 }
@@ -74,34 +81,59 @@
     }
 
     /// Probes run one at a time again, because a backend server has crashed.
-    pub(crate) fn forget_passes(&mut self) {
+    pub(crate) fn record_crash(&mut self, at_unix_ms: u64) {
+        self.last_crash_unix_ms = self.last_crash_unix_ms.max(at_unix_ms);
+        self.forget_passes();
+    }
+
+    fn forget_passes(&mut self) {
         self.passes.clear();
         self.beside.clear();
     }
 
-    /// Records that a probe has run on without a crash.
-    pub(crate) fn record_pass(&mut self, group: Vec<PartId>) {
-        *self.passes.entry(group).or_default() += 1;
+    /// Lets the next probe begin after one that is harmless, and more beside it if it has passed.
+    pub(crate) fn record_harmless(&mut self, probe: HarmlessProbe, now: MonoMs) {
+        self.harmless
+            .retain(|_, at| now.since_ms(*at) < PROBE_INTERVAL_MS);
+        let is_known = self.harmless.insert(probe.probe, now).is_some();
+        if is_known || probe.at_unix_ms <= self.last_crash_unix_ms {
+            return;
+        }
+        self.last.remove(&probe.group);
+        if probe.has_passed {
+            let (passes, at) = self.passes.entry(probe.group).or_default();
+            *passes += 1;
+            *at = now;
+        }
     }
 
-    /// Number of probes of a group that have run on without a crash.
-    pub(crate) fn passes(&self, group: &[PartId]) -> usize {
-        self.passes.get(group).copied().unwrap_or(0)
+    /// Number of probes of a group that have run on without a crash. It lapses with the last of them,
+    /// so that others take turns again.
+    pub(crate) fn passes(&self, group: &[PartId], now: MonoMs) -> usize {
+        let passes = self.passes.get(group);
+        let passes = passes.filter(|(_, at)| now.since_ms(*at) < PROBE_INTERVAL_MS);
+        passes.map_or(0, |(passes, _)| *passes)
     }
 
-    pub(crate) fn has_passed(&self, held: &SharedParts) -> bool {
-        self.passes.keys().any(|group| held.contains_all(group))
+    pub(crate) fn has_passed(&self, held: &SharedParts, now: MonoMs) -> bool {
+        let mut groups = self.passes.keys();
+        groups.any(|group| held.contains_all(group) && self.passes(group, now) > 0)
     }
 
-    /// Admits a probe beside others if fewer than `share` of this instance run.
-    pub(crate) fn admit_beside(&mut self, group: &[PartId], share: usize, now: MonoMs) -> bool {
+    /// Whether fewer than `share` probes of this instance run beside others.
+    pub(crate) fn is_free_beside(&mut self, group: &[PartId], share: usize, now: MonoMs) -> bool {
         let running = self.beside.entry(group.to_vec()).or_default();
         running.retain(|at| now.since_ms(*at) < PROBE_INTERVAL_MS);
-        let is_admitted = running.len() < share;
-        if is_admitted {
+        running.len() < share
+    }
+
+    /// Admits a probe beside others if fewer than `share` of this instance run.
+    pub(crate) fn admit_beside(&mut self, group: &[PartId], share: usize, now: MonoMs) -> bool {
+        let is_free = self.is_free_beside(group, share, now);
+        if is_free && let Some(running) = self.beside.get_mut(group) {
             running.push(now);
         }
-        is_admitted
+        is_free
     }
 
     pub(crate) fn is_running(&self, group: &[PartId], now: MonoMs) -> bool {
--- a/crates/foxtailhold-relay/src/jobs/item/attempt.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/attempt.rs
@@ -12,7 +12,8 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use super::version::VersionWait;
+use super::backoff::TRIAL_EVENTS;
+use super::version::{Precedence, VersionWait};
 use super::{GrantedSlot, ItemRunner, RETRY_DELAY_MS, WRITE_LIMIT_MS};
 use crate::dialect::Dialect;
 use crate::events::{EventReader, StreamRead, event_id, push_data};
@@ -133,7 +134,6 @@
                 return (AttemptEnd::Suspended, 0);
             }
         };
-        self.version_wait = VersionWait::default();
         let keys = self.evidence_keys(job);
         if relay
             .admit_parts(ProbeStage::HoldSlot, &keys, &backend.service, admission)
@@ -170,6 +170,8 @@
         self.avoided_backends.clear();
         self.wait.end();
         self.is_sent = true;
+        self.version_wait = VersionWait::default();
+        self.precedence = Precedence::None;
         let (started, events_before) = (Instant::now(), self.events());
         let probe = (sent_as == Admission::Probe).then(|| keys.clone());
         let evidence = relay.begin_attempt(keys, &backend, self.resume_after());
@@ -208,7 +210,8 @@
             }
             AttemptEnd::Suspended => {
                 self.record_unknown_end(number, &backend);
-                if let Some(probe) = probe.filter(|_| events > 0) {
+                if let Some(probe) = probe.filter(|_| events >= TRIAL_EVENTS.0) {
+                    relay.peers.crashes().release_probe(&self.parts);
                     relay.record_harmless_probe(&probe, &backend.service, false);
                 }
                 SlotOutcome::Abandoned
--- a/crates/foxtailhold-relay/src/jobs/item/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/backoff.rs
@@ -12,7 +12,6 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 
-use super::version::Precedence;
 use super::{ItemRunner, RETRY_DELAY_MS};
 use crate::dialect::Dialect;
 use crate::fleet::BackendServer;
@@ -32,7 +31,7 @@
 /// them may have been answered that it can never be completed.
 const PENDING_BACKOFF_MS: u64 = 10_000;
 /// Least and largest number of events after which a trial is passed. Other items wait meanwhile.
-const TRIAL_EVENTS: (u64, u64) = (8, 64);
+pub(super) const TRIAL_EVENTS: (u64, u64) = (8, 64);
 /// Interval at which an item asks again to be tried.
 const TRIAL_CHECK_MS: u64 = 100;
 
@@ -142,6 +141,7 @@
     /// Whether the item may run now. One under which too many backend servers crashed needs a permit,
     /// unless it has passed a trial since; without one this waits a little.
     pub(super) async fn is_admitted(&mut self, job: &Job) -> bool {
+        let ticket = self.trial_ticket.take();
         let relay = &self.jobs.relay;
         let evidence = relay.peers.crashes();
         if evidence.is_empty() {
@@ -151,7 +151,6 @@
         if crashes < MAX_CRASHES || crashes <= self.passed_crashes.load(Ordering::Relaxed) {
             return true;
         }
-        let ticket = self.trial_ticket.take();
         let ticket = ticket.unwrap_or_else(|| {
             evidence.seek_trial(TrialOrder {
                 crashed_trials: self.crashed_trials,
@@ -228,15 +227,11 @@
         (2 * self.trial_interrupted_after).clamp(least, most)
     }
 
-    /// Whether other items wait for the next attempt.
-    pub(super) fn precedence_of(&self, admission: Admission, is_trial: bool) -> Precedence {
+    /// Whether the next attempt is a probe that all other items with a suspected group wait for.
+    pub(super) fn is_first_probe(&self, admission: Admission) -> bool {
         let crashes = self.jobs.relay.peers.crashes();
-        match admission {
-            Admission::Probe if !crashes.has_passed_probe(&self.parts) => Precedence::First,
-            Admission::Probe => Precedence::BeforeItems,
-            _ if is_trial => Precedence::BeforeItems,
-            _ => Precedence::None,
-        }
+        let now = self.jobs.relay.clock.mono();
+        admission == Admission::Probe && !crashes.has_passed_probe(&self.parts, now)
     }
 
     /// Ends the trial of an item that has shown that it runs.
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -32,6 +32,7 @@
 use crate::request::EvidenceKeys;
 use crate::retry_delay::RetryDelay;
 use crate::trials::TrialTicket;
+use crate::upstream::AttemptFailure;
 use attempt::{AttemptEnd, ItemRequest};
 use backoff::{Trial, UnknownEnd};
 use version::{Precedence, VersionWait};
@@ -164,6 +165,7 @@
                     return Some(self.into_result(ItemState::GivenUp));
                 }
                 self.granted = None;
+                self.trial_ticket = None;
                 self.wait_for(WaitCause::Route, Some(Duration::from_millis(NO_ROUTE_MS)));
                 tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
                 continue;
@@ -194,13 +196,20 @@
                     .await;
                 continue;
             }
-            // Probes are fewer than trials.
-            if admission == Admission::Free && !self.is_admitted(job).await {
+            // The first probe of a group runs alone.
+            let is_first_probe = self.is_first_probe(admission);
+            if !is_first_probe && !self.is_admitted(job).await {
+                self.release_reservation(admission);
                 self.granted = None;
                 continue;
             }
+            self.trial_ticket = None;
             let is_trial = self.trial.lock().is_some();
-            self.precedence = self.precedence_of(admission, is_trial);
+            self.precedence = match (is_first_probe, is_trial || admission == Admission::Probe) {
+                (true, _) => Precedence::First,
+                (false, true) => Precedence::BeforeItems,
+                (false, false) => Precedence::None,
+            };
             self.is_sent = false;
             let request = ItemRequest {
                 job,
@@ -221,7 +230,7 @@
                 AttemptEnd::Interrupted(failure) => {
                     if is_trial {
                         self.trial_interrupted_after = self.trial_interrupted_after.max(new_events);
-                        self.crashed_trials += u32::from(failure.may_have_run());
+                        self.crashed_trials += u32::from(failure == AttemptFailure::Closed);
                     }
                     self.is_pending_backoff_over = false;
                     self.jobs.relay.metrics.attempt_failed(failure.as_str());
@@ -254,7 +263,6 @@
             false => "not_sent",
         };
         let is_trial_open = self.end_trial(outcome).is_some();
-        self.precedence = Precedence::None;
         if self.is_sent {
             self.missed_trials = 0;
             self.idle_since = self.jobs.relay.clock.mono();
--- a/crates/foxtailhold-relay/src/part_evidence.rs
+++ b/crates/foxtailhold-relay/src/part_evidence.rs
@@ -146,7 +146,7 @@
             let is_new = state.parts.join(id, news);
             if is_new && !news.lost.is_empty() {
                 state.life_signs.forget(id);
-                state.group_probes.forget_passes();
+                state.group_probes.record_crash(news.at_unix_ms);
             }
             is_new
         };
--- a/crates/foxtailhold-relay/src/peers/evidence.rs
+++ b/crates/foxtailhold-relay/src/peers/evidence.rs
@@ -11,7 +11,7 @@
 use foxtailhold::time::{MonoMs, WallMs};
 use rand::seq::IndexedRandom;
 
-use super::{PeerMessage, Peers};
+use super::{HarmlessProbe, PeerMessage, Peers};
 use crate::fleet::{BackendFate, BackendServer};
 use crate::part_evidence::PartCrashNews;
 use crate::pending_attempts::TrackedAttempt;
@@ -173,9 +173,15 @@
     /// Records that a probe of a suspected group goes on, or has ended, without a crash, and informs the
     /// other instances.
     pub fn record_harmless_probe(&self, group: Vec<PartId>, has_passed: bool) {
+        let probe = HarmlessProbe {
+            group,
+            probe: rand::random(),
+            at_unix_ms: self.wall().0,
+            has_passed,
+        };
         let crashes = &self.inner.crashes;
-        crashes.record_harmless_probe(group.clone(), has_passed);
-        self.broadcast(PeerMessage::ProbeHarmless { group, has_passed });
+        crashes.record_harmless_probe(probe.clone(), self.now());
+        self.broadcast(PeerMessage::ProbeHarmless(probe));
     }
 
     /// Sends recent evidence to random instances. It also reaches those that have just started at
--- a/crates/foxtailhold-relay/src/peers/message.rs
+++ b/crates/foxtailhold-relay/src/peers/message.rs
@@ -184,12 +184,20 @@
         group: Vec<PartId>,
     },
     /// States that a probe of a suspected group of parts goes on, or has ended, without a crash.
-    ProbeHarmless {
-        /// The group.
-        group: Vec<PartId>,
-        /// Whether it has run for long enough to let others run beside it.
-        has_passed: bool,
-    },
+    ProbeHarmless(HarmlessProbe),
+}
+
+/// A probe of a suspected group of parts that goes on, or has ended, without a crash.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HarmlessProbe {
+    /// The group.
+    pub group: Vec<PartId>,
+    /// Identifies the probe, since the message is sent twice.
+    pub probe: u64,
+    /// When it was seen to be harmless, in Unix ms.
+    pub at_unix_ms: u64,
+    /// Whether it has run for long enough to let others run beside it.
+    pub has_passed: bool,
 }
 
 /// Answer to [`PeerMessage::FindOrigin`].
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -10,7 +10,7 @@
 
 use evidence::EvidenceSends;
 pub use members::{Member, Members};
-pub use message::{Datagram, FoundOrigin, InstanceHash, PeerMessage};
+pub use message::{Datagram, FoundOrigin, HarmlessProbe, InstanceHash, PeerMessage};
 use origin_confirmation::OriginConfirmations;
 pub(crate) use origin_confirmation::{CONFIRM_TIMEOUT_MS, OnlyOrigin};
 pub use origins::{OriginCounts, OriginSearch, OriginSource};
@@ -160,9 +160,7 @@
     /// Position of this instance among the live ones in their order for `key`. The first is the one
     /// that a probe belongs to; the others take their turn if no caller asks it.
     pub fn rank(&self, key: &[u8]) -> usize {
-        let members = self.members();
-        let live = members.live(self.now());
-        rendezvous::rank(live.iter().map(|member| &member.instance), key, self.me())
+        self.rank_of(key).0
     }
 
     /// Position of this instance among the live ones, as [`Peers::rank`], and their number.
@@ -371,8 +369,8 @@
                 let goes_first = self.members().goes_before_me(from);
                 self.inner.crashes.record_probe(group, goes_first, now);
             }
-            PeerMessage::ProbeHarmless { group, has_passed } => {
-                self.inner.crashes.record_harmless_probe(group, has_passed);
+            PeerMessage::ProbeHarmless(probe) => {
+                self.inner.crashes.record_harmless_probe(probe, now);
             }
             PeerMessage::Origins { origins } => self.record_handed_on(now, &origins),
             PeerMessage::FindOrigin {
--- a/crates/foxtailhold-relay/src/probe_admission.rs
+++ b/crates/foxtailhold-relay/src/probe_admission.rs
@@ -6,6 +6,7 @@
 
 use crate::crashes::CrashTracker;
 use crate::group_probes::probe_share;
+use crate::peers::HarmlessProbe;
 
 impl CrashTracker {
     /// Reserves the probe of a suspected group for a request of this instance, which may seek a slot
@@ -49,36 +50,40 @@
     }
 
     /// Records that a probe of a suspected group, here or elsewhere, goes on or has ended without a
-    /// crash. `has_passed`: it has run for long enough to let others run beside it.
-    pub fn record_harmless_probe(&self, group: Vec<PartId>, has_passed: bool) {
-        let held = SharedParts::from(group.as_slice());
-        let probes = &mut self.state.lock().group_probes;
-        probes.release(&held);
-        if has_passed {
-            probes.record_pass(group);
-        }
+    /// crash.
+    pub fn record_harmless_probe(&self, probe: HarmlessProbe, now: MonoMs) {
+        self.state.lock().group_probes.record_harmless(probe, now);
         self.acquittals.send_replace(());
     }
 
-    /// Number of probes of a suspected group that have run on without a crash.
-    pub fn probe_passes(&self, group: &[PartId]) -> usize {
-        self.state.lock().group_probes.passes(group)
+    /// Whether a probe has run on lately without a crash of any group that a request holds.
+    pub fn has_passed_probe(&self, held: &SharedParts, now: MonoMs) -> bool {
+        self.state.lock().group_probes.has_passed(held, now)
     }
 
-    /// Whether a probe has run on without a crash of any group that a request holds.
-    pub fn has_passed_probe(&self, held: &SharedParts) -> bool {
-        self.state.lock().group_probes.has_passed(held)
-    }
-
-    /// Admits a probe beside those that run on, for the instance at place `rank` of `instances`.
-    pub fn admit_probe_beside(
+    /// Probes of a suspected group that the instance at place `rank` of `instances` may run beside
+    /// others; 0 if it takes its turn.
+    pub fn share_beside(
         &self,
         group: &[PartId],
         (rank, instances): (usize, usize),
         now: MonoMs,
-    ) -> bool {
+    ) -> usize {
+        match self.state.lock().group_probes.passes(group, now) {
+            0 => 0,
+            passes => probe_share(passes, rank, instances),
+        }
+    }
+
+    /// Whether fewer than `share` probes of a suspected group run here beside others.
+    pub fn is_free_beside(&self, group: &[PartId], share: usize, now: MonoMs) -> bool {
+        let probes = &mut self.state.lock().group_probes;
+        probes.is_free_beside(group, share, now)
+    }
+
+    /// Admits a probe of a suspected group beside others, if fewer than `share` run here.
+    pub fn admit_beside(&self, group: &[PartId], share: usize, now: MonoMs) -> bool {
         let probes = &mut self.state.lock().group_probes;
-        let share = probe_share(probes.passes(group), rank, instances);
         probes.admit_beside(group, share, now)
     }
 }
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -297,13 +297,21 @@
         let group = group.unwrap_or_default();
         let subject = group.first().map_or([0; 8], |part| part.0.to_be_bytes());
         let now = self.clock.mono();
-        if crashes.probe_passes(&group) > 0 {
-            let place = self.peers.rank_of(&subject);
+        let share = match keys.is_owed {
+            true => crashes.share_beside(&group, self.peers.rank_of(&subject), now),
+            false => 0,
+        };
+        if share > 0 {
             return self.admission(
                 status,
                 || 0,
                 earlier,
-                || crashes.admit_probe_beside(&group, place, now),
+                || match stage {
+                    ProbeStage::HoldSlot => crashes.is_free_beside(&group, share, now),
+                    ProbeStage::SeekSlot | ProbeStage::Send => {
+                        crashes.admit_beside(&group, share, now)
+                    }
+                },
             );
         }
         let turn_ms = || match earlier {
@@ -339,7 +347,9 @@
             CrashStatus::Allowed => true,
             CrashStatus::Refused { .. } => false,
             CrashStatus::ProbeAllowed { .. } => group.is_some_and(|group| {
-                crashes.probe_passes(&group) > 0 || crashes.keeps_group_probe(&group)
+                let parts = SharedParts::from(group.as_slice());
+                crashes.has_passed_probe(&parts, self.clock.mono())
+                    || crashes.keeps_group_probe(&group)
             }),
         }
     }
--- a/crates/foxtailhold-relay/src/trials.rs
+++ b/crates/foxtailhold-relay/src/trials.rs
@@ -1,7 +1,7 @@
 //! Permits for the trials of batch items, as the items of this instance hold them.
 
 use foxtailhold::time::MonoMs;
-use foxtailhold::trials::TrialOrder;
+use foxtailhold::trials::{TrialBegin, TrialOrder};
 
 use crate::crashes::CrashTracker;
 
@@ -15,9 +15,10 @@
 impl TrialTicket {
     /// Returns a permit if it is the turn of the item.
     pub fn admit(&self, now: MonoMs) -> Option<TrialPermit> {
-        let is_admitted = self.tracker.state.lock().trials.admit(&self.order, now);
-        is_admitted.then(|| TrialPermit {
+        let begin = self.tracker.state.lock().trials.admit(&self.order, now)?;
+        Some(TrialPermit {
             tracker: self.tracker.clone(),
+            begin,
         })
     }
 }
@@ -32,12 +33,13 @@
 #[derive(Debug)]
 pub struct TrialPermit {
     tracker: CrashTracker,
+    begin: TrialBegin,
 }
 
 impl TrialPermit {
     /// Ends the trial of an item that has shown that it runs.
     pub fn pass(self) {
-        self.tracker.state.lock().trials.record_pass();
+        self.tracker.state.lock().trials.record_pass(self.begin);
     }
 }
 
--- a/crates/foxtailhold-relay/tests/group_probes.rs
+++ b/crates/foxtailhold-relay/tests/group_probes.rs
@@ -8,6 +8,7 @@
 use foxtailhold::stream_origins::StreamOrigin;
 use foxtailhold::time::{MonoMs, WallMs};
 use foxtailhold_relay::crashes::CrashTracker;
+use foxtailhold_relay::peers::HarmlessProbe;
 use test_case::test_case;
 
 const GROUP: [PartId; 1] = [PartId(7)];
@@ -57,9 +58,27 @@
     assert_eq!(kept.iter().sum::<usize>(), expected);
 }
 
-/// Probes that one instance of ten is admitted beside others.
-fn admitted_beside(tracker: &CrashTracker, rank: usize) -> usize {
-    let admit = || tracker.admit_probe_beside(&GROUP, (rank, 10), NOW);
+fn harmless(probe: u64, has_passed: bool) -> HarmlessProbe {
+    HarmlessProbe {
+        group: GROUP.to_vec(),
+        probe,
+        at_unix_ms: 10_000,
+        has_passed,
+    }
+}
+
+fn passed(passes: u64) -> CrashTracker {
+    let tracker = CrashTracker::default();
+    for probe in 0..passes {
+        tracker.record_harmless_probe(harmless(probe, true), NOW);
+    }
+    tracker
+}
+
+/// Probes that the instance at a place of ten is admitted beside others.
+fn admitted_beside(tracker: &CrashTracker, rank: usize, now: MonoMs) -> usize {
+    let share = tracker.share_beside(&GROUP, (rank, 10), now);
+    let admit = || tracker.admit_beside(&GROUP, share, now);
     std::iter::repeat_with(admit)
         .take(1_000)
         .take_while(|is_admitted| *is_admitted)
@@ -70,24 +89,38 @@
 #[test]
 fn each_probe_that_runs_on_adds_three_over_all_instances() {
     for (passes, expected) in [(1, 4), (5, 16), (21, 64)] {
-        let mut admitted = 0;
-        for rank in 0..10 {
-            let tracker = CrashTracker::default();
-            for _ in 0..passes {
-                tracker.record_harmless_probe(GROUP.to_vec(), true);
-            }
-            admitted += admitted_beside(&tracker, rank);
-        }
+        let admitted: usize = (0..10)
+            .map(|rank| admitted_beside(&passed(passes), rank, NOW))
+            .sum();
         assert_eq!(admitted, expected, "{passes} passes");
     }
 }
 
+/// Guards against a message that is sent twice and counts twice.
 #[test]
-fn a_crash_lets_probes_run_one_at_a_time_again() {
-    let tracker = CrashTracker::default();
+fn a_probe_that_runs_on_counts_once() {
+    let tracker = passed(1);
+    tracker.record_harmless_probe(harmless(0, true), NOW + 400);
+    let admitted: usize = (0..10)
+        .map(|rank| tracker.share_beside(&GROUP, (rank, 10), NOW + 400))
+        .sum();
+    assert_eq!(admitted, 4);
+}
+
+/// Guards against items that no probe is admitted for once a probe elsewhere has run on.
+#[test]
+fn an_instance_without_a_share_takes_turns_as_before() {
+    let tracker = passed(1);
+    assert_eq!(admitted_beside(&tracker, 8, NOW), 0);
     assert!(tracker.admit_group_probe(&GROUP, NOW));
-    tracker.record_harmless_probe(GROUP.to_vec(), true);
-    assert_eq!(tracker.probe_passes(&GROUP), 1);
+    let lapsed = NOW + 5_000;
+    assert_eq!(tracker.share_beside(&GROUP, (0, 10), lapsed), 0);
+    assert!(tracker.reserve_group_probe(&GROUP, lapsed));
+}
+
+#[test]
+fn a_crash_lets_probes_run_one_at_a_time_again() {
+    let tracker = passed(1);
     let id = CrashId {
         backend: BackendId::try_from("i-1").unwrap(),
         started_unix_ms: 1,
@@ -102,9 +135,12 @@
         service: TargetName::try_from("writers").unwrap(),
         version: "v1".try_into().unwrap(),
     };
-    let crash = PartCrash::new(origin, WallMs(9_500), Some(lost));
+    let crash = PartCrash::new(origin, WallMs(10_500), Some(lost));
     assert!(tracker.merge_part_crash(&id, &crash));
-    assert_eq!(tracker.probe_passes(&GROUP), 0);
+    assert_eq!(tracker.share_beside(&GROUP, (0, 10), NOW), 0);
+    // News of a probe that ran on before the crash may come after it.
+    tracker.record_harmless_probe(harmless(7, true), NOW);
+    assert_eq!(tracker.share_beside(&GROUP, (0, 10), NOW), 0);
 }
 
 /// Guards against a probe that is preempted and keeps the next one from its turn.
@@ -113,7 +149,7 @@
     let tracker = CrashTracker::default();
     assert!(tracker.admit_group_probe(&GROUP, NOW));
     assert!(!tracker.is_group_probe_free(&GROUP, NOW + 1));
-    tracker.record_harmless_probe(GROUP.to_vec(), false);
-    assert_eq!(tracker.probe_passes(&GROUP), 0);
+    tracker.record_harmless_probe(harmless(1, false), NOW);
+    assert_eq!(tracker.share_beside(&GROUP, (0, 10), NOW), 0);
     assert!(tracker.admit_group_probe(&GROUP, NOW + 1));
 }
--- a/crates/foxtailhold-relay/tests/part_evidence.rs
+++ b/crates/foxtailhold-relay/tests/part_evidence.rs
@@ -14,7 +14,7 @@
 use foxtailhold_platform::{RowKey, VersionedRow};
 use foxtailhold_relay::crashes::CrashTracker;
 use foxtailhold_relay::part_rows::{PART_CRASH_PREFIX, StoredPartCrash};
-use foxtailhold_relay::peers::PeerMessage;
+use foxtailhold_relay::peers::{HarmlessProbe, PeerMessage};
 use test_case::test_case;
 
 const GUILTY: PartId = PartId(7);
@@ -64,10 +64,12 @@
     let group = vec![GUILTY];
     let encoded = codec::encode(&PeerMessage::ProbeAdmitted { group }).unwrap();
     assert_eq!(encoded[0], 13);
-    let harmless = PeerMessage::ProbeHarmless {
+    let harmless = PeerMessage::ProbeHarmless(HarmlessProbe {
         group: vec![GUILTY],
+        probe: 1,
+        at_unix_ms: NOW_MS,
         has_passed: true,
-    };
+    });
     let encoded = codec::encode(&harmless).unwrap();
     assert_eq!(encoded[0], 14);
     assert_eq!(codec::decode::<PeerMessage>(&encoded).unwrap(), harmless);
--- a/crates/foxtailhold/src/trials.rs
+++ b/crates/foxtailhold/src/trials.rs
@@ -36,6 +36,17 @@
     limit: usize,
     /// No trial begins before this time.
     next: Option<MonoMs>,
+    /// Number of crashes so far.
+    crashes: u64,
+}
+
+/// What was known when a trial began.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TrialBegin {
+    /// Number of crashes by then.
+    crashes: u64,
+    /// Whether the item had crashed no backend server in a trial.
+    is_first: bool,
 }
 
 impl Default for TrialQueue {
@@ -45,6 +56,7 @@
             running: 0,
             limit: 1,
             next: None,
+            crashes: 0,
         }
     }
 }
@@ -62,15 +74,18 @@
 
     /// Begins the trial of a waiting item if it is its turn. Each admitted trial is ended by
     /// [`TrialQueue::end`].
-    pub fn admit(&mut self, order: &TrialOrder, now: MonoMs) -> bool {
+    pub fn admit(&mut self, order: &TrialOrder, now: MonoMs) -> Option<TrialBegin> {
         let is_early = self.next.is_some_and(|next| now < next);
         let free = self.limit.saturating_sub(self.running);
         if is_early || !self.waiting.iter().take(free).any(|first| first == order) {
-            return false;
+            return None;
         }
         self.waiting.remove(order);
         self.running += 1;
-        true
+        Some(TrialBegin {
+            crashes: self.crashes,
+            is_first: order.crashed_trials == 0,
+        })
     }
 
     /// Ends a trial.
@@ -78,15 +93,19 @@
         self.running = self.running.saturating_sub(1);
     }
 
-    /// Records that an item has shown in its trial that it runs.
-    pub fn record_pass(&mut self) {
-        self.limit = (2 * self.limit).min(MAX_TRIALS);
+    /// Records that an item has shown in its trial that it runs. It says nothing about the crashes
+    /// since the trial began, nor about items that crash backend servers later than they are passed.
+    pub fn record_pass(&mut self, begin: TrialBegin) {
+        if begin.is_first && begin.crashes == self.crashes {
+            self.limit = (2 * self.limit).min(MAX_TRIALS);
+        }
     }
 
     /// Records that a backend server crashed under an item that needs trials. No trial begins before
     /// `next`.
     pub fn record_crash(&mut self, next: MonoMs) {
         self.limit = 1;
+        self.crashes += 1;
         self.next = Some(next);
     }
 }
--- a/crates/foxtailhold/tests/trials.rs
+++ b/crates/foxtailhold/tests/trials.rs
@@ -26,11 +26,18 @@
 fn admitted(queue: &mut TrialQueue, waiting: &[TrialOrder], now: MonoMs) -> usize {
     let mut admitted = 0;
     for order in waiting {
-        admitted += usize::from(queue.admit(order, now));
+        admitted += usize::from(queue.admit(order, now).is_some());
     }
     admitted
 }
 
+fn pass(queue: &mut TrialQueue, number: u64) {
+    queue.join(order(number));
+    let begin = queue.admit(&order(number), NOW).unwrap();
+    queue.record_pass(begin);
+    queue.end();
+}
+
 /// Guards against items that are tried one after the other though none of them crashes anything.
 #[test]
 fn sixty_sound_items_are_tried_within_six_rounds() {
@@ -38,23 +45,29 @@
     let mut queue = queue(&all);
     let (mut tried, mut rounds) = (0, 0);
     while tried < all.len() {
-        let running = admitted(&mut queue, &all, NOW);
-        assert!(running > 0);
-        for _ in 0..running {
-            queue.record_pass();
+        let begins: Vec<_> = all
+            .iter()
+            .filter_map(|order| queue.admit(order, NOW))
+            .collect();
+        assert!(!begins.is_empty());
+        for begin in &begins {
+            queue.record_pass(*begin);
             queue.end();
         }
-        (tried, rounds) = (tried + running, rounds + 1);
+        (tried, rounds) = (tried + begins.len(), rounds + 1);
     }
     assert!(rounds <= 6, "{rounds} rounds");
 }
 
 #[test]
 fn a_crash_lets_one_trial_begin_after_its_delay() {
+    let mut queue = TrialQueue::default();
+    for number in 100..104 {
+        pass(&mut queue, number);
+    }
     let all: Vec<TrialOrder> = (0..20).map(order).collect();
-    let mut queue = queue(&all);
-    for _ in 0..4 {
-        queue.record_pass();
+    for order in &all {
+        queue.join(*order);
     }
     queue.record_crash(NOW + 1_500);
     assert_eq!(admitted(&mut queue, &all, NOW + 1_499), 0);
@@ -85,9 +98,9 @@
     let mut queue = queue(&[crashed, without_slot, more_crashes, late, order(5)]);
     for first in &expected {
         for later in expected.iter().filter(|later| *later > first) {
-            assert!(!queue.admit(later, NOW));
+            assert_eq!(queue.admit(later, NOW), None);
         }
-        assert!(queue.admit(first, NOW), "{first:?}");
+        assert!(queue.admit(first, NOW).is_some(), "{first:?}");
         queue.end();
     }
 }
@@ -96,7 +109,30 @@
 #[test]
 fn an_item_that_leaves_lets_the_next_one_be_tried() {
     let mut queue = queue(&[order(1), order(2)]);
-    assert!(!queue.admit(&order(2), NOW));
+    assert_eq!(queue.admit(&order(2), NOW), None);
     queue.leave(&order(1));
-    assert!(queue.admit(&order(2), NOW));
+    assert!(queue.admit(&order(2), NOW).is_some());
+}
+
+/// Guards against a limit that trials raise again which began before a crash, or whose items crash
+/// replicas after they were passed.
+#[test]
+fn passes_of_trials_before_a_crash_or_of_items_that_crash_later_raise_no_limit() {
+    let crashed = TrialOrder {
+        crashed_trials: 1,
+        ..order(2)
+    };
+    let mut queue = queue(&[order(1), crashed]);
+    let before = queue.admit(&order(1), NOW).unwrap();
+    queue.record_crash(NOW);
+    queue.record_pass(before);
+    queue.end();
+    let begin = queue.admit(&crashed, NOW).unwrap();
+    queue.record_pass(begin);
+    queue.end();
+    let all: Vec<TrialOrder> = (10..20).map(order).collect();
+    for order in &all {
+        queue.join(*order);
+    }
+    assert_eq!(admitted(&mut queue, &all, NOW), 1);
 }
