slots: the allocator logs who has the slots while batch items wait

What callers saw: batch items that wait 22 to 31 s for a slot or a version. No line or metric told whether the slots were in use, free, or held by nobody.

Change: `batch items wait for slots`, once a second at the allocator while batch items have waited for 3 s or more at each moment: slots in use by online requests and items, usable, free, headroom, unreported, quiet, and the queue by urgency. It is counted only then, in one pass over grants and queue.

--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -5,6 +5,7 @@
 mod message;
 mod origin_confirmation;
 mod origins;
+mod pool_log;
 mod saved_origins;
 mod slot;
 
@@ -15,6 +16,7 @@
 pub(crate) use origin_confirmation::{CONFIRM_TIMEOUT_MS, OnlyOrigin};
 pub use origins::{OriginCounts, OriginSearch, OriginSource};
 use origins::{OriginState, RecordSignals};
+use pool_log::PoolLog;
 use saved_origins::SavedOrigins;
 pub use slot::{BackendLiveness, Slot, SlotActivity, SlotError, SlotQuery};
 
@@ -235,6 +237,7 @@
     }
 
     async fn report(&self) {
+        let mut pool_log = PoolLog::default();
         loop {
             let now = self.inner.clock.mono();
             let held = self.held_slots(now);
@@ -247,6 +250,7 @@
                 held,
             };
             self.free_slots_of_lost_instances(now);
+            pool_log.write(now, &self.inner.allocator);
             let (addresses, interval_ms) = {
                 let mut members = self.members();
                 (members.report_addresses(now), members.report_interval_ms())
--- a/crates/foxtailhold/src/slots/allocator.rs
+++ b/crates/foxtailhold/src/slots/allocator.rs
@@ -4,7 +4,9 @@
 
 use crate::ids::{InstanceId, TargetName};
 use crate::slots::pool::Pool;
-use crate::slots::{BackendSlots, HeldSlot, SlotDecision, SlotOutcome, SlotRequest, SlotRequestId};
+use crate::slots::{
+    BackendSlots, HeldSlot, PoolLoad, SlotDecision, SlotOutcome, SlotRequest, SlotRequestId,
+};
 use crate::time::MonoMs;
 
 /// A message to the instance that sent a slot request.
@@ -103,6 +105,12 @@
         }
     }
 
+    /// Name of each pool, how its slots are used, and what waits for them.
+    pub fn pool_loads(&self, now: MonoMs) -> impl Iterator<Item = (&TargetName, PoolLoad)> {
+        let pools = self.pools.iter();
+        pools.map(move |(name, pool)| (name, pool.load_at(now)))
+    }
+
     /// Name, slots in use and queued requests of each pool.
     pub fn loads(&self) -> impl Iterator<Item = (&TargetName, u64, u64)> {
         self.pools.iter().map(|(name, pool)| {
--- a/crates/foxtailhold/src/slots/backend.rs
+++ b/crates/foxtailhold/src/slots/backend.rs
@@ -11,7 +11,7 @@
 /// to a first event, and less than the time after which requests look for another server.
 pub const MAX_SILENCE_MS: u64 = 550;
 /// Longest interval between two reports of an instance.
-const MAX_REPORT_INTERVAL_MS: u64 = 400;
+pub(super) const MAX_REPORT_INTERVAL_MS: u64 = 400;
 /// A reported time without data counts until two more reports of its instance are missing.
 const REPORT_TTL_MS: u64 = 3 * MAX_REPORT_INTERVAL_MS;
 /// A grant reaches its instance, and its request is sent, within this time.
@@ -24,6 +24,8 @@
     pub(super) slack_until: MonoMs,
     pub(super) granted_at: MonoMs,
     pub(super) preempting: bool,
+    /// Time without data as its instance last reported it; `None` before the first report.
+    pub(super) reported_quiet_ms: Option<u64>,
 }
 
 /// Time without data from a backend server, as of an instant.
--- a/crates/foxtailhold/src/slots/mod.rs
+++ b/crates/foxtailhold/src/slots/mod.rs
@@ -11,6 +11,7 @@
 mod backend;
 pub mod health;
 mod pool;
+mod pool_load;
 mod preemption;
 mod queue;
 mod supply;
@@ -18,6 +19,7 @@
 pub use allocator::{Allocator, SlotNotice};
 pub use backend::MAX_SILENCE_MS;
 pub use health::BackendHealth;
+pub use pool_load::PoolLoad;
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/foxtailhold/src/slots/pool.rs
+++ b/crates/foxtailhold/src/slots/pool.rs
@@ -3,14 +3,14 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use crate::ids::BackendId;
-use crate::slots::backend::{Backend, Grant};
+use crate::slots::backend::{Backend, Grant, MAX_REPORT_INTERVAL_MS, MAX_SILENCE_MS};
 use crate::slots::health::MAX_EJECTION_MS;
 use crate::slots::preemption::{self, Candidate};
 use crate::slots::queue::{FIRST_EVENT_MS, FreeSlots, QueuedRequest, queue_key};
 use crate::slots::supply::OnlineSupply;
 use crate::slots::{
-    BackendSlots, HeldSlot, SlotDecision, SlotNotice, SlotOutcome, SlotRequest, SlotRequestId,
-    Urgency,
+    BackendSlots, HeldSlot, PoolLoad, SlotDecision, SlotNotice, SlotOutcome, SlotRequest,
+    SlotRequestId, Urgency,
 };
 use crate::software_version::SoftwareVersion;
 use crate::time::MonoMs;
@@ -48,6 +48,8 @@
     waiting: Vec<QueuedRequest>,
     arrivals: VecDeque<MonoMs>,
     held_ms: f64,
+    /// Since when a batch item has waited at each moment.
+    batch_queued_since: Option<MonoMs>,
 }
 
 impl Default for Pool {
@@ -57,6 +59,7 @@
             waiting: Vec::new(),
             arrivals: VecDeque::new(),
             held_ms: INITIAL_HELD_MS,
+            batch_queued_since: None,
         }
     }
 }
@@ -236,7 +239,9 @@
                 slack_until: now + 1,
                 granted_at: now,
                 preempting: false,
+                reported_quiet_ms: None,
             });
+            grant.reported_quiet_ms = Some(held.quiet_ms);
             let granted_at = grant.granted_at;
             backend.record_report(now, granted_at, held.quiet_ms);
         }
@@ -282,6 +287,11 @@
             free_slots.take(&self.grant(now, waiting, backend, decisions));
         }
         self.waiting = still_waiting;
+        let mut waiting = self.waiting.iter();
+        self.batch_queued_since = match waiting.any(|w| w.request.urgency == Urgency::Batch) {
+            true => Some(self.batch_queued_since.unwrap_or(now)),
+            false => None,
+        };
         self.preempt_batch(now, decisions);
     }
 
@@ -373,6 +383,7 @@
             slack_until: waiting.slack_until,
             granted_at: now,
             preempting: false,
+            reported_quiet_ms: None,
         };
         let mut version = SoftwareVersion::default();
         if let Some(backend) = self.backends.get_mut(&id) {
@@ -414,6 +425,43 @@
         preemption::preempt(candidates, online, decisions);
     }
 
+    /// How the slots are used, and what waits for them.
+    pub fn load_at(&self, now: MonoMs) -> PoolLoad {
+        let mut load = PoolLoad {
+            headroom: self.headroom(now),
+            batch_queued_ms: self.batch_queued_since.map_or(0, |at| now.since_ms(at)),
+            ..PoolLoad::default()
+        };
+        for backend in self.backends.values() {
+            load.slots += u64::from(backend.config.slots);
+            load.usable += u64::from(backend.usable(now));
+            load.free += u64::from(backend.free(now));
+            let grants = backend.grants.values();
+            let batch = count(grants.clone(), |g| g.urgency == Urgency::Batch);
+            load.batch += batch;
+            load.online += backend.grants.len() as u64 - batch;
+            for grant in grants {
+                let held_ms = now.since_ms(grant.granted_at);
+                match grant.reported_quiet_ms {
+                    Some(quiet_ms) => load.quiet += u64::from(quiet_ms > MAX_SILENCE_MS),
+                    None => load.unreported += u64::from(held_ms > MAX_REPORT_INTERVAL_MS),
+                }
+            }
+        }
+        for waiting in &self.waiting {
+            if waiting.request.urgency != Urgency::Batch {
+                load.online_queued += 1;
+                continue;
+            }
+            load.version_queued += u64::from(waiting.request.version.is_some());
+            match waiting.slack_until > now {
+                true => load.batch_queued += 1,
+                false => load.late_queued += 1,
+            }
+        }
+        load
+    }
+
     /// Slots in use and queued requests.
     pub fn load(&self) -> (u64, u64) {
         let used = self.backends.values().map(|b| b.grants.len() as u64).sum();
