slots: a late item keeps its place among the late ones however often it asks anew

What callers saw: above capacity, items that are late got slots in an order by chance, so one that was due first could wait for as long as others became late after it.

Cause: the slack of a late item is 0, so it was due at the moment of its request, and each one asks anew every 2 s. The design orders what is late by what is due first.

Change: a slot request says for how long its item has been unable to meet its deadline. This follows the software version, after what earlier versions read; an item of the previous version counts as late from its request on, as before. Items that can still be on time go first, as before: a late one earns a fraction of one on time.

--- a/crates/foxtailhold-experiment/src/placement/allocator.rs
+++ b/crates/foxtailhold-experiment/src/placement/allocator.rs
@@ -161,6 +161,7 @@
                 RequestKind::Batch => Urgency::Batch,
             },
             slack_ms: pending.due_us.saturating_sub(now_us) / 1_000,
+            late_ms: now_us.saturating_sub(pending.due_us) / 1_000,
             avoid: pending
                 .avoid
                 .iter()
--- a/crates/foxtailhold-relay/src/engine.rs
+++ b/crates/foxtailhold-relay/src/engine.rs
@@ -367,6 +367,7 @@
                 priority: route.priority,
             },
             slack_ms,
+            late_ms: 0,
             avoid: &avoid,
             deadline,
             version: destination.version.as_ref(),
--- a/crates/foxtailhold-relay/src/jobs/item/version.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/version.rs
@@ -60,12 +60,16 @@
         let relay = &self.jobs.relay;
         let written_by = self.partial_outputs.origin(&self.item.id);
         let (pool, mut version) = self.select_service(route, written_by.as_ref());
-        let left_ms = job.due_unix_ms.saturating_sub(relay.clock.wall().0);
         let remaining_ms = self.jobs.item_durations().remaining_ms(self.events());
-        let (urgency, slack_ms) = match self.precedence {
-            Precedence::First => (FIRST_URGENCY, FIRST_SLACK_MS),
-            Precedence::BeforeItems => (Urgency::Batch, FIRST_SLACK_MS),
-            Precedence::None => (Urgency::Batch, left_ms.saturating_sub(remaining_ms)),
+        let done_unix_ms = relay.clock.wall().0.saturating_add(remaining_ms);
+        let (urgency, slack_ms, late_ms) = match self.precedence {
+            Precedence::First => (FIRST_URGENCY, FIRST_SLACK_MS, 0),
+            Precedence::BeforeItems => (Urgency::Batch, FIRST_SLACK_MS, 0),
+            Precedence::None => (
+                Urgency::Batch,
+                job.due_unix_ms.saturating_sub(done_unix_ms),
+                done_unix_ms.saturating_sub(job.due_unix_ms),
+            ),
         };
         let timeout_at = Instant::now() + Duration::from_millis(SLOT_TIMEOUT_MS);
         let wait_ends_at = *wait.ends_at.get_or_insert_with(|| self.version_wait_end());
@@ -76,6 +80,7 @@
                 pool,
                 urgency,
                 slack_ms,
+                late_ms,
                 avoid: version.map_or(avoid, |_| &avoid_with_others),
                 deadline: version.map_or(timeout_at, |_| timeout_at.min(wait_ends_at)),
                 version,
--- a/crates/foxtailhold-relay/src/peers/message.rs
+++ b/crates/foxtailhold-relay/src/peers/message.rs
@@ -22,6 +22,9 @@
 /// Size limit of a datagram, below the maximum payload of a UDP packet.
 pub const MAX_DATAGRAM_BYTES: usize = 60_000;
 
+/// Stands for no version. It holds a control character, so no instance reads it as a version.
+const ANY_VERSION: &str = "\0";
+
 /// Hash of an instance identifier. Lists of hundreds of instances are sent often, so they carry
 /// hashes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -38,10 +41,13 @@
 }
 
 impl Datagram {
-    /// Encodes the datagram as bincode. The version of a slot request follows the table versions:
-    /// the previous version reads them after any message, and ignores what comes then.
+    /// Encodes the datagram as bincode. The version of a slot request follows the table versions, and
+    /// then the time for which its item has been late: earlier versions read the parts that they know
+    /// after any message, and ignore what comes then. Without a version, [`ANY_VERSION`] stands there.
     pub fn encode(message: &PeerMessage, tables: Option<&TableVersions>) -> Result<Bytes> {
-        let version = message.requested_version();
+        let version = message.requested_version().map(SoftwareVersion::as_str);
+        let late_ms = message.late_ms();
+        let version = version.or_else(|| late_ms.map(|_| ANY_VERSION));
         let encoded = codec::encode(message)?;
         if tables.is_none() && version.is_none() {
             return Ok(encoded);
@@ -50,12 +56,15 @@
         let mut bytes = BytesMut::from(encoded.as_ref());
         bytes.extend_from_slice(&codec::encode(&tables)?);
         if let Some(version) = version {
-            bytes.extend_from_slice(&codec::encode(version)?);
+            bytes.extend_from_slice(&codec::encode(&version)?);
+        }
+        if let Some(late_ms) = late_ms {
+            bytes.extend_from_slice(&codec::encode(&late_ms)?);
         }
         Ok(bytes.freeze())
     }
 
-    /// Decodes a datagram, and restores the version of a slot request.
+    /// Decodes a datagram, and restores what is appended to a slot request.
     pub fn decode(bytes: &[u8]) -> Result<Self> {
         let (mut message, appended) = codec::decode_first(bytes)?;
         let Ok((tables, appended)) = codec::decode_first(appended) else {
@@ -63,7 +72,11 @@
             return Ok(Datagram { message, tables });
         };
         if let PeerMessage::SlotRequest(request) = &mut message {
-            request.version = codec::decode(appended).ok();
+            let version = codec::decode_first::<String>(appended);
+            if let Ok((version, appended)) = version {
+                request.version = SoftwareVersion::try_from(version).ok();
+                request.late_ms = codec::decode(appended).unwrap_or_default();
+            }
         }
         Ok(Datagram {
             message,
@@ -219,4 +232,12 @@
             _ => None,
         }
     }
+
+    /// Time in ms for which the item of a slot request has been late; `None` if it is not late.
+    fn late_ms(&self) -> Option<u64> {
+        match self {
+            PeerMessage::SlotRequest(request) => Some(request.late_ms).filter(|ms| *ms > 0),
+            _ => None,
+        }
+    }
 }
--- a/crates/foxtailhold-relay/src/peers/slot.rs
+++ b/crates/foxtailhold-relay/src/peers/slot.rs
@@ -61,6 +61,8 @@
     /// Online: time until the first event is late. Batch: time until the deadline can no longer be
     /// met.
     pub slack_ms: u64,
+    /// Batch: time in ms since the deadline could last be met; 0 if it can still be met.
+    pub late_ms: u64,
     /// Backend servers that must not be chosen.
     pub avoid: &'a [BackendId],
     /// Deadline for waiting.
@@ -273,6 +275,7 @@
             pool: query.pool.clone(),
             urgency: query.urgency,
             slack_ms: query.slack_ms,
+            late_ms: query.late_ms,
             avoid: query.avoid.to_vec(),
             zone: self.inner.zone.clone(),
             version: query.version.cloned(),
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -336,6 +336,7 @@
             pool: &self.service,
             urgency: Urgency::Online { priority: 0 },
             slack_ms: u64::from(u32::MAX),
+            late_ms: 0,
             avoid: &avoid,
             deadline,
             version: Some(&self.version),
--- a/crates/foxtailhold-relay/tests/slot_version_messages.rs
+++ b/crates/foxtailhold-relay/tests/slot_version_messages.rs
@@ -23,6 +23,7 @@
         pool: TargetName::try_from("p").unwrap(),
         urgency: Urgency::Online { priority: 1 },
         slack_ms: 200,
+        late_ms: 0,
         avoid: vec![BackendId::try_from("b").unwrap()],
         zone: AvailabilityZone::try_from("z").unwrap(),
         version: version.map(|text| SoftwareVersion::try_from(text).unwrap()),
--- a/crates/foxtailhold/src/slots/mod.rs
+++ b/crates/foxtailhold/src/slots/mod.rs
@@ -63,6 +63,10 @@
     pub avoid: Vec<BackendId>,
     /// Availability zone of the requesting instance.
     pub zone: AvailabilityZone,
+    /// For a batch item without slack, the time in ms for which it has been unable to meet its
+    /// deadline; 0 otherwise. The encoded form keeps its layout, and this follows separately.
+    #[serde(skip)]
+    pub late_ms: u64,
     /// Only backend servers of this version are eligible; `None` for any. The encoded form keeps its
     /// layout, and the version follows separately.
     #[serde(skip)]
--- a/crates/foxtailhold/src/slots/queue.rs
+++ b/crates/foxtailhold/src/slots/queue.rs
@@ -18,6 +18,14 @@
     pub(super) last_request_at: MonoMs,
 }
 
+impl QueuedRequest {
+    /// When its slack ends or has ended, in ms on the allocator's clock. An item may have become late
+    /// before that clock started.
+    fn due_ms(&self) -> i128 {
+        i128::from(self.slack_until.0) - i128::from(self.request.late_ms)
+    }
+}
+
 /// Free slots that remain during one round of grants.
 #[derive(Debug)]
 pub(super) struct FreeSlots {
@@ -64,15 +72,16 @@
 /// Queue order: online before batch, then by priority. Streams that are resumed, which name a
 /// version, go before new ones: their callers have a part of the answer already, and other engines
 /// cannot complete it. Requests that can still be on time go before late ones, since above capacity,
-/// serving late requests first makes the following ones late as well. Then by deadline.
-pub(super) fn queue_key(now: MonoMs, waiting: &QueuedRequest) -> (bool, u8, bool, bool, MonoMs) {
-    let until = waiting.slack_until;
+/// serving late requests first makes the following ones late as well. Then by deadline, which late
+/// items keep however often they ask anew, so that none waits without end behind the others.
+pub(super) fn queue_key(now: MonoMs, waiting: &QueuedRequest) -> (bool, u8, bool, bool, i128) {
+    let (until, due_ms) = (waiting.slack_until, waiting.due_ms());
     match waiting.request.urgency {
         Urgency::Online { priority } => {
             let is_late = until < now + FIRST_EVENT_MS;
             let is_new = waiting.request.version.is_none();
-            (false, priority, is_new, is_late, until)
+            (false, priority, is_new, is_late, due_ms)
         }
-        Urgency::Batch => (true, 0, false, until <= now, until),
+        Urgency::Batch => (true, 0, false, until <= now, due_ms),
     }
 }
--- a/crates/foxtailhold/tests/slot_load.rs
+++ b/crates/foxtailhold/tests/slot_load.rs
@@ -53,6 +53,7 @@
         pool: pool(),
         urgency,
         slack_ms,
+        late_ms: 0,
         avoid: Vec::new(),
         zone: zone(),
         version: None,
--- a/crates/foxtailhold/tests/slot_silence.rs
+++ b/crates/foxtailhold/tests/slot_silence.rs
@@ -52,6 +52,7 @@
         pool: pool(),
         urgency: ONLINE,
         slack_ms: 300,
+        late_ms: 0,
         avoid: Vec::new(),
         zone: AvailabilityZone::try_from("a").unwrap(),
         version: None,
--- a/crates/foxtailhold/tests/slot_versions.rs
+++ b/crates/foxtailhold/tests/slot_versions.rs
@@ -56,6 +56,7 @@
         pool: pool(),
         urgency,
         slack_ms,
+        late_ms: 0,
         avoid: Vec::new(),
         zone: AvailabilityZone::try_from("a").unwrap(),
         version: wanted.map(version),
--- a/crates/foxtailhold/tests/slots.rs
+++ b/crates/foxtailhold/tests/slots.rs
@@ -60,6 +60,7 @@
         pool: pool(),
         urgency,
         slack_ms,
+        late_ms: 0,
         avoid: Vec::new(),
         zone: zone("a"),
         version: None,
