slots: a grant that is no longer reported has ended

Cause: an allocator that takes over knows slots from reports. A slot that a report lists was kept for 0.9 s, also if the next reports list it no longer, so short requests that had ended filled the engines.

Change: the 0.9 s count only for a grant that no report has listed yet.

--- a/crates/foxtailhold/src/slots/pool.rs
+++ b/crates/foxtailhold/src/slots/pool.rs
@@ -210,7 +210,8 @@
         silent > 1 && 2 * silent > total
     }
 
-    /// Reconciles the grants of one instance, selected by `is_own`, with the list that it reports.
+    /// Reconciles the grants of one instance, selected by `is_own`, with the list that it reports. A
+    /// grant that was reported before and is no longer has ended.
     pub fn reconcile(
         &mut self,
         now: MonoMs,
@@ -223,9 +224,9 @@
                 let is_reported = reported
                     .iter()
                     .any(|(a, held)| a == request && held.backend == *id);
-                !is_own(request)
-                    || is_reported
-                    || now.since_ms(grant.granted_at) < UNREPORTED_GRANT_TTL_MS
+                let may_be_on_the_way = grant.reported_quiet_ms.is_none()
+                    && now.since_ms(grant.granted_at) < UNREPORTED_GRANT_TTL_MS;
+                !is_own(request) || is_reported || may_be_on_the_way
             });
             backend.forget_quiet_if_idle();
         }
