planned stop: requests that cannot end in time are refused before they run

Callers of an instance in a planned stop whose request came late in the grace time were served until the process ended: streams were cut off, and requests that must not be repeated were answered 504 after having been sent, so that nobody could repeat them.

Cause: the time left was looked at only at the end. A request was sent to a backend server, or was given a slot, however late it was.

Change: an instance keeps the durations of the last 32 complete runs of each route, by the output that the request asks for. Once it stops, a request is taken if its deadline or the time limit of its route comes before the end, or if the longest of these runs would end in time. A request of which nothing is known is taken only if it may be repeated and its answer comes whole. All others are refused with 503, Retry-After and Connection: close, and have not run; a stream that waits for a slot is refused as soon as it can no longer end in time.

--- a/crates/foxtailhold-relay/src/dialect.rs
+++ b/crates/foxtailhold-relay/src/dialect.rs
@@ -55,6 +55,9 @@
     /// Parts of the prompt of a request that other requests may share.
     fn shared_parts(&self, headers: &HeaderMap) -> SharedParts;
 
+    /// The most output tokens that a request asks for; `None` if it does not say.
+    fn output_tokens(&self, headers: &HeaderMap) -> Option<u64>;
+
     /// Whether this response to a batch item means that the item can never be completed.
     fn is_impossible(&self, status: StatusCode) -> bool;
 
--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -106,10 +106,15 @@
         let mut progress = RequestProgress::new(&request, route);
         let (id, received) = (request.id.clone(), request.received);
         unanswered.enter(RequestStage::Origin);
-        let serving = self.serve_until_answered(routes, route, request, &mut progress, unanswered);
-        let result = match self.ending.run_until_cancelled(serving).await {
-            Some(result) => result,
-            None => RelayOutcome::Unserved(progress.unserved_at_end(unanswered.stage())),
+        let result = if self.admits_before_end(route, &request, progress.attempts.deadline) {
+            let serving =
+                self.serve_until_answered(routes, route, request, &mut progress, unanswered);
+            match self.ending.run_until_cancelled(serving).await {
+                Some(result) => result,
+                None => RelayOutcome::Unserved(progress.unserved_at_end(unanswered.stage())),
+            }
+        } else {
+            RelayOutcome::Unserved(progress.unserved(NotRunReason::Ending, END_RETRY_AFTER_MS))
         };
         self.record_outcome(route, &id, received, &progress, &result);
         result
@@ -149,8 +154,14 @@
                 .await;
         }
         unanswered.enter(RequestStage::Backend);
-        self.serve_plain(route, service, &request, &keys, progress)
-            .await
+        let started = Instant::now();
+        let result = self
+            .serve_plain(route, service, &request, &keys, progress)
+            .await;
+        if matches!(&result, RelayOutcome::Served(response) if response.status().is_success()) {
+            self.record_run(route, &request, started);
+        }
+        result
     }
 
     fn record_outcome(
--- a/crates/foxtailhold-relay/src/engine.rs
+++ b/crates/foxtailhold-relay/src/engine.rs
@@ -2,7 +2,7 @@
 //! attempt stays open while another engine is sought, and the first response is passed on.
 
 use std::future::Future;
-use std::pin::Pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
@@ -20,7 +20,7 @@
 use crate::attempts::AttemptBudget;
 use crate::connections::BusyConnection;
 use crate::dialect::Dialect;
-use crate::dispatch::{RequestProgress, buffered_outcome};
+use crate::dispatch::{END_RETRY_AFTER_MS, RequestProgress, buffered_outcome};
 use crate::events::{EventReader, StreamRead};
 use crate::fleet::BackendServer;
 use crate::metrics::{AttemptOutcome, RelayMetrics};
@@ -223,9 +223,21 @@
             failure_response: None,
         };
         let mut waiting_since = Instant::now();
+        let output_tokens = self.dialect.output_tokens(&request.headers);
+        let mut too_late = pin!(self.planned_end.too_late(route, output_tokens, deadline));
         loop {
             unanswered.enter(attempts.stage());
-            let (index, opened) = match attempts.next().await {
+            let has_begun = !attempts.open.is_empty() || progress.attempts.maybe_executed > 0;
+            let step = tokio::select! {
+                biased;
+                () = &mut too_late, if !has_begun => {
+                    let reason = NotRunReason::Ending;
+                    let unserved = progress.unserved(reason, END_RETRY_AFTER_MS);
+                    return RelayOutcome::Unserved(unserved);
+                }
+                step = attempts.next() => step,
+            };
+            let (index, opened) = match step {
                 Step::Timer => {
                     let is_due = attempts.handle_timer(&progress.attempts, route);
                     if is_due {
@@ -295,9 +307,10 @@
                 Ok(OpenedResponse::Stream(head, reader, first)) => {
                     let kept = attempts.keep_only(index, progress, &self.metrics);
                     let version = kept.backend.version.clone();
+                    let started = kept.started;
                     let granted = (kept.slot, kept.backend);
                     let attempt =
-                        StreamAttempt::opened(granted, kept.started, reader, kept.evidence, route);
+                        StreamAttempt::opened(granted, started, reader, kept.evidence, route);
                     let (sender, stream) = body::streamed();
                     let forwarder = StreamForwarder {
                         relay: Arc::clone(self),
@@ -307,6 +320,7 @@
                         attempt: destination.attempt,
                         request: request.clone(),
                         keys: keys.clone(),
+                        started,
                     };
                     let budget = progress.attempts.clone();
                     tokio::spawn(forwarder.run(sender, attempt, first, budget));
@@ -318,6 +332,9 @@
                     self.metrics
                         .attempt_ended(&kept.backend.id, outcome, kept.started);
                     let held_ms = kept.started.elapsed().as_millis() as u64;
+                    if response.status().is_success() {
+                        self.record_run(route, &request, kept.started);
+                    }
                     kept.slot.close(SlotOutcome::Done { held_ms });
                     match response.status().is_success() {
                         true => kept
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -16,6 +16,7 @@
 use thiserror::Error;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::connections::Connections;
@@ -35,6 +36,7 @@
 use crate::peers::{INSTANCES_TABLE, Member, Peers};
 use crate::pending_attempts::PendingAttempts;
 use crate::plain::PlainServiceLoads;
+use crate::planned_end::PlannedEnd;
 use crate::platform_tables::PlatformTables;
 use crate::relay::Relay;
 use crate::saved_origin_rows::{load_origins, save_origins, sweep_origins};
@@ -134,6 +136,7 @@
             pending_attempts: PendingAttempts::default(),
             read_budget: ReadBudget::new(BUFFERED_TOTAL_BYTES),
             ending: CancellationToken::new(),
+            planned_end: PlannedEnd::default(),
             metrics,
         });
         let cache = Arc::new(JobCache::default());
@@ -329,8 +332,10 @@
         }
     }
 
-    /// Begins a planned stop: callers are no longer sent here, accepted work continues.
-    pub fn leave(&self) {
+    /// Begins a planned stop: callers are no longer sent here, accepted work continues. Requests that
+    /// do not end by `end_at` are refused from here on.
+    pub fn leave(&self, end_at: Instant) {
+        self.relay.planned_end.begin(end_at);
         self.leaving.cancel();
     }
 
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -28,6 +28,7 @@
 use crate::peers::{Peers, Slot, SlotError, SlotQuery};
 use crate::pending_attempts::{PendingAttempts, TrackedAttempt};
 use crate::plain::PlainServiceLoads;
+use crate::planned_end::PlannedEnd;
 use crate::request::{EvidenceKeys, OpaqueRequest};
 use crate::upstream::{AttemptFailure, ResponseEnd, UpstreamRequest};
 
@@ -78,6 +79,8 @@
     pub read_budget: ReadBudget,
     /// Cancelled when the process is about to end. What is unanswered then is answered at once.
     pub ending: CancellationToken,
+    /// When a planned stop ends requests, and which are still sent before.
+    pub planned_end: PlannedEnd,
     /// Counters and histograms of this instance.
     pub metrics: RelayMetrics,
 }
@@ -153,6 +156,28 @@
         }
     }
 
+    /// Whether a request that has to be answered by `deadline` may begin to run, or would run into the
+    /// end of a planned stop.
+    pub(crate) fn admits_before_end(
+        &self,
+        route: &Route,
+        request: &OpaqueRequest,
+        deadline: Instant,
+    ) -> bool {
+        let output_tokens = self.dialect.output_tokens(&request.headers);
+        self.planned_end.admits(route, output_tokens, deadline)
+    }
+
+    /// Records a complete run of a request that was sent at `started`.
+    pub(crate) fn record_run(&self, route: &Route, request: &OpaqueRequest, started: Instant) {
+        // The rest of a stream says nothing about the whole.
+        if request.after_event.is_some() {
+            return;
+        }
+        let output_tokens = self.dialect.output_tokens(&request.headers);
+        self.planned_end.record_run(route, output_tokens, started);
+    }
+
     /// Logs and counts a failed attempt of a request.
     pub(crate) fn log_failed_attempt(
         &self,
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -49,6 +49,8 @@
     pub request: OpaqueRequest,
     /// What crash evidence about the request is kept under.
     pub keys: EvidenceKeys,
+    /// When the attempt that brought the first event was sent.
+    pub started: Instant,
 }
 
 /// State of a stream between two steps.
@@ -134,6 +136,8 @@
             match progress {
                 Progress::Running => {}
                 Progress::Complete => {
+                    self.relay
+                        .record_run(&self.route, &self.request, self.started);
                     sender.finish();
                     return;
                 }
