--- a/crates/foxtailhold-relay/src/planned_end.rs
+++ b/crates/foxtailhold-relay/src/planned_end.rs
@@ -35,6 +35,11 @@
         self.is_known.cancel();
     }
 
+    /// When a planned stop ends what is unanswered; `None` while there is none.
+    pub fn end_at(&self) -> Option<Instant> {
+        self.times.get().map(|times| times.end_at)
+    }
+
     /// Records a complete run, which took the time since `started`, of a request for at most
     /// `output_tokens`; `None` if it states none.
     pub fn record_run(&self, route: &Route, output_tokens: Option<u64>, started: Instant) {
