connections are read in turns

What callers saw: a replica, the store or another instance that sends interim responses (1xx) or the digits of a chunk size without end left all other requests of the instance without an answer for seconds.

Cause: the HTTP library reads a connection as long as bytes are there: up to 128 reads of 400 KB in one go, on the only thread of the process.

Status lines, empty lines, chunk extensions and trailers without end were bounded before.

--- a/crates/foxtailhold-http/src/client.rs
+++ b/crates/foxtailhold-http/src/client.rs
@@ -18,6 +18,7 @@
 use thiserror::Error;
 
 use crate::body::{self, ReadBudget};
+use crate::paced::PacedConnector;
 
 /// Result of sending a request.
 pub type Result<T> = std::result::Result<T, SendError>;
@@ -99,7 +100,7 @@
 /// The current connection pool. Connections of earlier ones close when their request ends.
 #[derive(Debug)]
 struct Pool<B> {
-    client: Client<HttpConnector, B>,
+    client: Client<PacedConnector, B>,
     generation: u64,
 }
 
@@ -131,7 +132,7 @@
         &self.budget
     }
 
-    fn new_pool(reuse: Reuse) -> Client<HttpConnector, B> {
+    fn new_pool(reuse: Reuse) -> Client<PacedConnector, B> {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
@@ -142,7 +143,7 @@
         if reuse == Reuse::Fresh {
             builder.pool_max_idle_per_host(0);
         }
-        builder.build(connector)
+        builder.build(PacedConnector(connector))
     }
 
     /// Closes the idle connections. Requests under way are not affected.
--- a/crates/foxtailhold-http/src/lib.rs
+++ b/crates/foxtailhold-http/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod clock;
 pub mod lock;
 mod lock_order;
+pub mod paced;
 pub mod server;
--- a/crates/foxtailhold-http/src/server.rs
+++ b/crates/foxtailhold-http/src/server.rs
@@ -22,6 +22,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::body::{self, AnswerBody};
+use crate::paced::PacedStream;
 
 /// Result of starting a server.
 pub type Result<T> = std::result::Result<T, ServerError>;
@@ -271,7 +272,7 @@
             // to keep that small, because a stream outlives the future that opened it.
             Box::pin(async move { Ok::<_, Infallible>(answer(handler, remote, request).await) })
         });
-        let io = TokioIo::new(self.stream);
+        let io = TokioIo::new(PacedStream::from(self.stream));
         let ended = if is_http2 {
             let connection = builders.http2.serve_connection(io, service);
             self.watcher.watch(connection).await
--- a/crates/foxtailhold-relay/src/connections.rs
+++ b/crates/foxtailhold-relay/src/connections.rs
@@ -12,6 +12,7 @@
 use bytes::Bytes;
 use foxtailhold::ids::BackendId;
 use foxtailhold_http::lock::Mutex;
+use foxtailhold_http::paced::PacedStream;
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -274,7 +275,8 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY on the connection to {address}: {error}");
     }
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let io = TokioIo::new(PacedStream::from(stream));
+    let handshake = http1::handshake(io).await;
     let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
