connections: buffers of at most 64 KB in each direction

What callers saw: a few hundred callers that send a request line, empty lines or a body without end take more memory than the smallest machine has (130 MB); the process ends.

Cause: a connection's buffer, and so the largest head, had 400 KB in each direction.

Change: buffers of 64 KB for callers, backend servers, the store and other instances; a larger head is refused with 431, or is no answer.

--- a/crates/foxtailhold-http/src/client.rs
+++ b/crates/foxtailhold-http/src/client.rs
@@ -18,7 +18,7 @@
 use thiserror::Error;
 
 use crate::body::{self, ReadBudget};
-use crate::paced::PacedConnector;
+use crate::paced::{MAX_BUFFER_BYTES, PacedConnector};
 
 /// Result of sending a request.
 pub type Result<T> = std::result::Result<T, SendError>;
@@ -138,6 +138,7 @@
         connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
         let mut builder = Client::builder(TokioExecutor::new());
         builder.retry_canceled_requests(false);
+        builder.http1_max_buf_size(MAX_BUFFER_BYTES);
         builder.pool_timer(TokioTimer::new());
         builder.pool_idle_timeout(Duration::from_millis(IDLE_TIMEOUT_MS));
         if reuse == Reuse::Fresh {
--- a/crates/foxtailhold-http/src/paced.rs
+++ b/crates/foxtailhold-http/src/paced.rs
@@ -13,6 +13,8 @@
 use tokio::net::TcpStream;
 use tower_service::Service;
 
+/// Largest head of a message, and largest buffer of a connection in each direction.
+pub const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// Bytes that are read from a connection before other tasks get their turn.
 const TURN_BYTES: u64 = 16 << 10;
 
--- a/crates/foxtailhold-http/src/server.rs
+++ b/crates/foxtailhold-http/src/server.rs
@@ -22,7 +22,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::body::{self, AnswerBody};
-use crate::paced::PacedStream;
+use crate::paced::{MAX_BUFFER_BYTES, PacedStream};
 
 /// Result of starting a server.
 pub type Result<T> = std::result::Result<T, ServerError>;
@@ -152,6 +152,7 @@
         let mut http1 = http1::Builder::new();
         http1
             .timer(TokioTimer::new())
+            .max_buf_size(MAX_BUFFER_BYTES)
             .header_read_timeout(Duration::from_millis(head_timeout_ms));
         let http2 = http2::Builder::new(TokioExecutor::new());
         Builders { http1, http2 }
--- a/crates/foxtailhold-relay/src/connections.rs
+++ b/crates/foxtailhold-relay/src/connections.rs
@@ -12,7 +12,7 @@
 use bytes::Bytes;
 use foxtailhold::ids::BackendId;
 use foxtailhold_http::lock::Mutex;
-use foxtailhold_http::paced::PacedStream;
+use foxtailhold_http::paced::{MAX_BUFFER_BYTES, PacedStream};
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -276,7 +276,8 @@
         log::debug!("cannot set TCP_NODELAY on the connection to {address}: {error}");
     }
     let io = TokioIo::new(PacedStream::from(stream));
-    let handshake = http1::handshake(io).await;
+    let mut builder = http1::Builder::new();
+    let handshake = builder.max_buf_size(MAX_BUFFER_BYTES).handshake(io).await;
     let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
