streams: at most 64 KB, or one event, wait for a caller

What callers saw: an engine that sends large events without end to callers that do not read them takes the memory of the instance; the requests of others end with it.

Cause: the buffer of a stream was bounded by its number of events (16), each of up to 1 MiB.

Change: the buffer holds at most 64 KB, or one larger event.

Still about 4 MB a stream: one event each with the forwarder, in the buffer and at the connection.

--- a/crates/foxtailhold-http/src/body.rs
+++ b/crates/foxtailhold-http/src/body.rs
@@ -12,7 +12,7 @@
 use hyper::body::{Body, Frame, Incoming};
 use serde::Serialize;
 use thiserror::Error;
-use tokio::sync::mpsc;
+use tokio::sync::{Semaphore, mpsc};
 
 /// Result of reading a body.
 pub type Result<T> = std::result::Result<T, BodyError>;
@@ -22,20 +22,42 @@
 
 /// Frames that a streamed body buffers before its sender has to wait.
 pub const STREAM_BUFFER_FRAMES: usize = 16;
+/// Bytes that a streamed body buffers before its sender has to wait. A larger frame is buffered
+/// alone.
+pub const STREAM_BUFFER_BYTES: usize = 64 << 10;
 
 /// A streamed body ended early. The connection is reset, so that the receiver notices.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 #[error("the stream was cut")]
 pub struct StreamCut;
 
+/// What both halves of a streamed body know.
+#[derive(Debug)]
+struct StreamState {
+    is_complete: AtomicBool,
+    /// Bytes that may still be buffered.
+    free_bytes: Semaphore,
+}
+
+/// Bytes of the buffer that a frame takes.
+fn buffer_share(frame: &Bytes) -> usize {
+    frame.len().min(STREAM_BUFFER_BYTES)
+}
+
 /// A body that is fed through a bounded channel. It is complete only if its sender says so.
 #[derive(Debug)]
 pub struct StreamBody {
     frames: mpsc::Receiver<Bytes>,
-    is_complete: Arc<AtomicBool>,
+    state: Arc<StreamState>,
     is_cut: bool,
 }
 
+impl Drop for StreamBody {
+    fn drop(&mut self) {
+        self.state.free_bytes.close();
+    }
+}
+
 impl Body for StreamBody {
     type Data = Bytes;
     type Error = StreamCut;
@@ -48,7 +70,10 @@
             return Poll::Ready(Some(Err(StreamCut)));
         }
         let next = ready!(self.frames.poll_recv(context));
-        if next.is_none() && !self.is_complete.load(Ordering::Acquire) {
+        if let Some(frame) = &next {
+            self.state.free_bytes.add_permits(buffer_share(frame));
+        }
+        if next.is_none() && !self.state.is_complete.load(Ordering::Acquire) {
             // Returning the error at once would drop frames that the connection has buffered. A
             // pending poll lets it write them first.
             self.is_cut = true;
@@ -64,18 +89,27 @@
 #[derive(Debug)]
 pub struct AnswerSender {
     frames: mpsc::Sender<Bytes>,
-    is_complete: Arc<AtomicBool>,
+    state: Arc<StreamState>,
 }
 
 impl AnswerSender {
     /// Sends bytes, waiting while the buffer is full. Returns `false` if the receiver is gone.
     pub async fn send(&self, bytes: Bytes) -> bool {
-        self.frames.send(bytes).await.is_ok()
+        let Ok(place) = self.frames.reserve().await else {
+            return false;
+        };
+        let share = buffer_share(&bytes) as u32;
+        let Ok(reserved) = self.state.free_bytes.acquire_many(share).await else {
+            return false;
+        };
+        reserved.forget();
+        place.send(bytes);
+        true
     }
 
     /// Ends the body as complete.
     pub fn finish(self) {
-        self.is_complete.store(true, Ordering::Release);
+        self.state.is_complete.store(true, Ordering::Release);
     }
 
     /// Ends the body with an error, after what has been sent.
@@ -310,14 +344,17 @@
 /// A streamed response body and its sender.
 pub fn streamed() -> (AnswerSender, AnswerBody) {
     let (sender, frames) = mpsc::channel(STREAM_BUFFER_FRAMES);
-    let is_complete = Arc::new(AtomicBool::new(false));
+    let state = Arc::new(StreamState {
+        is_complete: AtomicBool::new(false),
+        free_bytes: Semaphore::new(STREAM_BUFFER_BYTES),
+    });
     let sender = AnswerSender {
         frames: sender,
-        is_complete: Arc::clone(&is_complete),
+        state: Arc::clone(&state),
     };
     let stream = StreamBody {
         frames,
-        is_complete,
+        state,
         is_cut: false,
     };
     (sender, Either::Right(stream))
