items: an engine that only sends comments is silent

What callers saw: an item at an engine that sends comments without end was not run elsewhere, up to the deadline of its job.

Cause: a comment counted as an event of the output.

Evidence: endless_responses, comments at full speed and every 20 ms: the connections were still open 3 s after the engines were sound again, 2 of 2 cases red.

Measured: 2 of 2 cases green, 62 and 21 MB, all items done.

--- a/crates/foxtailhold-relay/src/events.rs
+++ b/crates/foxtailhold-relay/src/events.rs
@@ -63,10 +63,18 @@
         self.last_id
     }
 
-    /// Reads the next event, for at most `timeout_ms` and not beyond `deadline`.
+    /// Reads the next event that is no comment, for at most `timeout_ms` and not beyond `deadline`.
+    /// A backend server that only sends comments is silent.
     pub async fn read_event(&mut self, timeout_ms: u64, deadline: Instant) -> StreamRead {
         let until = deadline.min(Instant::now() + Duration::from_millis(timeout_ms));
-        self.read_until(until).await
+        loop {
+            match self.read_until(until).await {
+                StreamRead::Event(event) if !is_comment(&event) => return StreamRead::Event(event),
+                StreamRead::Event(_) if Instant::now() < until => continue,
+                StreamRead::Event(_) => return StreamRead::Silent,
+                read => return read,
+            }
+        }
     }
 
     /// Reads the next event until `until`.
@@ -115,6 +123,10 @@
     }
 }
 
+fn is_comment(event: &RawEvent) -> bool {
+    event.field("id").is_none() && event.field("data").is_none()
+}
+
 /// Numeric identifier of an event; `None` if it has none.
 pub fn event_id(event: &RawEvent) -> Option<u64> {
     let text = std::str::from_utf8(event.field("id")?).ok()?;
