crashes: a request whose probe met another crash is probed again after 10 s of calm

What callers saw: a sound plain request that was in flight at three servers which crashed within 0.1 s of another cause, and whose one probe met one more crash, was refused as `crashing` for 60 s, with all servers up again.

Cause: after the crash of the first probe the second one was allowed only after 60 s, however calm it was. What is recorded (starts of servers, the last crash's time, marks of probes) does not tell such a request from a deadly one that is sent side by side.

Change: the refusal before the last probe lasts 10 s, and until 3 s without a crash under any request known to the instance, 60 s at most. The number of probes is as before: two, and three for a request that was seen to run. Rows and messages are unchanged.

The test of marks of probes checks refusals in calm and beside another crash, since the first two refusals are equally long in calm; it tells all levels as before.

--- a/crates/foxtailhold/src/crashes.rs
+++ b/crates/foxtailhold/src/crashes.rs
@@ -36,15 +36,23 @@
 /// attempt whose only witness was lost and for instances that do not agree yet on who decides.
 pub const MAX_PROBES: usize = 2;
 /// Duration of the refusal after [`MAX_CRASHES`] and after the crash of each probe. The first is
-/// short, so that an innocent request is soon served again. After the last probe no caller waits
-/// for the end.
-pub const REFUSAL_MS: [u64; MAX_PROBES + 1] = [10_000, 60_000, 86_400_000];
+/// short, so that an innocent request is soon served again. The second is as short once no backend
+/// server crashes any more: it ends [`CALM_MS`] after the last crash under any request, and
+/// [`MAX_UNCALM_REFUSAL_MS`] after its own at the latest. After the last probe no caller waits for
+/// the end.
+pub const REFUSAL_MS: [u64; MAX_PROBES + 1] = [10_000, 10_000, 86_400_000];
+/// Time in ms without a crash under any request after which a probe that met one is repeated. The
+/// last probes of an innocent request are not spent on crashes of another cause.
+pub const CALM_MS: u64 = 3_000;
+/// Longest refusal in ms that waits for the end of other crashes.
+pub const MAX_UNCALM_REFUSAL_MS: u64 = 60_000;
 /// Duration of the first refusal of requests that the same crashes are held against: at most one of
 /// them is the cause.
 pub const DOUBTFUL_REFUSAL_MS: u64 = 2_000;
 /// Durations of the refusals of a request that was seen to run shortly before its crashes. Its
-/// probes are more, as one that meets a crash of another cause is likely.
-pub const PROVEN_REFUSAL_MS: [u64; 4] = [DOUBTFUL_REFUSAL_MS, 5_000, 60_000, 86_400_000];
+/// probes are more, as one that meets a crash of another cause is likely. Before the last probe it
+/// waits for calm like others.
+pub const PROVEN_REFUSAL_MS: [u64; 4] = [DOUBTFUL_REFUSAL_MS, 5_000, 10_000, 86_400_000];
 /// The probes of such requests are spread over this time, so that they do not run side by side.
 pub const PROBE_SPREAD_MS: u64 = 1_000;
 /// Attempts that are sent within this time after the limit was reached are no probes: not all
@@ -127,23 +135,36 @@
         }
     }
 
-    /// Time in Unix ms until which the request is refused; `None` below [`MAX_CRASHES`] crashes.
-    fn refused_until(&self, fingerprint: Fingerprint) -> Option<u64> {
+    /// Time in Unix ms until which the request is refused, given the last crash under any request;
+    /// `None` below [`MAX_CRASHES`] crashes.
+    fn refused_until(&self, fingerprint: Fingerprint, last_of_all_unix_ms: u64) -> Option<u64> {
         if self.count() < MAX_CRASHES {
             return None;
         }
-        let refused_ms = match self.unexplained_probes {
+        let probes = self.unexplained_probes;
+        let schedule_ms: &[u64] = match self.is_proven {
+            true => &PROVEN_REFUSAL_MS,
+            false => &REFUSAL_MS,
+        };
+        let max_probes = schedule_ms.len() - 1;
+        let refused_ms = match probes {
             0 if self.is_doubtful || self.is_proven => {
                 DOUBTFUL_REFUSAL_MS + (fingerprint.0 % u128::from(PROBE_SPREAD_MS)) as u64
             }
-            probes if self.is_proven => PROVEN_REFUSAL_MS[probes.min(PROVEN_REFUSAL_MS.len() - 1)],
-            probes => REFUSAL_MS[probes.min(MAX_PROBES)],
+            probes => schedule_ms[probes.min(max_probes)],
         };
-        Some(self.evidence.last_unix_ms.saturating_add(refused_ms))
+        let last_unix_ms = self.evidence.last_unix_ms;
+        let until = last_unix_ms.saturating_add(refused_ms);
+        if probes + 1 != max_probes {
+            return Some(until);
+        }
+        let calm = last_of_all_unix_ms.saturating_add(CALM_MS);
+        let latest = last_unix_ms.saturating_add(MAX_UNCALM_REFUSAL_MS);
+        Some(until.max(calm.min(latest)))
     }
 
-    fn expires(&self, fingerprint: Fingerprint) -> u64 {
-        match self.refused_until(fingerprint) {
+    fn expires(&self, fingerprint: Fingerprint, last_of_all_unix_ms: u64) -> u64 {
+        match self.refused_until(fingerprint, last_of_all_unix_ms) {
             Some(until) => until.saturating_add(PROBATION_MS),
             None => self.evidence.last_unix_ms.saturating_add(SUSPECT_TTL_MS),
         }
@@ -185,6 +206,8 @@
     /// What was taken for a crash and was none, and when that became known.
     dismissed: HashMap<CrashId, WallMs>,
     last_mark: EvidenceMark,
+    /// Time of the last crash under any request, in Unix ms.
+    last_crash_unix_ms: u64,
 }
 
 impl CrashRegistry {
@@ -235,10 +258,12 @@
         }
         let record = self.records.entry(fingerprint).or_default();
         let mark = EvidenceMark(self.last_mark.0 + 1);
+        let new_unix_ms = new.last_unix_ms;
         if !record.add(new, mark) {
             return false;
         }
         self.last_mark = mark;
+        self.last_crash_unix_ms = self.last_crash_unix_ms.max(new_unix_ms);
         if record.count() >= MAX_CRASHES {
             self.find_doubts(fingerprint);
             self.explain_probes();
@@ -302,10 +327,11 @@
     }
 
     fn drop_oldest(&mut self) {
+        let last_unix_ms = self.last_crash_unix_ms;
         let by_end = self
             .records
             .iter()
-            .min_by_key(|(fingerprint, record)| record.expires(**fingerprint));
+            .min_by_key(|(fingerprint, record)| record.expires(**fingerprint, last_unix_ms));
         if let Some(oldest) = by_end.map(|(fingerprint, _)| *fingerprint) {
             self.records.remove(&oldest);
         }
@@ -425,7 +451,8 @@
     /// The status of a request.
     pub fn status(&self, fingerprint: Fingerprint, now: WallMs) -> CrashStatus {
         let record = self.records.get(&fingerprint);
-        match record.and_then(|record| record.refused_until(fingerprint)) {
+        let last_unix_ms = self.last_crash_unix_ms;
+        match record.and_then(|record| record.refused_until(fingerprint, last_unix_ms)) {
             None => CrashStatus::Allowed,
             Some(until) if until > now.0 => CrashStatus::Refused {
                 left_ms: until - now.0,
@@ -438,8 +465,9 @@
 
     /// Drops expired evidence and returns the requests concerned.
     pub fn expire(&mut self, now: WallMs) -> Vec<Fingerprint> {
+        let last_unix_ms = self.last_crash_unix_ms;
         let is_expired = |(fingerprint, record): &(&Fingerprint, &CrashRecord)| {
-            record.expires(**fingerprint) <= now.0
+            record.expires(**fingerprint, last_unix_ms) <= now.0
         };
         let expired = self.records.iter().filter(is_expired);
         let expired: Vec<Fingerprint> = expired.map(|(fingerprint, _)| *fingerprint).collect();
--- a/crates/foxtailhold/tests/crashes.rs
+++ b/crates/foxtailhold/tests/crashes.rs
@@ -4,8 +4,8 @@
 use std::collections::BTreeSet;
 
 use foxtailhold::crashes::{
-    CrashEvidence, CrashRegistry, CrashStatus, DOUBTFUL_REFUSAL_MS, MAX_CRASHES, MAX_PROBES,
-    PROVEN_REFUSAL_MS, REFUSAL_MS, item_backoff_ms,
+    CALM_MS, CrashEvidence, CrashRegistry, CrashStatus, DOUBTFUL_REFUSAL_MS, MAX_CRASHES,
+    MAX_PROBES, PROVEN_REFUSAL_MS, REFUSAL_MS, item_backoff_ms,
 };
 use foxtailhold::ids::BackendId;
 use foxtailhold::quarantine::{CrashId, Fingerprint, RequestFingerprints, SUSPECT_TTL_MS};
@@ -219,6 +219,7 @@
 #[test_case(&[(0, 0), (0, 10), (0, 20), (2_021, 2_021)], 1; "one that was sent later")]
 #[test_case(&[(0, 0), (0, 10), (0, 20), (0, 30), (12_000, 12_000), (80_000, 80_000)], 2; "two probes")]
 fn only_crashes_of_probes_make_the_refusal_longer(attempts_ms: &[(u64, u64)], level: usize) {
+    const UNCALM_MS: u64 = 9_000;
     let mut seen = CrashRegistry::default();
     let mut told = CrashRegistry::default();
     for (number, (begun, at)) in attempts_ms.iter().enumerate() {
@@ -230,12 +231,17 @@
     restarted.join(REQUEST, seen.evidence(REQUEST).unwrap());
     let left_ms = REFUSAL_MS[level];
     let now = later(attempts_ms.last().unwrap().1);
-    for registry in [seen, told, restarted] {
+    let uncalm_ms = match level {
+        1 => UNCALM_MS + CALM_MS,
+        _ => left_ms,
+    };
+    for mut registry in [seen, told, restarted] {
         assert_eq!(registry.crashes(REQUEST), attempts_ms.len());
-        assert_eq!(
-            registry.status(REQUEST, now),
-            CrashStatus::Refused { left_ms }
-        );
+        let refused = |left_ms| CrashStatus::Refused { left_ms };
+        assert_eq!(registry.status(REQUEST, now), refused(left_ms));
+        let other = WallMs(now.0 + UNCALM_MS);
+        registry.crashed(Fingerprint(999), crash("other", 1), other, other);
+        assert_eq!(registry.status(REQUEST, now), refused(uncalm_ms));
     }
 }
 
