--- a/crates/foxtailhold-relay/src/peers/evidence.rs
+++ b/crates/foxtailhold-relay/src/peers/evidence.rs
@@ -8,6 +8,7 @@
 use foxtailhold::prompt_parts::PartId;
 use foxtailhold::quarantine::CrashId;
 use foxtailhold::recent_parts::PROVING_INSTANCES;
+use foxtailhold::rendezvous;
 use foxtailhold::time::{MonoMs, WallMs};
 use rand::seq::IndexedRandom;
 
@@ -49,6 +50,20 @@
 }
 
 impl Peers {
+    /// Position of this instance among the live ones in their order for `key`. The first is the one
+    /// that a probe belongs to; the others take their turn if no caller asks it.
+    pub fn rank(&self, key: &[u8]) -> usize {
+        self.rank_of(key).0
+    }
+
+    /// Position of this instance among the live ones, as [`Peers::rank`], and their number.
+    pub fn rank_of(&self, key: &[u8]) -> (usize, usize) {
+        let members = self.members();
+        let live = members.live(self.now());
+        let instances = live.iter().map(|member| &member.instance);
+        (rendezvous::rank(instances, key, self.me()), live.len())
+    }
+
     /// Records a backend server crash under a request and informs the other instances.
     pub fn record_crash(&self, attempt: &TrackedAttempt) {
         let crashes = &self.inner.crashes;
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -27,7 +27,6 @@
 use std::time::Duration;
 
 use foxtailhold::ids::{AvailabilityZone, BackendId, InstanceId, TargetName};
-use foxtailhold::rendezvous;
 use foxtailhold::slots::{
     Allocator, BackendSlots, SlotDecision, SlotNotice, SlotOutcome, SlotRequest, SlotRequestId,
     Urgency,
@@ -159,20 +158,6 @@
         &self.inner.crashes
     }
 
-    /// Position of this instance among the live ones in their order for `key`. The first is the one
-    /// that a probe belongs to; the others take their turn if no caller asks it.
-    pub fn rank(&self, key: &[u8]) -> usize {
-        self.rank_of(key).0
-    }
-
-    /// Position of this instance among the live ones, as [`Peers::rank`], and their number.
-    pub fn rank_of(&self, key: &[u8]) -> (usize, usize) {
-        let members = self.members();
-        let live = members.live(self.now());
-        let instances = live.iter().map(|member| &member.instance);
-        (rendezvous::rank(instances, key, self.me()), live.len())
-    }
-
     fn broadcast(&self, message: PeerMessage) {
         let others = self.members().others();
         for address in others {
--- a/crates/foxtailhold-relay/src/probe_admission.rs
+++ b/crates/foxtailhold-relay/src/probe_admission.rs
@@ -1,12 +1,17 @@
 //! Probes of suspected groups, as the requests of this instance and the announcements of others see
 //! them.
 
+use foxtailhold::crashes::CrashStatus;
+use foxtailhold::ids::TargetName;
 use foxtailhold::prompt_parts::{PartId, SharedParts};
 use foxtailhold::time::MonoMs;
 
 use crate::crashes::CrashTracker;
+use crate::dialect::Dialect;
 use crate::group_probes::probe_share;
 use crate::peers::HarmlessProbe;
+use crate::relay::Relay;
+use crate::request::EvidenceKeys;
 
 impl CrashTracker {
     /// Reserves the probe of a suspected group for a request of this instance, which may seek a slot
@@ -87,3 +92,18 @@
         probes.admit_beside(group, share, now)
     }
 }
+
+impl<D: Dialect> Relay<D> {
+    /// Records that the probe of a request at `service` goes on, or has ended, without a crash.
+    pub(crate) fn record_harmless_probe(
+        &self,
+        keys: &EvidenceKeys,
+        service: &TargetName,
+        has_passed: bool,
+    ) {
+        let (status, group) = self.group_status(keys, service);
+        if let (CrashStatus::ProbeAllowed { .. }, Some(group)) = (status, group) {
+            self.peers.record_harmless_probe(group, has_passed);
+        }
+    }
+}
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -296,7 +296,7 @@
         }
     }
 
-    fn group_status(
+    pub(crate) fn group_status(
         &self,
         keys: &EvidenceKeys,
         service: &TargetName,
@@ -379,19 +379,6 @@
         }
     }
 
-    /// Records that the probe of a request at `service` goes on, or has ended, without a crash.
-    pub(crate) fn record_harmless_probe(
-        &self,
-        keys: &EvidenceKeys,
-        service: &TargetName,
-        has_passed: bool,
-    ) {
-        let (status, group) = self.group_status(keys, service);
-        if let (CrashStatus::ProbeAllowed { .. }, Some(group)) = (status, group) {
-            self.peers.record_harmless_probe(group, has_passed);
-        }
-    }
-
     fn admission(
         &self,
         status: CrashStatus,
