items: what crashes backend servers in calm and in trials costs less

What callers would see: a deadly part of items reached four replicas late in 30 s, three are allowed, and items that crash servers by themselves ended more of them than before.

Cause: the refusals of items, 3, 4, 10 and 14 s, leave room for four probes in 30 s; passed trials raised the limit between two crashes; items that had crashed in trials got slots before others.

--- a/crates/foxtailhold-relay/src/crashes.rs
+++ b/crates/foxtailhold-relay/src/crashes.rs
@@ -95,7 +95,7 @@
     fn delay_trials(&mut self, fingerprint: Fingerprint, now: MonoMs) {
         if self.registry.crashes(fingerprint) >= MAX_CRASHES {
             let delay_ms = TRIAL_GAP_MS + rand::random_range(0..TRIAL_GAP_MS);
-            self.trials.record_crash(now + delay_ms);
+            self.trials.record_crash(delay_ms, now);
         }
     }
 
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -205,7 +205,11 @@
             }
             self.trial_ticket = None;
             let is_trial = self.trial.lock().is_some();
-            self.precedence = match (is_first_probe, is_trial || admission == Admission::Probe) {
+            let is_first_trial = is_trial && self.crashed_trials == 0;
+            self.precedence = match (
+                is_first_probe,
+                is_first_trial || admission == Admission::Probe,
+            ) {
                 (true, _) => Precedence::First,
                 (false, true) => Precedence::BeforeItems,
                 (false, false) => Precedence::None,
