--- a/crates/foxtailhold-relay/src/group_probes.rs
+++ b/crates/foxtailhold-relay/src/group_probes.rs
@@ -6,8 +6,7 @@
 
 use foxtailhold::prompt_parts::{PartId, SharedParts};
 use foxtailhold::time::MonoMs;
-
-use crate::peers::HarmlessProbe;
+use serde::{Deserialize, Serialize};
 
 /// Time after which the next probe of a request or a suspected group is admitted if the previous one
 /// gave no result. It is longer than attempts usually take.
@@ -47,6 +46,19 @@
     last_probe.is_some_and(|at| now.since_ms(*at) < PROBE_INTERVAL_MS)
 }
 
+/// A probe of a suspected group of parts that goes on, or has ended, without a crash.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HarmlessProbe {
+    /// The group.
+    pub group: Vec<PartId>,
+    /// Identifies the probe, since the message is sent twice.
+    pub probe: u64,
+    /// When it was seen to be harmless, in Unix ms.
+    pub at_unix_ms: u64,
+    /// Whether it has run for long enough to let others run beside it.
+    pub has_passed: bool,
+}
+
 /// A probe of a suspected group.
 #[derive(Debug, Clone, Copy)]
 struct GroupProbe {
--- a/crates/foxtailhold-relay/src/peers/message.rs
+++ b/crates/foxtailhold-relay/src/peers/message.rs
@@ -17,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::group_probes::HarmlessProbe;
 use crate::tables::TableVersions;
 
 /// Size limit of a datagram, below the maximum payload of a UDP packet.
@@ -200,19 +201,6 @@
     ProbeHarmless(HarmlessProbe),
 }
 
-/// A probe of a suspected group of parts that goes on, or has ended, without a crash.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct HarmlessProbe {
-    /// The group.
-    pub group: Vec<PartId>,
-    /// Identifies the probe, since the message is sent twice.
-    pub probe: u64,
-    /// When it was seen to be harmless, in Unix ms.
-    pub at_unix_ms: u64,
-    /// Whether it has run for long enough to let others run beside it.
-    pub has_passed: bool,
-}
-
 /// Answer to [`PeerMessage::FindOrigin`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FoundOrigin {
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -9,9 +9,10 @@
 mod saved_origins;
 mod slot;
 
+pub use crate::group_probes::HarmlessProbe;
 use evidence::EvidenceSends;
 pub use members::{Member, Members};
-pub use message::{Datagram, FoundOrigin, HarmlessProbe, InstanceHash, PeerMessage};
+pub use message::{Datagram, FoundOrigin, InstanceHash, PeerMessage};
 use origin_confirmation::OriginConfirmations;
 pub(crate) use origin_confirmation::{CONFIRM_TIMEOUT_MS, OnlyOrigin};
 pub use origins::{OriginCounts, OriginSearch, OriginSource};
--- a/crates/foxtailhold-relay/src/probe_admission.rs
+++ b/crates/foxtailhold-relay/src/probe_admission.rs
@@ -8,8 +8,7 @@
 
 use crate::crashes::CrashTracker;
 use crate::dialect::Dialect;
-use crate::group_probes::probe_share;
-use crate::peers::HarmlessProbe;
+use crate::group_probes::{HarmlessProbe, probe_share};
 use crate::relay::Relay;
 use crate::request::EvidenceKeys;
 
