slots: a probe by a batch item is not counted as a caller's request

What callers would see: refusals (503, no_place) although a slot would be free in time, and items with a suspected part whose probe is turned away where other items are queued.

Cause: since the first probe asks as a caller's request. Its run of seconds went into the average time for which callers hold slots, from which refusals are derived; it counted as an arrival, which keeps slots free of items; and it was refused as late.

Evidence: slot_probes.rs, two of three tests red before: a caller is refused for 384 ms after one probe of 15 s, where it is queued without; a probe is refused for 1500 ms.

Change: probes have a priority of their own below all routes, are queued until their request ends, and count neither as arrivals nor in the average. A route of priority 255 is taken as 254. Earlier allocators read a caller of the least urgent route, as before.

Measured: slot_probes 3, slots 26, slot_versions 23, slot_load 3 and slot_late_items 4 green.

--- a/crates/foxtailhold-relay/src/engine.rs
+++ b/crates/foxtailhold-relay/src/engine.rs
@@ -380,9 +380,7 @@
     ) -> Granted {
         let query = SlotQuery {
             pool: &destination.service,
-            urgency: Urgency::Online {
-                priority: route.priority,
-            },
+            urgency: Urgency::of_caller(route.priority),
             slack_ms,
             late_ms: 0,
             avoid: &avoid,
--- a/crates/foxtailhold-relay/src/jobs/item/version.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/version.rs
@@ -21,9 +21,6 @@
 /// Time limit of one slot request; afterwards route, job and deadline are checked again.
 const SLOT_TIMEOUT_MS: u64 = 2_000;
 
-/// Urgency of an attempt that all others with its parts wait for: it is not preempted, and goes after
-/// all requests of callers.
-const FIRST_URGENCY: Urgency = Urgency::Online { priority: u8::MAX };
 /// Slack of an attempt that other items wait for, so that it goes before these and is preempted after
 /// them. It lasts for one slot request.
 const FIRST_SLACK_MS: u64 = SLOT_TIMEOUT_MS;
@@ -63,7 +60,7 @@
         let remaining_ms = self.jobs.item_durations().remaining_ms(self.events());
         let done_unix_ms = relay.clock.wall().0.saturating_add(remaining_ms);
         let (urgency, slack_ms, late_ms) = match self.precedence {
-            Precedence::First => (FIRST_URGENCY, FIRST_SLACK_MS, 0),
+            Precedence::First => (Urgency::ITEM_PROBE, FIRST_SLACK_MS, 0),
             Precedence::BeforeItems => (Urgency::Batch, FIRST_SLACK_MS, 0),
             Precedence::None => (
                 Urgency::Batch,
--- a/crates/foxtailhold/src/slots/mod.rs
+++ b/crates/foxtailhold/src/slots/mod.rs
@@ -47,6 +47,24 @@
     Batch,
 }
 
+impl Urgency {
+    /// A batch item that others wait for, because it shows whether what they share crashes backend
+    /// servers. It goes after all callers and before other items, and is not preempted. Earlier
+    /// versions take it for a caller of the least urgent route.
+    pub const ITEM_PROBE: Urgency = Urgency::Online { priority: u8::MAX };
+
+    /// Whether it is the request of a caller, who waits.
+    pub(crate) fn is_of_caller(self) -> bool {
+        !matches!(self, Urgency::Batch | Urgency::ITEM_PROBE)
+    }
+
+    /// The request of a caller, with the priority of its route.
+    pub fn of_caller(priority: u8) -> Self {
+        let priority = priority.min(u8::MAX - 1);
+        Urgency::Online { priority }
+    }
+}
+
 /// A request for one slot at an engine of a pool.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SlotRequest {
--- a/crates/foxtailhold/src/slots/pool.rs
+++ b/crates/foxtailhold/src/slots/pool.rs
@@ -95,7 +95,7 @@
             current.last_request_at = now;
             return SlotDecision::Queued;
         }
-        if matches!(request.urgency, Urgency::Online { .. }) {
+        if request.urgency.is_of_caller() {
             if request.avoid.is_empty() {
                 self.arrivals.push_back(now);
             }
@@ -190,8 +190,8 @@
                 }
                 outcome => backend.health.note(now, outcome, draw),
             }
-            if let (Urgency::Online { .. }, SlotOutcome::Done { held_ms }) =
-                (grant.urgency, outcome)
+            if let SlotOutcome::Done { held_ms } = outcome
+                && grant.urgency.is_of_caller()
             {
                 self.held_ms += HELD_WEIGHT * (held_ms as f64 - self.held_ms);
             }
