--- a/crates/foxtailhold/src/trials.rs
+++ b/crates/foxtailhold/src/trials.rs
@@ -1,9 +1,9 @@
 //! Trials of batch items under which backend servers crashed.
 //!
 //! Such an item runs as a trial until it has shown that it runs. How many trials run side by side
-//! bounds what items that crash backend servers cost the fleet. The number doubles with each trial
-//! that is passed and falls back to one with each crash, so that many items which merely ran beside
-//! crashes are tried within a few rounds.
+//! bounds what items that crash backend servers cost the fleet. In calm the number doubles with each
+//! trial that is passed, and it falls back to one with each crash, so that many items which merely ran
+//! beside crashes are tried within a few rounds.
 
 use std::collections::BTreeSet;
 
