items: one that was never lost probes before those that were, at all instances

What callers would see: a deadly part of items reached four replicas late in 30 s, three are allowed.

Cause: since the delay by which an item that was lost yields was a sixth, 83 ms, less than the turn of 500 ms of the next instance.

Evidence: the probes in the logs of deadly_parts with items, twelve events: after 3.1, 8.3, 13.9 and 28.1 s, where the third came 5 s after the second.

Change: the delays are 2 s at most instead of a sixth, and an item that was never lost waits for no turn; those that begin side by side settle as before.

--- a/crates/foxtailhold-relay/src/crashes.rs
+++ b/crates/foxtailhold-relay/src/crashes.rs
@@ -204,6 +204,11 @@
         self.status_by_groups(|registry| registry.status_of_owed(request, parts, service, now))
     }
 
+    /// Whether a request was lost in a crash, as the evidence against parts knows it.
+    pub fn has_lost(&self, request: Fingerprint) -> bool {
+        self.state.lock().parts.has_lost(request)
+    }
+
     fn status_by_groups(
         &self,
         status: impl FnOnce(&mut PartCrashRegistry) -> (CrashStatus, Option<&SuspectedGroup>),
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -339,8 +339,11 @@
                 },
             );
         }
+        // An item that was never lost goes before those that were, at whichever instance they are.
+        let goes_first = || keys.is_owed && !crashes.has_lost(keys.fingerprints.path);
         let turn_ms = || match earlier {
             Admission::Probe => 0,
+            _ if goes_first() => 0,
             _ => group_probe_turn_ms(self.peers.rank(&subject)),
         };
         // What was admitted before the wait for a slot was a reservation only.
--- a/crates/foxtailhold/src/part_crashes.rs
+++ b/crates/foxtailhold/src/part_crashes.rs
@@ -38,9 +38,8 @@
 /// Further delay for each crash in which it was lost more often than the request with the same parts
 /// that was lost least often. All of them may have been lost, and none is left to yield to.
 const REPEATED_PROBE_DELAY_MS: u64 = 2_000;
-/// The delays of a request that is owed whatever happens are shorter by this factor. Others with its
-/// parts wait for its probe.
-const OWED_DELAY_DIVISOR: u64 = 6;
+/// Longest delay of the probe of a request that is owed whatever happens.
+const MAX_OWED_DELAY_MS: u64 = 2_000;
 /// Crashes of one request that delay its probe.
 const MAX_DELAYING_CRASHES: usize = 3;
 /// Records of crashes that are kept.
@@ -292,6 +291,11 @@
         self.status_after(losses, is_owed, parts, service, now)
     }
 
+    /// Whether a request was lost in a crash.
+    pub fn has_lost(&self, request: Fingerprint) -> bool {
+        self.losses(request) > 0
+    }
+
     /// Number of crashes in which a request was lost, as far as they delay its probe.
     fn losses(&self, request: Fingerprint) -> usize {
         let crashes = self.crashes.values();
@@ -337,7 +341,7 @@
             _ => LOST_PROBE_DELAY_MS + further * REPEATED_PROBE_DELAY_MS,
         };
         let delay_ms = match is_owed {
-            true => (delay_ms + lost_delay_ms) / OWED_DELAY_DIVISOR,
+            true => (delay_ms + lost_delay_ms).min(MAX_OWED_DELAY_MS),
             false => delay_ms + lost_delay_ms,
         };
         let end_unix_ms = refused_until_unix_ms(last).saturating_add(delay_ms);
