items: no refusal because of suspected parts lasts longer than ten seconds

What callers would see: after two probes that crashed, all items with a suspected part stood still for 14 s, and for up to 2 s more if they had been lost, though no backend server crashed meanwhile; the aim is 10 s at most in calm.

Cause: the refusals of items were 3, 4 and 14 s and the delays of their probes came on top.

Evidence: part_probes, with the bound of what is owed at 10 s instead of 20 s: red after two and after five crashed probes.

Change: 3, 6 and 10 s, and no more than 10 s with the delays.

--- a/crates/foxtailhold/src/part_crashes.rs
+++ b/crates/foxtailhold/src/part_crashes.rs
@@ -264,8 +264,8 @@
         self.status_of_lost(request, false, parts, service, now)
     }
 
-    /// The same for a request that is owed whatever happens: no refusal of it lasts longer than
-    /// the last of [`OWED_REFUSAL_MS`] after the last crash, and the delays of its probe are shorter.
+    /// The same for a request that is owed whatever happens: no refusal of it, with the delays of its
+    /// probe, lasts longer than the last of [`OWED_REFUSAL_MS`] after the last crash.
     pub fn status_of_owed(
         &mut self,
         request: Fingerprint,
@@ -340,11 +340,16 @@
             0 => 0,
             _ => LOST_PROBE_DELAY_MS + further * REPEATED_PROBE_DELAY_MS,
         };
-        let delay_ms = match is_owed {
-            true => (delay_ms + lost_delay_ms).min(MAX_OWED_DELAY_MS),
-            false => delay_ms + lost_delay_ms,
+        let refused_until_unix_ms = refused_until_unix_ms(last);
+        let delay_ms = delay_ms + lost_delay_ms;
+        let end_unix_ms = match is_owed {
+            true => {
+                let latest_unix_ms = last.last_crash_unix_ms + owed_refusal_ms(usize::MAX);
+                let end_unix_ms = refused_until_unix_ms + delay_ms.min(MAX_OWED_DELAY_MS);
+                end_unix_ms.min(latest_unix_ms)
+            }
+            false => refused_until_unix_ms.saturating_add(delay_ms),
         };
-        let end_unix_ms = refused_until_unix_ms(last).saturating_add(delay_ms);
         let status = match end_unix_ms.checked_sub(now.0) {
             Some(left_ms) if left_ms > 0 => CrashStatus::Refused { left_ms },
             _ => CrashStatus::ProbeAllowed {
--- a/crates/foxtailhold/src/part_groups.rs
+++ b/crates/foxtailhold/src/part_groups.rs
@@ -33,8 +33,8 @@
 /// caller waits for the end.
 pub const PART_REFUSAL_MS: [u64; 3] = [3_000, 20_000, 86_400_000];
 /// Longest refusal of a request that is owed whatever happens, such as a batch item, after the limit
-/// and after the crash of each probe.
-pub const OWED_REFUSAL_MS: [u64; 3] = [3_000, 4_000, 14_000];
+/// and after the crash of each probe. The last one includes the delays of its probe.
+pub const OWED_REFUSAL_MS: [u64; 3] = [3_000, 6_000, 10_000];
 /// A probe that has run for longer is lost by another cause: a guilty part crashes its backend server
 /// as soon as that begins to respond.
 const MAX_PROBE_RUN_MS: u64 = 2_000;
--- a/crates/foxtailhold/tests/part_probes.rs
+++ b/crates/foxtailhold/tests/part_probes.rs
@@ -129,8 +129,8 @@
 #[test_case(1; "after one")]
 #[test_case(2; "after two")]
 #[test_case(5; "after five")]
-fn a_request_that_is_owed_is_probed_again_within_20_s(probes: u64) {
-    const OWED_WITHIN_MS: u64 = 20_000;
+fn a_request_that_is_owed_is_probed_again_within_10_s(probes: u64) {
+    const OWED_WITHIN_MS: u64 = 10_000;
     let mut registry = suspected_by_two_requests();
     let mut last_ms = 400;
     for _ in 0..probes {
