Revert "items: one that crashes backend servers in two trials is tried less often"

This reverts, a failed try: it would keep an innocent item from its run.

Cause: two crashed trials do not tell an item that crashes by itself from one that met six crashes of another cause, and 9 s of backoff are more than the 5 s within which an item has to be placed once backend servers stay up.

--- a/crates/foxtailhold-relay/src/jobs/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/backoff.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use foxtailhold::crashes::{MAX_CRASHES, crashed_trials_backoff_ms, item_backoff_ms};
+use foxtailhold::crashes::{MAX_CRASHES, item_backoff_ms};
 use tokio::time::Instant;
 
 /// Delays are shortened by a random amount of up to one part in this many. Three delays in a row
@@ -31,14 +31,12 @@
     }
 
     /// Begins a backoff after another crash of an item under which `crashes` backend servers are known
-    /// to have crashed, `crashed_trials` of its trials with them. The crash may have been that of a
-    /// start which is not known yet.
-    pub(crate) fn begin_after_failure(&mut self, crashes: usize, crashed_trials: u32) {
+    /// to have crashed. The crash may have been that of a start which is not known yet.
+    pub(crate) fn begin_after_failure(&mut self, crashes: usize) {
         if crashes < MAX_CRASHES {
             return;
         }
-        let delay_ms = item_backoff_ms(crashes).max(crashed_trials_backoff_ms(crashed_trials));
-        if let Some(delay_ms) = delay_ms {
+        if let Some(delay_ms) = item_backoff_ms(crashes) {
             self.extend(with_jitter(delay_ms));
         }
     }
--- a/crates/foxtailhold-relay/src/jobs/item/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/backoff.rs
@@ -260,15 +260,11 @@
         let crashes = self.jobs.relay.peers.crashes();
         let crashes = crashes.crash_count(self.fingerprints(job));
         match failure {
-            AttemptFailure::Closed => {
-                self.backoff
-                    .begin_after_failure(crashes, self.crashed_trials);
-            }
+            AttemptFailure::Closed => self.backoff.begin_after_failure(crashes),
             AttemptFailure::Silent => {
                 // Each attempt with an unknown outcome may have been a crash as well.
                 let crashes = crashes + self.counts.pending as usize;
-                self.backoff
-                    .begin_after_failure(crashes, self.crashed_trials);
+                self.backoff.begin_after_failure(crashes);
                 return;
             }
             AttemptFailure::Broken => {}
--- a/crates/foxtailhold/tests/crashes.rs
+++ b/crates/foxtailhold/tests/crashes.rs
@@ -5,7 +5,7 @@
 
 use foxtailhold::crashes::{
     CALM_MS, CrashEvidence, CrashRegistry, CrashStatus, DOUBTFUL_REFUSAL_MS, MAX_CRASHES,
-    MAX_PROBES, PROVEN_REFUSAL_MS, REFUSAL_MS, crashed_trials_backoff_ms, item_backoff_ms,
+    MAX_PROBES, PROVEN_REFUSAL_MS, REFUSAL_MS, item_backoff_ms,
 };
 use foxtailhold::ids::BackendId;
 use foxtailhold::quarantine::{CrashId, Fingerprint, RequestFingerprints, SUSPECT_TTL_MS};
@@ -358,14 +358,6 @@
     assert_eq!(item_backoff_ms(crashes), expected);
 }
 
-#[test_case(0, None; "no trial")]
-#[test_case(1, None; "one that may have met a crash of another cause")]
-#[test_case(2, Some(9_000); "two")]
-#[test_case(40, Some(9_000); "the attempts have no end")]
-fn an_item_that_crashes_in_its_trials_is_tried_less_often(trials: u32, expected: Option<u64>) {
-    assert_eq!(crashed_trials_backoff_ms(trials), expected);
-}
-
 fn evidence() -> impl Strategy<Value = CrashEvidence> {
     let crashes = prop::collection::btree_set((0_u8..4, 1_u64..4), 0..5);
     (crashes, 0_u64..100).prop_map(|(crashes, last_unix_ms)| CrashEvidence {
