probes: a place beside others is not held by an item that waits for a trial

What callers would see: items that need no trial waited as `probe_turn` while another one of their instance held the only place without a slot; more probes than stated ran side by side.

A ticket was also kept through the backoff after lost owners.

Change: the place is given up before the wait; the deciding group is asked; only a share lets a probe skip the order; lapsed passes end.

--- a/crates/foxtailhold-relay/src/group_probes.rs
+++ b/crates/foxtailhold-relay/src/group_probes.rs
@@ -35,6 +35,11 @@
     all / instances + usize::from(rank < all % instances)
 }
 
+/// Subject by which all instances rank each other for the probes of a suspected group.
+pub(crate) fn probe_subject(group: &[PartId]) -> [u8; 8] {
+    group.first().map_or([0; 8], |part| part.0.to_be_bytes())
+}
+
 /// Time after the refusal of a group from which the instance at this place in order may probe it.
 pub(crate) fn group_probe_turn_ms(rank: usize) -> u64 {
     let full = rank.min(FULL_GROUP_TURNS) as u64;
@@ -113,9 +118,8 @@
         }
         self.last.remove(&probe.group);
         if probe.has_passed {
-            let (passes, at) = self.passes.entry(probe.group).or_default();
-            *passes += 1;
-            *at = now;
+            let passes = 1 + self.passes(&probe.group, now);
+            self.passes.insert(probe.group, (passes, now));
         }
     }
 
@@ -127,11 +131,6 @@
         passes.map_or(0, |(passes, _)| *passes)
     }
 
-    pub(crate) fn has_passed(&self, held: &SharedParts, now: MonoMs) -> bool {
-        let mut groups = self.passes.keys();
-        groups.any(|group| held.contains_all(group) && self.passes(group, now) > 0)
-    }
-
     /// Whether fewer than `share` probes of this instance run beside others.
     pub(crate) fn is_free_beside(&mut self, group: &[PartId], share: usize, now: MonoMs) -> bool {
         let running = self.beside.entry(group.to_vec()).or_default();
--- a/crates/foxtailhold-relay/src/jobs/item/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/backoff.rs
@@ -62,6 +62,7 @@
             open = self.counts.pending, rest_ms = PENDING_BACKOFF_MS; "item in backoff"
         );
         self.granted = None;
+        self.trial_ticket = None;
         let until = Instant::now() + Duration::from_millis(PENDING_BACKOFF_MS);
         let limit = Duration::from_millis(PENDING_BACKOFF_MS);
         self.wait_for(WaitCause::LostOwners, Some(limit));
@@ -138,19 +139,22 @@
         }
     }
 
-    /// Whether the item may run now. One under which too many backend servers crashed needs a permit,
-    /// unless it has passed a trial since; without one this waits a little.
-    pub(super) async fn is_admitted(&mut self, job: &Job) -> bool {
-        let ticket = self.trial_ticket.take();
-        let relay = &self.jobs.relay;
-        let evidence = relay.peers.crashes();
+    /// Number of crashes under the item, if they are so many that it has to run as a trial.
+    pub(super) fn crashes_to_try(&self, job: &Job) -> Option<usize> {
+        let evidence = self.jobs.relay.peers.crashes();
         if evidence.is_empty() {
-            return true;
+            return None;
         }
         let crashes = evidence.crash_count(self.fingerprints(job));
-        if crashes < MAX_CRASHES || crashes <= self.passed_crashes.load(Ordering::Relaxed) {
-            return true;
-        }
+        let passed = self.passed_crashes.load(Ordering::Relaxed);
+        (crashes >= MAX_CRASHES && crashes > passed).then_some(crashes)
+    }
+
+    /// Begins a trial of the item if it is its turn, and else keeps its place among those that wait.
+    pub(super) fn begin_trial(&mut self, crashes: usize) -> bool {
+        let ticket = self.trial_ticket.take();
+        let relay = &self.jobs.relay;
+        let evidence = relay.peers.crashes();
         let ticket = ticket.unwrap_or_else(|| {
             evidence.seek_trial(TrialOrder {
                 crashed_trials: self.crashed_trials,
@@ -169,9 +173,13 @@
             return true;
         }
         self.trial_ticket = Some(ticket);
+        false
+    }
+
+    /// Waits before the item asks for a trial again.
+    pub(super) async fn wait_for_trial(&mut self) {
         self.wait_for(WaitCause::TrialPermit, None);
         tokio::time::sleep(Duration::from_millis(TRIAL_CHECK_MS)).await;
-        false
     }
 
     /// Whether an attempt at `service` may seek a slot, given what its prompt shares with others.
@@ -228,10 +236,20 @@
     }
 
     /// Whether the next attempt is a probe that all other items with a suspected group wait for.
-    pub(super) fn is_first_probe(&self, admission: Admission) -> bool {
-        let crashes = self.jobs.relay.peers.crashes();
-        let now = self.jobs.relay.clock.mono();
-        admission == Admission::Probe && !crashes.has_passed_probe(&self.parts, now)
+    pub(super) fn is_first_probe(
+        &self,
+        job: &Job,
+        service: Option<&TargetName>,
+        admission: Admission,
+    ) -> bool {
+        let (Admission::Probe, Some(service)) = (admission, service) else {
+            return false;
+        };
+        let relay = &self.jobs.relay;
+        let (_, group) = relay.group_status(&self.evidence_keys(job), service);
+        let group = group.unwrap_or_default();
+        let crashes = relay.peers.crashes();
+        !crashes.has_passed_probe(&group, relay.clock.mono())
     }
 
     /// Ends the trial of an item that has shown that it runs.
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -184,23 +184,28 @@
                 continue;
             }
             let acquittals = self.jobs.relay.peers.crashes().acquittals();
-            let admission = match route.active_services().next() {
+            let service = route.active_services().next();
+            let admission = match service {
                 Some(service) => self.admit_parts(job, service),
                 None => Admission::Free,
             };
             if let Admission::Refused { retry_after_ms } = admission {
                 self.trial_ticket = None;
                 self.granted = None;
-                let service = route.active_services().next();
                 self.wait_for_parts(job, service, acquittals, retry_after_ms)
                     .await;
                 continue;
             }
             // The first probe of a group runs alone.
-            let is_first_probe = self.is_first_probe(admission);
-            if !is_first_probe && !self.is_admitted(job).await {
+            let is_first_probe = self.is_first_probe(job, service, admission);
+            let crashes_to_try = self.crashes_to_try(job);
+            if let Some(crashes) = crashes_to_try
+                && !is_first_probe
+                && !self.begin_trial(crashes)
+            {
                 self.release_reservation(admission);
                 self.granted = None;
+                self.wait_for_trial().await;
                 continue;
             }
             self.trial_ticket = None;
--- a/crates/foxtailhold-relay/src/probe_admission.rs
+++ b/crates/foxtailhold-relay/src/probe_admission.rs
@@ -8,7 +8,7 @@
 
 use crate::crashes::CrashTracker;
 use crate::dialect::Dialect;
-use crate::group_probes::{HarmlessProbe, probe_share};
+use crate::group_probes::{HarmlessProbe, probe_share, probe_subject};
 use crate::relay::Relay;
 use crate::request::EvidenceKeys;
 
@@ -60,9 +60,9 @@
         self.acquittals.send_replace(());
     }
 
-    /// Whether a probe has run on lately without a crash of any group that a request holds.
-    pub fn has_passed_probe(&self, held: &SharedParts, now: MonoMs) -> bool {
-        self.state.lock().group_probes.has_passed(held, now)
+    /// Whether a probe of a suspected group has run on lately without a crash.
+    pub fn has_passed_probe(&self, group: &[PartId], now: MonoMs) -> bool {
+        self.state.lock().group_probes.passes(group, now) > 0
     }
 
     /// Probes of a suspected group that the instance at place `rank` of `instances` may run beside
@@ -93,6 +93,17 @@
 }
 
 impl<D: Dialect> Relay<D> {
+    /// Number of probes of a suspected group that this instance may run beside others for a request
+    /// like this one; 0 if it takes its turn.
+    pub(crate) fn share_beside(&self, keys: &EvidenceKeys, group: &[PartId]) -> usize {
+        if !keys.is_owed {
+            return 0;
+        }
+        let rank = self.peers.rank_of(&probe_subject(group));
+        let crashes = self.peers.crashes();
+        crashes.share_beside(group, rank, self.clock.mono())
+    }
+
     /// Records that the probe of a request at `service` goes on, or has ended, without a crash.
     pub(crate) fn record_harmless_probe(
         &self,
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -23,7 +23,7 @@
 use crate::crashes::PROBE_TURN_MS;
 use crate::dialect::Dialect;
 use crate::fleet::{BackendServer, Backends};
-use crate::group_probes::{PROBE_SETTLE_MS, group_probe_turn_ms};
+use crate::group_probes::{PROBE_SETTLE_MS, group_probe_turn_ms, probe_subject};
 use crate::metrics::RelayMetrics;
 use crate::peers::{Peers, Slot, SlotError, SlotQuery};
 use crate::pending_attempts::{PendingAttempts, TrackedAttempt};
@@ -320,12 +320,8 @@
         let crashes = self.peers.crashes();
         let (status, group) = self.group_status(keys, service);
         let group = group.unwrap_or_default();
-        let subject = group.first().map_or([0; 8], |part| part.0.to_be_bytes());
         let now = self.clock.mono();
-        let share = match keys.is_owed {
-            true => crashes.share_beside(&group, self.peers.rank_of(&subject), now),
-            false => 0,
-        };
+        let share = self.share_beside(keys, &group);
         if share > 0 {
             return self.admission(
                 status,
@@ -344,7 +340,7 @@
         let turn_ms = || match earlier {
             Admission::Probe => 0,
             _ if goes_first() => 0,
-            _ => group_probe_turn_ms(self.peers.rank(&subject)),
+            _ => group_probe_turn_ms(self.peers.rank(&probe_subject(&group))),
         };
         // What was admitted before the wait for a slot was a reservation only.
         self.admission(status, turn_ms, Admission::Free, || match stage {
@@ -375,9 +371,7 @@
             CrashStatus::Allowed => true,
             CrashStatus::Refused { .. } => false,
             CrashStatus::ProbeAllowed { .. } => group.is_some_and(|group| {
-                let parts = SharedParts::from(group.as_slice());
-                crashes.has_passed_probe(&parts, self.clock.mono())
-                    || crashes.keeps_group_probe(&group)
+                self.share_beside(keys, &group) > 0 || crashes.keeps_group_probe(&group)
             }),
         }
     }
--- a/crates/foxtailhold-relay/tests/group_probes.rs
+++ b/crates/foxtailhold-relay/tests/group_probes.rs
@@ -107,6 +107,18 @@
     assert_eq!(admitted, 4);
 }
 
+/// Guards against many probes side by side after one that runs on, because others did long before.
+#[test]
+fn probes_that_ran_on_lapse_for_good() {
+    let tracker = passed(10);
+    let lapsed = NOW + 5_000;
+    tracker.record_harmless_probe(harmless(10, true), lapsed);
+    let admitted: usize = (0..10)
+        .map(|rank| tracker.share_beside(&GROUP, (rank, 10), lapsed))
+        .sum();
+    assert_eq!(admitted, 4);
+}
+
 /// Guards against items that no probe is admitted for once a probe elsewhere has run on.
 #[test]
 fn an_instance_without_a_share_takes_turns_as_before() {
