items: a crash under a first probe counts like one in a trial

What callers would see: an item that crashes backend servers by itself and shares a suspected part got slots before others, and raised the number of trials side by side, after it had crashed several servers as the first probe of that part.

Cause: the first probe needs no permit, so the runner had no trial to count.

Evidence: by reading; found in a review.

Change: an attempt of an item that needs a trial counts as one when it goes as the first probe.

--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -84,7 +84,7 @@
     trial: Mutex<Option<Trial>>,
     /// Place among the items that wait for a trial.
     trial_ticket: Option<TrialTicket>,
-    /// Trials that ended with a crash.
+    /// Trials, and probes in their stead, that ended with a crash.
     crashed_trials: u32,
     /// Trials in a row for which no slot was found.
     missed_trials: u32,
@@ -237,7 +237,7 @@
                 AttemptEnd::Impossible => return Some(self.into_result(ItemState::GivenUp)),
                 AttemptEnd::Suspended => {}
                 AttemptEnd::Interrupted(failure) => {
-                    if is_trial {
+                    if crashes_to_try.is_some() {
                         self.trial_interrupted_after = self.trial_interrupted_after.max(new_events);
                         self.crashed_trials += u32::from(failure == AttemptFailure::Closed);
                     }
