--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -86,7 +86,7 @@
     trial_ticket: Option<TrialTicket>,
     /// Trials, and probes in their stead, that ended with a crash.
     crashed_trials: u32,
-    /// Trials in a row for which no slot was found.
+    /// Trials in a row that ended before the item was sent.
     missed_trials: u32,
     /// When the item last ran, or became ready to run here.
     idle_since: MonoMs,
--- a/crates/foxtailhold/src/trials.rs
+++ b/crates/foxtailhold/src/trials.rs
@@ -20,7 +20,7 @@
 pub struct TrialOrder {
     /// Trials of the item that ended with a crash.
     pub crashed_trials: u32,
-    /// Trials in a row for which the item found no slot.
+    /// Trials in a row that ended before the item was sent, as when it found no slot.
     pub missed_trials: u32,
     /// Backend servers that crashed under the item.
     pub crashes: usize,
