logs: what a process did instead of firing a timer in time

What callers saw: LOST at grown sites. An instance whose timers are late answers from old copies.

Cause of this change: a late timer shows that the process did not get to run, and not what ran instead, so three hypotheses of the incident look the same.

Change: the line has the time in checks of job owners, the jobs that they looked at, the store calls made for other instances and the datagrams received in that second. The first and the third are metrics too. The allocation of slots for others moves to a module of its own.

Result: no logic has changed.

--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -182,7 +182,7 @@
         ));
         tokio::spawn(follow(store.clone(), members_source, members_sink));
         tokio::spawn(follow(store.clone(), jobs_source, jobs_sink));
-        tokio::spawn(watch_timers(relay.metrics.clone()));
+        tokio::spawn(watch_timers(relay.metrics.clone(), peers.clone()));
         tokio::spawn(peers.run());
         tokio::spawn(backends_sink.expire());
         tokio::spawn(persist_crashes(
--- a/crates/foxtailhold-relay/src/jobs/owner.rs
+++ b/crates/foxtailhold-relay/src/jobs/owner.rs
@@ -9,6 +9,7 @@
 use foxtailhold::time::MonoMs;
 use foxtailhold_platform::{Committed, ObjectStore, RowStore};
 use tokio::task::{JoinHandle, JoinSet};
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::dialect::Dialect;
@@ -57,7 +58,9 @@
     let mut refused: HashMap<JobId, u64> = HashMap::new();
     let mut changes = jobs.cache.changes();
     loop {
+        let started = Instant::now();
         let open: HashMap<JobId, CachedJob> = jobs.cache.open().into_iter().collect();
+        let open_count = open.len();
         running.reconcile(&jobs, &open);
         lost_seen.retain(|id, _| open.contains_key(id));
         refused.retain(|id, version| open.get(id).is_some_and(|job| job.version == *version));
@@ -86,6 +89,8 @@
                 takeovers.spawn(take_over(Arc::clone(&jobs), id, cached));
             }
         }
+        let work = jobs.relay.metrics.work();
+        work.owners_checked(open_count, started.elapsed());
         let check = tokio::time::sleep(Duration::from_millis(CHECK_INTERVAL_MS));
         tokio::select! {
             _ = changes.changed() => {}
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -47,3 +47,4 @@
 mod timers;
 pub mod trials;
 pub mod upstream;
+pub mod work_counts;
--- a/crates/foxtailhold-relay/src/metrics.rs
+++ b/crates/foxtailhold-relay/src/metrics.rs
@@ -19,6 +19,7 @@
 pub use crate::outcomes::{AttemptOutcome, CutReason};
 use crate::request::NotRunReason;
 use crate::tables::TableStatus;
+use crate::work_counts::WorkCounts;
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct ResponseLabels {
@@ -116,6 +117,7 @@
     sampled: Arc<Mutex<SampledAttempts>>,
     tables: TableStatus,
     item_waits: ItemWaits,
+    work: WorkCounts,
 }
 
 impl Default for RelayMetrics {
@@ -172,6 +174,8 @@
         let rejected_route_tables = Counter::default();
         let help = "Route tables that were not taken into effect because they are not valid";
         registry.register("rejected_route_tables", help, rejected_route_tables.clone());
+        let work = WorkCounts::default();
+        work.register(&mut registry);
         let gauges = Gauges::default();
         gauges.register(&mut registry);
         RelayMetrics {
@@ -196,6 +200,7 @@
             sampled: Arc::default(),
             tables: TableStatus::default(),
             item_waits: ItemWaits::default(),
+            work,
         }
     }
 }
@@ -313,6 +318,11 @@
         &self.item_waits
     }
 
+    /// Work that grows with the number of instances.
+    pub fn work(&self) -> &WorkCounts {
+        &self.work
+    }
+
     /// Counts a route table that is not valid.
     pub fn route_table_rejected(&self) {
         self.rejected_route_tables.inc();
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -1,5 +1,6 @@
 //! Communication between instances: slots, heartbeats and crash evidence.
 
+mod allocation;
 mod evidence;
 mod members;
 mod message;
@@ -24,13 +25,12 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use foxtailhold::ids::{AvailabilityZone, BackendId, InstanceId, TargetName};
 use foxtailhold::slots::{
-    Allocator, BackendSlots, SlotDecision, SlotNotice, SlotOutcome, SlotRequest, SlotRequestId,
-    Urgency,
+    Allocator, BackendSlots, SlotDecision, SlotOutcome, SlotRequestId, Urgency,
 };
 use foxtailhold::time::{MonoMs, WallMs};
 use foxtailhold_http::lock::{Mutex, MutexGuard};
@@ -92,6 +92,8 @@
     tables: TableStatus,
     /// Whether the table of instances has been read.
     is_table_read: AtomicBool,
+    /// Datagrams received since they were last counted.
+    datagrams: AtomicU64,
 }
 
 /// Connection of this instance to the others; cheap to clone.
@@ -127,6 +129,7 @@
             members_changed: Notify::new(),
             tables,
             is_table_read: AtomicBool::new(false),
+            datagrams: AtomicU64::new(0),
         };
         Peers {
             inner: Arc::new(inner),
@@ -144,6 +147,11 @@
         self.inner.is_table_read.load(Ordering::Relaxed)
     }
 
+    /// Number of datagrams received since the last call.
+    pub fn take_datagrams(&self) -> u64 {
+        self.inner.datagrams.swap(0, Ordering::Relaxed)
+    }
+
     /// Monotonic time that all decisions use.
     pub fn now(&self) -> MonoMs {
         self.inner.clock.mono()
@@ -210,6 +218,7 @@
                     continue;
                 }
             };
+            self.inner.datagrams.fetch_add(1, Ordering::Relaxed);
             match Datagram::decode(&buffer[..length]) {
                 Ok(datagram) => {
                     if let Some(tables) = &datagram.tables {
@@ -372,68 +381,6 @@
         }
     }
 
-    fn decide(&self, now: MonoMs, request: SlotRequest) -> SlotDecision {
-        let mut notices = Vec::new();
-        let decision = self
-            .inner
-            .allocator
-            .lock()
-            .request_slot(now, request, &mut notices);
-        self.send_slot_notices(notices);
-        decision
-    }
-
-    fn free_slot(
-        &self,
-        now: MonoMs,
-        pool: &TargetName,
-        request: &SlotRequestId,
-        outcome: SlotOutcome,
-    ) {
-        let mut notices = Vec::new();
-        self.inner
-            .allocator
-            .lock()
-            .release(now, pool, request, outcome, &mut notices);
-        self.send_slot_notices(notices);
-    }
-
-    /// Frees the slots of instances that are no longer heard from, so that a killed instance does
-    /// not hold them until it is replaced.
-    fn free_slots_of_lost_instances(&self, now: MonoMs) {
-        let live = self.members().live_hashes(now);
-        let mut notices = Vec::new();
-        let is_live = |instance: &InstanceId| {
-            *instance == self.inner.me || live.contains(&InstanceHash::from(instance))
-        };
-        self.inner
-            .allocator
-            .lock()
-            .keep_only(now, is_live, &mut notices);
-        self.send_slot_notices(notices);
-    }
-
-    /// Delivers slot notices to the instances that requested the slots.
-    fn send_slot_notices(&self, notices: Vec<SlotNotice>) {
-        for SlotNotice { request, decision } in notices {
-            if request.instance == self.inner.me {
-                match decision {
-                    Some(decision) => self.deliver(&request, decision),
-                    None => self.preempt_slot(&request),
-                }
-                continue;
-            }
-            let Some(address) = self.members().address(&request.instance) else {
-                continue;
-            };
-            let message = match decision {
-                Some(decision) => PeerMessage::SlotDecision { request, decision },
-                None => PeerMessage::Preempt { request },
-            };
-            self.send(address, &message);
-        }
-    }
-
     fn deliver(&self, request: &SlotRequestId, decision: SlotDecision) {
         let now = self.inner.clock.mono();
         if request.instance != self.inner.me {
--- a/crates/foxtailhold-relay/src/shared_store/mod.rs
+++ b/crates/foxtailhold-relay/src/shared_store/mod.rs
@@ -127,6 +127,7 @@
         StoreServer {
             direct: self.direct.clone(),
             health: self.health.clone(),
+            metrics: self.metrics.clone(),
         }
     }
 
@@ -349,10 +350,12 @@
 pub struct StoreServer<S> {
     direct: S,
     health: StoreHealth,
+    metrics: RelayMetrics,
 }
 
 impl<S: RowStore + ObjectStore> StoreServer<S> {
     async fn answer(&self, request: Request<Incoming>) -> Response<AnswerBody> {
+        self.metrics.work().peer_store_call();
         if self.health.is_unreachable() {
             return body::empty(StatusCode::SERVICE_UNAVAILABLE);
         }
