jobs: what the check of owners needs to know of all instances is found once, not for each open job

What callers saw: LOST at grown sites. After the loss of all instances one of them answered from copies that were up to 15 s old: its timers were late by seconds, its store calls timed out.

Cause: the check of owners runs after each change of a job and every 300 ms, and let no other task run. For each open job it built the set of live instances two times, five if the owner was down, and went through all of them. So its cost grew with jobs times instances: 205 jobs among 89 instances took more of a small instance's processor than it has, most on a copy that is behind, where all owners seem lost; such a copy fell behind further.

Change: a Succession has the owners that are down and the candidates, found once for each check; a job costs a look-up and its rank. A lost owner is logged once for each of its jobs, not again with each change of the number of candidates.

--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -18,6 +18,7 @@
 mod run;
 mod split;
 mod store;
+mod succession;
 mod sweep;
 
 pub use accept::AcceptOutcome;
@@ -28,6 +29,7 @@
 pub use progress::JobProgress;
 pub use read::{ListedResult, ResultPage};
 pub use store::{JobStore, QuotaRow};
+pub use succession::{LostOwner, Succession};
 pub use sweep::sweep_jobs;
 
 use std::collections::BTreeMap;
--- a/crates/foxtailhold-relay/src/jobs/owner.rs
+++ b/crates/foxtailhold-relay/src/jobs/owner.rs
@@ -16,26 +16,12 @@
 use crate::jobs::cache::CachedJob;
 use crate::jobs::run::run_job;
 use crate::jobs::store::JOB_ROWS;
+use crate::jobs::succession::{LostOwner, Succession, turn_ms};
 use crate::jobs::{Job, JobError, Jobs};
 use crate::retry_delay::RetryDelay;
 
 /// Interval between checks of the owners if no job changes.
 const CHECK_INTERVAL_MS: u64 = 300;
-/// Time after which an owner that is down loses its jobs. It is longer than a usual restart of the
-/// connection between instances and far shorter than the slack of an item.
-const OWNER_TIMEOUT_MS: u64 = 1_200;
-
-/// The same for an instance that receives no message from any other: it may itself be the isolated
-/// one, so it waits longer.
-const OWNER_TIMEOUT_ISOLATED_MS: u64 = 3_600;
-
-/// Interval between the turns of the candidates that take over the jobs of a lost owner. The first
-/// one takes over at once; the others do if it has not, whoever they take for the first one.
-const TURN_MS: u64 = 600;
-/// Turns of this interval; after them turns come faster, up to the last one.
-const MAX_TURNS: u64 = 6;
-const LATE_TURN_MS: u64 = 25;
-const MAX_LATE_MS: u64 = 3_000;
 /// Delay after a failed attempt to take over, and the bound of its jitter.
 const RETRY_DELAY_MS: u64 = 300;
 
@@ -52,7 +38,8 @@
 /// hand-over on it moves its jobs to others instead, until it is aborted.
 pub async fn own_jobs<S: RowStore + ObjectStore, D: Dialect>(jobs: Arc<Jobs<S, D>>) {
     let mut running = RunningJobs::default();
-    let mut lost_seen: HashMap<JobId, LostOwner> = HashMap::new();
+    // When to try again to take over each job whose owner is down; `None` before a first attempt.
+    let mut lost_seen: HashMap<JobId, (InstanceId, Option<MonoMs>)> = HashMap::new();
     let mut takeovers = JoinSet::new();
     // Versions of rows for which the store has refused this instance as the owner.
     let mut refused: HashMap<JobId, u64> = HashMap::new();
@@ -64,27 +51,26 @@
         running.reconcile(&jobs, &open);
         lost_seen.retain(|id, _| open.contains_key(id));
         refused.retain(|id, version| open.get(id).is_some_and(|job| job.version == *version));
+        let now = jobs.relay.clock.mono();
+        let succession = succession(&jobs, now, &open);
         for (id, cached) in open {
-            if cached.job.owner == *jobs.me() {
-                lost_seen.remove(&id);
-                continue;
-            }
-            let Some(lost) = lost_owner(&jobs, &id, &cached.job.owner) else {
+            let Some(lost) = succession.lost_owner(&id, &cached.job.owner) else {
                 lost_seen.remove(&id);
                 continue;
             };
             let before = lost_seen.get(&id);
-            lost.log_change(&id, before);
-            let now = jobs.relay.clock.mono();
-            let retry_at = before.and_then(|before| before.retry_at);
+            if before.is_none_or(|(owner, _)| *owner != lost.owner) {
+                log_lost(&id, &lost);
+            }
+            let retry_at = before.and_then(|(_, retry_at)| *retry_at);
             let may_try = retry_at.is_none_or(|at| at <= now) && !refused.contains_key(&id);
             let is_due = lost.is_due() && may_try;
             let is_admitted = is_due && takeovers.len() < MAX_TAKEOVERS;
             let retry_at = match is_admitted {
-                true => Some(now + lost.retry_delay_ms()),
+                true => Some(now + retry_delay_ms(lost.rank)),
                 false => retry_at,
             };
-            lost_seen.insert(id.clone(), LostOwner { retry_at, ..lost });
+            lost_seen.insert(id.clone(), (lost.owner, retry_at));
             if is_admitted {
                 takeovers.spawn(take_over(Arc::clone(&jobs), id, cached));
             }
@@ -106,6 +92,34 @@
     hand_over(&jobs, running, takeovers).await;
 }
 
+/// The owners of open jobs that are down, except this instance.
+fn succession<S: RowStore + ObjectStore, D: Dialect>(
+    jobs: &Jobs<S, D>,
+    now: MonoMs,
+    open: &HashMap<JobId, CachedJob>,
+) -> Succession {
+    let owners = open.values().map(|cached| &cached.job.owner);
+    let others = match jobs.relay.peers.is_table_read() {
+        true => owners.filter(|owner| *owner != jobs.me()).collect(),
+        false => HashSet::new(),
+    };
+    Succession::new(&mut jobs.relay.peers.members(), now, others)
+}
+
+/// Candidates that come later try less often.
+fn retry_delay_ms(rank: usize) -> u64 {
+    RETRY_DELAY_MS + turn_ms(rank) + rand::random_range(0..RETRY_DELAY_MS)
+}
+
+fn log_lost(id: &JobId, lost: &LostOwner) {
+    log::info!(
+        job = id.as_str(), owner = lost.owner.as_str(), down_ms = lost.down_ms,
+        rank = lost.rank, candidates = lost.candidates,
+        takeover_after_ms = lost.takeover_after_ms;
+        "owner of the job is down"
+    );
+}
+
 async fn take_over<S: RowStore + ObjectStore, D: Dialect>(
     jobs: Arc<Jobs<S, D>>,
     id: JobId,
@@ -212,93 +226,6 @@
     }
 }
 
-/// An owner that is down, as this instance sees it.
-struct LostOwner {
-    owner: InstanceId,
-    down_ms: u64,
-    /// Number of candidates that come before this instance.
-    rank: usize,
-    candidates: usize,
-    /// Time for which the owner has to be down before this instance takes over.
-    takeover_after_ms: u64,
-    /// Time of the next attempt to take over, after a first one.
-    retry_at: Option<MonoMs>,
-}
-
-/// Time from the turn of the first candidate to the one of the candidate at `rank`.
-pub(crate) fn turn_ms(rank: usize) -> u64 {
-    let rank = rank as u64;
-    let late_ms = rank.saturating_sub(MAX_TURNS) * LATE_TURN_MS;
-    rank.min(MAX_TURNS) * TURN_MS + late_ms.min(MAX_LATE_MS)
-}
-
-impl LostOwner {
-    fn is_due(&self) -> bool {
-        self.down_ms >= self.takeover_after_ms
-    }
-
-    /// Those that come later try less often.
-    fn retry_delay_ms(&self) -> u64 {
-        let jitter_ms = rand::random_range(0..RETRY_DELAY_MS);
-        RETRY_DELAY_MS + turn_ms(self.rank) + jitter_ms
-    }
-
-    fn log_change(&self, id: &JobId, before: Option<&LostOwner>) {
-        let is_same = |before: &LostOwner| {
-            (&before.owner, before.rank, before.candidates)
-                == (&self.owner, self.rank, self.candidates)
-        };
-        if before.is_some_and(is_same) {
-            return;
-        }
-        log::info!(
-            job = id.as_str(), owner = self.owner.as_str(), down_ms = self.down_ms,
-            rank = self.rank, candidates = self.candidates,
-            takeover_after_ms = self.takeover_after_ms;
-            "owner of the job is down"
-        );
-    }
-}
-
-/// The owner, if it is down.
-fn lost_owner<S: RowStore + ObjectStore, D: Dialect>(
-    jobs: &Jobs<S, D>,
-    id: &JobId,
-    owner: &InstanceId,
-) -> Option<LostOwner> {
-    if !jobs.relay.peers.is_table_read() {
-        return None;
-    }
-    let now = jobs.relay.clock.mono();
-    let mut members = jobs.relay.peers.members();
-    let timeout_ms = match members.hears_others(now) {
-        true => OWNER_TIMEOUT_MS,
-        false => OWNER_TIMEOUT_ISOLATED_MS,
-    };
-    if !members.is_down(now, owner, timeout_ms) {
-        return None;
-    }
-    let candidate_timeout_ms = timeout_ms;
-    // A replaced owner is lost at once.
-    let timeout_ms = match members.is_replaced(owner) {
-        true => 0,
-        false => timeout_ms,
-    };
-    let candidates = members.not_down(now, candidate_timeout_ms);
-    let rank = match candidates.contains(jobs.me()) {
-        true => rendezvous::rank(&candidates, id.as_str().as_bytes(), jobs.me()),
-        false => candidates.len(),
-    };
-    Some(LostOwner {
-        owner: owner.clone(),
-        down_ms: members.down_ms(now, owner).unwrap_or(0),
-        rank,
-        candidates: candidates.len(),
-        takeover_after_ms: timeout_ms + turn_ms(rank),
-        retry_at: None,
-    })
-}
-
 /// Writes the new owner in `next` to the row of a job.
 async fn change_owner<S: RowStore + ObjectStore, D: Dialect>(
     jobs: &Jobs<S, D>,
--- a/crates/foxtailhold-relay/src/peers/members.rs
+++ b/crates/foxtailhold-relay/src/peers/members.rs
@@ -8,6 +8,7 @@
 use foxtailhold::time::MonoMs;
 use serde::{Deserialize, Serialize};
 
+use crate::peers::live_view::LiveView;
 use crate::peers::message::InstanceHash;
 
 /// Minimum and maximum interval between reports to the allocator and its standbys.
@@ -81,6 +82,11 @@
         }
     }
 
+    /// Identifier of this instance.
+    pub fn me(&self) -> &InstanceId {
+        &self.me
+    }
+
     /// Applies a row. Of each start only the newest row counts, and of several starts at one address
     /// only one does: that which is heard, or else the one with the newest row.
     pub fn put(&mut self, version: u64, member: Member) {
@@ -349,7 +355,14 @@
     /// Instances heard from directly, or through an allocator or standby, that have not been
     /// replaced.
     pub fn live_hashes(&self, now: MonoMs) -> HashSet<InstanceHash> {
-        let mut live = self.live_set(now);
+        self.without_replaced(now, self.live_set(now))
+    }
+
+    fn without_replaced(
+        &self,
+        now: MonoMs,
+        mut live: HashSet<InstanceHash>,
+    ) -> HashSet<InstanceHash> {
         let replaced = self.rows.values().filter(|member| !self.is_current(member));
         for member in replaced {
             if !self.is_heard(now, &member.instance) {
@@ -372,14 +385,29 @@
         self.not_leaving().filter(is_live).collect()
     }
 
+    /// The live instances now. Its cost grows with the number of instances.
+    pub fn live_view(&mut self, now: MonoMs) -> LiveView {
+        self.review_current(now);
+        let heard = self.live_set(now);
+        LiveView {
+            now,
+            hears_others: !heard.is_empty(),
+            live: self.without_replaced(now, heard),
+        }
+    }
+
     /// Instances that are not leaving and have not been down for `for_ms`, including this one.
     pub fn not_down(&mut self, now: MonoMs, for_ms: u64) -> Vec<InstanceId> {
-        self.review_current(now);
+        let view = self.live_view(now);
+        self.not_down_in(&view, for_ms)
+    }
+
+    /// Like [`Members::not_down`], at the moment of a view.
+    pub fn not_down_in(&mut self, view: &LiveView, for_ms: u64) -> Vec<InstanceId> {
         let candidates: Vec<InstanceId> = self.not_leaving().map(|m| m.instance.clone()).collect();
-        let live = self.live_hashes(now);
         let mut up = Vec::new();
         for instance in candidates {
-            if !self.is_down_beside(&live, now, &instance, for_ms) {
+            if !self.is_down_beside(&view.live, view.now, &instance, for_ms) {
                 up.push(instance);
             }
         }
@@ -425,9 +453,13 @@
     /// For how long an instance has not been heard from; `None` if it is alive. It must be called
     /// regularly because it notes when an instance goes down.
     pub fn down_ms(&mut self, now: MonoMs, instance: &InstanceId) -> Option<u64> {
-        self.review_current(now);
-        let live = self.live_hashes(now);
-        self.down_ms_beside(&live, now, instance)
+        let view = self.live_view(now);
+        self.down_ms_in(&view, instance)
+    }
+
+    /// Like [`Members::down_ms`], at the moment of a view.
+    pub fn down_ms_in(&mut self, view: &LiveView, instance: &InstanceId) -> Option<u64> {
+        self.down_ms_beside(&view.live, view.now, instance)
     }
 
     fn down_ms_beside(
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -2,6 +2,7 @@
 
 mod allocation;
 mod evidence;
+mod live_view;
 mod members;
 mod message;
 mod origin_confirmation;
@@ -12,6 +13,7 @@
 
 pub use crate::group_probes::HarmlessProbe;
 use evidence::EvidenceSends;
+pub use live_view::LiveView;
 pub use members::{Member, Members};
 pub use message::{Datagram, FoundOrigin, InstanceHash, PeerMessage};
 use origin_confirmation::OriginConfirmations;
