jobs: an empty page is answered only from a copy that is known to be current, or from the store

Cause: a read was answered from this instance's copy of the job, whatever its age. An empty page says that nothing was listed up to now, and nobody compared that with the time up to which the copy has all changes. Any copy that is late broke the promise: a feed without an answer, a path that changes, an instance that does not get to run.

Change: each followed table has the moment up to which it has all changes: the start of the last call that was answered, since its answer may have been long on the way. Nothing changes for pages with results, for jobs that are complete, and while the feed delivers.

--- a/crates/foxtailhold-relay/src/follow.rs
+++ b/crates/foxtailhold-relay/src/follow.rs
@@ -98,8 +98,8 @@
 
 /// What ends a wait for changes.
 enum FeedEvent {
-    /// The store answered, on this path.
-    Answered(Feed, StoreAccess),
+    /// The store answered, on this path, a call made at this moment.
+    Answered(Feed, StoreAccess, Instant),
     /// The direct call failed.
     Failed(PlatformError),
     /// Another instance has a change that does not arrive here.
@@ -155,6 +155,7 @@
         retries.wait().await;
         // A read that begins now covers every change that has been announced.
         let announced = status.newest_announced(table);
+        let called_at = Instant::now();
         match follower.store.read_table(name).await {
             Ok((snapshot, access)) => {
                 retries = RetrySchedule::new(max_delay_ms);
@@ -166,6 +167,7 @@
                 follower.sink.replace(snapshot);
                 follower.sink.caught_up();
                 status.record_complete(table, complete_up_to);
+                status.record_current(table, called_at);
                 follower.follow_changes(version).await;
             }
             Err(error) => {
@@ -204,8 +206,8 @@
                 true => self.follow_until_behind(after).await,
                 false => self.follow_on_all_paths(after).await,
             };
-            let (feed, access) = match event {
-                FeedEvent::Answered(feed, access) => (feed, access),
+            let (feed, access, called_at) = match event {
+                FeedEvent::Answered(feed, access, called_at) => (feed, access, called_at),
                 FeedEvent::Failed(error) => {
                     log::warn!(
                         table = name, version = after, error = error.to_string().as_str();
@@ -237,8 +239,17 @@
                 return;
             };
             after = after.max(version);
-            if !rows.is_empty() {
-                self.apply(rows).await;
+            let has_changes = !rows.is_empty();
+            if has_changes {
+                self.source.status.record_changes(self.source.table, &rows);
+                self.sink.change(rows);
+            }
+            self.source
+                .status
+                .record_current(self.source.table, called_at);
+            if has_changes {
+                let delay = Duration::from_millis(self.sink.batch_delay_ms());
+                tokio::time::sleep(delay).await;
             }
             let is_missing = |announced: Announcement| announced.version > self.known_up_to();
             if missing.take().is_some_and(is_missing) {
@@ -257,18 +268,13 @@
         RetrySchedule::new(self.source.timing.max_retry_delay_ms)
     }
 
-    async fn apply(&mut self, rows: Vec<VersionedRow>) {
-        self.source.status.record_changes(self.source.table, &rows);
-        self.sink.change(rows);
-        tokio::time::sleep(Duration::from_millis(self.sink.batch_delay_ms())).await;
-    }
-
     /// Follows the feed directly, unless another instance has a change that does not arrive here.
     async fn follow_until_behind(&self, after: u64) -> FeedEvent {
         let call = self.feed_call(after, self.source.timing.wait_ms);
+        let called_at = Instant::now();
         tokio::select! {
             answer = self.store.follow_by(StoreAccess::Direct, &call) => match answer {
-                Ok(feed) => FeedEvent::Answered(feed, StoreAccess::Direct),
+                Ok(feed) => FeedEvent::Answered(feed, StoreAccess::Direct, called_at),
                 Err(error) => FeedEvent::Failed(error),
             },
             announcement = self.source.status.wait_until_behind(self.source.table) => {
@@ -294,14 +300,12 @@
         let peer_call = self.feed_call(after, self.source.timing.peer_wait_ms);
         let (peer_retries, holder_retries) = (self.new_retry_schedule(), self.new_retry_schedule());
         let (store, source) = (&self.store, &self.source);
-        let (feed, access) = tokio::select! {
-            feed = retry_directly(store, &call, &mut self.direct_retries) => {
-                (feed, StoreAccess::Direct)
-            }
+        let (feed, access, called_at) = tokio::select! {
+            answered = retry_directly(store, &call, &mut self.direct_retries) => answered,
             answered = retry_through_peers(store, &peer_call, peer_retries) => answered,
             answered = retry_through_holder(store, &call, holder_retries, source) => answered,
         };
-        FeedEvent::Answered(feed, access)
+        FeedEvent::Answered(feed, access, called_at)
     }
 }
 
@@ -309,11 +313,12 @@
     store: &SharedStore<S>,
     call: &FeedCall<'_>,
     retries: &mut RetrySchedule,
-) -> Feed {
+) -> (Feed, StoreAccess, Instant) {
     loop {
         retries.wait().await;
+        let called_at = Instant::now();
         match store.follow_by(StoreAccess::Direct, call).await {
-            Ok(feed) => return feed,
+            Ok(feed) => return (feed, StoreAccess::Direct, called_at),
             Err(error) => log::debug!("change feed of {} failed directly: {error}", call.table),
         }
     }
@@ -323,13 +328,13 @@
     store: &SharedStore<S>,
     call: &FeedCall<'_>,
     mut retries: RetrySchedule,
-) -> (Feed, StoreAccess) {
+) -> (Feed, StoreAccess, Instant) {
     loop {
         retries.wait().await;
         for address in store.random_peers(PEERS_PER_ROUND) {
-            let access = StoreAccess::Peer(address);
+            let (access, called_at) = (StoreAccess::Peer(address), Instant::now());
             match store.follow_by(access, call).await {
-                Ok(feed) => return (feed, access),
+                Ok(feed) => return (feed, access, called_at),
                 Err(error) => log::debug!("change feed of {} failed {access}: {error}", call.table),
             }
         }
@@ -342,13 +347,13 @@
     call: &FeedCall<'_>,
     mut retries: RetrySchedule,
     source: &TableSource,
-) -> (Feed, StoreAccess) {
+) -> (Feed, StoreAccess, Instant) {
     loop {
         let announcement = source.status.wait_until_behind(source.table).await;
         retries.wait().await;
-        let access = StoreAccess::Peer(announcement.from);
+        let (access, called_at) = (StoreAccess::Peer(announcement.from), Instant::now());
         match store.follow_by(access, call).await {
-            Ok(feed) => return (feed, access),
+            Ok(feed) => return (feed, access, called_at),
             Err(error) => log::debug!("change feed of {} failed {access}: {error}", call.table),
         }
     }
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -88,6 +88,8 @@
     pub job_retention_ms: u64,
     /// Time within which a change of the platform's tables has to be in effect.
     pub change_bound_ms: u64,
+    /// Time after which what one instance has shown of a batch job must be seen at each.
+    pub settle_ms: u64,
     /// Whether the whole deployment starts for the first time.
     pub is_first_start: bool,
 }
@@ -147,6 +149,8 @@
             item_durations: Mutex::default(),
             acceptances: tokio::sync::Mutex::default(),
             progress: JobProgress::default(),
+            // The other half is left for the answers on their way.
+            max_copy_age_ms: identity.settle_ms / 2,
             hand_over: CancellationToken::new(),
         });
         let (loaded, backends_loaded) = watch::channel(false);
--- a/crates/foxtailhold-relay/src/jobs/cache.rs
+++ b/crates/foxtailhold-relay/src/jobs/cache.rs
@@ -59,7 +59,12 @@
 impl Job {
     /// Whether items are left to run.
     pub fn is_open(&self) -> bool {
-        !self.is_ended && self.listed.len() < self.items.len()
+        !self.is_ended && !self.is_complete()
+    }
+
+    /// Whether all items have results.
+    pub fn is_complete(&self) -> bool {
+        self.listed.len() >= self.items.len()
     }
 
     /// Tokens of the items without a result; 0 once the job has ended.
--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -176,6 +176,8 @@
     pub acceptances: tokio::sync::Mutex<()>,
     /// Tasks of this instance that run jobs.
     pub progress: JobProgress,
+    /// Age of the copy of the table of jobs up to which it shows that there is no further result.
+    pub max_copy_age_ms: u64,
     /// Begins the hand-over of the jobs of this instance, in its planned stop.
     pub hand_over: CancellationToken,
 }
--- a/crates/foxtailhold-relay/src/jobs/read.rs
+++ b/crates/foxtailhold-relay/src/jobs/read.rs
@@ -9,7 +9,8 @@
 
 use crate::dialect::Dialect;
 use crate::jobs::split::encoded_text_bytes;
-use crate::jobs::{ItemState, JobError, Jobs, Result};
+use crate::jobs::{ItemState, Job, JobError, Jobs, Result};
+use crate::tables::FollowedTable;
 
 /// Size limit of the results in one page as they are encoded, below what callers accept (1 MB).
 const MAX_PAGE_BYTES: usize = 950_000;
@@ -56,6 +57,10 @@
                 _ => break,
             }
         }
+        let may_have_more = |job: &Job| job.listed.len() <= after && !job.is_complete();
+        if may_have_more(&cached.job) && !self.is_copy_current() {
+            cached = self.find_in_store(id).await?.ok_or(JobError::NotFound)?;
+        }
         let total = cached.job.items.len();
         let listed = cached.job.listed.len();
         if listed <= after {
@@ -82,6 +87,12 @@
         })
     }
 
+    /// Whether this instance has seen what others may have shown to callers long enough ago.
+    fn is_copy_current(&self) -> bool {
+        let tables = self.relay.metrics.tables();
+        tables.is_current(FollowedTable::Jobs, self.max_copy_age_ms)
+    }
+
     /// Request body of an item.
     pub async fn item_body(&self, id: &JobId, item: &str) -> Result<Bytes> {
         let cached = self.find(id).await?.ok_or(JobError::NotFound)?;
--- a/crates/foxtailhold-relay/src/tables.rs
+++ b/crates/foxtailhold-relay/src/tables.rs
@@ -79,6 +79,8 @@
     /// No change up to this version is missing.
     complete_up_to: u64,
     newest_announcement: Option<Announcement>,
+    /// Every change made before this moment has been applied.
+    current_as_of: Option<Instant>,
     confirmed: Option<Confirmation>,
     /// Since when the store has not answered, though it was called.
     failing_since: Option<Instant>,
@@ -138,6 +140,18 @@
         state.complete_up_to = state.complete_up_to.max(version);
     }
 
+    /// Records that every change of a table made before `as_of` has been applied.
+    pub fn record_current(&self, table: FollowedTable, as_of: Instant) {
+        let state = &mut self.states.lock()[table as usize];
+        state.current_as_of = state.current_as_of.max(Some(as_of));
+    }
+
+    /// Whether the copy of a table may lack only changes of the last `max_age_ms`.
+    pub fn is_current(&self, table: FollowedTable, max_age_ms: u64) -> bool {
+        let as_of = self.states.lock()[table as usize].current_as_of;
+        as_of.is_some_and(|as_of| as_of.elapsed() <= Duration::from_millis(max_age_ms))
+    }
+
     /// Version up to which no change of a table is known to be missing.
     pub fn known_up_to(&self, table: FollowedTable) -> u64 {
         self.states.lock()[table as usize].known_up_to()
