follow: the time limit of a call grows while there is no answer

What callers see: an instance whose copy is behind stays behind.

Cause: an answer of the change feed has all changes since the last one, so it grows while calls fail, and the time limit was a constant, a fifth of the bound of a change. A call that is given up begins anew. A backlog that takes longer than the limit on a slow link (2.2 MB at 30 Mbit/s) never arrived.

Change: the limit of each path doubles while its calls have no answer, up to three times the bound of a change, and starts anew once the feed answers. The first limits stay as they are, so that a connection that hangs is found as soon as before.

--- a/crates/foxtailhold-relay/src/follow.rs
+++ b/crates/foxtailhold-relay/src/follow.rs
@@ -1,7 +1,7 @@
 //! Follows a table of the platform's store.
 //!
 //! The table is read in full, then its change feed is followed. Every call has its own time limit,
-//! since a connection may go silent without a reset.
+//! since a connection may go silent without a reset; it grows while there is no answer.
 
 use std::time::Duration;
 
@@ -33,8 +33,11 @@
     /// Longest wait of a call through another instance. It is shorter, because an instance that has
     /// stopped responding only shows by silence.
     pub peer_wait_ms: u64,
-    /// Time limit of a call, in addition to its wait.
+    /// First time limit of a call, in addition to its wait.
     pub margin_ms: u64,
+    /// Longest one. The limit doubles while calls get no answer in time, because an answer has all
+    /// changes since the last one and may take long on a slow link.
+    pub max_margin_ms: u64,
     /// Longest delay after a failed call.
     pub max_retry_delay_ms: u64,
 }
@@ -49,6 +52,7 @@
             wait_ms: bound_ms / 2,
             peer_wait_ms: bound_ms * 3 / 10,
             margin_ms: bound_ms / 5,
+            max_margin_ms: bound_ms * 3,
             max_retry_delay_ms: bound_ms * 2 / 5,
         }
     }
@@ -113,15 +117,35 @@
     next_at: Instant,
     delay_ms: u64,
     max_delay_ms: u64,
+    /// Time limit of the next call, in addition to its wait.
+    margin_ms: u64,
+    max_margin_ms: u64,
 }
 
 impl RetrySchedule {
     /// A schedule whose first call is due now.
-    fn new(max_delay_ms: u64) -> Self {
+    fn new(timing: &FeedTiming) -> Self {
         RetrySchedule {
             next_at: Instant::now(),
             delay_ms: MIN_RETRY_DELAY_MS,
-            max_delay_ms,
+            max_delay_ms: timing.max_retry_delay_ms,
+            margin_ms: timing.margin_ms,
+            max_margin_ms: timing.max_margin_ms,
+        }
+    }
+
+    /// A call with the time limit that is due.
+    fn limited<'a>(&self, call: &FeedCall<'a>) -> FeedCall<'a> {
+        FeedCall {
+            margin_ms: self.margin_ms,
+            ..*call
+        }
+    }
+
+    /// Records that the last call failed. A longer limit helps only where there was no answer.
+    fn record_failure(&mut self, error: &PlatformError) {
+        if error.may_have_taken_effect() {
+            self.margin_ms = self.max_margin_ms.min(self.margin_ms * 2);
         }
     }
 
@@ -141,16 +165,15 @@
     source: TableSource,
     sink: K,
 ) {
-    let max_delay_ms = source.timing.max_retry_delay_ms;
-    let (table, name) = (source.table, source.name);
+    let (table, name, timing) = (source.table, source.name, source.timing);
     let status = source.status.clone();
     let mut follower = Follower {
         store,
         source,
         sink,
-        direct_retries: RetrySchedule::new(max_delay_ms),
+        direct_retries: RetrySchedule::new(&timing),
     };
-    let mut retries = RetrySchedule::new(max_delay_ms);
+    let mut retries = RetrySchedule::new(&timing);
     loop {
         retries.wait().await;
         // A read that begins now covers every change that has been announced.
@@ -158,7 +181,7 @@
         let called_at = Instant::now();
         match follower.store.read_table(name).await {
             Ok((snapshot, access)) => {
-                retries = RetrySchedule::new(max_delay_ms);
+                retries = RetrySchedule::new(&timing);
                 let complete_up_to = snapshot.version.max(announced);
                 let version = snapshot.version;
                 follower.confirm(access);
@@ -265,7 +288,7 @@
     }
 
     fn new_retry_schedule(&self) -> RetrySchedule {
-        RetrySchedule::new(self.source.timing.max_retry_delay_ms)
+        RetrySchedule::new(&self.source.timing)
     }
 
     /// Follows the feed directly, unless another instance has a change that does not arrive here.
@@ -317,9 +340,15 @@
     loop {
         retries.wait().await;
         let called_at = Instant::now();
-        match store.follow_by(StoreAccess::Direct, call).await {
+        match store
+            .follow_by(StoreAccess::Direct, &retries.limited(call))
+            .await
+        {
             Ok(feed) => return (feed, StoreAccess::Direct, called_at),
-            Err(error) => log::debug!("change feed of {} failed directly: {error}", call.table),
+            Err(error) => {
+                log::debug!("change feed of {} failed directly: {error}", call.table);
+                retries.record_failure(&error);
+            }
         }
     }
 }
@@ -333,9 +362,12 @@
         retries.wait().await;
         for address in store.random_peers(PEERS_PER_ROUND) {
             let (access, called_at) = (StoreAccess::Peer(address), Instant::now());
-            match store.follow_by(access, call).await {
+            match store.follow_by(access, &retries.limited(call)).await {
                 Ok(feed) => return (feed, access, called_at),
-                Err(error) => log::debug!("change feed of {} failed {access}: {error}", call.table),
+                Err(error) => {
+                    log::debug!("change feed of {} failed {access}: {error}", call.table);
+                    retries.record_failure(&error);
+                }
             }
         }
     }
@@ -352,9 +384,12 @@
         let announcement = source.status.wait_until_behind(source.table).await;
         retries.wait().await;
         let (access, called_at) = (StoreAccess::Peer(announcement.from), Instant::now());
-        match store.follow_by(access, call).await {
+        match store.follow_by(access, &retries.limited(call)).await {
             Ok(feed) => return (feed, access, called_at),
-            Err(error) => log::debug!("change feed of {} failed {access}: {error}", call.table),
+            Err(error) => {
+                log::debug!("change feed of {} failed {access}: {error}", call.table);
+                retries.record_failure(&error);
+            }
         }
     }
 }
