logs: a slow commit names the table of its first row

What callers see: batch work is slow in the seconds after the loss of all instances.

Change: the field table, empty for commits up to now.

Result: no logic has changed.

--- a/crates/foxtailhold-relay/src/shared_store/message.rs
+++ b/crates/foxtailhold-relay/src/shared_store/message.rs
@@ -121,9 +121,17 @@
         }
     }
 
-    /// Table of a read or a wait for changes.
+    /// Table of a read or a wait for changes; of a commit, that of the first row that it changes.
     pub fn table(&self) -> Option<&str> {
         match self {
+            StoreCall::Commit(changes) => {
+                let mut keys = changes
+                    .puts
+                    .iter()
+                    .map(|(key, _)| key)
+                    .chain(&changes.deletes);
+                keys.next().map(|key| key.table.as_str())
+            }
             StoreCall::Read { table, .. } | StoreCall::Follow { table, .. } => Some(table),
             _ => None,
         }
