jobs: a read that the store does not answer is refused while its caller waits

What callers saw: with a store that hangs or is slow, a read of results had no answer within the 1.5 s that readers wait, and then a 504, which says that something may have been done.

Cause: the calls for a reader had the limits of all others (1.5 s a path, two paths in a row), and a read without an answer counted as a change of unknown effect.

Evidence: a_read_that_the_store_does_not_answer_is_refused_in_time is red in the code before in both cases, no answer within 1.5 s.

Change: the reads of a job's row and of its results end after 1 s for a reader; a read without an answer is refused with 503 and Retry-After.

Result: the test is green.

--- a/crates/foxtailhold-relay/src/jobs/accept.rs
+++ b/crates/foxtailhold-relay/src/jobs/accept.rs
@@ -28,9 +28,6 @@
 /// Time for which a commit without a response is looked up; afterwards its outcome counts as
 /// unknown.
 const LOOKUP_TIMEOUT_MS: u64 = 1_500;
-/// Time limit of the read of a job whose copy may be behind, within the time that callers wait beyond
-/// the wait that they allow.
-const FIND_TIMEOUT_MS: u64 = 1_000;
 /// Interval between two lookups.
 const LOOKUP_INTERVAL_MS: u64 = 150;
 /// Changes that an acceptance competes with.
@@ -259,35 +256,12 @@
         if let Some(cached) = self.cache.get(id) {
             return Ok(Some(cached));
         }
-        if let Some(row) = self.store.read_job(id).await? {
+        if let Some(row) = self.store.read_job(id).await.map_err(JobError::of_read)? {
             self.cache.put_row(&row);
         }
         Ok(self.cache.get(id))
     }
 
-    /// Returns a job as the store has it now; `None` if it has been deleted.
-    pub(super) async fn find_in_store(&self, id: &JobId) -> Result<Option<CachedJob>> {
-        let limit = Duration::from_millis(FIND_TIMEOUT_MS);
-        let reading = tokio::time::timeout(limit, self.store.read_job(id));
-        let row = match reading.await {
-            Ok(Ok(row)) => row,
-            // A read has no effect that could be unknown.
-            Ok(Err(JobError::Unknown(error))) => return Err(JobError::Unavailable(error)),
-            Ok(Err(error)) => return Err(error),
-            Err(_) => {
-                return Err(JobError::Unavailable(PlatformError::Unavailable {
-                    service: "row store",
-                    detail: format!("no answer within {FIND_TIMEOUT_MS} ms"),
-                }));
-            }
-        };
-        let Some(row) = row else {
-            return Ok(None);
-        };
-        self.cache.put_row(&row);
-        Ok(self.cache.get(id))
-    }
-
     /// Ends a job. Its listed results stay readable.
     pub async fn end(&self, id: &JobId) -> Result<()> {
         for _ in 0..MAX_COMMIT_ATTEMPTS {
--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -105,6 +105,14 @@
 }
 
 impl JobError {
+    /// The error of a read, which has no effect that could be unknown.
+    pub(crate) fn of_read(self) -> Self {
+        match self {
+            JobError::Unknown(error) => JobError::Unavailable(error),
+            error => error,
+        }
+    }
+
     /// The store has refused a transaction; `detail` is what it stated.
     pub(crate) fn refused(detail: String) -> Self {
         JobError::Rejected(PlatformError::Rejected {
--- a/crates/foxtailhold-relay/src/jobs/read.rs
+++ b/crates/foxtailhold-relay/src/jobs/read.rs
@@ -1,13 +1,15 @@
 //! Reads results of jobs, at any instance.
 
+use std::future::Future;
 use std::time::Duration;
 
 use bytes::Bytes;
 use foxtailhold::ids::JobId;
-use foxtailhold_platform::{ObjectStore, RowStore};
+use foxtailhold_platform::{ObjectStore, PlatformError, RowStore};
 use tokio::time::Instant;
 
 use crate::dialect::Dialect;
+use crate::jobs::cache::CachedJob;
 use crate::jobs::split::encoded_text_bytes;
 use crate::jobs::{ItemState, Job, JobError, Jobs, Result};
 use crate::tables::FollowedTable;
@@ -16,6 +18,9 @@
 const MAX_PAGE_BYTES: usize = 950_000;
 /// Bytes of an encoded result beside its identifier and its text.
 const RESULT_OVERHEAD_BYTES: usize = 64;
+/// Time limit of a store call for a reader, within the time that callers wait beyond the wait that they
+/// allow.
+const STORE_READ_TIMEOUT_MS: u64 = 1_000;
 /// Results read with one store call.
 const MAX_PAGE_RESULTS: usize = 24;
 
@@ -41,6 +46,19 @@
     pub results: Vec<ListedResult>,
 }
 
+/// The result of a store call for a reader, who gets an answer in time whether the store does or not.
+async fn within_limit<T>(read: impl Future<Output = Result<T>>) -> Result<T> {
+    let limit = Duration::from_millis(STORE_READ_TIMEOUT_MS);
+    let answer = tokio::time::timeout(limit, read).await;
+    let no_answer = |_| {
+        JobError::Unavailable(PlatformError::Unavailable {
+            service: "row store",
+            detail: format!("no answer within {STORE_READ_TIMEOUT_MS} ms"),
+        })
+    };
+    answer.map_err(no_answer)?.map_err(JobError::of_read)
+}
+
 fn encoded_result_bytes(result: &ListedResult) -> usize {
     RESULT_OVERHEAD_BYTES + encoded_text_bytes(&result.item) + encoded_text_bytes(&result.text)
 }
@@ -71,7 +89,7 @@
             });
         }
         let to = listed.min(after + MAX_PAGE_RESULTS);
-        let mut results = self.store.results(id, after, to).await?;
+        let mut results = within_limit(self.store.results(id, after, to)).await?;
         let mut bytes = 0;
         let fitting_results = results.iter().take_while(|result| {
             let is_first = bytes == 0;
@@ -87,6 +105,15 @@
         })
     }
 
+    /// Returns a job as the store has it now; `None` if it has been deleted.
+    async fn find_in_store(&self, id: &JobId) -> Result<Option<CachedJob>> {
+        let Some(row) = within_limit(self.store.read_job(id)).await? else {
+            return Ok(None);
+        };
+        self.cache.put_row(&row);
+        Ok(self.cache.get(id))
+    }
+
     /// Whether this instance has seen what others may have shown to callers long enough ago.
     fn is_copy_current(&self) -> bool {
         let tables = self.relay.metrics.tables();
@@ -99,7 +126,7 @@
         if cached.job.items.iter().all(|(id, _)| id != item) {
             return Err(JobError::NotFound);
         }
-        let items = self.store.bodies(id).await?;
+        let items = self.store.bodies(id).await.map_err(JobError::of_read)?;
         let candidate = items.iter().find(|candidate| candidate.id == item);
         let item = candidate.ok_or(JobError::NotFound)?;
         Ok(item.body.clone().into())
