jobs: a page never passes over a listed result that the store does not have

What callers see: a page that ends at a position which is listed, without an error, or the result of one position at another; the first looks like LOST, the second like a position that changes.

Cause: the rows of a page were taken as they came.

Change: a page needs all results that it reads.

--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -94,6 +94,16 @@
     /// The store did not answer, and the operation may have had an effect.
     #[error("it is not known what was done: {0}")]
     Unknown(PlatformError),
+    /// The store does not have all results that are listed.
+    #[error("{found} of {listed} listed results of job {job} are in the store")]
+    ResultsMissing {
+        /// Job whose results were read.
+        job: JobId,
+        /// Results that were read.
+        listed: usize,
+        /// Those of them that the store has.
+        found: usize,
+    },
     /// The stored data cannot be decoded.
     #[error("job {job} cannot be read: {detail}")]
     Malformed {
--- a/crates/foxtailhold-relay/src/jobs/read.rs
+++ b/crates/foxtailhold-relay/src/jobs/read.rs
@@ -90,6 +90,9 @@
         }
         let to = listed.min(after + MAX_PAGE_RESULTS);
         let mut results = within_limit(self.store.results(id, after, to)).await?;
+        if results.len() < to - after {
+            return Err(self.results_missing(id, to - after, results.len()).await);
+        }
         let mut bytes = 0;
         let fitting_results = results.iter().take_while(|result| {
             let is_first = bytes == 0;
@@ -114,6 +117,19 @@
         Ok(self.cache.get(id))
     }
 
+    /// Why the store does not have all results that are listed: the job has just been deleted, or it is
+    /// not known.
+    async fn results_missing(&self, id: &JobId, listed: usize, found: usize) -> JobError {
+        match self.find_in_store(id).await {
+            Ok(None) => return JobError::NotFound,
+            Ok(Some(_)) => {}
+            Err(error) => return error,
+        }
+        log::error!(job = id.as_str(), listed = listed, found = found; "listed results are missing in the store");
+        let job = id.clone();
+        JobError::ResultsMissing { job, listed, found }
+    }
+
     /// Whether this instance has seen what others may have shown to callers long enough ago.
     fn is_copy_current(&self) -> bool {
         let tables = self.relay.metrics.tables();
