follow: a patient call is made beside the others instead of growing their time limits

What callers see: after the store has given no answer for 10 s, a new route is in effect after 3.8 s, where 3 s are allowed.

Cause: since the time limit of every path doubled while there was no answer. A call whose answer was lost gets none however long it waits, so all paths stood still after the store was back.

--- a/crates/foxtailhold-relay/src/follow.rs
+++ b/crates/foxtailhold-relay/src/follow.rs
@@ -1,7 +1,8 @@
 //! Follows a table of the platform's store.
 //!
 //! The table is read in full, then its change feed is followed. Every call has its own time limit,
-//! since a connection may go silent without a reset; it grows while there is no answer.
+//! since a connection may go silent without a reset. While calls fail, a patient one is made beside
+//! them.
 
 use std::time::Duration;
 
@@ -33,10 +34,10 @@
     /// Longest wait of a call through another instance. It is shorter, because an instance that has
     /// stopped responding only shows by silence.
     pub peer_wait_ms: u64,
-    /// First time limit of a call, in addition to its wait.
+    /// Time limit of a call, in addition to its wait.
     pub margin_ms: u64,
-    /// Longest one. The limit doubles while calls get no answer in time, because an answer has all
-    /// changes since the last one and may take long on a slow link.
+    /// Longest time limit of the patient call that is made beside the others while they fail: an answer
+    /// has all changes since the last one and may take long on a slow link.
     pub max_margin_ms: u64,
     /// Longest delay after a failed call.
     pub max_retry_delay_ms: u64,
@@ -117,9 +118,6 @@
     next_at: Instant,
     delay_ms: u64,
     max_delay_ms: u64,
-    /// Time limit of the next call, in addition to its wait.
-    margin_ms: u64,
-    max_margin_ms: u64,
 }
 
 impl RetrySchedule {
@@ -129,23 +127,6 @@
             next_at: Instant::now(),
             delay_ms: MIN_RETRY_DELAY_MS,
             max_delay_ms: timing.max_retry_delay_ms,
-            margin_ms: timing.margin_ms,
-            max_margin_ms: timing.max_margin_ms,
-        }
-    }
-
-    /// A call with the time limit that is due.
-    fn limited<'a>(&self, call: &FeedCall<'a>) -> FeedCall<'a> {
-        FeedCall {
-            margin_ms: self.margin_ms,
-            ..*call
-        }
-    }
-
-    /// Records that the last call failed. A longer limit helps only where there was no answer.
-    fn record_failure(&mut self, error: &PlatformError) {
-        if error.may_have_taken_effect() {
-            self.margin_ms = self.max_margin_ms.min(self.margin_ms * 2);
         }
     }
 
@@ -325,6 +306,7 @@
         let (store, source) = (&self.store, &self.source);
         let (feed, access, called_at) = tokio::select! {
             answered = retry_directly(store, &call, &mut self.direct_retries) => answered,
+            answered = retry_patiently(store, &call, &source.timing) => answered,
             answered = retry_through_peers(store, &peer_call, peer_retries) => answered,
             answered = retry_through_holder(store, &call, holder_retries, source) => answered,
         };
@@ -340,15 +322,30 @@
     loop {
         retries.wait().await;
         let called_at = Instant::now();
-        match store
-            .follow_by(StoreAccess::Direct, &retries.limited(call))
-            .await
-        {
+        match store.follow_by(StoreAccess::Direct, call).await {
             Ok(feed) => return (feed, StoreAccess::Direct, called_at),
-            Err(error) => {
-                log::debug!("change feed of {} failed directly: {error}", call.table);
-                retries.record_failure(&error);
-            }
+            Err(error) => log::debug!("change feed of {} failed directly: {error}", call.table),
+        }
+    }
+}
+
+/// Calls the store directly with a time limit that doubles. The calls with the usual limit go on
+/// meanwhile, since a call whose answer was lost gets none however long it waits.
+async fn retry_patiently<S: RowStore + ObjectStore>(
+    store: &SharedStore<S>,
+    call: &FeedCall<'_>,
+    timing: &FeedTiming,
+) -> (Feed, StoreAccess, Instant) {
+    let mut margin_ms = timing.margin_ms;
+    loop {
+        // Where the usual limit suffices, the other calls have an answer by then.
+        tokio::time::sleep(Duration::from_millis(timing.margin_ms)).await;
+        margin_ms = timing.max_margin_ms.min(margin_ms * 2);
+        let call = FeedCall { margin_ms, ..*call };
+        let called_at = Instant::now();
+        match store.follow_by(StoreAccess::Direct, &call).await {
+            Ok(feed) => return (feed, StoreAccess::Direct, called_at),
+            Err(error) => log::debug!("patient call of {} failed: {error}", call.table),
         }
     }
 }
@@ -362,12 +359,9 @@
         retries.wait().await;
         for address in store.random_peers(PEERS_PER_ROUND) {
             let (access, called_at) = (StoreAccess::Peer(address), Instant::now());
-            match store.follow_by(access, &retries.limited(call)).await {
+            match store.follow_by(access, call).await {
                 Ok(feed) => return (feed, access, called_at),
-                Err(error) => {
-                    log::debug!("change feed of {} failed {access}: {error}", call.table);
-                    retries.record_failure(&error);
-                }
+                Err(error) => log::debug!("change feed of {} failed {access}: {error}", call.table),
             }
         }
     }
@@ -384,12 +378,9 @@
         let announcement = source.status.wait_until_behind(source.table).await;
         retries.wait().await;
         let (access, called_at) = (StoreAccess::Peer(announcement.from), Instant::now());
-        match store.follow_by(access, &retries.limited(call)).await {
+        match store.follow_by(access, call).await {
             Ok(feed) => return (feed, access, called_at),
-            Err(error) => {
-                log::debug!("change feed of {} failed {access}: {error}", call.table);
-                retries.record_failure(&error);
-            }
+            Err(error) => log::debug!("change feed of {} failed {access}: {error}", call.table),
         }
     }
 }
