jobs: a row that is known already wakes nobody

What callers see: readers at an instance whose copy is behind make it fall behind further.

Cause: applying a row raised the signal of changes whether the row was new or not.

Change: the signal is raised only if the row changes what is known.

--- a/crates/foxtailhold-relay/src/jobs/cache.rs
+++ b/crates/foxtailhold-relay/src/jobs/cache.rs
@@ -246,17 +246,22 @@
 
     /// Applies a row of the table of jobs.
     pub fn put_row(&self, row: &VersionedRow) {
-        put_row(&mut self.state.lock(), row);
-        self.changed.send_modify(|count| *count += 1);
+        let has_changed = put_row(&mut self.state.lock(), row);
+        // Whoever waits for changes looks at all open jobs.
+        if has_changed {
+            self.changed.send_modify(|count| *count += 1);
+        }
     }
 }
 
-fn put_job(state: &mut CacheState, id: &JobId, job: Job, version: u64) {
+/// Returns whether the row is newer than the known one.
+fn put_job(state: &mut CacheState, id: &JobId, job: Job, version: u64) -> bool {
     if state.jobs.get(id).is_some_and(|old| old.version >= version) {
-        return;
+        return false;
     }
     let job = Arc::new(job);
     state.jobs.insert(id.clone(), CachedJob { job, version });
+    true
 }
 
 /// Removes what was deleted before a complete table was read. A row of a newer version was written
@@ -273,30 +278,30 @@
     quotas.retain(|route, (version, _)| is_there(QUOTA_PREFIX, route, *version));
 }
 
-fn put_row(state: &mut CacheState, row: &VersionedRow) {
+/// Returns whether the row changes what is known.
+fn put_row(state: &mut CacheState, row: &VersionedRow) -> bool {
     let key = row.key.key.as_str();
     if let Some(route) = key.strip_prefix(QUOTA_PREFIX) {
         let parsed = row.value.as_ref().map(|v| serde_json::from_slice(v));
         match parsed {
             Some(Ok(quota)) => {
-                state.quotas.insert(route.to_owned(), (row.version, quota));
+                let known = (row.version, quota);
+                return state.quotas.insert(route.to_owned(), known) != Some(known);
             }
             Some(Err(error)) => log::error!("cannot decode quota row of route {route}: {error}"),
-            None => {
-                state.quotas.remove(route);
-            }
+            None => return state.quotas.remove(route).is_some(),
         }
-        return;
+        return false;
     }
     let Some(id) = key.strip_prefix(JOB_PREFIX) else {
         log::warn!("ignoring row {key} in the table of jobs: unknown key prefix");
-        return;
+        return false;
     };
     let id = match JobId::try_from(id) {
         Ok(id) => id,
         Err(error) => {
             log::error!("ignoring row {key} in the table of jobs: {error}");
-            return;
+            return false;
         }
     };
     match row
@@ -305,10 +310,11 @@
         .map(|value| Job::try_from(value.as_ref()))
     {
         Some(Ok(job)) => put_job(state, &id, job, row.version),
-        Some(Err(error)) => log::error!("cannot decode row of job {id}: {error}"),
-        None => {
-            state.jobs.remove(&id);
+        Some(Err(error)) => {
+            log::error!("cannot decode row of job {id}: {error}");
+            false
         }
+        None => state.jobs.remove(&id).is_some(),
     }
 }
 
