jobs: the store calls for one reader have one time limit together

What callers see: a read whose calls of the store take 0.8 s each has no answer within the 1.5 s that readers wait.

Cause: the look at the job's row and the read of its results had a limit each.

Change: both, and the look-up of an unknown job before them, take 1 s at most together.

--- a/crates/foxtailhold-relay/src/jobs/read.rs
+++ b/crates/foxtailhold-relay/src/jobs/read.rs
@@ -18,9 +18,9 @@
 const MAX_PAGE_BYTES: usize = 950_000;
 /// Bytes of an encoded result beside its identifier and its text.
 const RESULT_OVERHEAD_BYTES: usize = 64;
-/// Time limit of a store call for a reader, within the time that callers wait beyond the wait that they
-/// allow.
-const STORE_READ_TIMEOUT_MS: u64 = 1_000;
+/// Time limit of all store calls for a reader after its wait, within the time that callers wait beyond
+/// the wait that they allow.
+const STORE_READS_TIMEOUT_MS: u64 = 1_000;
 /// Results read with one store call.
 const MAX_PAGE_RESULTS: usize = 24;
 
@@ -47,13 +47,12 @@
 }
 
 /// The result of a store call for a reader, who gets an answer in time whether the store does or not.
-async fn within_limit<T>(read: impl Future<Output = Result<T>>) -> Result<T> {
-    let limit = Duration::from_millis(STORE_READ_TIMEOUT_MS);
-    let answer = tokio::time::timeout(limit, read).await;
+async fn until<T>(deadline: Instant, read: impl Future<Output = Result<T>>) -> Result<T> {
+    let answer = tokio::time::timeout_at(deadline, read).await;
     let no_answer = |_| {
         JobError::Unavailable(PlatformError::Unavailable {
             service: "row store",
-            detail: format!("no answer within {STORE_READ_TIMEOUT_MS} ms"),
+            detail: format!("no answer within {STORE_READS_TIMEOUT_MS} ms"),
         })
     };
     answer.map_err(no_answer)?.map_err(JobError::of_read)
@@ -66,18 +65,26 @@
 impl<S: RowStore + ObjectStore, D: Dialect> Jobs<S, D> {
     /// Reads results from position `after` on. Waits until there is one, for `wait_ms` at most.
     pub async fn read(&self, id: &JobId, after: usize, wait_ms: u64) -> Result<ResultPage> {
-        let deadline = Instant::now() + Duration::from_millis(wait_ms);
+        let wait_until = Instant::now() + Duration::from_millis(wait_ms);
         let mut changes = self.cache.changes();
-        let mut cached = self.find(id).await?.ok_or(JobError::NotFound)?;
+        let limit = Duration::from_millis(STORE_READS_TIMEOUT_MS);
+        let started = Instant::now();
+        let found = until(started + limit, self.find(id)).await?;
+        let spent = started.elapsed();
+        let mut cached = found.ok_or(JobError::NotFound)?;
         while cached.job.listed.len() <= after && cached.job.is_open() {
-            match tokio::time::timeout_at(deadline, changes.changed()).await {
+            match tokio::time::timeout_at(wait_until, changes.changed()).await {
                 Ok(Ok(())) => cached = self.cache.get(id).ok_or(JobError::NotFound)?,
                 _ => break,
             }
         }
+        let deadline = Instant::now() + limit.saturating_sub(spent);
         let may_have_more = |job: &Job| job.listed.len() <= after && !job.is_complete();
         if may_have_more(&cached.job) && !self.is_copy_current() {
-            cached = self.find_in_store(id).await?.ok_or(JobError::NotFound)?;
+            cached = self
+                .find_in_store(id, deadline)
+                .await?
+                .ok_or(JobError::NotFound)?;
         }
         let total = cached.job.items.len();
         let listed = cached.job.listed.len();
@@ -89,9 +96,11 @@
             });
         }
         let to = listed.min(after + MAX_PAGE_RESULTS);
-        let mut results = within_limit(self.store.results(id, after, to)).await?;
+        let mut results = until(deadline, self.store.results(id, after, to)).await?;
         if results.len() < to - after {
-            return Err(self.results_missing(id, to - after, results.len()).await);
+            return Err(self
+                .results_missing(id, deadline, (to - after, results.len()))
+                .await);
         }
         let mut bytes = 0;
         let fitting_results = results.iter().take_while(|result| {
@@ -109,8 +118,12 @@
     }
 
     /// Returns a job as the store has it now; `None` if it has been deleted.
-    async fn find_in_store(&self, id: &JobId) -> Result<Option<CachedJob>> {
-        let Some(row) = within_limit(self.store.read_job(id)).await? else {
+    pub(super) async fn find_in_store(
+        &self,
+        id: &JobId,
+        deadline: Instant,
+    ) -> Result<Option<CachedJob>> {
+        let Some(row) = until(deadline, self.store.read_job(id)).await? else {
             return Ok(None);
         };
         self.cache.put_row(&row);
@@ -119,8 +132,13 @@
 
     /// Why the store does not have all results that are listed: the job has just been deleted, or it is
     /// not known.
-    async fn results_missing(&self, id: &JobId, listed: usize, found: usize) -> JobError {
-        match self.find_in_store(id).await {
+    async fn results_missing(
+        &self,
+        id: &JobId,
+        deadline: Instant,
+        (listed, found): (usize, usize),
+    ) -> JobError {
+        match self.find_in_store(id, deadline).await {
             Ok(None) => return JobError::NotFound,
             Ok(Some(_)) => {}
             Err(error) => return error,
@@ -131,7 +149,7 @@
     }
 
     /// Whether this instance has seen what others may have shown to callers long enough ago.
-    fn is_copy_current(&self) -> bool {
+    pub(super) fn is_copy_current(&self) -> bool {
         let tables = self.relay.metrics.tables();
         tables.is_current(FollowedTable::Jobs, self.max_copy_age_ms)
     }
