jobs: a copy that is behind turns no job away because of the quota

What callers see: an accepted job that comes again at another instance is answered 429, and so is a new one that fits.

Cause: the quota was checked against this instance's copy, whatever its age, before the store was asked whether the job is there.

An older row of a quota no longer replaces a newer one.

--- a/crates/foxtailhold-relay/src/jobs/accept.rs
+++ b/crates/foxtailhold-relay/src/jobs/accept.rs
@@ -84,6 +84,22 @@
         route: &Route,
         limits: BatchLimits,
         new: &NewJob,
+    ) -> Result<AcceptOutcome> {
+        match self.try_accept(route, limits, new).await {
+            // The job may have been accepted elsewhere, or fit since.
+            Err(JobError::OverQuota { .. }) if !self.is_copy_current() => {
+                self.refresh_copy().await?;
+                self.try_accept(route, limits, new).await
+            }
+            outcome => outcome,
+        }
+    }
+
+    async fn try_accept(
+        &self,
+        route: &Route,
+        limits: BatchLimits,
+        new: &NewJob,
     ) -> Result<AcceptOutcome> {
         if self.cache.get(&new.id).is_some() {
             return Ok(AcceptOutcome::AlreadyAccepted);
--- a/crates/foxtailhold-relay/src/jobs/cache.rs
+++ b/crates/foxtailhold-relay/src/jobs/cache.rs
@@ -244,6 +244,16 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    /// Applies rows of the table of jobs.
+    pub fn put_rows(&self, rows: &[VersionedRow]) {
+        let mut state = self.state.lock();
+        for row in rows {
+            put_row(&mut state, row);
+        }
+        drop(state);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
     /// Applies a row of the table of jobs.
     pub fn put_row(&self, row: &VersionedRow) {
         let has_changed = put_row(&mut self.state.lock(), row);
@@ -285,8 +295,12 @@
         let parsed = row.value.as_ref().map(|v| serde_json::from_slice(v));
         match parsed {
             Some(Ok(quota)) => {
-                let known = (row.version, quota);
-                return state.quotas.insert(route.to_owned(), known) != Some(known);
+                let known = state.quotas.entry(route.to_owned()).or_default();
+                let is_newer = row.version > known.0;
+                if is_newer {
+                    *known = (row.version, quota);
+                }
+                return is_newer;
             }
             Some(Err(error)) => log::error!("cannot decode quota row of route {route}: {error}"),
             None => return state.quotas.remove(route).is_some(),
@@ -351,12 +365,7 @@
     }
 
     fn change(&mut self, rows: Vec<VersionedRow>) {
-        let mut state = self.cache.state.lock();
-        for row in &rows {
-            put_row(&mut state, row);
-        }
-        drop(state);
-        self.cache.changed.send_modify(|count| *count += 1);
+        self.cache.put_rows(&rows);
     }
 
     fn call_ended(&mut self, _is_ok: bool) {}
--- a/crates/foxtailhold-relay/src/jobs/read.rs
+++ b/crates/foxtailhold-relay/src/jobs/read.rs
@@ -130,6 +130,14 @@
         Ok(self.cache.get(id))
     }
 
+    /// Reads all jobs and quotas, so that the copy has what was written up to now.
+    pub(super) async fn refresh_copy(&self) -> Result<()> {
+        let limit = Duration::from_millis(STORE_READS_TIMEOUT_MS);
+        let rows = until(Instant::now() + limit, self.store.read_jobs()).await?;
+        self.cache.put_rows(&rows);
+        Ok(())
+    }
+
     /// Why the store does not have all results that are listed: the job has just been deleted, or it is
     /// not known.
     async fn results_missing(
--- a/crates/foxtailhold-relay/src/jobs/store.rs
+++ b/crates/foxtailhold-relay/src/jobs/store.rs
@@ -144,6 +144,11 @@
         Ok(snapshot.rows.into_iter().find(|row| row.key.key == key.key))
     }
 
+    /// Reads the rows of all jobs and quotas.
+    pub async fn read_jobs(&self) -> Result<Vec<VersionedRow>> {
+        Ok(self.platform.read(JOBS_TABLE, "", "", "").await?.rows)
+    }
+
     /// Prepares the bodies of a job's items: small ones are returned for the accepting commit,
     /// large ones are written to an object now.
     pub async fn put_bodies(&self, job: &NewJob) -> Result<Bodies> {
