http: connections that have used up their turn are read one at a time

Cause: a connection yielded after 16 KB and was ready again at once. All that send without end were in the run queue of the only thread together, so each step of a sound request (accept, head, call of a server, response) waited behind 16 KB of every one of them: 6.4 MB with 400 callers. The budget was one per connection, and there was none for all of them together.

Change: the connections of a server share an order in which those that have used up their turn get the next one, one at a time, with all other ready tasks and the sockets between two of them. A turn is 8 KB instead of 16 KB, since the first one is had by all new connections at once. Connections of the client take turns as before, and each turn of theirs is 8 KB too. No bound and no earlier case has changed.

--- a/crates/foxtailhold-http/src/paced.rs
+++ b/crates/foxtailhold-http/src/paced.rs
@@ -11,29 +11,90 @@
 use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf, Take};
 use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
 use tower_service::Service;
 
 /// Largest head of a message, and largest buffer of a connection in each direction.
 pub const MAX_BUFFER_BYTES: usize = 64 << 10;
-/// Bytes that are read from a connection before other tasks get their turn.
-const TURN_BYTES: u64 = 16 << 10;
+/// Bytes that are read from a connection before other tasks get their turn. All new connections have
+/// their first turn at once, so it is small.
+const TURN_BYTES: u64 = 8 << 10;
+
+/// Gives further turns to connections that have used up theirs, one at a time in the order in which
+/// they ask. All other tasks run between two of them, however many connections ask.
+#[derive(Debug, Clone)]
+pub(crate) struct Turns {
+    asking: mpsc::UnboundedSender<oneshot::Sender<()>>,
+}
+
+impl Turns {
+    /// Starts to give turns, until the last connection has ended.
+    pub(crate) fn start() -> Self {
+        let (asking, mut asked) = mpsc::unbounded_channel::<oneshot::Sender<()>>();
+        tokio::spawn(async move {
+            while let Some(turn) = asked.recv().await {
+                // A connection that has ended needs no turn.
+                if turn.send(()).is_ok() {
+                    tokio::task::yield_now().await;
+                }
+            }
+        });
+        Turns { asking }
+    }
+
+    fn ask(&self) -> oneshot::Receiver<()> {
+        let (turn, next_turn) = oneshot::channel();
+        // If nobody gives turns any more, the receiver ends at once.
+        let _ = self.asking.send(turn);
+        next_turn
+    }
+}
 
 /// A TCP connection that is read in turns.
 #[derive(Debug)]
 pub struct PacedStream {
     /// Its limit is what is left of this turn.
     stream: Take<TcpStream>,
+    /// Gives the next turn; `None` if it begins once all tasks that are ready have run.
+    turns: Option<Turns>,
+    /// The next turn, which has been asked for.
+    next_turn: Option<oneshot::Receiver<()>>,
 }
 
 impl From<TcpStream> for PacedStream {
     fn from(stream: TcpStream) -> Self {
         PacedStream {
             stream: stream.take(TURN_BYTES),
+            turns: None,
+            next_turn: None,
         }
     }
 }
 
 impl PacedStream {
+    /// A connection that takes turns with all others of `turns`.
+    pub(crate) fn with_turns(stream: TcpStream, turns: Turns) -> Self {
+        PacedStream {
+            turns: Some(turns),
+            ..PacedStream::from(stream)
+        }
+    }
+
+    /// Waits for the next turn.
+    fn poll_turn(&mut self, context: &mut Context<'_>) -> Poll<()> {
+        let Some(turns) = &self.turns else {
+            self.stream.set_limit(TURN_BYTES);
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        };
+        let next_turn = self.next_turn.get_or_insert_with(|| turns.ask());
+        // An error means that nobody gives turns any more.
+        let _ = ready!(Pin::new(next_turn).poll(context));
+        self.next_turn = None;
+        self.stream.set_limit(TURN_BYTES);
+        Poll::Ready(())
+    }
+
     fn socket(self: Pin<&mut Self>) -> Pin<&mut TcpStream> {
         Pin::new(self.get_mut().stream.get_mut())
     }
@@ -46,9 +107,7 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         if self.stream.limit() == 0 {
-            self.stream.set_limit(TURN_BYTES);
-            context.waker().wake_by_ref();
-            return Poll::Pending;
+            ready!(self.poll_turn(context));
         }
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
         if read.is_pending() {
--- a/crates/foxtailhold-http/src/server.rs
+++ b/crates/foxtailhold-http/src/server.rs
@@ -22,7 +22,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::body::{self, AnswerBody};
-use crate::paced::{MAX_BUFFER_BYTES, PacedStream};
+use crate::paced::{MAX_BUFFER_BYTES, PacedStream, Turns};
 
 /// Result of starting a server.
 pub type Result<T> = std::result::Result<T, ServerError>;
@@ -167,6 +167,7 @@
 ) {
     let graceful = GracefulShutdown::new();
     let silent = CancellationToken::new();
+    let turns = Turns::start();
     let serve = |stream, remote| {
         let builders = Builders::new(head_timeout_ms.load(Ordering::Relaxed));
         let connection = Connection {
@@ -174,6 +175,7 @@
             remote,
             handler: ClosingHandler(handler.clone(), leaving.clone()),
             watcher: graceful.watcher(),
+            turns: turns.clone(),
             silent: silent.clone(),
         };
         tokio::spawn(connection.serve(builders));
@@ -250,6 +252,8 @@
     remote: SocketAddr,
     handler: H,
     watcher: Watcher,
+    /// Turns in which all connections of the server are read.
+    turns: Turns,
     /// Cancelled to close the connections that have not sent a byte.
     silent: CancellationToken,
 }
@@ -273,7 +277,7 @@
             // to keep that small, because a stream outlives the future that opened it.
             Box::pin(async move { Ok::<_, Infallible>(answer(handler, remote, request).await) })
         });
-        let io = TokioIo::new(PacedStream::from(self.stream));
+        let io = TokioIo::new(PacedStream::with_turns(self.stream, self.turns));
         let ended = if is_http2 {
             let connection = builders.http2.serve_connection(io, service);
             self.watcher.watch(connection).await
