tables: a copy that has lacked an announced change for long is not current

What callers see: an empty page of an instance whose feed answers and leaves out a change.

Cause: the moment up to which a copy has all changes follows from the answers of the store alone, also where another instance has announced a change that this one lacks.

Change: a copy that has lacked an announced change for longer than the allowed age is not current.

Result: the test is green.

--- a/crates/foxtailhold-relay/src/tables.rs
+++ b/crates/foxtailhold-relay/src/tables.rs
@@ -79,8 +79,10 @@
     /// No change up to this version is missing.
     complete_up_to: u64,
     newest_announcement: Option<Announcement>,
-    /// Every change made before this moment has been applied.
+    /// Every change made before this moment has been applied, as far as the answers of the store tell.
     current_as_of: Option<Instant>,
+    /// Since when this copy has lacked a change that another instance has.
+    missing_since: Option<Instant>,
     confirmed: Option<Confirmation>,
     /// Since when the store has not answered, though it was called.
     failing_since: Option<Instant>,
@@ -91,6 +93,14 @@
         self.newest_change.max(self.complete_up_to)
     }
 
+    /// Notes when this copy begins and ceases to lack a change that another instance has.
+    fn review_missing(&mut self) {
+        self.missing_since = match self.missing() {
+            Some(_) => self.missing_since.or_else(|| Some(Instant::now())),
+            None => None,
+        };
+    }
+
     fn missing(&self) -> Option<Announcement> {
         self.newest_announcement
             .filter(|announcement| announcement.version > self.known_up_to())
@@ -132,12 +142,14 @@
         let newest = rows.iter().map(|row| row.version).max().unwrap_or(0);
         let state = &mut self.states.lock()[table as usize];
         state.newest_change = state.newest_change.max(newest);
+        state.review_missing();
     }
 
     /// Records that no change of a table up to `version` is missing.
     pub fn record_complete(&self, table: FollowedTable, version: u64) {
         let state = &mut self.states.lock()[table as usize];
         state.complete_up_to = state.complete_up_to.max(version);
+        state.review_missing();
     }
 
     /// Records that every change of a table made before `as_of` has been applied.
@@ -148,8 +160,13 @@
 
     /// Whether the copy of a table may lack only changes of the last `max_age_ms`.
     pub fn is_current(&self, table: FollowedTable, max_age_ms: u64) -> bool {
-        let as_of = self.states.lock()[table as usize].current_as_of;
-        as_of.is_some_and(|as_of| as_of.elapsed() <= Duration::from_millis(max_age_ms))
+        let max_age = Duration::from_millis(max_age_ms);
+        let state = &self.states.lock()[table as usize];
+        let is_complete = state
+            .missing_since
+            .is_none_or(|since| since.elapsed() <= max_age);
+        let as_of = state.current_as_of;
+        is_complete && as_of.is_some_and(|as_of| as_of.elapsed() <= max_age)
     }
 
     /// Version up to which no change of a table is known to be missing.
@@ -179,6 +196,7 @@
                 continue;
             }
             state.newest_announcement = Some(Announcement { version, from });
+            state.review_missing();
             if state.missing().is_some() {
                 self.announced[table as usize].notify_one();
             }
--- a/crates/foxtailhold-relay/tests/announcements.rs
+++ b/crates/foxtailhold-relay/tests/announcements.rs
@@ -11,6 +11,7 @@
 use foxtailhold_relay::peers::{Datagram, PeerMessage};
 use foxtailhold_relay::tables::{Announcement, FollowedTable, TableStatus, TableVersions};
 use test_case::test_case;
+use tokio::time::Instant;
 
 const TABLE: FollowedTable = FollowedTable::Routes;
 /// Longer than a change may take on the usual path.
@@ -107,3 +108,21 @@
     assert_eq!(read_by_new.message, heartbeat());
     assert_eq!(read_by_new.tables, None);
 }
+
+/// Guards against an empty page of an instance that has known of a change which it lacks for long.
+#[tokio::test]
+async fn a_copy_that_lacks_an_announced_change_for_long_is_not_current() {
+    const MAX_AGE_MS: u64 = 300;
+    let status = TableStatus::default();
+    status.record_changes(TABLE, &[row(5)]);
+    status.record_current(TABLE, Instant::now());
+    status.apply_announcement(peer(1), &versions(7));
+    assert!(status.is_current(TABLE, MAX_AGE_MS), "it may be on its way");
+    tokio::time::sleep(Duration::from_millis(2 * MAX_AGE_MS)).await;
+    // The feed answers without the change.
+    status.record_current(TABLE, Instant::now());
+    assert!(!status.is_current(TABLE, MAX_AGE_MS));
+    status.record_changes(TABLE, &[row(7)]);
+    status.record_current(TABLE, Instant::now());
+    assert!(status.is_current(TABLE, MAX_AGE_MS));
+}
