jobs: a read is refused soon while the store is known to be away; known red: items of ended jobs

What callers saw: while the store gives no answer, each read of a late copy waits 1 s for it, though the outage is known; and items of a job start long after its end was acknowledged elsewhere.

Cause: the limit of the reads for a caller did not depend on what is known of the store. An owner sends items of a job by its copy, whose age it does not compare with CancelMs; that is not fixed here.

Change: the reads for a caller end after 0.3 s while the feed of the jobs has no answer.

--- a/crates/foxtailhold-relay/src/jobs/read.rs
+++ b/crates/foxtailhold-relay/src/jobs/read.rs
@@ -21,6 +21,8 @@
 /// Time limit of all store calls for a reader after its wait, within the time that callers wait beyond
 /// the wait that they allow.
 const STORE_READS_TIMEOUT_MS: u64 = 1_000;
+/// The same while the store is known to be away, many times its usual response time.
+const OUTAGE_READS_TIMEOUT_MS: u64 = 300;
 /// Results read with one store call.
 const MAX_PAGE_RESULTS: usize = 24;
 
@@ -52,7 +54,7 @@
     let no_answer = |_| {
         JobError::Unavailable(PlatformError::Unavailable {
             service: "row store",
-            detail: format!("no answer within {STORE_READS_TIMEOUT_MS} ms"),
+            detail: "no answer while the caller waits".into(),
         })
     };
     answer.map_err(no_answer)?.map_err(JobError::of_read)
@@ -67,7 +69,7 @@
     pub async fn read(&self, id: &JobId, after: usize, wait_ms: u64) -> Result<ResultPage> {
         let wait_until = Instant::now() + Duration::from_millis(wait_ms);
         let mut changes = self.cache.changes();
-        let limit = Duration::from_millis(STORE_READS_TIMEOUT_MS);
+        let limit = self.store_reads_limit();
         let started = Instant::now();
         let found = until(started + limit, self.find(id)).await?;
         let spent = started.elapsed();
@@ -78,6 +80,7 @@
                 _ => break,
             }
         }
+        let limit = self.store_reads_limit();
         let deadline = Instant::now() + limit.saturating_sub(spent);
         let may_have_more = |job: &Job| job.listed.len() <= after && !job.is_complete();
         if may_have_more(&cached.job) && !self.is_copy_current() {
@@ -117,6 +120,15 @@
         })
     }
 
+    /// Time limit of the store calls for a reader.
+    fn store_reads_limit(&self) -> Duration {
+        let tables = self.relay.metrics.tables();
+        Duration::from_millis(match tables.outage(FollowedTable::Jobs) {
+            Some(_) => OUTAGE_READS_TIMEOUT_MS,
+            None => STORE_READS_TIMEOUT_MS,
+        })
+    }
+
     /// Returns a job as the store has it now; `None` if it has been deleted.
     pub(super) async fn find_in_store(
         &self,
@@ -132,7 +144,7 @@
 
     /// Reads all jobs and quotas, so that the copy has what was written up to now.
     pub(super) async fn refresh_copy(&self) -> Result<()> {
-        let limit = Duration::from_millis(STORE_READS_TIMEOUT_MS);
+        let limit = self.store_reads_limit();
         let rows = until(Instant::now() + limit, self.store.read_jobs()).await?;
         self.cache.put_rows(&rows);
         Ok(())
