logs: starts of items on an old copy, ends of jobs that had no effect, and the age of each copy

Cause: the record of the incident cannot tell whether an item started on a late copy, whether an end took effect, or how old a copy was; no line or metric said so. Change: table_copy_age_seconds; a line for a start on a copy older than a second; a line for each end with its commits and its time, and one for each end that failed.

--- a/crates/foxtailhold-relay/src/gauges.rs
+++ b/crates/foxtailhold-relay/src/gauges.rs
@@ -59,6 +59,7 @@
     requests_quarantined: Gauge,
     config_age: Gauge<f64, AtomicU64>,
     table_ages: Family<TableLabel, Gauge<f64, AtomicU64>>,
+    copy_ages: Family<TableLabel, Gauge<f64, AtomicU64>>,
     table_versions: Family<TableLabel, Gauge>,
     announced_versions: Family<TableLabel, Gauge>,
     timer_delay: Gauge<f64, AtomicU64>,
@@ -98,6 +99,9 @@
         let help = "Time since the store last answered about a followed table";
         let ages = self.table_ages.clone();
         registry.register_with_unit("table_age", help, Unit::Seconds, ages);
+        let help = "Age of the moment up to which the copy of a followed table has every change";
+        let ages = self.copy_ages.clone();
+        registry.register_with_unit("table_copy_age", help, Unit::Seconds, ages);
         let help = "Version of the newest change of a followed table that was applied";
         registry.register("table_version", help, self.table_versions.clone());
         let help = "Version of the newest change of a followed table at other instances";
@@ -164,6 +168,9 @@
             self.announced_versions
                 .get_or_create(&label)
                 .set(announced as i64);
+            if let Some(age) = tables.copy_age(table) {
+                self.copy_ages.get_or_create(&label).set(age.as_secs_f64());
+            }
             let Some((age, _)) = tables.age(table) else {
                 continue;
             };
--- a/crates/foxtailhold-relay/src/jobs/accept.rs
+++ b/crates/foxtailhold-relay/src/jobs/accept.rs
@@ -280,12 +280,28 @@
 
     /// Ends a job. Its listed results stay readable.
     pub async fn end(&self, id: &JobId) -> Result<()> {
-        for _ in 0..MAX_COMMIT_ATTEMPTS {
+        let started = Instant::now();
+        let ended = self.try_end(id).await;
+        let took_ms = started.elapsed().as_millis() as u64;
+        match &ended {
+            Ok(attempts) => {
+                log::info!(job = id.as_str(), attempts = *attempts, took_ms = took_ms; "job ended")
+            }
+            Err(error) => {
+                log::warn!(job = id.as_str(), took_ms = took_ms; "job not ended: {error}")
+            }
+        }
+        ended.map(|_| ())
+    }
+
+    /// Returns the number of commits that it took.
+    async fn try_end(&self, id: &JobId) -> Result<u32> {
+        for attempt in 1..=MAX_COMMIT_ATTEMPTS {
             let Some(cached) = self.find(id).await? else {
                 return Err(JobError::NotFound);
             };
             if cached.job.is_ended {
-                return Ok(());
+                return Ok(attempt - 1);
             }
             let ended = Job {
                 is_ended: true,
@@ -294,8 +310,7 @@
             match self.store.update(id, &ended, cached.version, 0, &[]).await {
                 Ok(Committed::At(version)) => {
                     self.cache.put(id, ended, version);
-                    log::info!(job = id.as_str(), listed = cached.job.listed.len(); "job ended");
-                    return Ok(());
+                    return Ok(attempt);
                 }
                 Ok(Committed::Conflict(rows)) => {
                     self.cache.apply_conflict(id, cached.version, &rows);
--- a/crates/foxtailhold-relay/src/jobs/item/attempt.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/attempt.rs
@@ -24,6 +24,7 @@
 use crate::peers::{Slot, SlotError};
 use crate::relay::{Admission, ProbeStage};
 use crate::request::EvidenceKeys;
+use crate::tables::FollowedTable;
 use crate::upstream::{self, AttemptFailure, ResponseEnd, UpstreamRequest};
 
 /// A run without a head or an event for this time ends, also if no slot is free elsewhere. Sound
@@ -32,6 +33,8 @@
 /// A probe that has run for this time and brought this number of events shows that its parts do not
 /// crash a backend server as it begins to respond.
 const PASSED_PROBE: (Duration, u64) = (Duration::from_millis(2_000), 64);
+/// A start on a copy of the table of jobs of this age is logged.
+const LOGGED_COPY_AGE_MS: u64 = 1_000;
 /// Size limit of the output of an item, as much as one read of results returns.
 const MAX_OUTPUT_BYTES: usize = 1 << 20;
 
@@ -169,6 +172,7 @@
         }
         self.avoided_backends.clear();
         self.wait.end();
+        self.log_old_copy();
         self.is_sent = true;
         self.version_wait = VersionWait::default();
         self.precedence = Precedence::None;
@@ -221,6 +225,24 @@
         (result, events)
     }
 
+    /// Logs a start that rests on a copy of the table of jobs which may lack recent changes.
+    fn log_old_copy(&self) {
+        let age = self
+            .jobs
+            .relay
+            .metrics
+            .tables()
+            .copy_age(FollowedTable::Jobs);
+        let age_ms = age.map_or(u64::MAX, |age| age.as_millis() as u64);
+        if age_ms < LOGGED_COPY_AGE_MS {
+            return;
+        }
+        log::info!(
+            job = self.id.as_str(), item = self.item.id.as_str(), copy_age_ms = age_ms;
+            "item starts on an old copy of the table of jobs"
+        );
+    }
+
     /// Runs the item until its response ends, or until another backend server has a slot for it
     /// while this one is silent. The run is closed on return.
     async fn run_or_move(
--- a/crates/foxtailhold-relay/src/tables.rs
+++ b/crates/foxtailhold-relay/src/tables.rs
@@ -169,6 +169,13 @@
         is_complete && as_of.is_some_and(|as_of| as_of.elapsed() <= max_age)
     }
 
+    /// Time since the moment up to which the copy of a table has every change, as far as the answers of
+    /// the store tell; `None` if it never had.
+    pub fn copy_age(&self, table: FollowedTable) -> Option<Duration> {
+        let as_of = self.states.lock()[table as usize].current_as_of?;
+        Some(as_of.elapsed())
+    }
+
     /// Version up to which no change of a table is known to be missing.
     pub fn known_up_to(&self, table: FollowedTable) -> u64 {
         self.states.lock()[table as usize].known_up_to()
