jobs: an item starts only while it is known that its job has not ended

Cause: callers saw items run over 3 s after the acknowledged end of their job. Whether an item may start was read from the copy of the table of jobs, whatever its age, and before waits for a probe and a connection; only pages compared the age of the copy with what they promise. Change: one type, ActLease, for all acts that rest on a copy: the moment up to which the copy has every change, and the bound of the act. Pages and refusals because of the quota bring an older copy up to date, with one call for all that wait; an item starts before the end of its lease, checked when its connection is there; a takeover needs current copies of the jobs and the instances. While the store is away for all, an owner asks all other instances for the jobs ended at them, so that items go on starting; whoever ends a job tells its owner.

--- a/crates/foxtailhold-relay/src/attempt_evidence.rs
+++ b/crates/foxtailhold-relay/src/attempt_evidence.rs
@@ -136,7 +136,10 @@
         let is_crash = match cause {
             AttemptFailure::Closed => true,
             AttemptFailure::Silent | AttemptFailure::Broken => is_at_limit(),
-            AttemptFailure::Unreachable | AttemptFailure::NotRun | AttemptFailure::Failed => false,
+            AttemptFailure::Unreachable
+            | AttemptFailure::NotRun
+            | AttemptFailure::Failed
+            | AttemptFailure::TooLate => false,
         };
         if self.attempt.is_probe && !cause.may_have_run() {
             self.peers.crashes().release_probe(&self.attempt.keys.parts);
--- a/crates/foxtailhold-relay/src/connections.rs
+++ b/crates/foxtailhold-relay/src/connections.rs
@@ -55,6 +55,9 @@
         /// Error of the HTTP library.
         detail: String,
     },
+    /// The leave to send the request ended before a connection was there.
+    #[error("the request may no longer be sent")]
+    TooLate,
     /// The response is not HTTP or its head is too large. The request may have run.
     #[error("no valid response head from {address}: {detail}")]
     NotHttp {
@@ -73,6 +76,22 @@
     },
 }
 
+/// Terms on which a request is sent.
+#[derive(Debug, Clone, Copy)]
+pub struct SendTerms {
+    /// Whether the request may run more than once.
+    pub is_idempotent: bool,
+    /// Time from which it must not be sent any more; `None` if that is not bounded.
+    pub not_after: Option<tokio::time::Instant>,
+}
+
+impl SendTerms {
+    fn is_over(&self) -> bool {
+        let not_after = self.not_after;
+        not_after.is_some_and(|until| tokio::time::Instant::now() >= until)
+    }
+}
+
 #[derive(Debug)]
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
@@ -225,10 +244,13 @@
         &self,
         backend: &BackendId,
         address: SocketAddr,
-        is_idempotent: bool,
+        terms: SendTerms,
         build_request: impl Fn() -> Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, BusyConnection)> {
-        let min_idle_ms = if is_idempotent { 0 } else { REUSE_DELAY_MS };
+        let min_idle_ms = match terms.is_idempotent {
+            true => 0,
+            false => REUSE_DELAY_MS,
+        };
         let not_sent = |detail: String| SendFailure::NotSent { address, detail };
         loop {
             let reused = self.take_idle(backend, min_idle_ms);
@@ -243,6 +265,9 @@
                 }
                 return Err(not_sent(error.to_string()));
             }
+            if terms.is_over() {
+                return Err(SendFailure::TooLate);
+            }
             match sender.try_send_request(build_request()).await {
                 Ok(response) => {
                     let connection = BusyConnection {
--- a/crates/foxtailhold-relay/src/follow.rs
+++ b/crates/foxtailhold-relay/src/follow.rs
@@ -6,6 +6,8 @@
 
 use std::time::Duration;
 
+use foxtailhold::time::MonoMs;
+use foxtailhold_http::clock::Clock;
 use foxtailhold_platform::{Feed, ObjectStore, PlatformError, RowStore, Snapshot, VersionedRow};
 use rand::Rng;
 use tokio::time::Instant;
@@ -104,7 +106,7 @@
 /// What ends a wait for changes.
 enum FeedEvent {
     /// The store answered, on this path, a call made at this moment.
-    Answered(Feed, StoreAccess, Instant),
+    Answered(Feed, StoreAccess, MonoMs),
     /// The direct call failed.
     Failed(PlatformError),
     /// Another instance has a change that does not arrive here.
@@ -159,7 +161,7 @@
         retries.wait().await;
         // A read that begins now covers every change that has been announced.
         let announced = status.newest_announced(table);
-        let called_at = Instant::now();
+        let called_at = status.clock().mono();
         match follower.store.read_table(name).await {
             Ok((snapshot, access)) => {
                 retries = RetrySchedule::new(&timing);
@@ -275,7 +277,7 @@
     /// Follows the feed directly, unless another instance has a change that does not arrive here.
     async fn follow_until_behind(&self, after: u64) -> FeedEvent {
         let call = self.feed_call(after, self.source.timing.wait_ms);
-        let called_at = Instant::now();
+        let called_at = self.source.status.clock().mono();
         tokio::select! {
             answer = self.store.follow_by(StoreAccess::Direct, &call) => match answer {
                 Ok(feed) => FeedEvent::Answered(feed, StoreAccess::Direct, called_at),
@@ -304,10 +306,11 @@
         let peer_call = self.feed_call(after, self.source.timing.peer_wait_ms);
         let (peer_retries, holder_retries) = (self.new_retry_schedule(), self.new_retry_schedule());
         let (store, source) = (&self.store, &self.source);
+        let clock = source.status.clock();
         let (feed, access, called_at) = tokio::select! {
-            answered = retry_directly(store, &call, &mut self.direct_retries) => answered,
-            answered = retry_patiently(store, &call, &source.timing) => answered,
-            answered = retry_through_peers(store, &peer_call, peer_retries) => answered,
+            answered = retry_directly(store, &call, &mut self.direct_retries, clock) => answered,
+            answered = retry_patiently(store, &call, source) => answered,
+            answered = retry_through_peers(store, &peer_call, peer_retries, clock) => answered,
             answered = retry_through_holder(store, &call, holder_retries, source) => answered,
         };
         FeedEvent::Answered(feed, access, called_at)
@@ -318,10 +321,11 @@
     store: &SharedStore<S>,
     call: &FeedCall<'_>,
     retries: &mut RetrySchedule,
-) -> (Feed, StoreAccess, Instant) {
+    clock: Clock,
+) -> (Feed, StoreAccess, MonoMs) {
     loop {
         retries.wait().await;
-        let called_at = Instant::now();
+        let called_at = clock.mono();
         match store.follow_by(StoreAccess::Direct, call).await {
             Ok(feed) => return (feed, StoreAccess::Direct, called_at),
             Err(error) => log::debug!("change feed of {} failed directly: {error}", call.table),
@@ -334,15 +338,16 @@
 async fn retry_patiently<S: RowStore + ObjectStore>(
     store: &SharedStore<S>,
     call: &FeedCall<'_>,
-    timing: &FeedTiming,
-) -> (Feed, StoreAccess, Instant) {
+    source: &TableSource,
+) -> (Feed, StoreAccess, MonoMs) {
+    let (timing, clock) = (&source.timing, source.status.clock());
     let mut margin_ms = timing.margin_ms;
     loop {
         // Where the usual limit suffices, the other calls have an answer by then.
         tokio::time::sleep(Duration::from_millis(timing.margin_ms)).await;
         margin_ms = timing.max_margin_ms.min(margin_ms * 2);
         let call = FeedCall { margin_ms, ..*call };
-        let called_at = Instant::now();
+        let called_at = clock.mono();
         match store.follow_by(StoreAccess::Direct, &call).await {
             Ok(feed) => return (feed, StoreAccess::Direct, called_at),
             Err(error) => log::debug!("patient call of {} failed: {error}", call.table),
@@ -354,11 +359,12 @@
     store: &SharedStore<S>,
     call: &FeedCall<'_>,
     mut retries: RetrySchedule,
-) -> (Feed, StoreAccess, Instant) {
+    clock: Clock,
+) -> (Feed, StoreAccess, MonoMs) {
     loop {
         retries.wait().await;
         for address in store.random_peers(PEERS_PER_ROUND) {
-            let (access, called_at) = (StoreAccess::Peer(address), Instant::now());
+            let (access, called_at) = (StoreAccess::Peer(address), clock.mono());
             match store.follow_by(access, call).await {
                 Ok(feed) => return (feed, access, called_at),
                 Err(error) => log::debug!("change feed of {} failed {access}: {error}", call.table),
@@ -373,11 +379,12 @@
     call: &FeedCall<'_>,
     mut retries: RetrySchedule,
     source: &TableSource,
-) -> (Feed, StoreAccess, Instant) {
+) -> (Feed, StoreAccess, MonoMs) {
     loop {
         let announcement = source.status.wait_until_behind(source.table).await;
         retries.wait().await;
-        let (access, called_at) = (StoreAccess::Peer(announcement.from), Instant::now());
+        let access = StoreAccess::Peer(announcement.from);
+        let called_at = source.status.clock().mono();
         match store.follow_by(access, call).await {
             Ok(feed) => return (feed, access, called_at),
             Err(error) => log::debug!("change feed of {} failed {access}: {error}", call.table),
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -26,8 +26,8 @@
 use crate::fleet::{Backends, FleetTable};
 use crate::follow::{FeedTiming, TableSource, follow};
 use crate::jobs::{
-    JOBS_TABLE, JobCache, JobCacheSink, JobProgress, JobStore, Jobs, own_jobs, sweep_jobs,
-    wait_handed_over,
+    ActBounds, JOBS_TABLE, JobCache, JobCacheSink, JobProgress, JobStore, Jobs, own_jobs,
+    sweep_jobs, wait_handed_over,
 };
 use crate::metrics::{GaugeValues, RelayMetrics};
 use crate::origin_confirmation::confirm_origins;
@@ -45,7 +45,6 @@
 use crate::timers::watch_timers;
 use crate::upstream::BUFFERED_TOTAL_BYTES;
 use foxtailhold_http::body::ReadBudget;
-use foxtailhold_http::clock::Clock;
 
 /// Result of starting an instance.
 pub type Result<T> = std::result::Result<T, InstanceError>;
@@ -90,6 +89,8 @@
     pub change_bound_ms: u64,
     /// Time after which what one instance has shown of a batch job must be seen at each.
     pub settle_ms: u64,
+    /// Time after the acknowledged end of a batch job for which items of it may still start.
+    pub cancel_ms: u64,
     /// Whether the whole deployment starts for the first time.
     pub is_first_start: bool,
 }
@@ -121,7 +122,7 @@
         let address = identity.peer_address;
         let socket = UdpSocket::bind(address).await;
         let socket = socket.map_err(|source| InstanceError::Bind { address, source })?;
-        let clock = Clock::default();
+        let clock = metrics.tables().clock();
         let (instance, zone) = (identity.instance.clone(), identity.zone.clone());
         let status = metrics.tables().clone();
         let peers = Peers::new(instance, zone, socket, clock, status.clone());
@@ -141,7 +142,8 @@
             planned_end: PlannedEnd::default(),
             metrics,
         });
-        let cache = Arc::new(JobCache::default());
+        let timing = FeedTiming::new(identity.change_bound_ms);
+        let cache = Arc::new(JobCache::new(peers.ended().clone()));
         let jobs = Arc::new(Jobs {
             store: JobStore::new(store.clone()),
             cache: Arc::clone(&cache),
@@ -149,8 +151,12 @@
             item_durations: Mutex::default(),
             acceptances: tokio::sync::Mutex::default(),
             progress: JobProgress::default(),
-            // The other half is left for the answers on their way.
-            max_copy_age_ms: identity.settle_ms / 2,
+            bounds: ActBounds::new(
+                identity.settle_ms,
+                identity.cancel_ms,
+                timing.change_bound_ms,
+            ),
+            refreshes: tokio::sync::Mutex::default(),
             hand_over: CancellationToken::new(),
         });
         let (loaded, backends_loaded) = watch::channel(false);
@@ -165,7 +171,6 @@
             backends_sink: backends_sink.clone(),
             tables: tables.clone(),
         };
-        let timing = FeedTiming::new(identity.change_bound_ms);
         let source = |table, name| TableSource {
             table,
             name,
@@ -175,7 +180,12 @@
         let routes_source = source(FollowedTable::Routes, tables.routes_location().0);
         let backends_source = source(FollowedTable::Backends, tables.backends_table());
         let members_source = source(FollowedTable::Instances, INSTANCES_TABLE);
-        let jobs_source = source(FollowedTable::Jobs, JOBS_TABLE);
+        // An end has to be known while the bound of a start still runs.
+        let jobs_timing = FeedTiming::new(identity.change_bound_ms.min(identity.cancel_ms));
+        let jobs_source = TableSource {
+            timing: jobs_timing,
+            ..source(FollowedTable::Jobs, JOBS_TABLE)
+        };
         let members_sink = MembersSink(peers.clone());
         let jobs_sink = JobCacheSink::new(cache, peers.clone());
         tokio::spawn(follow(store.clone(), routes_source, routes));
--- a/crates/foxtailhold-relay/src/jobs/accept.rs
+++ b/crates/foxtailhold-relay/src/jobs/accept.rs
@@ -87,8 +87,9 @@
     ) -> Result<AcceptOutcome> {
         match self.try_accept(route, limits, new).await {
             // The job may have been accepted elsewhere, or fit since.
-            Err(JobError::OverQuota { .. }) if !self.is_copy_current() => {
-                self.refresh_copy().await?;
+            Err(JobError::OverQuota { .. }) if !self.may_tell_now() => {
+                let deadline = Instant::now() + self.store_reads_limit();
+                self.ensure_current(deadline).await?;
                 self.try_accept(route, limits, new).await
             }
             outcome => outcome,
@@ -301,6 +302,7 @@
                 return Err(JobError::NotFound);
             };
             if cached.job.is_ended {
+                self.relay.peers.record_end(id, &cached.job.owner);
                 return Ok(attempt - 1);
             }
             let ended = Job {
@@ -310,6 +312,7 @@
             match self.store.update(id, &ended, cached.version, 0, &[]).await {
                 Ok(Committed::At(version)) => {
                     self.cache.put(id, ended, version);
+                    self.relay.peers.record_end(id, &cached.job.owner);
                     return Ok(attempt);
                 }
                 Ok(Committed::Conflict(rows)) => {
--- a/crates/foxtailhold-relay/src/jobs/cache.rs
+++ b/crates/foxtailhold-relay/src/jobs/cache.rs
@@ -10,6 +10,7 @@
 use thiserror::Error;
 use tokio::sync::watch;
 
+use crate::ended_jobs::EndedJobs;
 use crate::follow::TableSink;
 use crate::jobs::{JOBS_TABLE, QuotaRow};
 use crate::peers::Peers;
@@ -164,18 +165,30 @@
 pub struct JobCache {
     state: Mutex<CacheState>,
     changed: watch::Sender<u64>,
+    ended: EndedJobs,
 }
 
 impl Default for JobCache {
     fn default() -> Self {
+        JobCache::new(EndedJobs::default())
+    }
+}
+
+impl JobCache {
+    /// An empty cache. Jobs whose ends others have told are not open.
+    pub fn new(ended: EndedJobs) -> Self {
         JobCache {
             state: Mutex::new(CacheState::default()),
             changed: watch::Sender::new(0),
+            ended,
         }
     }
-}
 
-impl JobCache {
+    /// Whether a job has items left to run, as far as this instance knows.
+    pub fn is_open(&self, id: &JobId, job: &Job) -> bool {
+        job.is_open() && !self.ended.is_told(id)
+    }
+
     /// A job with its version; `None` if it is not known.
     pub fn get(&self, id: &JobId) -> Option<CachedJob> {
         self.state.lock().jobs.get(id).cloned()
@@ -184,7 +197,8 @@
     /// All jobs with items left to run.
     pub fn open(&self) -> Vec<(JobId, CachedJob)> {
         let state = self.state.lock();
-        let open = state.jobs.iter().filter(|(_, cached)| cached.job.is_open());
+        let jobs = state.jobs.iter();
+        let open = jobs.filter(|(id, cached)| self.is_open(id, &cached.job));
         open.map(|(id, job)| (id.clone(), job.clone())).collect()
     }
 
@@ -250,6 +264,21 @@
         for row in rows {
             put_row(&mut state, row);
         }
+        let is_open = |id: &JobId| state.jobs.get(id).is_some_and(|job| job.job.is_open());
+        self.ended.keep_only(is_open);
+        drop(state);
+        self.changed.send_modify(|count| *count += 1);
+    }
+
+    /// Applies the complete table of jobs.
+    pub fn replace(&self, snapshot: &Snapshot) {
+        let mut state = self.state.lock();
+        remove_deleted(&mut state, snapshot);
+        for row in &snapshot.rows {
+            put_row(&mut state, row);
+        }
+        let is_open = |id: &JobId| state.jobs.get(id).is_some_and(|job| job.job.is_open());
+        self.ended.keep_only(is_open);
         drop(state);
         self.changed.send_modify(|count| *count += 1);
     }
@@ -328,7 +357,11 @@
             log::error!("cannot decode row of job {id}: {error}");
             false
         }
-        None => state.jobs.remove(&id).is_some(),
+        None => {
+            let known = state.jobs.get(&id);
+            known.is_some_and(|known| known.version < row.version)
+                && state.jobs.remove(&id).is_some()
+        }
     }
 }
 
@@ -355,13 +388,7 @@
 
 impl TableSink for JobCacheSink {
     fn replace(&mut self, snapshot: Snapshot) {
-        let mut state = self.cache.state.lock();
-        remove_deleted(&mut state, &snapshot);
-        for row in &snapshot.rows {
-            put_row(&mut state, row);
-        }
-        drop(state);
-        self.cache.changed.send_modify(|count| *count += 1);
+        self.cache.replace(&snapshot);
     }
 
     fn change(&mut self, rows: Vec<VersionedRow>) {
--- /dev/null
+++ b/crates/foxtailhold-relay/src/jobs/freshness.rs
@@ -0,0 +1,234 @@
+//! Leave to act on the copy of the table of jobs.
+//!
+//! Each act that rests on the copy has a bound: the age up to which the copy may be acted on. An act on
+//! an older copy first brings it up to date, with one call for all acts that wait, or is not done.
+
+use std::time::Duration;
+
+use foxtailhold::act_lease::ActLease;
+use foxtailhold::ids::JobId;
+use foxtailhold::time::MonoMs;
+use foxtailhold_platform::{Feed, ObjectStore, PlatformError, RowStore};
+use tokio::time::Instant;
+
+use crate::dialect::Dialect;
+use crate::jobs::{JobError, Jobs, Result};
+use crate::tables::FollowedTable;
+
+/// Time without an answer of the change feed after which the whole table is read too.
+const READ_HEDGE_DELAY_MS: u64 = 200;
+/// Time limit of one attempt to learn whether a job has ended before an item of it starts.
+const START_CONFIRM_MS: u64 = 1_000;
+/// Time without an answer of the store after which other instances are asked too.
+const ASK_DELAY_MS: u64 = 250;
+
+/// Ages up to which a copy may be acted on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ActBounds {
+    /// For what is told to a caller: that there is no further result, or that a job does not fit.
+    pub tell_ms: u64,
+    /// For the start of an item.
+    pub start_ms: u64,
+    /// For the takeover of a job.
+    pub take_over_ms: u64,
+}
+
+impl ActBounds {
+    /// The bounds where what one instance has shown must be seen at each after `settle_ms`, where items
+    /// of an ended job may start for `cancel_ms`, and where a change has to be in effect within
+    /// `change_bound_ms`.
+    pub fn new(settle_ms: u64, cancel_ms: u64, change_bound_ms: u64) -> Self {
+        ActBounds {
+            // The other half is left for the answers on their way.
+            tell_ms: settle_ms / 2,
+            // The rest is left for the request on its way to the backend server.
+            start_ms: cancel_ms - cancel_ms / 5,
+            take_over_ms: change_bound_ms,
+        }
+    }
+}
+
+/// Whether an item of a job may start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StartLeave {
+    /// Until the end of a lease.
+    Granted(ActLease),
+    /// Not before it is known that the job has not ended.
+    Unknown,
+    /// The job has ended or has another owner.
+    Denied,
+}
+
+impl<S: RowStore + ObjectStore, D: Dialect> Jobs<S, D> {
+    fn now(&self) -> MonoMs {
+        self.relay.metrics.tables().clock().mono()
+    }
+
+    /// Whether an item of a job may start here now.
+    pub(super) fn start_leave(&self, id: &JobId) -> StartLeave {
+        if self.owned_version(id).is_none() {
+            return StartLeave::Denied;
+        }
+        match self.lease_to_start() {
+            Some(lease) => StartLeave::Granted(lease),
+            None => StartLeave::Unknown,
+        }
+    }
+
+    /// Whether a job of an instance that is down may be taken over now.
+    pub(super) fn may_take_over(&self) -> bool {
+        let tables = [FollowedTable::Jobs, FollowedTable::Instances];
+        let status = self.relay.metrics.tables();
+        let bound_ms = self.bounds.take_over_ms;
+        let mut are_current = tables
+            .map(|table| status.covers_now(table, bound_ms))
+            .into_iter();
+        are_current.all(|is_current| is_current)
+    }
+
+    /// Like [`Jobs::start_leave`], after an attempt to learn whether the job has ended if that is not
+    /// known.
+    pub(super) async fn leave_to_start(&self, id: &JobId) -> StartLeave {
+        let leave = self.start_leave(id);
+        if leave != StartLeave::Unknown {
+            return leave;
+        }
+        self.confirm_ends().await;
+        self.start_leave(id)
+    }
+
+    /// Brings the copy up to date if it is too old to tell a caller what it shows. Fails if that takes
+    /// until `deadline`.
+    pub(super) async fn ensure_current(&self, deadline: Instant) -> Result<()> {
+        let asked_at = self.now();
+        if self.may_tell(asked_at) {
+            return Ok(());
+        }
+        let turn = tokio::time::timeout_at(deadline, self.refreshes.lock()).await;
+        let _turn = turn.map_err(|_| no_answer("other calls take until the caller leaves"))?;
+        while Instant::now() < deadline {
+            if self.may_tell(asked_at) {
+                return Ok(());
+            }
+            let refreshed = tokio::time::timeout_at(deadline, self.refresh()).await;
+            refreshed.map_err(|_| no_answer("no answer while the caller waits"))??;
+        }
+        Err(no_answer("no complete answer while the caller waits"))
+    }
+
+    /// Whether a caller may be told now what the copy shows.
+    pub(super) fn may_tell_now(&self) -> bool {
+        self.may_tell(self.now())
+    }
+
+    /// Whether the copy may be shown to a caller who asked at `asked_at`.
+    fn may_tell(&self, asked_at: MonoMs) -> bool {
+        let tables = self.relay.metrics.tables();
+        let lease = tables.lease(FollowedTable::Jobs, self.bounds.tell_ms);
+        lease.is_some_and(|lease| lease.covers(asked_at))
+    }
+
+    /// Tries to learn of all ends of jobs up to now, from the store or from all other instances.
+    async fn confirm_ends(&self) {
+        let confirming = async {
+            let _turn = self.refreshes.lock().await;
+            if self.lease_to_start().is_some() {
+                return;
+            }
+            let asking = async {
+                if !self.is_store_away() {
+                    tokio::time::sleep(Duration::from_millis(ASK_DELAY_MS)).await;
+                }
+                let known_as_of = self.ends_known_as_of().unwrap_or(MonoMs(0));
+                self.relay.peers.ask_ended(known_as_of).await
+            };
+            tokio::select! {
+                Ok(()) = self.refresh() => {}
+                true = asking => {}
+                else => {}
+            }
+        };
+        let limit = Duration::from_millis(START_CONFIRM_MS);
+        if tokio::time::timeout(limit, confirming).await.is_err() {
+            log::debug!("ends of jobs not confirmed within {START_CONFIRM_MS} ms");
+        }
+    }
+
+    fn lease_to_start(&self) -> Option<ActLease> {
+        let lease = ActLease::new(self.ends_known_as_of()?, self.bounds.start_ms);
+        Some(lease).filter(|lease| lease.covers(self.now()))
+    }
+
+    /// Up to which moment all acknowledged ends of jobs are known here.
+    fn ends_known_as_of(&self) -> Option<MonoMs> {
+        let copy_as_of = self.relay.metrics.tables().as_of(FollowedTable::Jobs);
+        copy_as_of.max(self.relay.peers.ended().complete_as_of())
+    }
+
+    fn is_store_away(&self) -> bool {
+        let tables = self.relay.metrics.tables();
+        tables.outage(FollowedTable::Jobs).is_some()
+    }
+
+    /// Brings the copy up to date with one call of the change feed. If that is not answered soon, the
+    /// whole table is read beside it.
+    async fn refresh(&self) -> Result<()> {
+        let hedge_delay_ms = match self.is_store_away() {
+            true => 0,
+            false => READ_HEDGE_DELAY_MS,
+        };
+        let reading = async {
+            tokio::time::sleep(Duration::from_millis(hedge_delay_ms)).await;
+            self.read_all().await
+        };
+        tokio::pin!(reading);
+        tokio::select! {
+            is_complete = self.read_changes() => match is_complete {
+                true => Ok(()),
+                false => reading.await,
+            },
+            read = &mut reading => read,
+        }
+    }
+
+    /// Reads the changes since the newest known one. Returns whether the copy has all changes then.
+    async fn read_changes(&self) -> bool {
+        let tables = self.relay.metrics.tables();
+        let (called_at, after) = (self.now(), tables.known_up_to(FollowedTable::Jobs));
+        if after == 0 {
+            return false;
+        }
+        match self.store.changes(after).await {
+            Ok(Feed::Changed { rows, .. }) => {
+                tables.record_changes(FollowedTable::Jobs, &rows);
+                self.cache.put_rows(&rows);
+                tables.record_current(FollowedTable::Jobs, called_at);
+                tables.as_of(FollowedTable::Jobs) >= Some(called_at)
+            }
+            Ok(Feed::HistoryGone) => false,
+            Err(error) => {
+                log::debug!("changes of the table of jobs not read: {error}");
+                false
+            }
+        }
+    }
+
+    async fn read_all(&self) -> Result<()> {
+        let tables = self.relay.metrics.tables();
+        let called_at = self.now();
+        let announced = tables.newest_announced(FollowedTable::Jobs);
+        let snapshot = self.store.read_table().await.map_err(JobError::of_read)?;
+        tables.record_changes(FollowedTable::Jobs, &snapshot.rows);
+        self.cache.replace(&snapshot);
+        tables.record_complete(FollowedTable::Jobs, snapshot.version.max(announced));
+        tables.record_current(FollowedTable::Jobs, called_at);
+        Ok(())
+    }
+}
+
+fn no_answer(detail: &str) -> JobError {
+    JobError::Unavailable(PlatformError::Unavailable {
+        service: "row store",
+        detail: detail.into(),
+    })
+}
--- a/crates/foxtailhold-relay/src/jobs/item/attempt.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/attempt.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use foxtailhold::act_lease::ActLease;
 use foxtailhold::routes::Route;
 use foxtailhold::slots::SlotOutcome;
 use foxtailhold_engine::sse::RawEvent;
@@ -19,6 +20,7 @@
 use crate::events::{EventReader, StreamRead, event_id, push_data};
 use crate::fleet::BackendServer;
 use crate::item_waits::WaitCause;
+use crate::jobs::freshness::StartLeave;
 use crate::jobs::{Job, PartialOutput, RunId, Writer};
 use crate::metrics::AttemptOutcome;
 use crate::peers::{Slot, SlotError};
@@ -54,6 +56,8 @@
     /// Time of the last head or event.
     heard_at: &'a watch::Sender<Instant>,
     deadline: Instant,
+    /// Time from which it must not begin.
+    not_after: Instant,
     /// What evidence about a probe is kept under; `None` if the run is none.
     probe: Option<&'a EvidenceKeys>,
 }
@@ -159,17 +163,21 @@
             return (AttemptEnd::Suspended, 0);
         }
         let sent_as = relay.admit_parts(ProbeStage::Send, &keys, &backend.service, admission);
-        let is_sent = match sent_as {
+        let is_admitted = match sent_as {
             Admission::Free => true,
             Admission::Probe => relay.settle_probe(&keys, &backend.service).await,
             Admission::Refused { .. } => false,
         };
-        if !is_sent {
+        let leave = match is_admitted {
+            true => self.jobs.leave_to_start(self.id).await,
+            false => StartLeave::Denied,
+        };
+        let StartLeave::Granted(lease) = leave else {
             self.release_reservation(admission);
             drop(slot);
             tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
             return (AttemptEnd::Suspended, 0);
-        }
+        };
         self.avoided_backends.clear();
         self.wait.end();
         self.log_old_copy();
@@ -181,7 +189,7 @@
         let evidence = relay.begin_attempt(keys, &backend, self.resume_after());
         let number = evidence.number();
         let (result, next_slot) = self
-            .run_or_move(request, &backend, &slot, probe.as_ref())
+            .run_or_move(request, &backend, &slot, lease, probe.as_ref())
             .await;
         self.granted = next_slot;
         relay
@@ -250,6 +258,7 @@
         request: ItemRequest<'_>,
         backend: &BackendServer,
         slot: &Slot,
+        lease: ActLease,
         probe: Option<&EvidenceKeys>,
     ) -> (AttemptEnd, Option<GrantedSlot>) {
         let left_ms = request
@@ -263,6 +272,7 @@
             slot,
             heard_at: &heard_at,
             deadline: Instant::now() + Duration::from_millis(left_ms),
+            not_after: self.jobs.relay.clock.instant(lease.until()),
             probe,
         };
         tokio::select! {
@@ -293,6 +303,7 @@
             body: &body,
             after_event: resume_after,
             is_idempotent: true,
+            not_after: Some(run.not_after),
         };
         let head_deadline = Instant::now() + Duration::from_millis(MAX_RUN_SILENCE_MS);
         let head_deadline = run.deadline.min(head_deadline);
--- a/crates/foxtailhold-relay/src/jobs/item/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/backoff.rs
@@ -286,7 +286,10 @@
                 return;
             }
             AttemptFailure::Broken => {}
-            AttemptFailure::Unreachable | AttemptFailure::NotRun | AttemptFailure::Failed => return,
+            AttemptFailure::Unreachable
+            | AttemptFailure::NotRun
+            | AttemptFailure::Failed
+            | AttemptFailure::TooLate => return,
         }
         self.interruptions += 1;
         if self.interruptions < 2 {
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -25,6 +25,7 @@
 use crate::item_waits::{ItemWait, WaitCause};
 use crate::jobs::backoff::Backoff;
 use crate::jobs::counts_writer::{CountsWrite, CountsWriter};
+use crate::jobs::freshness::StartLeave;
 use crate::jobs::store::attempt_counts_key;
 use crate::jobs::{Item, ItemState, Job, JobError, Jobs, ListedResult, PartialOutputs, Result};
 use crate::metrics::AttemptOutcome;
@@ -159,8 +160,13 @@
             if self.jobs.relay.clock.wall().0 >= job.give_up_unix_ms {
                 return Some(self.into_result(ItemState::GivenUp));
             }
-            if !self.is_still_owned() {
-                return None;
+            match self.jobs.start_leave(self.id) {
+                StartLeave::Denied => return None,
+                StartLeave::Unknown => {
+                    self.wait_to_start().await;
+                    continue;
+                }
+                StartLeave::Granted(_) => {}
             }
             let routes = self.jobs.relay.routes.load_full();
             let Some(route) = routes.find(&job.host, &job.path) else {
@@ -364,8 +370,17 @@
     }
 
     fn is_still_owned(&self) -> bool {
-        let cached = self.jobs.cache.get(self.id);
-        cached.is_some_and(|cached| cached.job.is_open() && cached.job.owner == *self.jobs.me())
+        self.jobs.owned_version(self.id).is_some()
+    }
+
+    /// Waits until it may be known whether the job has ended.
+    async fn wait_to_start(&mut self) {
+        self.granted = None;
+        self.trial_ticket = None;
+        self.wait_for(WaitCause::Store, None);
+        if self.jobs.leave_to_start(self.id).await == StartLeave::Unknown {
+            tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
+        }
     }
 
     fn target(&self) -> Option<PathAndQuery> {
--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -11,6 +11,7 @@
 mod cache;
 mod checkpoint;
 mod counts_writer;
+mod freshness;
 mod item;
 mod output;
 mod owner;
@@ -26,6 +27,7 @@
 pub use cache::{Job, JobCache, JobCacheSink, MAX_JOB_TOKENS, are_countable};
 pub use checkpoint::PartialOutputs;
 pub use counts_writer::CountsWrite;
+pub use freshness::ActBounds;
 pub use output::{Checkpoint, PartialOutput, RunEvent, RunId, Writer};
 pub use owner::{own_jobs, wait_handed_over};
 pub use progress::JobProgress;
@@ -196,8 +198,10 @@
     pub acceptances: tokio::sync::Mutex<()>,
     /// Tasks of this instance that run jobs.
     pub progress: JobProgress,
-    /// Age of the copy of the table of jobs up to which it shows that there is no further result.
-    pub max_copy_age_ms: u64,
+    /// Bounds of the acts that rest on the copy of the table of jobs.
+    pub bounds: ActBounds,
+    /// Held while the copy is brought up to date for an act.
+    pub refreshes: tokio::sync::Mutex<()>,
     /// Begins the hand-over of the jobs of this instance, in its planned stop.
     pub hand_over: CancellationToken,
 }
@@ -211,7 +215,7 @@
     /// Version of the row of a job that this instance runs; `None` if it has ended or moved.
     pub(crate) fn owned_version(&self, id: &JobId) -> Option<u64> {
         let cached = self.cache.get(id)?;
-        let is_owned = cached.job.is_open() && cached.job.owner == *self.me();
+        let is_owned = self.cache.is_open(id, &cached.job) && cached.job.owner == *self.me();
         is_owned.then_some(cached.version)
     }
 
--- a/crates/foxtailhold-relay/src/jobs/owner.rs
+++ b/crates/foxtailhold-relay/src/jobs/owner.rs
@@ -53,6 +53,7 @@
         refused.retain(|id, version| open.get(id).is_some_and(|job| job.version == *version));
         let now = jobs.relay.clock.mono();
         let succession = succession(&jobs, now, &open);
+        let may_take_over = jobs.may_take_over();
         for (id, cached) in open {
             let Some(lost) = succession.lost_owner(&id, &cached.job.owner) else {
                 lost_seen.remove(&id);
@@ -63,7 +64,8 @@
                 log_lost(&id, &lost);
             }
             let retry_at = before.and_then(|(_, retry_at)| *retry_at);
-            let may_try = retry_at.is_none_or(|at| at <= now) && !refused.contains_key(&id);
+            let may_try =
+                may_take_over && retry_at.is_none_or(|at| at <= now) && !refused.contains_key(&id);
             let is_due = lost.is_due() && may_try;
             let is_admitted = is_due && takeovers.len() < MAX_TAKEOVERS;
             let retry_at = match is_admitted {
@@ -199,7 +201,7 @@
             if jobs
                 .cache
                 .get(id)
-                .is_none_or(|cached| !cached.job.is_open())
+                .is_none_or(|cached| !jobs.cache.is_open(id, &cached.job))
             {
                 return false;
             }
@@ -328,7 +330,9 @@
     let mut was_alone = false;
     loop {
         let cached = jobs.cache.get(id);
-        let is_mine = |cached: &CachedJob| cached.job.is_open() && cached.job.owner == *jobs.me();
+        let is_mine = |cached: &CachedJob| {
+            jobs.cache.is_open(id, &cached.job) && cached.job.owner == *jobs.me()
+        };
         let Some(cached) = cached.filter(is_mine) else {
             return;
         };
--- a/crates/foxtailhold-relay/src/jobs/read.rs
+++ b/crates/foxtailhold-relay/src/jobs/read.rs
@@ -83,11 +83,9 @@
         let limit = self.store_reads_limit();
         let deadline = Instant::now() + limit.saturating_sub(spent);
         let may_have_more = |job: &Job| job.listed.len() <= after && !job.is_complete();
-        if may_have_more(&cached.job) && !self.is_copy_current() {
-            cached = self
-                .find_in_store(id, deadline)
-                .await?
-                .ok_or(JobError::NotFound)?;
+        if may_have_more(&cached.job) {
+            self.ensure_current(deadline).await?;
+            cached = self.cache.get(id).ok_or(JobError::NotFound)?;
         }
         let total = cached.job.items.len();
         let listed = cached.job.listed.len();
@@ -121,7 +119,7 @@
     }
 
     /// Time limit of the store calls for a reader.
-    fn store_reads_limit(&self) -> Duration {
+    pub(super) fn store_reads_limit(&self) -> Duration {
         let tables = self.relay.metrics.tables();
         Duration::from_millis(match tables.outage(FollowedTable::Jobs) {
             Some(_) => OUTAGE_READS_TIMEOUT_MS,
@@ -142,14 +140,6 @@
         Ok(self.cache.get(id))
     }
 
-    /// Reads all jobs and quotas, so that the copy has what was written up to now.
-    pub(super) async fn refresh_copy(&self) -> Result<()> {
-        let limit = self.store_reads_limit();
-        let rows = until(Instant::now() + limit, self.store.read_jobs()).await?;
-        self.cache.put_rows(&rows);
-        Ok(())
-    }
-
     /// Why the store does not have all results that are listed: the job has just been deleted, or it is
     /// not known.
     async fn results_missing(
@@ -168,12 +158,6 @@
         JobError::ResultsMissing { job, listed, found }
     }
 
-    /// Whether this instance has seen what others may have shown to callers long enough ago.
-    pub(super) fn is_copy_current(&self) -> bool {
-        let tables = self.relay.metrics.tables();
-        tables.is_current(FollowedTable::Jobs, self.max_copy_age_ms)
-    }
-
     /// Request body of an item.
     pub async fn item_body(&self, id: &JobId, item: &str) -> Result<Bytes> {
         let cached = self.find(id).await?.ok_or(JobError::NotFound)?;
--- a/crates/foxtailhold-relay/src/jobs/store.rs
+++ b/crates/foxtailhold-relay/src/jobs/store.rs
@@ -7,7 +7,9 @@
 use foxtailhold_http::lock::Mutex;
 use foxtailhold_peer::codec;
 use foxtailhold_platform::rows::MAX_VALUE_BYTES;
-use foxtailhold_platform::{Changes, Committed, ObjectStore, RowKey, RowStore, VersionedRow};
+use foxtailhold_platform::{
+    Changes, Committed, Feed, ObjectStore, RowKey, RowStore, Snapshot, VersionedRow,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::jobs::cache::{JOB_PREFIX, QUOTA_PREFIX};
@@ -145,8 +147,13 @@
     }
 
     /// Reads the rows of all jobs and quotas.
-    pub async fn read_jobs(&self) -> Result<Vec<VersionedRow>> {
-        Ok(self.platform.read(JOBS_TABLE, "", "", "").await?.rows)
+    pub async fn read_table(&self) -> Result<Snapshot> {
+        Ok(self.platform.read(JOBS_TABLE, "", "", "").await?)
+    }
+
+    /// Reads the changes of jobs and quotas after a version, without waiting for one.
+    pub async fn changes(&self, after: u64) -> Result<Feed> {
+        Ok(self.platform.follow(JOBS_TABLE, after, 0).await?)
     }
 
     /// Prepares the bodies of a job's items: small ones are returned for the accepting commit,
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod crashes;
 pub mod dialect;
 pub mod dispatch;
+pub mod ended_jobs;
 mod engine;
 pub mod events;
 mod feeds;
--- a/crates/foxtailhold-relay/src/peers/message.rs
+++ b/crates/foxtailhold-relay/src/peers/message.rs
@@ -5,7 +5,7 @@
 
 use bytes::{Bytes, BytesMut};
 use foxtailhold::crashes::{CrashEvidence, Exoneration};
-use foxtailhold::ids::{InstanceId, TargetName};
+use foxtailhold::ids::{InstanceId, JobId, TargetName};
 use foxtailhold::part_crashes::PartCrash;
 use foxtailhold::prompt_parts::PartId;
 use foxtailhold::quarantine::{CrashId, Fingerprint};
@@ -199,6 +199,26 @@
     },
     /// States that a probe of a suspected group of parts goes on, or has ended, without a crash.
     ProbeHarmless(HarmlessProbe),
+    /// Asks which batch jobs were ended at an instance.
+    AskEnded {
+        /// Identifies the round of questions, for the answer.
+        round: u64,
+    },
+    /// Tells which batch jobs were ended at an instance, as an answer or unasked.
+    Ended(ToldEnds),
+}
+
+/// Batch jobs that were ended at an instance.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldEnds {
+    /// The round of questions; `None` if nobody asked.
+    pub round: Option<u64>,
+    /// The jobs.
+    pub jobs: Vec<JobId>,
+    /// Time up to now of which these are all.
+    pub covers_ms: u64,
+    /// Whether the store has not answered the last call of the instance about the jobs.
+    pub is_store_away: bool,
 }
 
 /// Answer to [`PeerMessage::FindOrigin`].
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -1,6 +1,7 @@
 //! Communication between instances: slots, heartbeats and crash evidence.
 
 mod allocation;
+mod ended;
 mod evidence;
 mod live_view;
 mod members;
@@ -15,7 +16,7 @@
 use evidence::EvidenceSends;
 pub use live_view::LiveView;
 pub use members::{Member, Members};
-pub use message::{Datagram, FoundOrigin, InstanceHash, PeerMessage};
+pub use message::{Datagram, FoundOrigin, InstanceHash, PeerMessage, ToldEnds};
 use origin_confirmation::OriginConfirmations;
 pub(crate) use origin_confirmation::{CONFIRM_TIMEOUT_MS, OnlyOrigin};
 pub use origins::{OriginCounts, OriginSearch, OriginSource};
@@ -41,6 +42,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::crashes::CrashTracker;
+use crate::ended_jobs::EndedJobs;
 use crate::tables::{TableStatus, TableVersions};
 use foxtailhold_http::clock::Clock;
 use message::MAX_DATAGRAM_BYTES;
@@ -82,6 +84,7 @@
     slots: Mutex<LocalSlots>,
     allocator: Mutex<Allocator>,
     crashes: CrashTracker,
+    ended: EndedJobs,
     evidence_sends: Mutex<EvidenceSends>,
     /// Messages to repeat once with the next report, because datagrams may be lost.
     rebroadcasts: Mutex<Vec<PeerMessage>>,
@@ -122,6 +125,7 @@
             slots: Mutex::new(LocalSlots::default()),
             allocator: Mutex::new(Allocator::default()),
             crashes: CrashTracker::default(),
+            ended: EndedJobs::default(),
             evidence_sends: Mutex::default(),
             rebroadcasts: Mutex::default(),
             origins: Mutex::default(),
@@ -247,6 +251,7 @@
                 held,
             };
             self.free_slots_of_lost_instances(now);
+            self.note_down(now);
             pool_log.write(now, &self.inner.allocator);
             let (addresses, interval_ms) = {
                 let mut members = self.members();
@@ -380,6 +385,8 @@
                 route: _,
             } => self.answer_origin(from, number, attempt),
             PeerMessage::FoundOrigin(found) => self.deliver_origin(found),
+            PeerMessage::AskEnded { round } => self.tell_ended(from, round),
+            PeerMessage::Ended(ends) => self.record_ended(from, ends),
         }
     }
 
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -468,6 +468,7 @@
         body: &request.body,
         after_event: after,
         is_idempotent: route.kind.is_idempotent(),
+        not_after: None,
     }
 }
 
--- a/crates/foxtailhold-relay/src/tables.rs
+++ b/crates/foxtailhold-relay/src/tables.rs
@@ -7,6 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use foxtailhold::act_lease::ActLease;
+use foxtailhold::time::MonoMs;
+use foxtailhold_http::clock::Clock;
 use foxtailhold_http::lock::Mutex;
 use foxtailhold_platform::VersionedRow;
 use serde::{Deserialize, Serialize};
@@ -80,9 +83,9 @@
     complete_up_to: u64,
     newest_announcement: Option<Announcement>,
     /// Every change made before this moment has been applied, as far as the answers of the store tell.
-    current_as_of: Option<Instant>,
+    current_as_of: Option<MonoMs>,
     /// Since when this copy has lacked a change that another instance has.
-    missing_since: Option<Instant>,
+    missing_since: Option<MonoMs>,
     confirmed: Option<Confirmation>,
     /// Since when the store has not answered, though it was called.
     failing_since: Option<Instant>,
@@ -94,9 +97,9 @@
     }
 
     /// Notes when this copy begins and ceases to lack a change that another instance has.
-    fn review_missing(&mut self) {
+    fn review_missing(&mut self, now: MonoMs) {
         self.missing_since = match self.missing() {
-            Some(_) => self.missing_since.or_else(|| Some(Instant::now())),
+            Some(_) => self.missing_since.or(Some(now)),
             None => None,
         };
     }
@@ -112,9 +115,15 @@
 pub struct TableStatus {
     states: Arc<Mutex<[TableState; FollowedTable::ALL.len()]>>,
     announced: Arc<[Notify; FollowedTable::ALL.len()]>,
+    clock: Clock,
 }
 
 impl TableStatus {
+    /// The clock on which the ages of copies are counted.
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
     /// Records that the store has answered about a table. Returns the time since it last did.
     pub fn confirm(&self, table: FollowedTable, access: StoreAccess) -> Option<Duration> {
         let at = Instant::now();
@@ -142,38 +151,45 @@
         let newest = rows.iter().map(|row| row.version).max().unwrap_or(0);
         let state = &mut self.states.lock()[table as usize];
         state.newest_change = state.newest_change.max(newest);
-        state.review_missing();
+        state.review_missing(self.clock.mono());
     }
 
     /// Records that no change of a table up to `version` is missing.
     pub fn record_complete(&self, table: FollowedTable, version: u64) {
         let state = &mut self.states.lock()[table as usize];
         state.complete_up_to = state.complete_up_to.max(version);
-        state.review_missing();
+        state.review_missing(self.clock.mono());
     }
 
     /// Records that every change of a table made before `as_of` has been applied.
-    pub fn record_current(&self, table: FollowedTable, as_of: Instant) {
+    pub fn record_current(&self, table: FollowedTable, as_of: MonoMs) {
         let state = &mut self.states.lock()[table as usize];
         state.current_as_of = state.current_as_of.max(Some(as_of));
     }
 
-    /// Whether the copy of a table may lack only changes of the last `max_age_ms`.
-    pub fn is_current(&self, table: FollowedTable, max_age_ms: u64) -> bool {
-        let max_age = Duration::from_millis(max_age_ms);
+    /// Up to which moment the copy of a table has every change; `None` if it never had.
+    pub fn as_of(&self, table: FollowedTable) -> Option<MonoMs> {
         let state = &self.states.lock()[table as usize];
-        let is_complete = state
-            .missing_since
-            .is_none_or(|since| since.elapsed() <= max_age);
-        let as_of = state.current_as_of;
-        is_complete && as_of.is_some_and(|as_of| as_of.elapsed() <= max_age)
+        let as_of = state.current_as_of?;
+        Some(state.missing_since.map_or(as_of, |since| as_of.min(since)))
+    }
+
+    /// Leave to act on the copy of a table, for acts that allow for changes of the last `bound_ms`;
+    /// `None` if the copy was never complete.
+    pub fn lease(&self, table: FollowedTable, bound_ms: u64) -> Option<ActLease> {
+        Some(ActLease::new(self.as_of(table)?, bound_ms))
+    }
+
+    /// Whether the copy of a table may be acted on now.
+    pub fn covers_now(&self, table: FollowedTable, bound_ms: u64) -> bool {
+        let lease = self.lease(table, bound_ms);
+        lease.is_some_and(|lease| lease.covers(self.clock.mono()))
     }
 
-    /// Time since the moment up to which the copy of a table has every change, as far as the answers of
-    /// the store tell; `None` if it never had.
+    /// Time since the moment up to which the copy of a table has every change; `None` if it never had.
     pub fn copy_age(&self, table: FollowedTable) -> Option<Duration> {
-        let as_of = self.states.lock()[table as usize].current_as_of?;
-        Some(as_of.elapsed())
+        let age_ms = self.clock.mono().since_ms(self.as_of(table)?);
+        Some(Duration::from_millis(age_ms))
     }
 
     /// Version up to which no change of a table is known to be missing.
@@ -203,7 +219,7 @@
                 continue;
             }
             state.newest_announcement = Some(Announcement { version, from });
-            state.review_missing();
+            state.review_missing(self.clock.mono());
             if state.missing().is_some() {
                 self.announced[table as usize].notify_one();
             }
--- a/crates/foxtailhold-relay/src/upstream.rs
+++ b/crates/foxtailhold-relay/src/upstream.rs
@@ -13,7 +13,7 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
-use crate::connections::{BusyConnection, Connections, SendFailure};
+use crate::connections::{BusyConnection, Connections, SendFailure, SendTerms};
 use crate::dialect::{Dialect, RequestMetadata, ResponseCheck};
 use crate::fleet::BackendServer;
 
@@ -37,6 +37,8 @@
     Failed,
     /// Nothing was received before the deadline.
     Silent,
+    /// The leave to send it ended before a connection was there.
+    TooLate,
 }
 
 impl AttemptFailure {
@@ -49,12 +51,16 @@
             AttemptFailure::Broken => "broken",
             AttemptFailure::Failed => "failed",
             AttemptFailure::Silent => "silent",
+            AttemptFailure::TooLate => "too_late",
         }
     }
 
     /// Whether the request may have run in spite of the failure.
     pub fn may_have_run(self) -> bool {
-        !matches!(self, AttemptFailure::Unreachable | AttemptFailure::NotRun)
+        !matches!(
+            self,
+            AttemptFailure::Unreachable | AttemptFailure::NotRun | AttemptFailure::TooLate
+        )
     }
 
     /// Result reported to the slot allocator about the backend server.
@@ -66,6 +72,7 @@
                 SlotOutcome::Broken
             }
             AttemptFailure::Silent => SlotOutcome::Silent,
+            AttemptFailure::TooLate => SlotOutcome::Abandoned,
         }
     }
 }
@@ -107,6 +114,8 @@
     pub after_event: Option<u64>,
     /// Whether the request may run more than once.
     pub is_idempotent: bool,
+    /// Time from which it must not be sent any more; `None` if that is not bounded.
+    pub not_after: Option<Instant>,
 }
 
 impl UpstreamRequest<'_> {
@@ -147,7 +156,10 @@
         let response_head = connections.send(
             &backend.id,
             backend.address,
-            self.is_idempotent,
+            SendTerms {
+                is_idempotent: self.is_idempotent,
+                not_after: self.not_after,
+            },
             build_request,
         );
         let sent = match tokio::time::timeout_at(response_deadline, response_head).await {
@@ -160,6 +172,7 @@
                 log::debug!("{failure}");
                 return Err(AttemptFailure::Unreachable);
             }
+            Err(SendFailure::TooLate) => return Err(AttemptFailure::TooLate),
             Err(failure @ SendFailure::NotHttp { .. }) => {
                 log::info!("{failure}");
                 return Err(AttemptFailure::Broken);
--- a/crates/foxtailhold-relay/tests/announcements.rs
+++ b/crates/foxtailhold-relay/tests/announcements.rs
@@ -11,7 +11,6 @@
 use foxtailhold_relay::peers::{Datagram, PeerMessage};
 use foxtailhold_relay::tables::{Announcement, FollowedTable, TableStatus, TableVersions};
 use test_case::test_case;
-use tokio::time::Instant;
 
 const TABLE: FollowedTable = FollowedTable::Routes;
 /// Longer than a change may take on the usual path.
@@ -115,14 +114,14 @@
     const MAX_AGE_MS: u64 = 300;
     let status = TableStatus::default();
     status.record_changes(TABLE, &[row(5)]);
-    status.record_current(TABLE, Instant::now());
+    status.record_current(TABLE, status.clock().mono());
     status.apply_announcement(peer(1), &versions(7));
-    assert!(status.is_current(TABLE, MAX_AGE_MS), "it may be on its way");
+    assert!(status.covers_now(TABLE, MAX_AGE_MS), "it may be on its way");
     tokio::time::sleep(Duration::from_millis(2 * MAX_AGE_MS)).await;
     // The feed answers without the change.
-    status.record_current(TABLE, Instant::now());
-    assert!(!status.is_current(TABLE, MAX_AGE_MS));
+    status.record_current(TABLE, status.clock().mono());
+    assert!(!status.covers_now(TABLE, MAX_AGE_MS));
     status.record_changes(TABLE, &[row(7)]);
-    status.record_current(TABLE, Instant::now());
-    assert!(status.is_current(TABLE, MAX_AGE_MS));
+    status.record_current(TABLE, status.clock().mono());
+    assert!(status.covers_now(TABLE, MAX_AGE_MS));
 }
--- a/crates/foxtailhold/src/lib.rs
+++ b/crates/foxtailhold/src/lib.rs
@@ -5,6 +5,7 @@
 //! them directly.
 #![warn(clippy::unwrap_used)]
 
+pub mod act_lease;
 pub mod admission;
 pub mod attempt_counts;
 pub mod batch;
@@ -16,6 +17,7 @@
 pub mod crash_evidence;
 pub mod crash_status;
 pub mod crashes;
+pub mod end_rounds;
 pub mod fingerprint;
 pub mod idempotency;
 pub mod ids;
