routes: a request that a late copy does not match is told to come back

Cause: callers of a route that had been added got 404 from an instance whose copy of the routes was late, however old that copy was. 404 was answered for whatever the copy lacked; nothing compared its age with the time within which a change has to be in effect. Change: ActBounds::no_route_ms. A request is denied only by a copy that has every change made up to that time before its head was read. Otherwise it waits for an answer about the routes that is on its way, for 100 ms at most and not while the store is known to be away, and is denied or served by the copy after that; if none comes, it is refused with 503 and the time after which the outage may be over.

--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -51,6 +51,9 @@
 
 /// Rows of instances that have been down for this time are deleted.
 const DOWN_ROW_TTL_MS: u64 = 15_000;
+/// Longest wait for an answer about the routes that is on its way, and the interval between two checks.
+const ROUTES_WAIT_MS: u64 = 100;
+const ROUTES_CHECK_MS: u64 = 5;
 /// Name of the rows of instances in metrics.
 const ROWS: &str = "instance";
 
@@ -259,6 +262,36 @@
         return_after_ms(longest.map(|outage| outage.as_millis() as u64), left_ms)
     }
 
+    /// Whether a request may be denied because the routes known here now do not match it. Otherwise one
+    /// that does may have been in effect for longer than the bound of a change.
+    pub fn may_deny_by_routes(&self) -> bool {
+        let tables = self.relay.metrics.tables();
+        tables.covers_now(FollowedTable::Routes, self.jobs.bounds.no_route_ms)
+    }
+
+    /// The routes, once a request may be denied by them. `None` if that is not so shortly, because the
+    /// store does not answer.
+    pub async fn routes_to_deny_by(&self) -> Option<Arc<RouteTable>> {
+        let tables = self.relay.metrics.tables();
+        let until = Instant::now() + Duration::from_millis(ROUTES_WAIT_MS);
+        loop {
+            if self.may_deny_by_routes() {
+                return Some(self.relay.routes.load_full());
+            }
+            if tables.outage(FollowedTable::Routes).is_some() || Instant::now() >= until {
+                return None;
+            }
+            tokio::time::sleep(Duration::from_millis(ROUTES_CHECK_MS)).await;
+        }
+    }
+
+    /// Time after which a caller that is turned away should come back, because the routes known here may
+    /// have changed. `left_ms`: the time that the caller has left, if it says.
+    pub fn return_after_late_routes_ms(&self, left_ms: Option<u64>) -> u64 {
+        let outage = self.relay.metrics.tables().outage(FollowedTable::Routes);
+        return_after_ms(outage.map(|outage| outage.as_millis() as u64), left_ms)
+    }
+
     /// Whether callers should be sent to this instance.
     pub fn is_ready(&self) -> bool {
         self.has_loaded_tables() && !self.leaving.is_cancelled()
--- a/crates/foxtailhold-relay/src/jobs/freshness.rs
+++ b/crates/foxtailhold-relay/src/jobs/freshness.rs
@@ -31,6 +31,8 @@
     pub start_ms: u64,
     /// For the takeover of a job.
     pub take_over_ms: u64,
+    /// For what is done because a route is missing: a request denied, or an item given up.
+    pub no_route_ms: u64,
 }
 
 impl ActBounds {
@@ -44,6 +46,7 @@
             // The rest is left for the request on its way to the backend server.
             start_ms: cancel_ms - cancel_ms / 5,
             take_over_ms: change_bound_ms,
+            no_route_ms: change_bound_ms,
         }
     }
 }
--- a/crates/foxtailhold-relay/src/request.rs
+++ b/crates/foxtailhold-relay/src/request.rs
@@ -84,6 +84,8 @@
     NotTaken,
     /// No route matches its host and path.
     NoRoute,
+    /// No route known here matches its host and path, and the routes may have changed.
+    LateRoutes,
     /// This instance has not yet read the tables needed for serving.
     Starting,
     /// It resumes a stream, and no instance knows at which version that began.
@@ -106,6 +108,7 @@
             NotRunReason::Waited => "waited",
             NotRunReason::NotTaken => "not_taken",
             NotRunReason::NoRoute => "no_route",
+            NotRunReason::LateRoutes => "late_routes",
             NotRunReason::Starting => "starting",
             NotRunReason::UnknownVersion => "unknown_version",
             NotRunReason::UnconfirmedVersion => "unconfirmed_version",
