jobs: an item is given up for its route only while the copy of the routes is current

Cause: an item whose route was missing from the copy for 5 s was listed as errored, for good, on a copy of any age: also where the route was there again, and the owner had not heard of it. Change: Absence counts for how long a route is missing up to the moment up to which the copy has every change, and counts anew when the copy was late. A wait for a route has no `until_unix_ms` any more, since its end is not known while the copy is late. The item whose route has ended is still given up.

--- a/crates/foxtailhold-relay/src/jobs/freshness.rs
+++ b/crates/foxtailhold-relay/src/jobs/freshness.rs
@@ -89,6 +89,12 @@
         are_current.all(|is_current| is_current)
     }
 
+    /// Up to which moment the copy of the routes has every change.
+    pub(super) fn routes_as_of(&self) -> Option<MonoMs> {
+        let tables = self.relay.metrics.tables();
+        tables.as_of(FollowedTable::Routes)
+    }
+
     /// Like [`Jobs::start_leave`], after an attempt to learn whether the job has ended if that is not
     /// known.
     pub(super) async fn leave_to_start(&self, id: &JobId) -> StartLeave {
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -9,6 +9,7 @@
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::time::Duration;
 
+use foxtailhold::absence::Absence;
 use foxtailhold::attempt_counts::{AttemptCounts, AttemptDecision};
 use foxtailhold::ids::{BackendId, JobId};
 use foxtailhold::prompt_parts::SharedParts;
@@ -18,7 +19,6 @@
 use foxtailhold_platform::{Committed, ObjectStore, RowStore};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue, header};
-use tokio::time::Instant;
 
 use crate::dialect::Dialect;
 use crate::fleet::BackendServer;
@@ -155,7 +155,7 @@
         let headers = self.headers(job);
         self.parts = self.jobs.relay.dialect.shared_parts(&headers);
         self.counts = self.earlier_attempt_counts(job);
-        let mut no_route_since: Option<Instant> = None;
+        let mut no_route: Option<Absence> = None;
         loop {
             if self.jobs.relay.clock.wall().0 >= job.give_up_unix_ms {
                 return Some(self.into_result(ItemState::GivenUp));
@@ -168,19 +168,21 @@
                 }
                 StartLeave::Granted(_) => {}
             }
+            // The copy that is read after this has what it had then.
+            let as_of = self.jobs.routes_as_of();
             let routes = self.jobs.relay.routes.load_full();
+            let as_of = as_of.filter(|_| routes.version() > 0);
             let Some(route) = routes.find(&job.host, &job.path) else {
-                let since = *no_route_since.get_or_insert_with(Instant::now);
-                if routes.version() > 0 && since.elapsed() > Duration::from_millis(NO_ROUTE_MS) {
+                if self.has_no_route(&mut no_route, as_of) {
                     return Some(self.into_result(ItemState::GivenUp));
                 }
                 self.granted = None;
                 self.trial_ticket = None;
-                self.wait_for(WaitCause::Route, Some(Duration::from_millis(NO_ROUTE_MS)));
+                self.wait_for(WaitCause::Route, None);
                 tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
                 continue;
             };
-            no_route_since = None;
+            no_route = None;
             match self.counts.next_attempt(route.attempts) {
                 AttemptDecision::Allowed => {}
                 AttemptDecision::GiveUp => return Some(self.into_result(ItemState::GivenUp)),
@@ -275,6 +277,18 @@
         }
     }
 
+    /// Notes that the item has no route, by a copy that has every change made before `as_of`. Returns
+    /// whether that is known to last.
+    fn has_no_route(&self, absence: &mut Option<Absence>, as_of: Option<MonoMs>) -> bool {
+        let Some(as_of) = as_of else {
+            return false;
+        };
+        let now = self.jobs.relay.clock.mono();
+        let absence = absence.get_or_insert_with(|| Absence::new(now, as_of));
+        absence.observe(now, as_of, self.jobs.bounds.no_route_ms);
+        absence.known_ms() > NO_ROUTE_MS
+    }
+
     /// Ends the trial that the attempt was, if it was one, and its claim to go first.
     fn end_attempt(&mut self, end: &AttemptEnd) {
         let outcome = match self.is_sent {
--- a/crates/foxtailhold/src/lib.rs
+++ b/crates/foxtailhold/src/lib.rs
@@ -5,6 +5,7 @@
 //! them directly.
 #![warn(clippy::unwrap_used)]
 
+pub mod absence;
 pub mod act_lease;
 pub mod admission;
 pub mod attempt_counts;
