jobs: a row read before a deletion does not bring the job back

Cause: the copy of the table of jobs compared versions with the row that it knows, and after a deletion it knows none. A row that a call had read before, and that arrived after the tombstone, made a deleted job known again, open or not, until the next read of the whole table. Seen by a test only. Change: the copy remembers the versions of the latest deletions.

--- a/crates/foxtailhold-relay/src/jobs/cache.rs
+++ b/crates/foxtailhold-relay/src/jobs/cache.rs
@@ -1,6 +1,6 @@
 //! Cache of all jobs and quotas, kept up to date by the change feed.
 
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::Arc;
 
 use foxtailhold::ids::{InstanceId, JobId};
@@ -158,6 +158,37 @@
 struct CacheState {
     jobs: HashMap<JobId, CachedJob>,
     quotas: HashMap<String, (u64, QuotaRow)>,
+    deletions: Deletions,
+}
+
+/// Deletions that are remembered: more than happen while one call of the store is under way.
+const MAX_DELETIONS: usize = 4_096;
+
+/// The latest deleted jobs. A row that was read before a deletion may arrive after it.
+#[derive(Debug, Default)]
+struct Deletions {
+    versions: HashMap<JobId, u64>,
+    oldest_first: VecDeque<JobId>,
+}
+
+impl Deletions {
+    /// Records that all rows of a job up to `version` are gone.
+    fn record(&mut self, id: JobId, version: u64) {
+        let known = self.versions.insert(id.clone(), version);
+        if known.is_none() {
+            self.oldest_first.push_back(id);
+        }
+        if self.oldest_first.len() > MAX_DELETIONS
+            && let Some(oldest) = self.oldest_first.pop_front()
+        {
+            self.versions.remove(&oldest);
+        }
+    }
+
+    fn covers(&self, id: &JobId, version: u64) -> bool {
+        let deleted = self.versions.get(id);
+        deleted.is_some_and(|deleted| version <= *deleted)
+    }
 }
 
 /// All jobs, updated by the change feed and by the writes of this instance.
@@ -252,7 +283,7 @@
         let is_older = state.jobs.get(id).is_some_and(|job| job.version <= version);
         if is_older && !rows.iter().any(is_job) {
             log::info!(job = id.as_str(); "job was deleted by another instance");
-            state.jobs.remove(id);
+            remove_job(&mut state, id, version);
         }
         drop(state);
         self.changed.send_modify(|count| *count += 1);
@@ -295,7 +326,8 @@
 
 /// Returns whether the row is newer than the known one.
 fn put_job(state: &mut CacheState, id: &JobId, job: Job, version: u64) -> bool {
-    if state.jobs.get(id).is_some_and(|old| old.version >= version) {
+    let is_known = state.jobs.get(id).is_some_and(|old| old.version >= version);
+    if is_known || state.deletions.covers(id, version) {
         return false;
     }
     let job = Arc::new(job);
@@ -303,6 +335,12 @@
     true
 }
 
+/// Removes a job whose rows up to `version` are gone. Returns whether it was known.
+fn remove_job(state: &mut CacheState, id: &JobId, version: u64) -> bool {
+    state.deletions.record(id.clone(), version);
+    state.jobs.remove(id).is_some()
+}
+
 /// Removes what was deleted before a complete table was read. A row of a newer version was written
 /// since.
 fn remove_deleted(state: &mut CacheState, snapshot: &Snapshot) {
@@ -311,8 +349,14 @@
     let is_there = |prefix: &str, name: &str, version: u64| {
         version > snapshot.version || keys.contains(format!("{prefix}{name}").as_str())
     };
-    let jobs = &mut state.jobs;
-    jobs.retain(|id, cached| is_there(JOB_PREFIX, id.as_str(), cached.version));
+    let jobs = state.jobs.iter();
+    let deleted: Vec<(JobId, u64)> = jobs
+        .filter(|(id, cached)| !is_there(JOB_PREFIX, id.as_str(), cached.version))
+        .map(|(id, cached)| (id.clone(), cached.version))
+        .collect();
+    for (id, version) in deleted {
+        remove_job(state, &id, version);
+    }
     let quotas = &mut state.quotas;
     quotas.retain(|route, (version, _)| is_there(QUOTA_PREFIX, route, *version));
 }
@@ -359,8 +403,8 @@
         }
         None => {
             let known = state.jobs.get(&id);
-            known.is_some_and(|known| known.version < row.version)
-                && state.jobs.remove(&id).is_some()
+            let is_newer = known.is_none_or(|known| known.version < row.version);
+            is_newer && remove_job(state, &id, row.version)
         }
     }
 }
