jobs: an end that was asked for goes on after its caller has left

Cause: the end of a job was one task of its caller. It was dropped when the caller left or its deadline passed, given up at the first error of the store, and not confirmed when a commit had no answer; with the store away, its caller was held for a whole read. Items of a job whose end counts as acknowledged after AckMs went on running. Change: one task per job ends it, with delays between attempts, until the job is ended, complete or deleted, the store refuses, or its items are given up by time; AckMs at most for a job that is not known. A commit without an answer is followed by a read of the row. Callers wait for 7/8 of AckMs, then get 504. While the store is known to be away, an end that has not begun is refused at once with 503. A planned stop waits for ends within its grace time. AckMs is read from the settings.

--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -26,8 +26,8 @@
 use crate::fleet::{Backends, FleetTable};
 use crate::follow::{FeedTiming, TableSource, follow};
 use crate::jobs::{
-    ActBounds, JOBS_TABLE, JobCache, JobCacheSink, JobProgress, JobStore, Jobs, own_jobs,
-    sweep_jobs, wait_handed_over,
+    ActBounds, EndsUnderWay, JOBS_TABLE, JobCache, JobCacheSink, JobProgress, JobStore, Jobs,
+    own_jobs, sweep_jobs, wait_handed_over,
 };
 use crate::metrics::{GaugeValues, RelayMetrics};
 use crate::origin_confirmation::confirm_origins;
@@ -91,6 +91,8 @@
     pub settle_ms: u64,
     /// Time after the acknowledged end of a batch job for which items of it may still start.
     pub cancel_ms: u64,
+    /// Time after which the end of a batch job without an acknowledgement counts as acknowledged.
+    pub ack_ms: u64,
     /// Whether the whole deployment starts for the first time.
     pub is_first_start: bool,
 }
@@ -151,6 +153,7 @@
             item_durations: Mutex::default(),
             acceptances: tokio::sync::Mutex::default(),
             progress: JobProgress::default(),
+            ends: EndsUnderWay::new(identity.ack_ms),
             bounds: ActBounds::new(
                 identity.settle_ms,
                 identity.cancel_ms,
@@ -363,6 +366,16 @@
         wait_handed_over(&self.jobs).await;
     }
 
+    /// Waits until no end of a job goes on here.
+    pub async fn wait_ends_settled(&self) {
+        self.jobs.ends.wait_settled().await;
+    }
+
+    /// Number of ends of jobs that go on here.
+    pub fn ends_under_way(&self) -> usize {
+        self.jobs.ends.count()
+    }
+
     /// Answers the requests that have no answer yet, because the process is about to end. Those that
     /// have not run are refused.
     pub fn end_requests(&self) {
--- a/crates/foxtailhold-relay/src/jobs/accept.rs
+++ b/crates/foxtailhold-relay/src/jobs/accept.rs
@@ -1,4 +1,4 @@
-//! Accepts batch jobs and ends them.
+//! Accepts batch jobs.
 
 use std::time::Duration;
 
@@ -16,8 +16,6 @@
 use crate::jobs::{Job, JobError, Jobs, NewJob, QuotaRow, Result};
 use crate::tables::FollowedTable;
 
-/// Attempts to end a job against concurrent changes of its row.
-const MAX_COMMIT_ATTEMPTS: u32 = 8;
 /// Time limit for an acceptance against those of other instances, well within the time that callers
 /// wait.
 const ACCEPT_TIMEOUT_MS: u64 = 1_500;
@@ -160,9 +158,9 @@
         })
     }
 
-    /// Refuses a job at once while the store is known to be away, with nothing done. A commit would
-    /// end late, and may leave its effect unknown.
-    async fn check_store(&self, id: &JobId) -> Result<()> {
+    /// Refuses a change of a job at once while the store is known to be away, with nothing done. A
+    /// commit would end late, and may leave its effect unknown.
+    pub(super) async fn check_store(&self, id: &JobId) -> Result<()> {
         let tables = self.relay.metrics.tables();
         let Some(outage) = tables.outage(FollowedTable::Jobs) else {
             return Ok(());
@@ -182,7 +180,7 @@
         }))
     }
 
-    /// Time after which the caller of a job that the store did not take should come back.
+    /// Time after which the caller of a change that the store did not take should come back.
     pub fn return_after_ms(&self) -> u64 {
         let tables = self.relay.metrics.tables();
         let outage = tables.outage(FollowedTable::Jobs).unwrap_or_default();
@@ -278,57 +276,4 @@
         }
         Ok(self.cache.get(id))
     }
-
-    /// Ends a job. Its listed results stay readable.
-    pub async fn end(&self, id: &JobId) -> Result<()> {
-        let started = Instant::now();
-        let ended = self.try_end(id).await;
-        let took_ms = started.elapsed().as_millis() as u64;
-        match &ended {
-            Ok(attempts) => {
-                log::info!(job = id.as_str(), attempts = *attempts, took_ms = took_ms; "job ended")
-            }
-            Err(error) => {
-                log::warn!(job = id.as_str(), took_ms = took_ms; "job not ended: {error}")
-            }
-        }
-        ended.map(|_| ())
-    }
-
-    /// Returns the number of commits that it took.
-    async fn try_end(&self, id: &JobId) -> Result<u32> {
-        for attempt in 1..=MAX_COMMIT_ATTEMPTS {
-            let Some(cached) = self.find(id).await? else {
-                return Err(JobError::NotFound);
-            };
-            if cached.job.is_ended {
-                self.relay.peers.record_end(id, &cached.job.owner);
-                return Ok(attempt - 1);
-            }
-            let ended = Job {
-                is_ended: true,
-                ..Job::clone(&cached.job)
-            };
-            match self.store.update(id, &ended, cached.version, 0, &[]).await {
-                Ok(Committed::At(version)) => {
-                    self.cache.put(id, ended, version);
-                    self.relay.peers.record_end(id, &cached.job.owner);
-                    return Ok(attempt);
-                }
-                Ok(Committed::Conflict(rows)) => {
-                    self.cache.apply_conflict(id, cached.version, &rows);
-                }
-                Ok(Committed::Refused(detail)) => {
-                    self.relay.metrics.row_refused(JOB_ROWS);
-                    log::error!(job = id.as_str(); "end of the job refused: {detail}");
-                    return Err(JobError::refused(detail));
-                }
-                // Ending is idempotent, so a retry by the caller gives the outcome.
-                Err(error) => return Err(error),
-            }
-        }
-        Err(JobError::Contended {
-            changes: "changes of the job",
-        })
-    }
 }
--- a/crates/foxtailhold-relay/src/jobs/freshness.rs
+++ b/crates/foxtailhold-relay/src/jobs/freshness.rs
@@ -165,7 +165,7 @@
         copy_as_of.max(self.relay.peers.ended().complete_as_of())
     }
 
-    fn is_store_away(&self) -> bool {
+    pub(super) fn is_store_away(&self) -> bool {
         let tables = self.relay.metrics.tables();
         tables.outage(FollowedTable::Jobs).is_some()
     }
--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -11,6 +11,7 @@
 mod cache;
 mod checkpoint;
 mod counts_writer;
+mod end;
 mod freshness;
 mod item;
 mod output;
@@ -27,6 +28,7 @@
 pub use cache::{Job, JobCache, JobCacheSink, MAX_JOB_TOKENS, are_countable};
 pub use checkpoint::PartialOutputs;
 pub use counts_writer::CountsWrite;
+pub use end::EndsUnderWay;
 pub use freshness::ActBounds;
 pub use output::{Checkpoint, PartialOutput, RunEvent, RunId, Writer};
 pub use owner::{own_jobs, wait_handed_over};
@@ -198,6 +200,8 @@
     pub acceptances: tokio::sync::Mutex<()>,
     /// Tasks of this instance that run jobs.
     pub progress: JobProgress,
+    /// Ends of jobs that go on here.
+    pub ends: EndsUnderWay,
     /// Bounds of the acts that rest on the copy of the table of jobs.
     pub bounds: ActBounds,
     /// Held while the copy is brought up to date for an act.
