batch: an owner starts items only while it has lately read that their job is in progress

Cause: a cancel is told to the owner by one message and by the scan of open jobs. If the message is lost and the open jobs can't be read while renewals of the lease succeed, the owner went on starting items of a job that said cancelling, without an end: its lease says that it owns the job, not that the job has not been cancelled. Change: a start needs the earlier end of two leases of one type, ActLease: that of the instance and that of the latest confirmation (claim, or read of the open jobs, counted from when it was sent). Both last for the lease's term less its margin, the bound for an owner that nobody reaches. The scan confirms as soon as it has read, not after its claims; where scans are rare or slow, one read for all jobs of the instance goes beside them. Without a confirmation nothing starts and what runs goes on. The latest time of a send follows from the same lease, and no further engine is asked after it. An item that found its lease lapsed looks again after 100 ms: it waited for the next change of a state that may have been held again unnoticed. HeldLease::valid_until returns an ActLease; its test compares the end of that. The platform stand-in can refuse the reads of one table. The oracle of the simulation now looks at each moment at which an item may start.

--- a/crates/foxtailhold-entry/src/actors/jobs.rs
+++ b/crates/foxtailhold-entry/src/actors/jobs.rs
@@ -1,10 +1,12 @@
 //! Finds the batch jobs that this instance should own, claims them and runs them.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 
-use foxtailhold::batch::OpenJobRow;
 use foxtailhold::batch::claim::{OwnedJob, WatchedLeases};
 use foxtailhold::batch::registry::{JobRegistry, StopAction};
+use foxtailhold::batch::start_leases::StartLeases;
+use foxtailhold::batch::{JobStatus, OpenJobRow};
 use foxtailhold::ids::JobId;
 use foxtailhold::membership::MemberState;
 use foxtailhold::rendezvous;
@@ -16,7 +18,7 @@
 use crate::jobs::owner::{self, scan_all};
 use crate::jobs::runner::{self, JobRunOutcome};
 use crate::jobs::sweep;
-use crate::messages::{JobScan, JobsMessage};
+use crate::messages::{JobScan, JobsMessage, OpenJobs};
 use crate::shared::Shared;
 use crate::tables;
 
@@ -41,6 +43,9 @@
     stop_replies: HashMap<JobId, Vec<RpcReplyPort<()>>>,
     /// Leases of other owners, observed to see when they expire.
     watched: WatchedLeases,
+    start_leases: StartLeases,
+    /// Whether the open jobs are being read beside the scans.
+    is_reading: bool,
     /// Requests to stop all jobs that wait for the last execution to end.
     stop_all_replies: Vec<RpcReplyPort<()>>,
 }
@@ -68,13 +73,22 @@
         state: &mut JobsState,
     ) -> Result<(), ActorProcessingErr> {
         match message {
-            JobsMessage::Tick if !self.draws_scan() => {}
-            JobsMessage::Tick | JobsMessage::Scan => self.start_scan(&myself, state),
+            JobsMessage::Tick => {
+                if self.draws_scan() {
+                    self.start_scan(&myself, state);
+                }
+                self.read_if_due(&myself, state);
+            }
+            JobsMessage::Scan => self.start_scan(&myself, state),
+            JobsMessage::OpenJobs(open) => self.confirm(state, &open),
+            JobsMessage::ReadEnded => state.is_reading = false,
             JobsMessage::Sweep => self.sweep(),
             JobsMessage::Scanned(scan) => self.scan_ended(&myself, state, scan),
             JobsMessage::Ended(job) => {
                 state.executions.remove(&job);
                 state.registry.ended(&job);
+                state.start_leases.remove(&job);
+                self.publish(state);
                 answer_all(state.stop_replies.remove(&job).unwrap_or_default());
             }
             JobsMessage::Stop(job, reply) => state.stop(&job, reply),
@@ -147,7 +161,7 @@
         let watched = std::mem::take(&mut state.watched);
         let (shared, myself) = (self.0.clone(), myself.clone());
         tokio::spawn(async move {
-            let scan = scan_open_jobs(&shared, &running, watched).await;
+            let scan = scan_open_jobs(&shared, &myself, &running, watched).await;
             log_undelivered(myself.send_message(JobsMessage::Scanned(scan)));
         });
     }
@@ -169,23 +183,60 @@
 
     fn scan_ended(&self, myself: &ActorRef<JobsMessage>, state: &mut JobsState, scan: JobScan) {
         state.watched = scan.watched;
-        let started = state.registry.end_scan(&scan.claimed);
-        for owned in scan.claimed {
-            if started.contains(&owned.row.job) {
+        let (claimed, sent_at): (Vec<_>, Vec<_>) = scan.claimed.into_iter().unzip();
+        let started = state.registry.end_scan(&claimed);
+        for (owned, sent_at) in claimed.into_iter().zip(sent_at) {
+            let job = &owned.row.job;
+            if started.contains(job) {
+                if owned.row.status == JobStatus::InProgress {
+                    state.start_leases.insert(job, sent_at);
+                }
                 self.start(myself, state, owned);
                 continue;
             }
             let shared = self.0.clone();
             tokio::spawn(async move { owner::release(&shared, &owned).await });
         }
-        for job in scan.cancelling {
-            if let Some(stop) = state.executions.get(&job)
-                && state.registry.must_stop(&job)
+        self.publish(state);
+        self.read_if_due(myself, state);
+        state.answer_settled_stops();
+    }
+
+    fn publish(&self, state: &JobsState) {
+        let start_leases = Arc::new(state.start_leases.clone());
+        self.0.start_leases.store(start_leases);
+    }
+
+    /// Reads the open jobs in the background if what is known of the jobs that run here gets old:
+    /// scans are rare where there are many instances, and one may be slow.
+    fn read_if_due(&self, myself: &ActorRef<JobsMessage>, state: &mut JobsState) {
+        if state.is_reading || !state.start_leases.needs_read(self.0.clock.mono()) {
+            return;
+        }
+        state.is_reading = true;
+        let (shared, myself) = (self.0.clone(), myself.clone());
+        tokio::spawn(async move {
+            if let Some(open) = read_open_jobs(&shared).await {
+                log_undelivered(myself.send_message(JobsMessage::OpenJobs(open)));
+            }
+            log_undelivered(myself.send_message(JobsMessage::ReadEnded));
+        });
+    }
+
+    /// Confirms the jobs that a read found in progress and stops those that it found cancelled.
+    fn confirm(&self, state: &mut JobsState, open: &OpenJobs) {
+        for (_, row) in &open.rows {
+            if !row.cancelling {
+                state.start_leases.confirm(&row.job, open.sent_at);
+                continue;
+            }
+            if let Some(stop) = state.executions.get(&row.job)
+                && state.registry.must_stop(&row.job)
             {
                 stop.cancel();
             }
         }
-        state.answer_settled_stops();
+        self.publish(state);
     }
 
     fn start(&self, myself: &ActorRef<JobsMessage>, state: &mut JobsState, owned: OwnedJob) {
@@ -204,8 +255,23 @@
     }
 }
 
+async fn read_open_jobs<P: Platform>(shared: &Shared<P>) -> Option<OpenJobs> {
+    let sent_at = shared.clock.mono();
+    let read = scan_all(&shared.platform, tables::JOB_OPEN, "").await;
+    let open = read.inspect_err(|error| {
+        log::warn!("open jobs could not be read, retrying at the next scan: {error}");
+    });
+    let mut rows = Vec::new();
+    for keyed in open.ok()? {
+        let row = keyed.row.read::<OpenJobRow>();
+        rows.extend(row.map(|row| (keyed.key, row)));
+    }
+    Some(OpenJobs { sent_at, rows })
+}
+
 async fn scan_open_jobs<P: Platform>(
     shared: &Shared<P>,
+    myself: &ActorRef<JobsMessage>,
     running: &[JobId],
     watched: WatchedLeases,
 ) -> JobScan {
@@ -213,27 +279,18 @@
         watched,
         ..JobScan::default()
     };
-    let open = match scan_all(&shared.platform, tables::JOB_OPEN, "").await {
-        Ok(open) => open,
-        Err(error) => {
-            log::warn!("open jobs could not be read, retrying at the next scan: {error}");
-            return scan;
-        }
+    let Some(open) = read_open_jobs(shared).await else {
+        return scan;
     };
-    for keyed in open {
-        let Ok(open) = keyed.row.read::<OpenJobRow>() else {
-            continue;
-        };
+    log_undelivered(myself.send_message(JobsMessage::OpenJobs(open.clone())));
+    for (key, open) in open.rows {
         if running.contains(&open.job) {
-            if open.cancelling {
-                scan.cancelling.push(open.job);
-            }
             continue;
         }
         if !may_claim(shared, &open.job) {
             continue;
         }
-        match owner::claim(shared, &keyed.key, &open.job, &mut scan.watched).await {
+        match owner::claim(shared, &key, &open.job, &mut scan.watched).await {
             Ok(Some(owned)) => scan.claimed.push(owned),
             Ok(None) => {}
             Err(error) => log::warn!(
--- a/crates/foxtailhold-entry/src/gateway/dispatch.rs
+++ b/crates/foxtailhold-entry/src/gateway/dispatch.rs
@@ -19,7 +19,9 @@
 
 use crate::backends::{BackendState, InFlightGuard, RoutingCandidates};
 use crate::crashes::{self, ProbeGuard};
-pub use crate::gateway::outgoing::{AttemptHistory, BACKEND_RETRY_AFTER_MS, OutgoingRequest};
+pub use crate::gateway::outgoing::{
+    AttemptHistory, BACKEND_RETRY_AFTER_MS, OutgoingRequest, OwnedUnder,
+};
 use crate::gateway::part_check::{admit_parts, check_parts};
 use crate::shared::Shared;
 
--- a/crates/foxtailhold-entry/src/gateway/infer.rs
+++ b/crates/foxtailhold-entry/src/gateway/infer.rs
@@ -50,7 +50,7 @@
         max_tokens: request.max_tokens,
         deadline: deadline_ms.map(|wait_ms| (now + wait_ms, wait_ms)),
         retry_allowed: !request.context.never_repeat,
-        lease_epoch: None,
+        of_job: None,
     }
 }
 
--- a/crates/foxtailhold-entry/src/gateway/outgoing.rs
+++ b/crates/foxtailhold-entry/src/gateway/outgoing.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use foxtailhold::crashes::CrashStatus;
-use foxtailhold::ids::{BackendId, RequestId, TargetName};
+use foxtailhold::ids::{BackendId, JobId, RequestId, TargetName};
 use foxtailhold::quarantine::Fingerprint;
 use foxtailhold::refusal::{ExecutionStatus, Refusal, RefusalReason};
 use foxtailhold::software_version::SoftwareVersion;
@@ -19,6 +19,15 @@
 /// `Retry-After` of a refusal because no backend server could serve the request.
 pub const BACKEND_RETRY_AFTER_MS: u64 = 1_000;
 
+/// A job and the epoch of the lease under which this instance owns it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OwnedUnder {
+    /// The job.
+    pub job: JobId,
+    /// Epoch of the lease.
+    pub epoch: u64,
+}
+
 /// A request as it is sent to backend servers.
 #[derive(Debug, Clone)]
 pub struct OutgoingRequest {
@@ -43,15 +52,23 @@
     pub deadline: Option<(MonoMs, u64)>,
     /// Whether it may be retried after an attempt that may have run it.
     pub retry_allowed: bool,
-    /// Lease epoch of this instance under which alone it may be sent; `None` for requests that need
-    /// no lease.
-    pub lease_epoch: Option<u64>,
+    /// The job of which it is an item; `None` for requests that need no lease.
+    pub of_job: Option<OwnedUnder>,
 }
 
 impl OutgoingRequest {
     /// Latest time at which it may be sent; `None` if that is not bounded by a lease.
     pub fn not_after<P: Platform>(&self, shared: &Shared<P>) -> Option<Instant> {
-        self.lease_epoch.map(|epoch| shared.acts_until(epoch))
+        let OwnedUnder { job, epoch } = self.of_job.as_ref()?;
+        let lease = shared.start_lease(job, *epoch);
+        let until = lease.map(|lease| shared.clock.instant(lease.until()));
+        Some(until.unwrap_or_else(Instant::now))
+    }
+
+    /// Whether it may be sent now.
+    pub fn may_be_sent<P: Platform>(&self, shared: &Shared<P>) -> bool {
+        let not_after = self.not_after(shared);
+        not_after.is_none_or(|until| Instant::now() < until)
     }
 
     /// What the evidence against parts says of the request now, and the group that decides it.
--- a/crates/foxtailhold-entry/src/gateway/sending.rs
+++ b/crates/foxtailhold-entry/src/gateway/sending.rs
@@ -149,7 +149,7 @@
 }
 
 /// Sends the request until an answer begins. Refuses when no attempt is open and none is left or
-/// allowed, or when the time of the caller is over.
+/// allowed now, or when the time of the caller is over.
 pub async fn open<P: Platform>(
     shared: &Shared<P>,
     outgoing: &OutgoingRequest,
@@ -221,6 +221,13 @@
                     exchanges.check_at = Instant::now();
                 }
             }
+            Step::Routed(Ok(_)) if !outgoing.may_be_sent(shared) => {
+                if exchanges.open.is_empty() {
+                    return Err(attempts.refusal(&outgoing.model));
+                }
+                is_seeking = false;
+                exchanges.check_at = Instant::now() + search_interval(&exchanges.silent, outgoing);
+            }
             Step::Routed(Ok(route)) => {
                 is_seeking = false;
                 attempts.is_part_probe |= route.is_part_probe;
--- a/crates/foxtailhold-entry/src/jobs/chunk.rs
+++ b/crates/foxtailhold-entry/src/jobs/chunk.rs
@@ -1,6 +1,7 @@
 //! One attempt at a chunk: runs its items, stores the result object, commits it.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::Duration;
 
 use foxtailhold::batch::chunk::{ChunkCommit, ChunkCommitResult};
 use foxtailhold::batch::claim::OwnedJob;
@@ -17,6 +18,9 @@
 use crate::shared::Shared;
 use crate::tables;
 
+/// Wait of an item that may not start before it looks again.
+const RECHECK_DELAY: Duration = Duration::from_millis(100);
+
 /// Maps a job's endpoint to the static path of its requests.
 fn request_path(endpoint: &str) -> &'static str {
     use foxtailhold_caller::handler::{CHAT_PATH, COMPLETIONS_PATH};
@@ -49,6 +53,7 @@
     for item in &items {
         let task = ItemTask {
             item,
+            job: &owned.row.job,
             customer: &owned.row.customer,
             path,
             deadline: WallMs(owned.row.deadline_wall_ms),
@@ -111,8 +116,8 @@
     }
 }
 
-/// Runs an item while the lease is held. If the lease lapses, the item is cancelled and starts
-/// again once the lease is held again. Returns `None` if ownership of the job is lost.
+/// Runs an item, once it may start, while the lease is held. If the lease lapses, the item is
+/// cancelled and starts again once it may. Returns `None` if ownership of the job is lost.
 async fn run_item<P: Platform>(
     shared: &Shared<P>,
     task: ItemTask<'_>,
@@ -122,16 +127,17 @@
     let mut first = true;
     loop {
         let state = *lease_state
-            .wait_for(|state| *state != LeaseState::Lapsed)
+            .wait_for(|state| matches!(state, LeaseState::Held | LeaseState::Lost))
             .await
             .ok()?;
         if state == LeaseState::Lost {
             return None;
         }
         let slot = shared.batch_slots.acquire().await.ok()?;
-        if !task.is_owned(shared) {
+        if !task.may_start(shared) {
             drop(slot);
-            lease_state.changed().await.ok()?;
+            // The lease may be held again before the runner has published that it was not.
+            tokio::time::sleep(RECHECK_DELAY).await;
             continue;
         }
         if std::mem::take(&mut first) {
@@ -143,13 +149,18 @@
                 shared.chunk_slots.estimator().record_finished_items(1);
                 return Some(ended);
             }
-            lapsed = lease_state.wait_for(|state| *state != LeaseState::Held) => {
+            lapsed = lease_state.wait_for(|state| !may_go_on(*state)) => {
                 lapsed.ok()?;
             }
         }
     }
 }
 
+/// Whether an item that runs may go on.
+fn may_go_on(state: LeaseState) -> bool {
+    matches!(state, LeaseState::Held | LeaseState::Unconfirmed)
+}
+
 async fn read_items<P: Platform>(
     shared: &Shared<P>,
     owned: &OwnedJob,
--- a/crates/foxtailhold-entry/src/jobs/item.rs
+++ b/crates/foxtailhold-entry/src/jobs/item.rs
@@ -3,15 +3,14 @@
 use std::future::Future;
 
 use foxtailhold::batch::{BatchItem, ItemError, ItemResponse, ItemResult};
-use foxtailhold::ids::{CustomerId, RequestId};
+use foxtailhold::ids::{CustomerId, JobId, RequestId};
 use foxtailhold::quarantine::Fingerprint;
 use foxtailhold::refusal::{Refusal, RefusalReason};
 use foxtailhold::time::WallMs;
 use foxtailhold_engine::WholeAnswer;
 use foxtailhold_platform::Platform;
-use tokio::time::Instant;
 
-use crate::gateway::dispatch::OutgoingRequest;
+use crate::gateway::dispatch::{OutgoingRequest, OwnedUnder};
 use crate::jobs::item_body::ItemBody;
 use crate::prompt::Prompt;
 use crate::shared::Shared;
@@ -21,6 +20,8 @@
 pub struct ItemTask<'a> {
     /// The item as read from the job's input.
     pub item: &'a BatchItem,
+    /// The job.
+    pub job: &'a JobId,
     /// The customer that owns the job.
     pub customer: &'a CustomerId,
     /// Path of the job's endpoint, which is the same for all its items.
@@ -64,11 +65,12 @@
 }
 
 impl ItemTask<'_> {
-    /// Whether the job's lease is held now. Checked before each request to an engine, because
-    /// engines take no fencing number: a process that was paused learns only a moment after it
-    /// resumes that its lease has lapsed.
-    pub fn is_owned<P: Platform>(&self, shared: &Shared<P>) -> bool {
-        Instant::now() < shared.acts_until(self.epoch)
+    /// Whether the item may start now. Checked before each request to an engine, because engines
+    /// take no fencing number: a process that was paused learns only a moment after it resumes that
+    /// its lease has lapsed.
+    pub fn may_start<P: Platform>(&self, shared: &Shared<P>) -> bool {
+        let lease = shared.start_lease(self.job, self.epoch);
+        lease.is_some_and(|lease| lease.covers(shared.clock.mono()))
     }
 
     fn result(&self, id: &RequestId) -> ItemResult {
@@ -95,7 +97,10 @@
             max_tokens: body.max_tokens,
             deadline: None,
             retry_allowed: true,
-            lease_epoch: Some(self.epoch),
+            of_job: Some(OwnedUnder {
+                job: self.job.clone(),
+                epoch: self.epoch,
+            }),
         }
     }
 
--- a/crates/foxtailhold-entry/src/jobs/ordinary.rs
+++ b/crates/foxtailhold-entry/src/jobs/ordinary.rs
@@ -37,7 +37,7 @@
         let outgoing = task.outgoing(id.clone(), unstreamed);
         let mut failures = 0;
         loop {
-            if !task.is_owned(shared) {
+            if !task.may_start(shared) {
                 tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
                 continue;
             }
--- a/crates/foxtailhold-entry/src/jobs/owner.rs
+++ b/crates/foxtailhold-entry/src/jobs/owner.rs
@@ -8,6 +8,7 @@
 use foxtailhold::batch::transaction::Versioned;
 use foxtailhold::batch::{ChunkRow, JobCounts, JobRow, OwnerRow};
 use foxtailhold::ids::{CustomerId, InstanceId, JobId};
+use foxtailhold::time::MonoMs;
 use foxtailhold::timeline::TimelineEvent;
 use foxtailhold_peer::{PeerAnswer, PeerRequest};
 use foxtailhold_platform::{KeyedRow, Platform, Result, TableService};
@@ -87,13 +88,14 @@
 }
 
 /// Claims a job that has no owner, whose owner's lease has ended, or that an earlier process of
-/// this instance owned. Returns `None` if another instance owns it or this instance holds no lease.
+/// this instance owned. Returns the job and when the claim was sent, or `None` if another instance
+/// owns it or this instance holds no lease.
 pub async fn claim<P: Platform>(
     shared: &Shared<P>,
     key: &str,
     job: &JobId,
     watched: &mut WatchedLeases,
-) -> Result<Option<OwnedJob>> {
+) -> Result<Option<(OwnedJob, MonoMs)>> {
     let Some(epoch) = shared.lease_epoch() else {
         return Ok(None);
     };
@@ -101,13 +103,14 @@
     let Some(claim) = Claim::plan(&shared.settings.instance, epoch, view, watched) else {
         return Ok(None);
     };
+    let sent_at = shared.clock.mono();
     let outcome = store::send(&shared.platform, claim.transaction()).await;
     let owned = claim.close(&outcome);
     if owned.is_some() {
         let job = job.clone();
         shared.timeline.note(TimelineEvent::JobOwned { job, epoch });
     }
-    Ok(owned)
+    Ok(owned.map(|owned| (owned, sent_at)))
 }
 
 /// Releases ownership of a job, so that another instance can claim it without waiting for the lease
--- a/crates/foxtailhold-entry/src/jobs/runner.rs
+++ b/crates/foxtailhold-entry/src/jobs/runner.rs
@@ -124,9 +124,11 @@
     }
 
     fn lease_state(&self) -> LeaseState {
-        let epoch = self.execution.owned().epoch;
+        let owned = self.execution.owned();
         let now = self.shared.clock.mono();
-        let lease_state = self.shared.lease.load().lease_state(epoch, now);
+        let held = self.shared.lease.load();
+        let start_leases = self.shared.start_leases.load();
+        let lease_state = start_leases.state(&owned.row.job, owned.epoch, &held, now);
         self.lease_state.send_if_modified(|published| {
             let changed = *published != lease_state;
             *published = lease_state;
--- a/crates/foxtailhold-entry/src/jobs/streamed_item.rs
+++ b/crates/foxtailhold-entry/src/jobs/streamed_item.rs
@@ -30,8 +30,8 @@
 use crate::jobs::slot_wait::SlotChannel;
 use crate::shared::Shared;
 
-/// Wait before the next attempt after an engine failed or refused the item, or while the job's
-/// lease is not held.
+/// Wait before the next attempt after an engine failed or refused the item, or while it may not
+/// start.
 const RETRY_DELAY_MS: u64 = 100;
 /// How often an item that waits with output checks whether an engine of its version is left.
 const VERSION_CHECK_MS: u64 = 1_000;
@@ -135,7 +135,7 @@
     async fn run_to_end(mut self) -> FinishedItem {
         let mut channel = SlotChannel::new(self.shared);
         loop {
-            if !self.task.is_owned(self.shared) {
+            if !self.task.may_start(self.shared) {
                 tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
                 continue;
             }
@@ -165,7 +165,7 @@
         let mut backend = self.wait_for_slot(channel).await;
         let mut has_moved = false;
         loop {
-            if !self.task.is_owned(self.shared) || !self.has_clear_parts() {
+            if !self.task.may_start(self.shared) || !self.has_clear_parts() {
                 channel.release();
                 return None;
             }
@@ -362,6 +362,9 @@
                 let message = refusal.to_string();
                 return Some(self.task.failed(&self.outgoing.id, "quarantined", message));
             }
+            Err(_) if attempts.tried.is_empty() && !self.task.may_start(self.shared) => {
+                return None;
+            }
             Err(refusal) => {
                 self.failures += attempts.tried.len() as u32;
                 if !others.is_empty() {
--- a/crates/foxtailhold-entry/src/messages.rs
+++ b/crates/foxtailhold-entry/src/messages.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use foxtailhold::batch::OpenJobRow;
 use foxtailhold::batch::claim::{OwnedJob, WatchedLeases};
 use foxtailhold::batch_control::scheduler::{ItemKey, WaitingItem};
 use foxtailhold::batch_control::{BatchSlotGrant, BatchSlotRequest, OnlineLoadNotice};
@@ -102,6 +103,10 @@
     Sweep,
     /// A scan of the open jobs ended.
     Scanned(JobScan),
+    /// The open jobs were read.
+    OpenJobs(OpenJobs),
+    /// A read of the open jobs beside the scans ended, answered or not.
+    ReadEnded,
     /// A job is no longer executed here.
     Ended(JobId),
     /// Stops a job. Answered once no item of it runs.
@@ -110,13 +115,20 @@
     StopAll(RpcReplyPort<()>),
 }
 
+/// The open jobs as they were at some moment after a read of them was sent.
+#[derive(Debug, Clone)]
+pub struct OpenJobs {
+    /// Time at which the read was sent.
+    pub sent_at: MonoMs,
+    /// All open jobs with their keys.
+    pub rows: Vec<(String, OpenJobRow)>,
+}
+
 /// Result of a scan of the open jobs.
 #[derive(Debug, Default)]
 pub struct JobScan {
-    /// Jobs that this instance has taken over.
-    pub claimed: Vec<OwnedJob>,
-    /// Jobs executed here whose cancellation is committed.
-    pub cancelling: Vec<JobId>,
+    /// Jobs that this instance has taken over, and when each claim was sent.
+    pub claimed: Vec<(OwnedJob, MonoMs)>,
     /// Leases of the other instances that own jobs.
     pub watched: WatchedLeases,
 }
--- a/crates/foxtailhold-entry/src/shared.rs
+++ b/crates/foxtailhold-entry/src/shared.rs
@@ -6,10 +6,12 @@
 use std::sync::{Arc, OnceLock};
 
 use arc_swap::ArcSwap;
+use foxtailhold::act_lease::ActLease;
+use foxtailhold::batch::start_leases::StartLeases;
 use foxtailhold::batch_control::scheduler::ItemKey;
 use foxtailhold::contract_registry::ContractRegistry;
 use foxtailhold::contract_sync::ContractSync;
-use foxtailhold::ids::{InstanceId, RequestId};
+use foxtailhold::ids::{InstanceId, JobId, RequestId};
 use foxtailhold::lease::HeldLease;
 use foxtailhold::leaving::LeavingBackends;
 use foxtailhold::membership::{Member, MemberState};
@@ -21,7 +23,6 @@
 use foxtailhold_service::ServiceClient;
 use ractor::ActorRef;
 use tokio::sync::Semaphore;
-use tokio::time::Instant;
 
 use crate::admission::Admission;
 use crate::backends::BackendTable;
@@ -91,6 +92,8 @@
     pub retries: RetryGate,
     /// Lease of this instance.
     pub lease: ArcSwap<HeldLease>,
+    /// Confirmations that the jobs that run here are in progress.
+    pub start_leases: ArcSwap<StartLeases>,
     /// Admission queues of the models.
     pub admission: Admission,
     /// Limits of customers.
@@ -169,6 +172,7 @@
             part_evidence: PartEvidence::default(),
             retries: RetryGate::default(),
             lease: ArcSwap::default(),
+            start_leases: ArcSwap::default(),
             admission: Admission::new(clock),
             limits,
             stopping: AtomicBool::new(false),
@@ -232,10 +236,11 @@
         members.iter().find(|member| member.id == *id).cloned()
     }
 
-    /// Until when this instance may act on work that it owns under `epoch`; now if it may not.
-    pub fn acts_until(&self, epoch: u64) -> Instant {
-        let until = self.lease.load().valid_until(epoch);
-        until.map_or_else(Instant::now, |until| self.clock.instant(until))
+    /// Leave of this instance to start items of a job that it owns under `epoch`; `None` if it has
+    /// none.
+    pub fn start_lease(&self, job: &JobId, epoch: u64) -> Option<ActLease> {
+        let start_leases = self.start_leases.load();
+        start_leases.lease(job, epoch, &self.lease.load())
     }
 
     /// Fencing number of this instance's lease; `None` while the lease is not valid.
--- a/crates/foxtailhold-standin/src/platform/faults.rs
+++ b/crates/foxtailhold-standin/src/platform/faults.rs
@@ -12,6 +12,8 @@
     /// The table service refuses every call with status 503, without effect; the object store
     /// works.
     pub table_down: bool,
+    /// Reads and scans of this table are refused with status 503; empty for none.
+    pub unreadable_table: String,
     /// The fleet list is refused with status 503.
     pub fleet_down: bool,
     /// Reads and scans of tables return their state of this long ago.
--- a/crates/foxtailhold-standin/src/platform/handler.rs
+++ b/crates/foxtailhold-standin/src/platform/handler.rs
@@ -161,8 +161,7 @@
         let task = tokio::spawn(async move {
             let path = head.uri.path().trim_matches('/');
             let segments: Vec<&str> = path.split('/').collect();
-            let table = segments.get(1) == Some(&"table");
-            platform.wait_or_refuse(table).await?;
+            platform.wait_or_refuse(&segments).await?;
             platform.store(&head, &segments, bytes)
         });
         match task.await {
@@ -174,11 +173,18 @@
         }
     }
 
-    async fn wait_or_refuse(&self, table: bool) -> std::result::Result<(), Answer> {
+    async fn wait_or_refuse(&self, segments: &[&str]) -> std::result::Result<(), Answer> {
         let (down, delay_ms) = {
             let faults = &self.state.lock().faults;
-            let down = faults.store_down || table && faults.table_down;
-            (down, faults.delay_ms)
+            let down = match segments {
+                ["v1", "table", "transact"] => faults.table_down,
+                ["v1", "table", table, ..] => {
+                    let is_unreadable = *table == faults.unreadable_table;
+                    faults.table_down || is_unreadable
+                }
+                _ => false,
+            };
+            (down || faults.store_down, faults.delay_ms)
         };
         if down {
             let status = StatusCode::SERVICE_UNAVAILABLE;
--- a/crates/foxtailhold/src/batch/execution.rs
+++ b/crates/foxtailhold/src/batch/execution.rs
@@ -141,7 +141,7 @@
 
     /// Decides the next step. `slot_available` says whether another chunk may start.
     ///
-    /// While the lease has lapsed, no chunk starts and none is dropped, so that the results of
+    /// While the lease has lapsed or the job is not confirmed, no chunk starts and none is dropped, so that the results of
     /// finished items can be committed once the lease is renewed.
     pub fn step(
         &mut self,
--- a/crates/foxtailhold/src/batch/mod.rs
+++ b/crates/foxtailhold/src/batch/mod.rs
@@ -7,7 +7,8 @@
 //!
 //! [`claim`], [`execution`], [`chunk`], [`finish`] and [`cancel`] are state machines without I/O.
 //! [`transaction`] defines the transactions that they produce for the table service, and
-//! [`registry`] tracks which jobs run on one instance.
+//! [`registry`] tracks which jobs run on one instance. [`start_leases`] says until when their items may
+//! start.
 
 pub mod cancel;
 pub mod chunk;
@@ -18,6 +19,7 @@
 pub mod finish;
 pub mod registry;
 pub mod rows;
+pub mod start_leases;
 pub mod sweep;
 pub mod transaction;
 
--- a/crates/foxtailhold/src/lease.rs
+++ b/crates/foxtailhold/src/lease.rs
@@ -4,6 +4,7 @@
 //! Cheriton, "Leases", 1989) and stops acting a margin before the end. Another instance may take
 //! over only after it has seen the row unchanged for the whole term on its own clock.
 
+use crate::act_lease::ActLease;
 use crate::batch::transaction::{Condition, TransactionOutcome, Versioned};
 use crate::ids::InstanceId;
 use crate::lease_row::LeaseRow;
@@ -13,6 +14,8 @@
 pub const LEASE_TERM_MS: u64 = 6_000;
 /// Safety margin: the holder stops acting this long before the term ends.
 pub const LEASE_MARGIN_MS: u64 = 1_500;
+/// Age up to which the holder acts on a renewal, and on a confirmation that a job is in progress.
+pub const ACT_BOUND_MS: u64 = LEASE_TERM_MS - LEASE_MARGIN_MS;
 /// Interval between renewals.
 pub const LEASE_RENEW_MS: u64 = 1_500;
 
@@ -37,14 +40,14 @@
     /// The fencing number if the holder may act at `now`.
     pub fn epoch_at(&self, now: MonoMs) -> Option<u64> {
         let (epoch, _) = self.last_renewal?;
-        (now < self.valid_until(epoch)?).then_some(epoch)
+        self.valid_until(epoch)?.covers(now).then_some(epoch)
     }
 
-    /// Time until which the holder may act on work owned under `epoch`; `None` if it holds no lease
-    /// or holds one with a different epoch.
-    pub fn valid_until(&self, epoch: u64) -> Option<MonoMs> {
+    /// Leave of the holder to act on work owned under `epoch`; `None` if it holds no lease or holds
+    /// one with a different epoch.
+    pub fn valid_until(&self, epoch: u64) -> Option<ActLease> {
         let (held_epoch, sent_at) = self.last_renewal?;
-        (held_epoch == epoch).then_some(sent_at + (LEASE_TERM_MS - LEASE_MARGIN_MS))
+        (held_epoch == epoch).then_some(ActLease::new(sent_at, ACT_BOUND_MS))
     }
 }
 
@@ -53,6 +56,9 @@
 pub enum LeaseState {
     /// The owner may act.
     Held,
+    /// The owner may act on what runs, but nothing may start before it is confirmed again that the
+    /// work is still wanted.
+    Unconfirmed,
     /// The owner may not act now, but the lease may be renewed with the same epoch.
     Lapsed,
     /// The lease has a different epoch, so the work is lost for good.
--- a/crates/foxtailhold/tests/batch_sim/drive.rs
+++ b/crates/foxtailhold/tests/batch_sim/drive.rs
@@ -8,7 +8,7 @@
 use foxtailhold::batch::registry::StopAction;
 use foxtailhold::batch::{ChunkRow, JobCounts, JobStatus};
 use foxtailhold::ids::JobId;
-use foxtailhold::lease::{LEASE_RENEW_MS, LeaseState};
+use foxtailhold::lease::{ACT_BOUND_MS, LEASE_RENEW_MS, LeaseState};
 use foxtailhold::time::{MonoMs, WallMs};
 
 use super::count;
@@ -44,24 +44,44 @@
         let held = node.lease_renewer.held().epoch_at(now).is_some();
         if held && let Some(running) = node.registry.begin_scan() {
             let scan = JobScan {
+                sent_at: now,
                 running,
                 ..JobScan::default()
             };
             node.scan = Some(scan);
             self.send(index, Waiter::Scan, StoreRequest::ScanOpen);
         }
+        let node = &mut self.nodes[index];
+        if !node.is_reading_open_jobs && node.start_leases.needs_read(now) {
+            node.is_reading_open_jobs = true;
+            self.send(index, Waiter::OpenJobs(now), StoreRequest::ScanOpen);
+        }
         let jobs: Vec<JobId> = self.nodes[index].runs.keys().cloned().collect();
         for job in jobs {
             self.advance_execution(index, &job);
+            if self.may_start_items(index, &job) {
+                count("item might start");
+                self.check_item_start(index, &job);
+            }
         }
     }
 
+    /// Whether an item of a job may start on an instance now.
+    pub fn may_start_items(&self, index: usize, job: &JobId) -> bool {
+        let Some(run) = self.nodes[index].runs.get(job) else {
+            return false;
+        };
+        let lease_state = self.lease_state(index, job);
+        run.execution
+            .may_start_items(WallMs(self.now_ms), lease_state)
+    }
+
     fn lease_state(&self, index: usize, job: &JobId) -> LeaseState {
         let node = &self.nodes[index];
         let epoch = node.runs[job].execution.owned().epoch;
-        node.lease_renewer
-            .held()
-            .lease_state(epoch, MonoMs(self.now_ms))
+        let held = node.lease_renewer.held();
+        node.start_leases
+            .state(job, epoch, held, MonoMs(self.now_ms))
     }
 
     fn advance_execution(&mut self, index: usize, job: &JobId) {
@@ -91,7 +111,8 @@
         }
     }
 
-    /// Oracle: an instance that starts an item owns the job, and the job is not cancelled.
+    /// Oracle: an instance that starts an item owns the job, the job is not cancelled, and its
+    /// cancellation has not been committed for longer than an owner acts without confirmation.
     fn check_item_start(&self, index: usize, job: &JobId) {
         count("item started");
         let status = self.store.job[job].row.status;
@@ -100,6 +121,12 @@
             JobStatus::Cancelled,
             "an item of a cancelled job started"
         );
+        let cancelled_at_ms = self.cancelled_at_ms.get(job);
+        let cancelled_ms = cancelled_at_ms.map_or(0, |at_ms| self.now_ms - at_ms);
+        assert!(
+            cancelled_ms < ACT_BOUND_MS,
+            "an item started {cancelled_ms} ms after the cancellation was committed"
+        );
         let node = &self.nodes[index];
         let epoch = node.runs[job].execution.owned().epoch;
         let owner = self.store.owner.get(job).map(|owner| &owner.row);
@@ -118,12 +145,9 @@
         }
         let jobs: Vec<JobId> = self.nodes[index].runs.keys().cloned().collect();
         for job in jobs {
-            let lease_state = self.lease_state(index, &job);
+            let may_start = self.may_start_items(index, &job);
             let run = &self.nodes[index].runs[&job];
             let first = run.items.iter().find(|(_, storing)| !**storing);
-            let may_start = run
-                .execution
-                .may_start_items(WallMs(self.now_ms), lease_state);
             let Some((&chunk, _)) = first.filter(|_| may_start) else {
                 continue;
             };
--- a/crates/foxtailhold/tests/batch_sim/node.rs
+++ b/crates/foxtailhold/tests/batch_sim/node.rs
@@ -7,11 +7,13 @@
 use foxtailhold::batch::execution::JobExecution;
 use foxtailhold::batch::finish::FinishTransaction;
 use foxtailhold::batch::registry::JobRegistry;
+use foxtailhold::batch::start_leases::StartLeases;
 use foxtailhold::batch::transaction::{Transaction, TransactionOutcome, Versioned};
 use foxtailhold::batch::{ChunkRow, JobRow, OpenJobRow, OwnerRow};
 use foxtailhold::ids::{InstanceId, JobId};
 use foxtailhold::lease::{LeaseRenewer, Renewal};
 use foxtailhold::lease_row::LeaseRow;
+use foxtailhold::time::MonoMs;
 
 use super::store::ProcessId;
 
@@ -47,7 +49,9 @@
 pub enum Waiter {
     Renewal(Option<Renewal>),
     Scan,
-    Claim(Claim),
+    /// Reads the open jobs beside the scan; the time is that at which the read was sent.
+    OpenJobs(MonoMs),
+    Claim(Claim, MonoMs),
     /// Reads the chunks before the execution of a job starts.
     StartJob(OwnedJob),
     Stored(JobId, u64, u32, ChunkRow),
@@ -74,10 +78,11 @@
 /// A scan of open jobs in progress.
 #[derive(Debug, Default)]
 pub struct JobScan {
+    pub sent_at: MonoMs,
     pub remaining_jobs: VecDeque<JobId>,
     pub view: ClaimView,
-    pub claimed: Vec<OwnedJob>,
-    pub cancelling: Vec<JobId>,
+    /// Claimed jobs and when each claim was sent.
+    pub claimed: Vec<(OwnedJob, MonoMs)>,
     pub running: Vec<JobId>,
 }
 
@@ -102,6 +107,8 @@
     pub renewed_at_ms: u64,
     pub watched: WatchedLeases,
     pub registry: JobRegistry,
+    pub start_leases: StartLeases,
+    pub is_reading_open_jobs: bool,
     pub scan: Option<JobScan>,
     pub runs: BTreeMap<JobId, RunningJob>,
     /// Cancellations that wait for the end of the scan.
@@ -120,6 +127,8 @@
             renewed_at_ms: 0,
             watched: WatchedLeases::new(),
             registry: JobRegistry::default(),
+            start_leases: StartLeases::default(),
+            is_reading_open_jobs: false,
             scan: None,
             runs: BTreeMap::new(),
             pending_stops: Vec::new(),
--- a/crates/foxtailhold/tests/batch_sim/world.rs
+++ b/crates/foxtailhold/tests/batch_sim/world.rs
@@ -7,7 +7,7 @@
 use foxtailhold::batch::execution::JobExecution;
 use foxtailhold::batch::finish::FinishTransaction;
 use foxtailhold::batch::transaction::{Condition, ConflictingRow, TransactionOutcome, Versioned};
-use foxtailhold::batch::{JobRow, JobStatus};
+use foxtailhold::batch::{JobRow, JobStatus, OpenJobRow};
 use foxtailhold::ids::JobId;
 use foxtailhold::lease::Renewal;
 use foxtailhold::time::MonoMs;
@@ -49,6 +49,10 @@
 pub struct World {
     pub now_ms: u64,
     pub store_up: bool,
+    /// Whether the store refuses scans of the open jobs.
+    pub refuses_scans: bool,
+    /// When the cancellation of each cancelled job was committed.
+    pub cancelled_at_ms: BTreeMap<JobId, u64>,
     pub store: Store,
     pub nodes: Vec<Node>,
     pub calls: Vec<Call>,
@@ -66,6 +70,8 @@
         World {
             now_ms: 1,
             store_up: true,
+            refuses_scans: false,
+            cancelled_at_ms: BTreeMap::new(),
             store: Store::default(),
             nodes: (0..NODES).map(node).collect(),
             calls: Vec::new(),
@@ -144,7 +150,15 @@
             StoreRequest::ScanChunks(job) => StoreResponse::Chunks(store.chunks(job)),
             StoreRequest::PutObject => StoreResponse::Stored,
             StoreRequest::Transact(transaction) => {
-                StoreResponse::Outcome(store.transact(&process, transaction))
+                let outcome = store.transact(&process, transaction);
+                let row = store.job.get(&transaction.job).map(|found| &found.row);
+                if row.is_some_and(|row| row.status == JobStatus::Cancelling) {
+                    let cancelled_at_ms = &mut self.cancelled_at_ms;
+                    cancelled_at_ms
+                        .entry(transaction.job.clone())
+                        .or_insert(self.now_ms);
+                }
+                StoreResponse::Outcome(outcome)
             }
             StoreRequest::Renew(renewal) => {
                 let found = store.lease.get(&process.0);
@@ -167,7 +181,8 @@
         if call.awaited && self.nodes[call.node].paused {
             return;
         }
-        let disconnected = !self.store_up || self.nodes[call.node].disconnected;
+        let is_refused_scan = self.refuses_scans && matches!(call.request, StoreRequest::ScanOpen);
+        let disconnected = !self.store_up || self.nodes[call.node].disconnected || is_refused_scan;
         if call.applied.is_none() && disconnected {
             return self.refuse(index);
         }
@@ -250,7 +265,8 @@
         match call.waiter {
             Waiter::Renewal(renewal) => self.renewal(node, renewal, response),
             Waiter::Scan => self.scan_step(node, response),
-            Waiter::Claim(claim) => self.claim(node, claim, &response),
+            Waiter::OpenJobs(sent_at) => self.open_jobs_read(node, sent_at, &response),
+            Waiter::Claim(claim, sent_at) => self.claim(node, claim, sent_at, &response),
             Waiter::StartJob(owned) => self.start_job(node, owned, response),
             Waiter::Stored(job, run, index, chunk) => {
                 self.stored(node, &job, run, index, chunk, &response);
@@ -278,8 +294,32 @@
         node.renewing = false;
     }
 
+    fn open_jobs_read(&mut self, index: usize, sent_at: MonoMs, response: &StoreResponse) {
+        self.nodes[index].is_reading_open_jobs = false;
+        if let StoreResponse::Open(open) = response {
+            self.confirm(index, sent_at, open);
+        }
+    }
+
+    /// Confirms the jobs that a read of the open jobs found in progress and ends those that it found
+    /// cancelled.
+    fn confirm(&mut self, index: usize, sent_at: MonoMs, open: &[OpenJobRow]) {
+        for row in open {
+            let node = &mut self.nodes[index];
+            if !row.cancelling {
+                node.start_leases.confirm(&row.job, sent_at);
+            } else if node.registry.must_stop(&row.job) {
+                self.end_execution(index, &row.job);
+            }
+        }
+    }
+
     fn scan_step(&mut self, index: usize, response: StoreResponse) {
         let now = MonoMs(self.now_ms);
+        if let StoreResponse::Open(open) = &response {
+            let sent_at = self.nodes[index].scan.as_ref().unwrap().sent_at;
+            self.confirm(index, sent_at, open);
+        }
         let node = &mut self.nodes[index];
         let me = node.id.clone();
         let scan = node.scan.as_mut().unwrap();
@@ -288,8 +328,6 @@
                 for row in open {
                     if !scan.running.contains(&row.job) {
                         scan.remaining_jobs.push_back(row.job);
-                    } else if row.cancelling {
-                        scan.cancelling.push(row.job);
                     }
                 }
                 return self.next_job(index);
@@ -321,20 +359,20 @@
         let transaction = claim.transaction().clone();
         self.send(
             index,
-            Waiter::Claim(claim),
+            Waiter::Claim(claim, now),
             StoreRequest::Transact(transaction),
         );
     }
 
-    fn claim(&mut self, index: usize, claim: Claim, response: &StoreResponse) {
+    fn claim(&mut self, index: usize, claim: Claim, sent_at: MonoMs, response: &StoreResponse) {
         let StoreResponse::Outcome(outcome) = response else {
             return;
         };
         let owned = claim.close(outcome);
-        self.job_scanned(index, owned);
+        self.job_scanned(index, owned.map(|owned| (owned, sent_at)));
     }
 
-    fn job_scanned(&mut self, index: usize, owned: Option<OwnedJob>) {
+    fn job_scanned(&mut self, index: usize, owned: Option<(OwnedJob, MonoMs)>) {
         let scan = self.nodes[index].scan.as_mut().unwrap();
         scan.view = ClaimView::default();
         scan.remaining_jobs.pop_front();
@@ -349,11 +387,15 @@
             return self.send(index, Waiter::Scan, StoreRequest::ReadJob(job));
         }
         let scan = node.scan.take().unwrap();
-        let started = node.registry.end_scan(&scan.claimed);
+        let (claimed, sent_at): (Vec<_>, Vec<_>) = scan.claimed.into_iter().unzip();
+        let started = node.registry.end_scan(&claimed);
         let me = node.id.clone();
-        for owned in scan.claimed {
+        for (owned, sent_at) in claimed.into_iter().zip(sent_at) {
             let job = owned.row.job.clone();
             if started.contains(&job) {
+                if owned.row.status == JobStatus::InProgress {
+                    self.nodes[index].start_leases.insert(&job, sent_at);
+                }
                 let request = StoreRequest::ScanChunks(job);
                 self.send(index, Waiter::StartJob(owned), request);
                 continue;
@@ -361,11 +403,6 @@
             let release = release(&owned, &me);
             self.send(index, Waiter::None, StoreRequest::Transact(release));
         }
-        for job in scan.cancelling {
-            if self.nodes[index].registry.must_stop(&job) {
-                self.end_execution(index, &job);
-            }
-        }
         let stops = std::mem::take(&mut self.nodes[index].pending_stops);
         for id in stops {
             self.cancels[id].waits_for_scan = false;
@@ -399,6 +436,7 @@
             true
         });
         node.registry.ended(job);
+        node.start_leases.remove(job);
     }
 }
 
--- a/crates/foxtailhold/tests/lease.rs
+++ b/crates/foxtailhold/tests/lease.rs
@@ -1,5 +1,6 @@
 //! How long the holder of a lease may act, and on which work.
 
+use foxtailhold::act_lease::ActLease;
 use foxtailhold::lease::{HeldLease, LEASE_MARGIN_MS, LEASE_TERM_MS, LeaseState};
 use foxtailhold::time::MonoMs;
 
@@ -15,7 +16,8 @@
 #[test]
 fn a_holder_acts_until_the_margin_before_the_end_of_its_term() {
     let lease = lease_with_epoch(3);
-    assert_eq!(lease.valid_until(3), Some(SENT_AT + VALID_MS));
+    let until = lease.valid_until(3).map(ActLease::until);
+    assert_eq!(until, Some(SENT_AT + VALID_MS));
     assert_eq!(lease.epoch_at(MonoMs(SENT_AT.0 + VALID_MS - 1)), Some(3));
     assert_eq!(lease.epoch_at(SENT_AT + VALID_MS), None);
 }
