tables: a row of a later page does not hide a change that an earlier page lacks

Cause: the pages of a large table are read one after the other. A row of a later page that is newer than the first page counted as "no change up to this version is missing", though a change to an earlier page may have come between. Whoever went on from there skipped that change: the follower after an announcement, and the read of changes before an act on the table of jobs, which then held a lease on a copy without it. Not seen by a caller; found by reading. Evidence: a_change_between_two_pages_of_a_table_counts_as_missing, red on (known up to 7, the first page is of 5).

--- a/crates/foxtailhold-relay/src/follow.rs
+++ b/crates/foxtailhold-relay/src/follow.rs
@@ -169,7 +169,7 @@
                 let version = snapshot.version;
                 follower.confirm(access);
                 log::info!(table = name, version = version, rows = snapshot.rows.len(); "table read");
-                status.record_changes(table, &snapshot.rows);
+                status.record_snapshot(table, &snapshot);
                 follower.sink.replace(snapshot);
                 follower.sink.caught_up();
                 status.record_complete(table, complete_up_to);
--- a/crates/foxtailhold-relay/src/jobs/freshness.rs
+++ b/crates/foxtailhold-relay/src/jobs/freshness.rs
@@ -227,7 +227,7 @@
         let called_at = self.now();
         let announced = tables.newest_announced(FollowedTable::Jobs);
         let snapshot = self.store.read_table().await.map_err(JobError::of_read)?;
-        tables.record_changes(FollowedTable::Jobs, &snapshot.rows);
+        tables.record_snapshot(FollowedTable::Jobs, &snapshot);
         self.cache.replace(&snapshot);
         tables.record_complete(FollowedTable::Jobs, snapshot.version.max(announced));
         tables.record_current(FollowedTable::Jobs, called_at);
--- a/crates/foxtailhold-relay/src/tables.rs
+++ b/crates/foxtailhold-relay/src/tables.rs
@@ -11,7 +11,7 @@
 use foxtailhold::time::MonoMs;
 use foxtailhold_http::clock::Clock;
 use foxtailhold_http::lock::Mutex;
-use foxtailhold_platform::VersionedRow;
+use foxtailhold_platform::{Snapshot, VersionedRow};
 use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -146,9 +146,24 @@
         Some(since.elapsed())
     }
 
-    /// Records that rows of a table were applied.
+    /// Records that rows of the change feed of a table were applied.
     pub fn record_changes(&self, table: FollowedTable, rows: &[VersionedRow]) {
-        let newest = rows.iter().map(|row| row.version).max().unwrap_or(0);
+        let newest = rows.iter().map(|row| row.version).max();
+        self.record_newest(table, newest.unwrap_or(0));
+    }
+
+    /// Records that a whole table was read and its rows are applied. The pages of a large table are read
+    /// one after the other: a row that is newer than the first page may be newer than a change that an
+    /// earlier page lacks, and does not count.
+    pub fn record_snapshot(&self, table: FollowedTable, snapshot: &Snapshot) {
+        let versions = snapshot.rows.iter().map(|row| row.version);
+        let newest = versions
+            .filter(|version| *version <= snapshot.version)
+            .max();
+        self.record_newest(table, newest.unwrap_or(0));
+    }
+
+    fn record_newest(&self, table: FollowedTable, newest: u64) {
         let state = &mut self.states.lock()[table as usize];
         state.newest_change = state.newest_change.max(newest);
         state.review_missing(self.clock.mono());
--- a/crates/foxtailhold-relay/tests/feed_order.rs
+++ b/crates/foxtailhold-relay/tests/feed_order.rs
@@ -100,11 +100,17 @@
 }
 
 async fn told(feeds: &[Feed]) -> Vec<&'static str> {
-    let store = ScriptedStore::default();
-    store.snapshots.lock().push_back(Snapshot {
+    let snapshot = Snapshot {
         rows: Vec::new(),
         version: 1,
-    });
+    };
+    follow_scripted(snapshot, feeds).await.0
+}
+
+/// What the consumer was told, and the status of the table then.
+async fn follow_scripted(snapshot: Snapshot, feeds: &[Feed]) -> (Vec<&'static str>, TableStatus) {
+    let store = ScriptedStore::default();
+    store.snapshots.lock().push_back(snapshot);
     store.feeds.lock().extend(feeds.iter().cloned());
     let socket = UdpSocket::bind("127.0.0.1:0").await.unwrap();
     let me = InstanceId::try_from("edge").unwrap();
@@ -115,15 +121,15 @@
         table: FollowedTable::Instances,
         name: TABLE,
         timing: FeedTiming::new(1_000),
-        status,
+        status: status.clone(),
     };
     let sink = Told::default();
     let store = SharedStore::new(store, peers, RelayMetrics::default());
     let following = tokio::spawn(follow(store, source, sink.clone()));
     tokio::time::sleep(Duration::from_millis(300)).await;
     following.abort();
-    let told = sink.0.lock();
-    told.clone()
+    let told = sink.0.lock().clone();
+    (told, status)
 }
 
 #[tokio::test]
@@ -139,3 +145,19 @@
     let told = told(&[changed(&[]), Feed::HistoryGone]).await;
     assert_eq!(told, ["replaced", "caught up", "caught up"]);
 }
+
+/// Guards against a change that is never applied, because it was made while the pages of a table were
+/// read and a row of a later page is newer.
+#[tokio::test]
+async fn a_change_between_two_pages_of_a_table_counts_as_missing() {
+    let snapshot = Snapshot {
+        rows: vec![VersionedRow {
+            key: RowKey::new(TABLE, "row of the last page"),
+            value: None,
+            version: 7,
+        }],
+        version: 5,
+    };
+    let (_, status) = follow_scripted(snapshot, &[]).await;
+    assert_eq!(status.known_up_to(FollowedTable::Instances), 5);
+}
