jobs: a slow store does not keep the jobs of a lost owner from being taken over

Cause: a takeover needs current copies of the jobs and the instances since, within the bound of a change. Where each answer takes as long as its limit allows, a copy is 1.4 times as old when the next one arrives, so both were current at the same moment for a part of the time only. Evidence: a_copy_whose_calls_are_answered_within_their_limits_allows_a_takeover; with the bound of a change 1,000 of 1,400 ms are allowed. Change: the bound is the age that a copy reaches while each call is answered within its limit.

--- a/crates/foxtailhold-relay/src/follow.rs
+++ b/crates/foxtailhold-relay/src/follow.rs
@@ -60,6 +60,12 @@
         }
     }
 
+    /// Largest age of a copy while each direct call is answered within its time limit: the copy has what
+    /// was there when the last answered call began.
+    pub fn largest_age_ms(&self) -> u64 {
+        2 * (self.wait_ms + self.margin_ms)
+    }
+
     /// Longest time from the start of a direct call that hangs to the end of the next call.
     pub fn longest_gap_ms(&self) -> u64 {
         self.wait_ms + 2 * self.margin_ms
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -157,11 +157,7 @@
             acceptances: tokio::sync::Mutex::default(),
             progress: JobProgress::default(),
             ends: EndsUnderWay::new(identity.ack_ms),
-            bounds: ActBounds::new(
-                identity.settle_ms,
-                identity.cancel_ms,
-                timing.change_bound_ms,
-            ),
+            bounds: ActBounds::new(identity.settle_ms, identity.cancel_ms, &timing),
             refreshes: tokio::sync::Mutex::default(),
             hand_over: CancellationToken::new(),
         });
--- a/crates/foxtailhold-relay/src/jobs/freshness.rs
+++ b/crates/foxtailhold-relay/src/jobs/freshness.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::dialect::Dialect;
+use crate::follow::FeedTiming;
 use crate::jobs::{JobError, Jobs, Result};
 use crate::tables::FollowedTable;
 
@@ -37,16 +38,16 @@
 
 impl ActBounds {
     /// The bounds where what one instance has shown must be seen at each after `settle_ms`, where items
-    /// of an ended job may start for `cancel_ms`, and where a change has to be in effect within
-    /// `change_bound_ms`.
-    pub fn new(settle_ms: u64, cancel_ms: u64, change_bound_ms: u64) -> Self {
+    /// of an ended job may start for `cancel_ms`, and where the tables are followed with `timing`.
+    pub fn new(settle_ms: u64, cancel_ms: u64, timing: &FeedTiming) -> Self {
         ActBounds {
             // The other half is left for the answers on their way.
             tell_ms: settle_ms / 2,
             // The rest is left for the request on its way to the backend server.
             start_ms: cancel_ms - cancel_ms / 5,
-            take_over_ms: change_bound_ms,
-            no_route_ms: change_bound_ms,
+            // A slow store is no reason to leave the jobs of a lost owner alone.
+            take_over_ms: timing.largest_age_ms(),
+            no_route_ms: timing.change_bound_ms,
         }
     }
 }
