tests: sound engines are not set aside by an owner that must not send

Cause: an item whose engine is lost while its owner may start nothing was offered to each other engine in turn. No byte was sent, but each refused send counted as a failure of a sound engine, which the owner then set aside.

--- a/crates/foxtailhold-standin/tests/batch_unread_cancel.rs
+++ b/crates/foxtailhold-standin/tests/batch_unread_cancel.rs
@@ -3,13 +3,15 @@
 mod batch_deployment;
 mod common;
 
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::collections::BTreeSet;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use batch_deployment::{Job, platform, platform_faults};
 use common::{Deployment, until};
 use foxtailhold::batch::{JobRow, JobStatus, OpenJobRow};
 use foxtailhold::lease::LEASE_TERM_MS;
 use foxtailhold_platform::{Expect, Operation, TableService, Transacted};
+use nix::sys::signal::Signal;
 use serde_json::json;
 
 const ITEMS: usize = 8_000;
@@ -94,3 +96,33 @@
     assert_eq!(job.owner_other_than(None).await, owner);
     assert_eq!(job.describe(owner).await.unwrap()["status"], "in_progress");
 }
+
+/// Guards against sound engines that count as failed because the owner does not send them an item that
+/// it may not start, after the engine that ran it was lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn sound_engines_are_not_set_aside_by_an_owner_that_reads_no_open_jobs() {
+    let mut deployment = Deployment::start(6, 0).await;
+    for index in 0..2 {
+        let more = ["--batch-policy", "ordinary"];
+        deployment.add_entry(&format!("entry-{index}"), "concord-hall", &more);
+    }
+    deployment.settle(2).await;
+    deployment.set_demo_contract().await;
+    let job = Job::start(&deployment, 0, "lost", 40, 3_000).await;
+    let owner = job.owner_other_than(None).await;
+    until("items to start", async || job.fresh_starts().await > 0).await;
+    platform_faults(&deployment, json!({ "unreadable_table": "job_open" })).await;
+    tokio::time::sleep(Duration::from_millis(LEASE_TERM_MS)).await;
+    deployment.engines[0].signal(Signal::SIGKILL);
+    let mut set_aside = BTreeSet::new();
+    let start = Instant::now();
+    while start.elapsed() < Duration::from_millis(LEASE_TERM_MS / 2) {
+        for view in deployment.operator(owner).backends().await.unwrap() {
+            if view.set_aside {
+                set_aside.insert(view.backend.to_string());
+            }
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert_eq!(Vec::from_iter(set_aside), ["engine-0"]);
+}
