tests: an end that is told before its job is known

Cause: each change of the table drops the told ends of jobs that are not known, so that one whose row comes later counts as open, though a complete round of questions said that all ends are known. Change: the test; no logic.

--- a/crates/foxtailhold-relay/tests/ended_messages.rs
+++ b/crates/foxtailhold-relay/tests/ended_messages.rs
@@ -81,3 +81,19 @@
     assert!(!ended.is_told(&job_id("j1")));
     assert_eq!(cache.open().len(), 0);
 }
+
+/// Guards against items of an ended job whose row arrives after the end was told, and after a change of
+/// another job.
+#[test]
+fn an_end_that_was_told_before_the_job_is_known_is_kept() {
+    let ended = EndedJobs::default();
+    let cache = JobCache::new(ended.clone());
+    ended.record_told(vec![job_id("j1")]);
+    let other = VersionedRow {
+        key: RowKey::new("jobs", "job/j2"),
+        ..row(6, false)
+    };
+    cache.put_rows(&[other]);
+    cache.put_rows(&[row(7, false)]);
+    assert!(cache.open().iter().all(|(id, _)| *id != job_id("j1")));
+}
