jobs: items go on starting where an instance is lost as the store goes away, and told ends are kept

Cause: while the store was away, owners waited for the answer of an instance that had been lost, which cannot come: no item started anywhere until the store was back. And each change of the table dropped the told ends of jobs that are not known yet, so that one whose row came later counted as open. Change: only instances that are alive are asked. One that is lost has told the owner of each end before it acknowledged it. Told ends of unknown jobs are kept for a minute. What remains: an owner does not know of an end if the instance that acknowledged it is lost, and both of its messages, before anybody read the end from the store.

--- a/crates/foxtailhold-relay/src/ended_jobs.rs
+++ b/crates/foxtailhold-relay/src/ended_jobs.rs
@@ -1,12 +1,13 @@
 //! Ends of batch jobs that instances tell each other beside the store.
 
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use foxtailhold::end_rounds::{AskedMember, EndAnswer, EndRounds};
+use foxtailhold::end_rounds::EndRounds;
 use foxtailhold::ids::JobId;
 use foxtailhold::time::MonoMs;
+use foxtailhold_http::clock::Clock;
 use foxtailhold_http::lock::Mutex;
 use tokio::sync::Notify;
 
@@ -19,8 +20,8 @@
 struct State {
     /// Jobs that were ended here, oldest first.
     own: Vec<(MonoMs, JobId)>,
-    /// Jobs that were ended elsewhere and are open in the copy.
-    told: HashSet<JobId>,
+    /// Jobs that were ended elsewhere, and when that was told, until the copy has their ends.
+    told: HashMap<JobId, MonoMs>,
     /// Those of them that were told to this instance alone, and that nobody here looks after yet.
     handed_on: Vec<JobId>,
     rounds: EndRounds<SocketAddr>,
@@ -29,6 +30,7 @@
 #[derive(Debug, Default)]
 struct Inner {
     state: Mutex<State>,
+    clock: Clock,
     answered: Notify,
     handed_on: Notify,
 }
@@ -39,34 +41,36 @@
 
 impl EndedJobs {
     /// Records that a job was ended by a call at this instance, before the caller is answered.
-    pub fn record_own(&self, job: &JobId, now: MonoMs) {
+    pub fn record_own(&self, job: &JobId) {
+        let now = self.0.clock.mono();
         let mut state = self.0.state.lock();
         state.own.retain(|(at, _)| now.since_ms(*at) <= TOLD_FOR_MS);
         state.own.push((now, job.clone()));
     }
 
-    /// The jobs that were lately ended at this instance, and the time up to now of which these are all.
-    /// `now` is counted from the start of the process.
-    pub fn own(&self, now: MonoMs) -> (Vec<JobId>, u64) {
+    /// The jobs that were lately ended at this instance.
+    pub fn own(&self) -> Vec<JobId> {
+        let now = self.0.clock.mono();
         let state = self.0.state.lock();
-        let recent: Vec<&(MonoMs, JobId)> = state.own.iter().rev().take(MAX_TOLD_JOBS).collect();
-        let covers_ms = match recent.last() {
-            Some((at, _)) if recent.len() == MAX_TOLD_JOBS => now.since_ms(*at),
-            _ => now.0.min(TOLD_FOR_MS),
-        };
-        let jobs = recent.into_iter().map(|(_, job)| job.clone());
-        (jobs.collect(), covers_ms)
+        let newest_first = state.own.iter().rev().take(MAX_TOLD_JOBS);
+        newest_first
+            .take_while(|(at, _)| now.since_ms(*at) <= TOLD_FOR_MS)
+            .map(|(_, job)| job.clone())
+            .collect()
     }
 
     /// Records jobs that another instance has ended.
     pub fn record_told(&self, jobs: Vec<JobId>) {
-        self.0.state.lock().told.extend(jobs);
+        let now = self.0.clock.mono();
+        let told = jobs.into_iter().map(|job| (job, now));
+        self.0.state.lock().told.extend(told);
     }
 
     /// Records jobs whose ends another instance was asked for, and tells the instances that run them.
     pub fn record_handed_on(&self, jobs: Vec<JobId>) {
+        let now = self.0.clock.mono();
         let mut state = self.0.state.lock();
-        state.told.extend(jobs.iter().cloned());
+        state.told.extend(jobs.iter().map(|job| (job.clone(), now)));
         state.handed_on.extend(jobs);
         drop(state);
         self.0.handed_on.notify_one();
@@ -84,24 +88,22 @@
 
     /// Whether another instance has told the end of a job.
     pub fn is_told(&self, job: &JobId) -> bool {
-        self.0.state.lock().told.contains(job)
+        self.0.state.lock().told.contains_key(job)
     }
 
-    /// Forgets the told ends of jobs that are no longer open in the copy.
-    pub fn keep_only(&self, is_open: impl Fn(&JobId) -> bool) {
-        self.0.state.lock().told.retain(|job| is_open(job));
+    /// Forgets the told ends that the copy has. `is_open` tells whether a job is open in it; `None` if it
+    /// does not know the job, whose row may come later.
+    pub fn keep_only(&self, is_open: impl Fn(&JobId) -> Option<bool>) {
+        let now = self.0.clock.mono();
+        let mut state = self.0.state.lock();
+        state.told.retain(|job, told_at| {
+            is_open(job).unwrap_or_else(|| now.since_ms(*told_at) <= TOLD_FOR_MS)
+        });
     }
 
-    /// Begins a round of questions to the other instances that may have ended a job since `known_as_of`;
-    /// returns its number.
-    pub fn ask(
-        &self,
-        now: MonoMs,
-        known_as_of: MonoMs,
-        members: &[AskedMember<SocketAddr>],
-    ) -> u64 {
-        let mut state = self.0.state.lock();
-        state.rounds.ask(now, known_as_of, members)
+    /// Begins a round of questions to the other instances that are alive; returns its number.
+    pub fn ask(&self, now: MonoMs, members: &[SocketAddr]) -> u64 {
+        self.0.state.lock().rounds.ask(now, members)
     }
 
     /// Members whose answer to the latest round is missing.
@@ -110,10 +112,8 @@
     }
 
     /// Applies an answer to a round.
-    pub fn record_answer(&self, round: u64, from: SocketAddr, answer: EndAnswer) {
-        let mut state = self.0.state.lock();
-        state.rounds.answer(round, from, answer);
-        drop(state);
+    pub fn record_answer(&self, round: u64, from: SocketAddr) {
+        self.0.state.lock().rounds.answer(round, from);
         self.0.answered.notify_waiters();
     }
 
--- a/crates/foxtailhold-relay/src/jobs/cache.rs
+++ b/crates/foxtailhold-relay/src/jobs/cache.rs
@@ -289,14 +289,18 @@
         self.changed.send_modify(|count| *count += 1);
     }
 
+    fn keep_told_ends(&self, state: &CacheState) {
+        let is_open = |id: &JobId| state.jobs.get(id).map(|known| known.job.is_open());
+        self.ended.keep_only(is_open);
+    }
+
     /// Applies rows of the table of jobs.
     pub fn put_rows(&self, rows: &[VersionedRow]) {
         let mut state = self.state.lock();
         for row in rows {
             put_row(&mut state, row);
         }
-        let is_open = |id: &JobId| state.jobs.get(id).is_some_and(|job| job.job.is_open());
-        self.ended.keep_only(is_open);
+        self.keep_told_ends(&state);
         drop(state);
         self.changed.send_modify(|count| *count += 1);
     }
@@ -308,8 +312,7 @@
         for row in &snapshot.rows {
             put_row(&mut state, row);
         }
-        let is_open = |id: &JobId| state.jobs.get(id).is_some_and(|job| job.job.is_open());
-        self.ended.keep_only(is_open);
+        self.keep_told_ends(&state);
         drop(state);
         self.changed.send_modify(|count| *count += 1);
     }
--- a/crates/foxtailhold-relay/src/jobs/freshness.rs
+++ b/crates/foxtailhold-relay/src/jobs/freshness.rs
@@ -149,8 +149,7 @@
                 if !self.is_store_away() {
                     tokio::time::sleep(Duration::from_millis(ASK_DELAY_MS)).await;
                 }
-                let known_as_of = self.ends_known_as_of().unwrap_or(MonoMs(0));
-                self.relay.peers.ask_ended(known_as_of).await
+                self.relay.peers.ask_ended().await
             };
             tokio::select! {
                 Ok(()) = self.refresh() => {}
--- a/crates/foxtailhold-relay/src/peers/live_view.rs
+++ b/crates/foxtailhold-relay/src/peers/live_view.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashSet;
 
+use foxtailhold::ids::InstanceId;
 use foxtailhold::time::MonoMs;
 
 use crate::peers::message::InstanceHash;
@@ -15,6 +16,11 @@
 }
 
 impl LiveView {
+    /// Whether another instance is alive.
+    pub fn is_live(&self, instance: &InstanceId) -> bool {
+        self.live.contains(&InstanceHash::from(instance))
+    }
+
     /// Whether this instance hears from any other.
     pub fn hears_others(&self) -> bool {
         self.hears_others
--- a/crates/foxtailhold-relay/src/peers/message.rs
+++ b/crates/foxtailhold-relay/src/peers/message.rs
@@ -215,10 +215,6 @@
     pub round: Option<u64>,
     /// The jobs.
     pub jobs: Vec<JobId>,
-    /// Time up to now of which these are all.
-    pub covers_ms: u64,
-    /// Whether the store has not answered the last call of the instance about the jobs.
-    pub is_store_away: bool,
 }
 
 /// Answer to [`PeerMessage::FindOrigin`].
--- a/crates/foxtailhold-relay/src/peers/mod.rs
+++ b/crates/foxtailhold-relay/src/peers/mod.rs
@@ -251,7 +251,6 @@
                 held,
             };
             self.free_slots_of_lost_instances(now);
-            self.note_down(now);
             pool_log.write(now, &self.inner.allocator);
             let (addresses, interval_ms) = {
                 let mut members = self.members();
