jobs: readers are served behind a slow store while the feed is silent

Cause: all readers of a copy that is too old waited for one call that brings it up to date, and the call was dropped with the reader that made it: where it took longer than a reader has, none was finished and each read was refused, though the store answered. Change: one task of the instance makes these calls, one at a time, and finishes them whoever waits; a reader that gets no answer of it soon reads its own row beside it. Starts of items do not wait for the turn of readers.

--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -27,7 +27,7 @@
 use crate::follow::{FeedTiming, TableSource, follow};
 use crate::jobs::{
     ActBounds, EndsUnderWay, JOBS_TABLE, JobCache, JobCacheSink, JobProgress, JobStore, Jobs,
-    own_jobs, store_told_ends, sweep_jobs, wait_handed_over,
+    Refreshes, own_jobs, refresh_when_wanted, store_told_ends, sweep_jobs, wait_handed_over,
 };
 use crate::metrics::{GaugeValues, RelayMetrics};
 use crate::origin_confirmation::confirm_origins;
@@ -158,7 +158,7 @@
             progress: JobProgress::default(),
             ends: EndsUnderWay::new(identity.ack_ms),
             bounds: ActBounds::new(identity.settle_ms, identity.cancel_ms, &timing),
-            refreshes: tokio::sync::Mutex::default(),
+            refreshes: Refreshes::default(),
             hand_over: CancellationToken::new(),
         });
         let (loaded, backends_loaded) = watch::channel(false);
@@ -232,6 +232,7 @@
         tokio::spawn(sweep_jobs(Arc::clone(&jobs), identity.job_retention_ms));
         tokio::spawn(own_jobs(Arc::clone(&jobs)));
         tokio::spawn(store_told_ends(Arc::clone(&jobs)));
+        tokio::spawn(refresh_when_wanted(Arc::clone(&jobs)));
         let instance = Arc::new(Instance {
             relay,
             jobs,
--- a/crates/foxtailhold-relay/src/jobs/freshness.rs
+++ b/crates/foxtailhold-relay/src/jobs/freshness.rs
@@ -3,16 +3,19 @@
 //! Each act that rests on the copy has a bound: the age up to which the copy may be acted on. An act on
 //! an older copy first brings it up to date, with one call for all acts that wait, or is not done.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use foxtailhold::act_lease::ActLease;
 use foxtailhold::ids::JobId;
 use foxtailhold::time::MonoMs;
 use foxtailhold_platform::{Feed, ObjectStore, PlatformError, RowStore};
+use tokio::sync::{Notify, watch};
 use tokio::time::Instant;
 
 use crate::dialect::Dialect;
 use crate::follow::FeedTiming;
+use crate::jobs::cache::CachedJob;
 use crate::jobs::{JobError, Jobs, Result};
 use crate::tables::FollowedTable;
 
@@ -20,6 +23,10 @@
 const READ_HEDGE_DELAY_MS: u64 = 200;
 /// Time limit of one attempt to learn whether a job has ended before an item of it starts.
 const START_CONFIRM_MS: u64 = 1_000;
+/// Time limit of one attempt to bring the copy up to date, far longer than a slow store needs.
+const REFRESH_LIMIT_MS: u64 = 5_000;
+/// Delay after a failed attempt.
+const RETRY_DELAY_MS: u64 = 50;
 /// Time without an answer of the store after which other instances are asked too.
 const ASK_DELAY_MS: u64 = 250;
 
@@ -63,6 +70,42 @@
     Denied,
 }
 
+/// Calls of the store that bring the copy up to date, one at a time for all who want one.
+#[derive(Debug, Default)]
+pub struct Refreshes {
+    wanted: Notify,
+    /// Number of those that have ended.
+    ended: watch::Sender<u64>,
+    /// Held while other instances are asked for ends of jobs.
+    asking: tokio::sync::Mutex<()>,
+}
+
+impl Refreshes {
+    fn want(&self) {
+        self.wanted.notify_one();
+    }
+
+    fn refreshed(&self) -> watch::Receiver<u64> {
+        self.ended.subscribe()
+    }
+}
+
+/// Brings the copy of the table of jobs up to date whenever that is wanted. A call that has begun goes on
+/// when whoever wanted it has left: what it brings serves those who come later.
+pub async fn refresh_when_wanted<S: RowStore + ObjectStore, D: Dialect>(jobs: Arc<Jobs<S, D>>) {
+    loop {
+        jobs.refreshes.wanted.notified().await;
+        let limit = Duration::from_millis(REFRESH_LIMIT_MS);
+        let refreshed = tokio::time::timeout(limit, jobs.refresh()).await;
+        let is_refreshed = matches!(refreshed, Ok(Ok(())));
+        if !is_refreshed {
+            log::debug!("copy of the table of jobs not refreshed: {refreshed:?}");
+            tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
+        }
+        jobs.refreshes.ended.send_modify(|count| *count += 1);
+    }
+}
+
 impl<S: RowStore + ObjectStore, D: Dialect> Jobs<S, D> {
     fn now(&self) -> MonoMs {
         self.relay.metrics.tables().clock().mono()
@@ -111,19 +154,37 @@
     /// until `deadline`.
     pub(super) async fn ensure_current(&self, deadline: Instant) -> Result<()> {
         let asked_at = self.now();
-        if self.may_tell(asked_at) {
-            return Ok(());
-        }
-        let turn = tokio::time::timeout_at(deadline, self.refreshes.lock()).await;
-        let _turn = turn.map_err(|_| no_answer("other calls take until the caller leaves"))?;
-        while Instant::now() < deadline {
-            if self.may_tell(asked_at) {
-                return Ok(());
+        let mut refreshed = self.refreshes.refreshed();
+        while !self.may_tell(asked_at) {
+            self.refreshes.want();
+            let ended = tokio::time::timeout_at(deadline, refreshed.changed()).await;
+            if !matches!(ended, Ok(Ok(()))) {
+                return Err(no_answer("no answer while the caller waits"));
             }
-            let refreshed = tokio::time::timeout_at(deadline, self.refresh()).await;
-            refreshed.map_err(|_| no_answer("no answer while the caller waits"))??;
         }
-        Err(no_answer("no complete answer while the caller waits"))
+        Ok(())
+    }
+
+    /// A job as every instance may have shown it up to now: from the copy, which is brought up to date,
+    /// or from its row, whichever is there first. `None` if it has been deleted.
+    pub(super) async fn find_current(
+        &self,
+        id: &JobId,
+        deadline: Instant,
+    ) -> Result<Option<CachedJob>> {
+        let row_delay_ms = match self.is_store_away() {
+            true => 0,
+            false => READ_HEDGE_DELAY_MS,
+        };
+        let reading = async {
+            tokio::time::sleep(Duration::from_millis(row_delay_ms)).await;
+            self.find_in_store(id, deadline).await
+        };
+        tokio::select! {
+            biased;
+            Ok(()) = self.ensure_current(deadline) => Ok(self.cache.get(id)),
+            found = reading => found,
+        }
     }
 
     /// Whether a caller may be told now what the copy shows.
@@ -140,24 +201,33 @@
 
     /// Tries to learn of all ends of jobs up to now, from the store or from all other instances.
     async fn confirm_ends(&self) {
-        let confirming = async {
-            let _turn = self.refreshes.lock().await;
-            if self.lease_to_start().is_some() {
-                return;
+        let refreshing = async {
+            let mut refreshed = self.refreshes.refreshed();
+            while self.lease_to_start().is_none() {
+                self.refreshes.want();
+                if refreshed.changed().await.is_err() {
+                    return std::future::pending().await;
+                }
             }
-            let asking = async {
-                if !self.is_store_away() {
-                    tokio::time::sleep(Duration::from_millis(ASK_DELAY_MS)).await;
+        };
+        let asking = async {
+            if !self.is_store_away() {
+                tokio::time::sleep(Duration::from_millis(ASK_DELAY_MS)).await;
+            }
+            let _turn = self.refreshes.asking.lock().await;
+            while self.lease_to_start().is_none() {
+                if !self.relay.peers.ask_ended().await {
+                    tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
                 }
-                self.relay.peers.ask_ended().await
-            };
-            tokio::select! {
-                Ok(()) = self.refresh() => {}
-                true = asking => {}
-                else => {}
             }
         };
         let limit = Duration::from_millis(START_CONFIRM_MS);
+        let confirming = async {
+            tokio::select! {
+                () = refreshing => {}
+                () = asking => {}
+            }
+        };
         if tokio::time::timeout(limit, confirming).await.is_err() {
             log::debug!("ends of jobs not confirmed within {START_CONFIRM_MS} ms");
         }
--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -29,7 +29,7 @@
 pub use checkpoint::PartialOutputs;
 pub use counts_writer::CountsWrite;
 pub use end::{EndsUnderWay, store_told_ends};
-pub use freshness::ActBounds;
+pub use freshness::{ActBounds, Refreshes, refresh_when_wanted};
 pub use output::{Checkpoint, PartialOutput, RunEvent, RunId, Writer};
 pub use owner::{own_jobs, wait_handed_over};
 pub use progress::JobProgress;
@@ -204,8 +204,8 @@
     pub ends: EndsUnderWay,
     /// Bounds of the acts that rest on the copy of the table of jobs.
     pub bounds: ActBounds,
-    /// Held while the copy is brought up to date for an act.
-    pub refreshes: tokio::sync::Mutex<()>,
+    /// Calls that bring the copy of the table of jobs up to date.
+    pub refreshes: Refreshes,
     /// Begins the hand-over of the jobs of this instance, in its planned stop.
     pub hand_over: CancellationToken,
 }
--- a/crates/foxtailhold-relay/src/jobs/read.rs
+++ b/crates/foxtailhold-relay/src/jobs/read.rs
@@ -84,8 +84,8 @@
         let deadline = Instant::now() + limit.saturating_sub(spent);
         let may_have_more = |job: &Job| job.listed.len() <= after && !job.is_complete();
         if may_have_more(&cached.job) {
-            self.ensure_current(deadline).await?;
-            cached = self.cache.get(id).ok_or(JobError::NotFound)?;
+            let current = self.find_current(id, deadline).await?;
+            cached = current.ok_or(JobError::NotFound)?;
         }
         let total = cached.job.items.len();
         let listed = cached.job.listed.len();
