jobs: other instances are asked for ends only where the store does not answer

Cause: where the feed counted as away, an owner asked the other instances at once, and their answers came before the read of the table. Whom it asked was read from the copy of the instances, whatever its age: an instance that it did not know could have ended the job, and its items started. Change: the read goes first, and instances are asked only while the copy of the instances is about as new as that of the jobs. Rows are applied before they count. A backend server whose send came too late is not avoided.

--- a/crates/foxtailhold-relay/src/jobs/freshness.rs
+++ b/crates/foxtailhold-relay/src/jobs/freshness.rs
@@ -211,12 +211,11 @@
             }
         };
         let asking = async {
-            if !self.is_store_away() {
-                tokio::time::sleep(Duration::from_millis(ASK_DELAY_MS)).await;
-            }
+            // The store knows of ends at instances that are not known here.
+            tokio::time::sleep(Duration::from_millis(ASK_DELAY_MS)).await;
             let _turn = self.refreshes.asking.lock().await;
             while self.lease_to_start().is_none() {
-                if !self.relay.peers.ask_ended().await {
+                if !self.knows_instances() || !self.relay.peers.ask_ended().await {
                     tokio::time::sleep(Duration::from_millis(RETRY_DELAY_MS)).await;
                 }
             }
@@ -233,6 +232,15 @@
         }
     }
 
+    /// Whether the copy of the instances is about as new as that of the jobs, so that all instances that
+    /// may have ended a job since are asked.
+    fn knows_instances(&self) -> bool {
+        let tables = self.relay.metrics.tables();
+        let lease = tables.lease(FollowedTable::Instances, self.bounds.take_over_ms);
+        let jobs_as_of = tables.as_of(FollowedTable::Jobs).unwrap_or_default();
+        lease.is_some_and(|lease| lease.covers(jobs_as_of))
+    }
+
     fn lease_to_start(&self) -> Option<ActLease> {
         let lease = ActLease::new(self.ends_known_as_of()?, self.bounds.start_ms);
         Some(lease).filter(|lease| lease.covers(self.now()))
@@ -279,8 +287,8 @@
         }
         match self.store.changes(after).await {
             Ok(Feed::Changed { rows, .. }) => {
-                tables.record_changes(FollowedTable::Jobs, &rows);
                 self.cache.put_rows(&rows);
+                tables.record_changes(FollowedTable::Jobs, &rows);
                 tables.record_current(FollowedTable::Jobs, called_at);
                 tables.as_of(FollowedTable::Jobs) >= Some(called_at)
             }
@@ -297,8 +305,8 @@
         let called_at = self.now();
         let announced = tables.newest_announced(FollowedTable::Jobs);
         let snapshot = self.store.read_table().await.map_err(JobError::of_read)?;
-        tables.record_snapshot(FollowedTable::Jobs, &snapshot);
         self.cache.replace(&snapshot);
+        tables.record_snapshot(FollowedTable::Jobs, &snapshot);
         tables.record_complete(FollowedTable::Jobs, snapshot.version.max(announced));
         tables.record_current(FollowedTable::Jobs, called_at);
         Ok(())
--- a/crates/foxtailhold-relay/src/jobs/item/attempt.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/attempt.rs
@@ -206,7 +206,9 @@
                 SlotOutcome::Done { held_ms: took_ms }
             }
             AttemptEnd::Interrupted(failure) => {
-                self.avoided_backends.push(backend.id.clone());
+                if *failure != AttemptFailure::TooLate {
+                    self.avoided_backends.push(backend.id.clone());
+                }
                 self.record_unknown_end(number, &backend);
                 evidence.failed(*failure);
                 failure.outcome()
