jobs: a late tombstone does not delete a newer quota

Cause: a tombstone of a quota row removed what was known of the quota, whatever the versions. An instance that got it late counted from version 0, so its next acceptance met a conflict, and until then a job was judged by the waiting jobs alone.

Change: a tombstone removes older rows only, as for jobs.

--- a/crates/foxtailhold-relay/src/jobs/cache.rs
+++ b/crates/foxtailhold-relay/src/jobs/cache.rs
@@ -379,7 +379,14 @@
                 return is_newer;
             }
             Some(Err(error)) => log::error!("cannot decode quota row of route {route}: {error}"),
-            None => return state.quotas.remove(route).is_some(),
+            None => {
+                let known = state.quotas.get(route);
+                let is_newer = known.is_some_and(|known| known.0 < row.version);
+                if is_newer {
+                    state.quotas.remove(route);
+                }
+                return is_newer;
+            }
         }
         return false;
     }
--- a/crates/foxtailhold-relay/tests/job_cache_changes.rs
+++ b/crates/foxtailhold-relay/tests/job_cache_changes.rs
@@ -97,3 +97,19 @@
     cache.put_row(&job_row(9, false));
     assert_eq!(known_version(&cache), None);
 }
+
+/// Guards against a quota that is forgotten because the deletion of an earlier row arrives late.
+#[test]
+fn a_late_tombstone_does_not_delete_a_newer_quota() {
+    let quota_row = |version, value: Option<&'static [u8]>| VersionedRow {
+        key: RowKey::new("jobs", "quota/batch"),
+        value: value.map(Into::into),
+        version,
+    };
+    let cache = JobCache::default();
+    cache.put_row(&quota_row(9, Some(br#"{"waiting_tokens": 7}"#)));
+    cache.put_row(&quota_row(8, None));
+    assert_eq!(cache.quota("batch").version, 9);
+    cache.put_row(&quota_row(10, None));
+    assert_eq!(cache.quota("batch").version, 0);
+}
