jobs: a job whose row cannot be decoded is not said to be missing

Cause: a row that was read and could not be decoded did not reach the cache, and what is not in the cache counted as deleted. Callers were told 404 for a job that the store has.

Change: what was read and cannot be decoded is JobError::Malformed, for readers and for ends.

--- a/crates/foxtailhold-relay/src/jobs/accept.rs
+++ b/crates/foxtailhold-relay/src/jobs/accept.rs
@@ -271,9 +271,9 @@
         if let Some(cached) = self.cache.get(id) {
             return Ok(Some(cached));
         }
-        if let Some(row) = self.store.read_job(id).await.map_err(JobError::of_read)? {
-            self.cache.put_row(&row);
+        match self.store.read_job(id).await.map_err(JobError::of_read)? {
+            Some(row) => self.read_row(id, &row),
+            None => Ok(self.cache.get(id)),
         }
-        Ok(self.cache.get(id))
     }
 }
--- a/crates/foxtailhold-relay/src/jobs/read.rs
+++ b/crates/foxtailhold-relay/src/jobs/read.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use foxtailhold::ids::JobId;
-use foxtailhold_platform::{ObjectStore, PlatformError, RowStore};
+use foxtailhold_platform::{ObjectStore, PlatformError, RowStore, VersionedRow};
 use tokio::time::Instant;
 
 use crate::dialect::Dialect;
@@ -136,8 +136,26 @@
         let Some(row) = until(deadline, self.store.read_job(id)).await? else {
             return Ok(None);
         };
-        self.cache.put_row(&row);
-        Ok(self.cache.get(id))
+        self.read_row(id, &row)
+    }
+
+    /// Takes over the row of a job that was read from the store. Returns the newest row that is known;
+    /// `None` if the job has been deleted since.
+    pub(super) fn read_row(&self, id: &JobId, row: &VersionedRow) -> Result<Option<CachedJob>> {
+        self.cache.put_row(row);
+        if let Some(known) = self.cache.get(id) {
+            return Ok(Some(known));
+        }
+        let Some(value) = row.value.as_deref() else {
+            return Ok(None);
+        };
+        match Job::try_from(value) {
+            Ok(_) => Ok(None),
+            Err(error) => Err(JobError::Malformed {
+                job: id.clone(),
+                detail: error.to_string(),
+            }),
+        }
     }
 
     /// Why the store does not have all results that are listed: the job has just been deleted, or it is
