entry: no final refusal by contracts or a fleet list that may be old

Cause: an instance that was frozen or cut off refused a key that had been accepted meanwhile with 401, and a model that its contracts or its fleet list lacked with 404. Callers do not repeat either.

Change: both refusals need the leases of the contracts (CURRENT_BOUND_MS after the last confirmation) and of the fleet list (four periods). Without them the request is refused with 503 and a time to come back, also while the platform is away.

Ruled out: to ask the store for each unknown key, as anybody could have the store called.

--- a/crates/foxtailhold-caller/src/gateway.rs
+++ b/crates/foxtailhold-caller/src/gateway.rs
@@ -250,8 +250,12 @@
     /// Returns the instances that the caller may send requests to.
     fn entries(&self, query: &EntriesQuery) -> Entries;
 
-    /// Returns the contract that an API key belongs to, or `None` if the key is unknown.
-    fn contract_of(&self, api_key: &str) -> Option<Arc<Contract>>;
+    /// Returns the contract that an API key belongs to.
+    ///
+    /// # Errors
+    ///
+    /// `Unauthorized` if there is none, `StoreUnavailable` with a time to retry while that is not known.
+    fn contract_of(&self, api_key: &str) -> Result<Arc<Contract>>;
 
     /// Returns a new unique request identifier.
     fn request_id(&self) -> RequestId;
--- a/crates/foxtailhold-caller/src/head.rs
+++ b/crates/foxtailhold-caller/src/head.rs
@@ -64,11 +64,10 @@
     head: &request::Parts,
 ) -> Result<RequestContext> {
     let headers = &head.headers;
-    let contract = api_key(headers).and_then(|key| gateway.contract_of(key));
-    let contract = contract.ok_or_else(|| Refusal::not_run(RefusalReason::Unauthorized))?;
+    let api_key = api_key(headers).ok_or_else(|| Refusal::not_run(RefusalReason::Unauthorized))?;
     let context = RequestContext {
         id: id.clone(),
-        contract,
+        contract: gateway.contract_of(api_key)?,
         idempotency_key: idempotency_key(headers)?,
         never_repeat: never_repeat(headers)?,
         deadline_ms: deadline_ms(headers)?,
--- a/crates/foxtailhold-caller/tests/common/mod.rs
+++ b/crates/foxtailhold-caller/tests/common/mod.rs
@@ -142,8 +142,11 @@
         }
     }
 
-    fn contract_of(&self, api_key: &str) -> Option<Arc<Contract>> {
-        (api_key == KEY).then(|| contract().into())
+    fn contract_of(&self, api_key: &str) -> Result<Arc<Contract>> {
+        match api_key {
+            KEY => Ok(contract().into()),
+            _ => Err(Refusal::not_run(RefusalReason::Unauthorized)),
+        }
     }
 
     fn request_id(&self) -> RequestId {
--- a/crates/foxtailhold-entry/src/actors/fleet.rs
+++ b/crates/foxtailhold-entry/src/actors/fleet.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use foxtailhold::act_lease::ActLease;
 use foxtailhold::ids::InstanceId;
 use foxtailhold::leaving::LeavingBackends;
 use foxtailhold::replicas::{BackendKind, FleetState};
@@ -20,6 +21,8 @@
 
 /// Period at which the fleet list is read.
 pub const LIST_PERIOD_MS: u64 = 1_000;
+/// Age up to which the list tells what is not in it.
+const LIST_BOUND_MS: u64 = 4 * LIST_PERIOD_MS;
 /// Period at which load reports are read.
 pub const LOAD_PERIOD_MS: u64 = 500;
 
@@ -56,7 +59,7 @@
         let now = self.0.clock.mono();
         match message {
             FleetMessage::ReadList => self.read_list(&myself),
-            FleetMessage::List(fleet) => self.publish(&myself, fleet),
+            FleetMessage::List { fleet, as_of } => self.publish(&myself, fleet, as_of),
             FleetMessage::ReadLoads => {
                 for server in &self.0.backends.load().servers {
                     self.read_load(server);
@@ -78,8 +81,11 @@
     fn read_list(&self, myself: &ActorRef<FleetMessage>) {
         let (shared, myself) = (self.0.clone(), myself.clone());
         tokio::spawn(async move {
+            let as_of = shared.clock.mono();
             match shared.platform.fleet().await {
-                Ok(fleet) => log_undelivered(myself.send_message(FleetMessage::List(fleet))),
+                Ok(fleet) => {
+                    log_undelivered(myself.send_message(FleetMessage::List { fleet, as_of }));
+                }
                 Err(error) => {
                     log::warn!("fleet list could not be read, keeping the last one: {error}")
                 }
@@ -87,7 +93,7 @@
         });
     }
 
-    fn publish(&self, myself: &ActorRef<FleetMessage>, fleet: Fleet) {
+    fn publish(&self, myself: &ActorRef<FleetMessage>, fleet: Fleet, as_of: MonoMs) {
         let before = self.0.backends.load();
         let listed = before.servers.iter().map(|server| &server.backend);
         if !listed.eq(fleet.backends.iter()) {
@@ -99,6 +105,8 @@
                 log_undelivered(myself.send_message(FleetMessage::ReadLoads));
             }
         }
+        let lease = ActLease::new(as_of, LIST_BOUND_MS);
+        self.0.extend_fleet_lease(lease);
         self.0
             .part_evidence
             .set_listed(engine_origins(&fleet), self.0.clock.wall());
--- a/crates/foxtailhold-entry/src/gateway/infer.rs
+++ b/crates/foxtailhold-entry/src/gateway/infer.rs
@@ -11,7 +11,7 @@
 
 use crate::gateway::dispatch::{AttemptHistory, OutgoingRequest};
 use crate::gateway::stream::EntryStream;
-use crate::gateway::{EntryGateway, idempotency, part_check, sending};
+use crate::gateway::{EntryGateway, idempotency, part_check, refuse_unknown, sending};
 use crate::prompt::Prompt;
 use crate::shared::Shared;
 
@@ -33,7 +33,10 @@
         return Ok(());
     }
     let name = name.to_owned();
-    Err(Refusal::not_run(RefusalReason::UnknownTarget { name }))
+    Err(refuse_unknown(
+        shared,
+        RefusalReason::UnknownTarget { name },
+    ))
 }
 
 fn outgoing<P: Platform>(shared: &Shared<P>, request: &Inference) -> OutgoingRequest {
--- a/crates/foxtailhold-entry/src/gateway/mod.rs
+++ b/crates/foxtailhold-entry/src/gateway/mod.rs
@@ -65,6 +65,22 @@
     Refusal::not_run(RefusalReason::StoreUnavailable).retry_after_ms(STORE_RETRY_AFTER_MS)
 }
 
+/// Refuses what neither the contracts nor the fleet list allow, for `reason`. Copies that are too old may
+/// lack the change that allows it.
+pub(crate) fn refuse_unknown<P: Platform>(shared: &Shared<P>, reason: RefusalReason) -> Refusal {
+    let now = shared.clock.mono();
+    let leases = [shared.contract_sync.load().lease(), shared.fleet_lease()];
+    match leases
+        .iter()
+        .all(|lease| lease.is_some_and(|lease| lease.covers(now)))
+    {
+        true => Refusal::not_run(reason),
+        false => {
+            Refusal::not_run(RefusalReason::StoreUnavailable).retry_after_ms(STORE_RETRY_AFTER_MS)
+        }
+    }
+}
+
 /// SHA-256 digest in lower-case hex.
 pub(crate) fn hex_digest(bytes: &[u8]) -> String {
     format!("{:x}", Sha256::digest(bytes))
@@ -172,8 +188,10 @@
         }
     }
 
-    fn contract_of(&self, api_key: &str) -> Option<Arc<Contract>> {
-        self.0.contracts.load().by_api_key(api_key).cloned()
+    fn contract_of(&self, api_key: &str) -> Result<Arc<Contract>> {
+        let contracts = self.0.contracts.load();
+        let known = contracts.by_api_key(api_key).cloned();
+        known.ok_or_else(|| refuse_unknown(&self.0, RefusalReason::Unauthorized))
     }
 
     fn request_id(&self) -> RequestId {
--- a/crates/foxtailhold-entry/src/gateway/service_call.rs
+++ b/crates/foxtailhold-entry/src/gateway/service_call.rs
@@ -13,7 +13,7 @@
 use tokio::time::Instant;
 
 use crate::gateway::dispatch::{self, BACKEND_RETRY_AFTER_MS, DEFAULT_WAIT_MS, MAX_ATTEMPTS};
-use crate::gateway::{EntryGateway, idempotency};
+use crate::gateway::{EntryGateway, idempotency, refuse_unknown};
 use crate::shared::Shared;
 
 fn check_service<P: Platform>(shared: &Shared<P>, call: &PlainCall) -> Result<()> {
@@ -25,7 +25,10 @@
         return Ok(());
     }
     let name = name.to_owned();
-    Err(Refusal::not_run(RefusalReason::UnknownTarget { name }))
+    Err(refuse_unknown(
+        shared,
+        RefusalReason::UnknownTarget { name },
+    ))
 }
 
 /// Admits a call under the customer's limits and sends it.
--- a/crates/foxtailhold-entry/src/messages.rs
+++ b/crates/foxtailhold-entry/src/messages.rs
@@ -85,7 +85,12 @@
     /// Periodic: reads the fleet list.
     ReadList,
     /// The fleet list was read.
-    List(Fleet),
+    List {
+        /// What was read.
+        fleet: Fleet,
+        /// When the read began.
+        as_of: MonoMs,
+    },
     /// Periodic: reads the load reports.
     ReadLoads,
     /// Backend servers that are leaving, according to a peer.
--- a/crates/foxtailhold-entry/src/shared.rs
+++ b/crates/foxtailhold-entry/src/shared.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, OnceLock};
 
-use arc_swap::ArcSwap;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use foxtailhold::act_lease::ActLease;
 use foxtailhold::batch::start_leases::StartLeases;
 use foxtailhold::batch_control::scheduler::ItemKey;
@@ -82,6 +82,8 @@
     pub contract_sync: ArcSwap<ContractSync>,
     /// Backend servers of the fleet list.
     pub backends: ArcSwap<BackendTable>,
+    /// Leave to refuse what is not in the fleet list.
+    fleet_lease: ArcSwapOption<ActLease>,
     /// Backend servers that are leaving, by the notices that instances exchange.
     pub leaving: ArcSwap<LeavingBackends>,
     /// Suspect and convicted requests; a request that is not listed is clear.
@@ -167,6 +169,7 @@
             batch_controllers: ArcSwap::default(),
             contract_sync: ArcSwap::default(),
             backends: ArcSwap::default(),
+            fleet_lease: ArcSwapOption::empty(),
             leaving: ArcSwap::default(),
             crash_statuses: ArcSwap::default(),
             part_evidence: PartEvidence::default(),
@@ -193,6 +196,17 @@
         self.actors.get()
     }
 
+    /// Leave to refuse what is not in the fleet list; `None` before it has been read.
+    pub fn fleet_lease(&self) -> Option<ActLease> {
+        self.fleet_lease.load().as_deref().copied()
+    }
+
+    /// Publishes the lease of a fleet list that was read, unless a later one is known.
+    pub fn extend_fleet_lease(&self, lease: ActLease) {
+        let latest = self.fleet_lease().max(Some(lease));
+        self.fleet_lease.store(latest.map(Arc::new));
+    }
+
     /// A new id, unique over all instances and restarts.
     pub fn unique(&self) -> String {
         let number = self.next_request.fetch_add(1, Ordering::Relaxed);
--- a/crates/foxtailhold-standin/tests/contracts_in_force.rs
+++ b/crates/foxtailhold-standin/tests/contracts_in_force.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use common::{Deployment, until};
 use foxtailhold::ids::CustomerId;
+use foxtailhold_http::client::{Call, HttpClient, Reuse};
 use foxtailhold_operator::error::OperatorError;
 use foxtailhold_standin::demo;
 use http::Method;
@@ -16,6 +17,11 @@
 /// An accepted contract must be in force on every instance within seconds.
 const FORCE_BOUND: Duration = Duration::from_secs(6);
 
+/// A key that the first contract does not have.
+const NEW_KEY: &str = "granite-trail-new-key";
+/// Callers that wait for an instance to wake up.
+const CALLERS: usize = 8;
+
 fn customer() -> CustomerId {
     "granite-trail".try_into().unwrap()
 }
@@ -151,3 +157,50 @@
     })
     .await;
 }
+
+/// Refusals of callers with a key that has just been accepted, at an instance that wakes up.
+async fn refusals_of_a_new_key(deployment: &Deployment, index: usize, path: &str) -> Vec<u16> {
+    let mut calls = Vec::new();
+    for _ in 0..CALLERS {
+        let address = deployment.caller_address(index);
+        let path = path.to_owned();
+        calls.push(tokio::spawn(async move {
+            let mut call = Call::new(Method::GET, address, &path);
+            call.bearer = Some(NEW_KEY);
+            let client = HttpClient::new(Reuse::Fresh);
+            client.call::<()>(&call, None).await.unwrap().0.as_u16()
+        }));
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    deployment.entries[index].signal(Signal::SIGCONT);
+    let mut statuses = Vec::new();
+    for call in calls {
+        statuses.push(call.await.unwrap());
+    }
+    statuses
+}
+
+/// Guards against a final refusal by an instance that was frozen while the contract was accepted.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_new_key_is_not_unauthorized_at_an_instance_whose_contracts_are_old() {
+    let deployment = Deployment::start(1, 3).await;
+    deployment.set_demo_contract().await;
+    deployment.entries[2].signal(Signal::SIGSTOP);
+    tokio::time::sleep(FORCE_BOUND).await;
+    let document = demo::contract(10).replace(demo::API_KEY, NEW_KEY);
+    let operator = deployment.operator(0);
+    operator
+        .set_contract(&customer(), 1, &document)
+        .await
+        .unwrap();
+    let statuses = refusals_of_a_new_key(&deployment, 2, "/v1/models").await;
+    assert!(!statuses.contains(&401), "{statuses:?}");
+    until("the new key to be known", async || {
+        let address = deployment.caller_address(2);
+        let mut call = Call::new(Method::GET, address, "/v1/models");
+        call.bearer = Some(NEW_KEY);
+        let client = HttpClient::new(Reuse::Fresh);
+        client.call::<()>(&call, None).await.unwrap().0.as_u16() == 200
+    })
+    .await;
+}
--- a/crates/foxtailhold/src/contract_sync.rs
+++ b/crates/foxtailhold/src/contract_sync.rs
@@ -13,6 +13,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::act_lease::ActLease;
 use crate::contract_registry::{ContractChange, ContractRegistry, ContractSyncData};
 use crate::ids::CustomerId;
 use crate::time::MonoMs;
@@ -146,6 +147,13 @@
         }
     }
 
+    /// Leave to refuse what the contracts do not allow, for [`CURRENT_BOUND_MS`] after the last
+    /// confirmation; `None` if there was none.
+    pub fn lease(&self) -> Option<ActLease> {
+        let confirmed_at = self.confirmed_at?;
+        Some(ActLease::new(confirmed_at, CURRENT_BOUND_MS))
+    }
+
     /// Whether callers may be sent to this instance. `cut_off` means that most probes of peers
     /// fail.
     pub fn listing(&self, cut_off: bool, now: MonoMs) -> ListingState {
