entry: one model is refused as unknown under the leases too

Cause: GET /v1/models/NAME compared with the list by itself, so an instance that was frozen while a contract was changed answered 404 for a model that the contract allows now.

Change: the gateway decides it, like the two others, with the leases of contracts and fleet list. The test of a new key is widened to both refusals: the contract is changed twice, and neither 401 nor 404 is allowed.

--- a/crates/foxtailhold-caller/src/gateway.rs
+++ b/crates/foxtailhold-caller/src/gateway.rs
@@ -257,6 +257,13 @@
     /// `Unauthorized` if there is none, `StoreUnavailable` with a time to retry while that is not known.
     fn contract_of(&self, api_key: &str) -> Result<Arc<Contract>>;
 
+    /// Checks that a model is served and allowed by the contract.
+    ///
+    /// # Errors
+    ///
+    /// `UnknownTarget` if it is not, `StoreUnavailable` with a time to retry while that is not known.
+    fn check_model(&self, contract: &Contract, name: &str) -> Result<()>;
+
     /// Returns a new unique request identifier.
     fn request_id(&self) -> RequestId;
 
--- a/crates/foxtailhold-caller/src/models.rs
+++ b/crates/foxtailhold-caller/src/models.rs
@@ -1,7 +1,7 @@
 //! Models in the format of the OpenAI API.
 
 use foxtailhold::contract::Contract;
-use foxtailhold::refusal::{Refusal, RefusalReason, Result};
+use foxtailhold::refusal::Result;
 use foxtailhold_http::body::{self, AnswerBody};
 use http::{Response, StatusCode};
 use serde::Serialize;
@@ -48,10 +48,6 @@
     contract: &Contract,
     name: &str,
 ) -> Result<Response<AnswerBody>> {
-    let names = gateway.models(contract);
-    if names.iter().any(|known| known.as_str() == name) {
-        return Ok(body::json(StatusCode::OK, &model(name)));
-    }
-    let name = name.chars().take(80).collect();
-    Err(Refusal::not_run(RefusalReason::UnknownTarget { name }))
+    gateway.check_model(contract, name)?;
+    Ok(body::json(StatusCode::OK, &model(name)))
 }
--- a/crates/foxtailhold-caller/tests/common/mod.rs
+++ b/crates/foxtailhold-caller/tests/common/mod.rs
@@ -149,6 +149,17 @@
         }
     }
 
+    fn check_model(&self, contract: &Contract, name: &str) -> Result<()> {
+        let models = self.models(contract);
+        match models.iter().any(|known| known.as_str() == name) {
+            true => Ok(()),
+            false => {
+                let name = name.to_owned();
+                Err(Refusal::not_run(RefusalReason::UnknownTarget { name }))
+            }
+        }
+    }
+
     fn request_id(&self) -> RequestId {
         RequestId::try_from("request-1").unwrap()
     }
--- a/crates/foxtailhold-entry/src/gateway/mod.rs
+++ b/crates/foxtailhold-entry/src/gateway/mod.rs
@@ -45,6 +45,8 @@
 pub const STORE_RETRY_AFTER_MS: u64 = 2_000;
 /// How long a customer's first request on this instance waits for a share of the customer's limits.
 pub const FIRST_SHARE_WAIT_MS: u64 = 50;
+/// Most characters of the name of an unknown model that a refusal shows.
+const MAX_SHOWN_CHARS: usize = 80;
 /// Tokens charged to a request that sets no maximum.
 pub const DEFAULT_CHARGED_TOKENS: u64 = 256;
 
@@ -194,6 +196,18 @@
         known.ok_or_else(|| refuse_unknown(&self.0, RefusalReason::Unauthorized))
     }
 
+    fn check_model(&self, contract: &Contract, name: &str) -> Result<()> {
+        let models = self.models(contract);
+        if models.iter().any(|known| known.as_str() == name) {
+            return Ok(());
+        }
+        let name = name.chars().take(MAX_SHOWN_CHARS).collect();
+        Err(refuse_unknown(
+            &self.0,
+            RefusalReason::UnknownTarget { name },
+        ))
+    }
+
     fn request_id(&self) -> RequestId {
         self.0.request_id()
     }
--- a/crates/foxtailhold-standin/tests/contracts_in_force.rs
+++ b/crates/foxtailhold-standin/tests/contracts_in_force.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -13,6 +14,8 @@
 use http::Method;
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
+use test_case::test_case;
+use tokio::task::JoinSet;
 
 /// An accepted contract must be in force on every instance within seconds.
 const FORCE_BOUND: Duration = Duration::from_secs(6);
@@ -21,6 +24,8 @@
 const NEW_KEY: &str = "granite-trail-new-key";
 /// Callers that wait for an instance to wake up.
 const CALLERS: usize = 8;
+/// The instance that is frozen.
+const FROZEN: usize = 2;
 
 fn customer() -> CustomerId {
     "granite-trail".try_into().unwrap()
@@ -158,49 +163,66 @@
     .await;
 }
 
-/// Refusals of callers with a key that has just been accepted, at an instance that wakes up.
-async fn refusals_of_a_new_key(deployment: &Deployment, index: usize, path: &str) -> Vec<u16> {
-    let mut calls = Vec::new();
+async fn status(address: SocketAddr, path: &str, key: &str) -> u16 {
+    let mut call = Call::new(Method::GET, address, path);
+    call.bearer = Some(key);
+    let client = HttpClient::new(Reuse::Fresh);
+    client.call::<()>(&call, None).await.unwrap().0.as_u16()
+}
+
+/// What callers get who have waited for an instance to wake up.
+async fn statuses_at_wake_up(deployment: &Deployment, path: &str, key: &'static str) -> Vec<u16> {
+    let address = deployment.caller_address(FROZEN);
+    let mut calls = JoinSet::new();
     for _ in 0..CALLERS {
-        let address = deployment.caller_address(index);
         let path = path.to_owned();
-        calls.push(tokio::spawn(async move {
-            let mut call = Call::new(Method::GET, address, &path);
-            call.bearer = Some(NEW_KEY);
-            let client = HttpClient::new(Reuse::Fresh);
-            client.call::<()>(&call, None).await.unwrap().0.as_u16()
-        }));
+        calls.spawn(async move { status(address, &path, key).await });
     }
     tokio::time::sleep(Duration::from_millis(500)).await;
-    deployment.entries[index].signal(Signal::SIGCONT);
-    let mut statuses = Vec::new();
-    for call in calls {
-        statuses.push(call.await.unwrap());
-    }
-    statuses
+    deployment.entries[FROZEN].signal(Signal::SIGCONT);
+    calls.join_all().await
 }
 
-/// Guards against a final refusal by an instance that was frozen while the contract was accepted.
+/// Guards against a final refusal by an instance that was frozen while the contract was changed.
+#[test_case(NEW_KEY, false; "a new key")]
+#[test_case(demo::API_KEY, true; "a model that is allowed now")]
 #[tokio::test(flavor = "multi_thread")]
-async fn a_new_key_is_not_unauthorized_at_an_instance_whose_contracts_are_old() {
+async fn what_a_new_contract_allows_is_not_refused_for_good_by_an_old_one(
+    key: &'static str,
+    is_for_model: bool,
+) {
     let deployment = Deployment::start(1, 3).await;
     deployment.set_demo_contract().await;
-    deployment.entries[2].signal(Signal::SIGSTOP);
+    let models = deployment.caller.json(
+        deployment.caller_address(0),
+        Method::GET,
+        "/v1/models",
+        &Value::Null,
+    );
+    let models = models.await.unwrap();
+    let path = match is_for_model {
+        true => format!("/v1/models/{}", models["data"][0]["id"].as_str().unwrap()),
+        false => "/v1/models".to_owned(),
+    };
+    let (operator, document) = (deployment.operator(0), demo::contract(10));
+    let narrow = format!("{document}models = [\"another\"]\n");
+    let wide = document.replace(
+        &format!("{:?}", demo::API_KEY),
+        &format!("{:?}, {NEW_KEY:?}", demo::API_KEY),
+    );
+    let customer = customer();
+    let set = operator.set_contract(&customer, 1, &narrow);
+    set.await.unwrap();
+    wait_until_in_force(&deployment, &[0, 1, FROZEN], 2).await;
+    deployment.entries[FROZEN].signal(Signal::SIGSTOP);
     tokio::time::sleep(FORCE_BOUND).await;
-    let document = demo::contract(10).replace(demo::API_KEY, NEW_KEY);
-    let operator = deployment.operator(0);
-    operator
-        .set_contract(&customer(), 1, &document)
-        .await
-        .unwrap();
-    let statuses = refusals_of_a_new_key(&deployment, 2, "/v1/models").await;
-    assert!(!statuses.contains(&401), "{statuses:?}");
-    until("the new key to be known", async || {
-        let address = deployment.caller_address(2);
-        let mut call = Call::new(Method::GET, address, "/v1/models");
-        call.bearer = Some(NEW_KEY);
-        let client = HttpClient::new(Reuse::Fresh);
-        client.call::<()>(&call, None).await.unwrap().0.as_u16() == 200
+    let set = operator.set_contract(&customer, 2, &wide);
+    set.await.unwrap();
+    let statuses = statuses_at_wake_up(&deployment, &path, key).await;
+    let is_final = |status: &u16| [401, 404].contains(status);
+    assert!(!statuses.iter().any(is_final), "{statuses:?}");
+    until("the new contract to be known", async || {
+        status(deployment.caller_address(FROZEN), &path, key).await == 200
     })
     .await;
 }
