--- a/crates/foxtailhold/src/batch/execution.rs
+++ b/crates/foxtailhold/src/batch/execution.rs
@@ -141,8 +141,8 @@
 
     /// Decides the next step. `slot_available` says whether another chunk may start.
     ///
-    /// While the lease has lapsed or the job is not confirmed, no chunk starts and none is dropped, so that the results of
-    /// finished items can be committed once the lease is renewed.
+    /// While the lease has lapsed or the job is not confirmed, no chunk starts and none is dropped,
+    /// so that the results of finished items can be committed once the lease is renewed.
     pub fn step(
         &mut self,
         now: WallMs,
