entry: one place decides whether a model is unknown

Cause: the rule for one model stood twice since, for requests and for GET /v1/models/NAME.

Evidence: by reading; callers saw no difference.

Change: the gateway uses the check of requests. A name that no model can have is unknown whatever the age of the copies.

--- a/crates/foxtailhold-entry/src/gateway/infer.rs
+++ b/crates/foxtailhold-entry/src/gateway/infer.rs
@@ -1,6 +1,7 @@
 //! Inference requests: admission, dispatch and the form of the answer.
 
 use foxtailhold::contract::Contract;
+use foxtailhold::ids::TargetName;
 use foxtailhold::quarantine::{Fingerprint, QuarantineStatus};
 use foxtailhold::refusal::{Refusal, RefusalReason, Result};
 use foxtailhold::replicas::BackendKind;
@@ -24,15 +25,18 @@
     }
 }
 
-fn check_model<P: Platform>(shared: &Shared<P>, request: &Inference) -> Result<()> {
-    let allowed = &request.context.contract.models;
-    let name = request.model.as_str();
+/// Checks that a model is served and allowed by the contract.
+pub fn check_model<P: Platform>(
+    shared: &Shared<P>,
+    contract: &Contract,
+    model: &TargetName,
+) -> Result<()> {
     let backends = shared.backends.load();
-    let serving = backends.serving(BackendKind::Engine, &request.model);
-    if Contract::allows(allowed, name) && !serving.is_empty() {
+    let serving = backends.serving(BackendKind::Engine, model);
+    if Contract::allows(&contract.models, model.as_str()) && !serving.is_empty() {
         return Ok(());
     }
-    let name = name.to_owned();
+    let name = model.as_str().to_owned();
     Err(refuse_unknown(
         shared,
         RefusalReason::UnknownTarget { name },
@@ -64,7 +68,7 @@
     request: Inference,
 ) -> Result<InferenceAnswer<EntryStream<P>>> {
     let shared = &gateway.0;
-    check_model(shared, &request)?;
+    check_model(shared, &request.context.contract, &request.model)?;
     let outgoing = outgoing(shared, &request);
     if let QuarantineStatus::Convicted { left_ms } = shared.crash_status(outgoing.fingerprint) {
         return Err(AttemptHistory::default().quarantined(left_ms));
--- a/crates/foxtailhold-entry/src/gateway/mod.rs
+++ b/crates/foxtailhold-entry/src/gateway/mod.rs
@@ -45,7 +45,7 @@
 pub const STORE_RETRY_AFTER_MS: u64 = 2_000;
 /// How long a customer's first request on this instance waits for a share of the customer's limits.
 pub const FIRST_SHARE_WAIT_MS: u64 = 50;
-/// Most characters of the name of an unknown model that a refusal shows.
+/// Most characters of a name that no model can have that a refusal shows.
 const MAX_SHOWN_CHARS: usize = 80;
 /// Tokens charged to a request that sets no maximum.
 pub const DEFAULT_CHARGED_TOKENS: u64 = 256;
@@ -197,15 +197,12 @@
     }
 
     fn check_model(&self, contract: &Contract, name: &str) -> Result<()> {
-        let models = self.models(contract);
-        if models.iter().any(|known| known.as_str() == name) {
-            return Ok(());
-        }
-        let name = name.chars().take(MAX_SHOWN_CHARS).collect();
-        Err(refuse_unknown(
-            &self.0,
-            RefusalReason::UnknownTarget { name },
-        ))
+        let unknown = |_| {
+            let name = name.chars().take(MAX_SHOWN_CHARS).collect();
+            Refusal::not_run(RefusalReason::UnknownTarget { name })
+        };
+        let model = TargetName::try_from(name).map_err(unknown)?;
+        infer::check_model(&self.0, contract, &model)
     }
 
     fn request_id(&self) -> RequestId {
