--- a/review/standin-2/node.rs
+++ b/review/standin-2/node.rs
@@ -14,7 +14,8 @@
 const FIRST_PORT: u16 = 20_000;
 const PORTS: u64 = 12_000;
 
-fn free_port() -> u16 {
+/// A port that is free for TCP and UDP.
+pub fn free_port() -> u16 {
     loop {
         let port = FIRST_PORT + (random() % PORTS) as u16;
         let address = local(port);
--- a/review/standin-2/output_case.rs
+++ b/review/standin-2/output_case.rs
@@ -1,16 +1,14 @@
 //! A batch item whose output is nearly as large as the largest answer to a read of results.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::http::call;
-use crate::json::{Json, base64};
+use crate::items::{Item, read, submit};
 use crate::node::Node;
 use crate::record::{Record, random};
-use crate::replicas::{Garble, Replicas, config_json, event_count, event_data};
+use crate::replicas::{Garble, Replicas, config_json};
 use crate::store::Store;
 
 /// Output tokens of the long item, with the trouble and without it: 761,299 and 364,099 bytes of data.
@@ -24,76 +22,6 @@
 const FINISH: Duration = Duration::from_secs(18);
 const READ_INTERVAL: Duration = Duration::from_millis(500);
 
-struct Item {
-    id: String,
-    token_usage: String,
-}
-
-impl Item {
-    fn new(output_tokens: u64) -> Item {
-        Item {
-            id: format!("{:016x}", random()),
-            token_usage: format!("350,{output_tokens}"),
-        }
-    }
-
-    fn json(&self) -> String {
-        let tokens: u64 = self
-            .token_usage
-            .split(',')
-            .filter_map(|text| text.parse::<u64>().ok())
-            .sum();
-        format!(
-            "{{\"Id\":\"{id}\",\"Path\":\"/b/x/{id}\",\"Headers\":{{\"Model\":\"m\",\"Token-Usage\":\"{}\",\
-             \"Prompt-Prefix\":\"{:x}:100,{:x}:250\"}},\"Body\":\"{}\",\"TokenCount\":{tokens}}}",
-            self.token_usage,
-            random() >> 32,
-            random() >> 32,
-            base64(self.id.as_bytes()),
-            id = self.id
-        )
-    }
-
-    fn text(&self) -> String {
-        let events = 1..=event_count(&self.token_usage);
-        events
-            .map(|event| event_data(&self.id, event))
-            .collect::<Vec<_>>()
-            .join("\n")
-    }
-}
-
-/// Reads all results from the start; their states and texts by item.
-fn read(record: &Record, front: SocketAddr, job: &str) -> BTreeMap<String, (String, String)> {
-    let mut results = BTreeMap::new();
-    let mut after = 0;
-    loop {
-        let target = format!("/v1/lots/{job}?After={after}");
-        let headers = [("Host", "a.example"), ("Deadline-Ms", "2000")];
-        let answer = match call(front, "GET", &target, &headers, b"", Duration::from_secs(3)) {
-            Ok(answer) if answer.status() == 200 => answer,
-            other => {
-                record.line(&format!(
-                    "client: read of {job} from {after}: {:?}",
-                    other.map(|answer| answer.status())
-                ));
-                return results;
-            }
-        };
-        let page = Json::parse(&String::from_utf8_lossy(&answer.body)).unwrap_or(Json::Null);
-        if page.list("Results").is_empty() {
-            return results;
-        }
-        for result in page.list("Results") {
-            results.insert(
-                result.text("Id"),
-                (result.text("State"), result.text("Text")),
-            );
-        }
-        after = page.number("Next");
-    }
-}
-
 /// Returns the exit status of the script.
 pub fn run(folder: &Path, record: &Record, has_trouble: bool) -> i32 {
     let store = Store::new();
@@ -123,28 +51,10 @@
     let mut items = vec![long];
     items.extend((0..9).map(|_| Item::new(USUAL_TOKENS)));
     let job = format!("{:016x}", random());
-    let list: Vec<String> = items.iter().map(Item::json).collect();
-    let body = format!("{{\"Items\":[{}]}}", list.join(","));
-    let headers = [
-        ("Host", "a.example"),
-        ("Attempt-Id", job.as_str()),
-        ("Deadline-Ms", "4000"),
-    ];
-    let target = format!("/b/{job}");
-    let submitted = call(
-        nodes[0].front,
-        "POST",
-        &target,
-        &headers,
-        body.as_bytes(),
-        Duration::from_secs(4),
-    );
-    let status = submitted.map_or(0, |answer| answer.status());
+    let status = submit(record, nodes[0].front, &job, &items);
+    let (id, bytes) = (&items[0].id, items[0].text().len());
     record.line(&format!(
-        "client: job {job} with {} items, the long one {} of {} bytes: {status}",
-        items.len(),
-        items[0].id,
-        items[0].text().len()
+        "the long item {id} has an output of {bytes} bytes"
     ));
     if status != 202 {
         return 2;
--- a/review/standin-2/replicas.rs
+++ b/review/standin-2/replicas.rs
@@ -15,12 +15,12 @@
 const EVENT_TOKENS: u64 = 5;
 const EVENT_BYTES: usize = 330;
 /// Time of one event: 3.27 ms for each of its tokens.
-const EVENT_TIME: Duration = Duration::from_micros(16_350);
-const FIRST_EVENT_MS: u64 = 60;
+pub const EVENT_TIME: Duration = Duration::from_micros(16_350);
+pub const FIRST_EVENT_TIME: Duration = Duration::from_millis(60);
 const PLAIN_MS: u64 = 15;
 /// Tokens in the memory of a replica.
 const KV_CAPACITY: u64 = 110_792;
-const HEARTBEAT: Duration = Duration::from_millis(1200);
+pub const HEARTBEAT: Duration = Duration::from_millis(1200);
 const ZONES: [&str; 3] = ["concord-hall", "nashua-hall", "keene-hall"];
 
 /// The operator's configuration: one engine, one plain service, a route of each kind.
@@ -251,7 +251,7 @@
         .header("last-event-id")
         .and_then(|text| text.parse().ok())
         .unwrap_or(0);
-    thread::sleep(Duration::from_millis(FIRST_EVENT_MS));
+    thread::sleep(FIRST_EVENT_TIME);
     let head = format!(
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nAttempt-Id: {attempt}\r\n\
          Response-Signature: sig.{id}.{attempt}\r\nTransfer-Encoding: chunked\r\n\r\n"
