platform: a figure of the settings in any form stops no process

Cause: `ttl_max_s` was read as a whole number and the other figures of `Bounds` as fractions, each by the type of its own field. A fraction, or true or false, made the whole file malformed, and the process ended before it listened. DEPLOY.md allows whole numbers, fractions, and true or false for every figure.

Change: one type reads a figure in all its forms (`Figure`); one that states no amount, or 0 where nothing can be in effect at once, is replaced by its default, with a line and `unused_settings_total`. SIGHUP and SIGTERM read the file again, since it may change without a signal; a file that cannot be read changes nothing (`settings_reads_total`), and `GraceS` is in effect at once.

--- a/crates/foxtailhold-relay/src/metrics.rs
+++ b/crates/foxtailhold-relay/src/metrics.rs
@@ -112,6 +112,8 @@
     store_call_times: DurationFamily<CallLabel>,
     store_call_waits: DurationFamily<WaitLabels>,
     rejected_route_tables: Counter,
+    unused_settings: Counter,
+    settings_reads: Family<OutcomeLabel, Counter>,
     longest_timer_delay: Arc<Mutex<Duration>>,
     gauges: Gauges,
     sampled: Arc<Mutex<SampledAttempts>>,
@@ -174,6 +176,12 @@
         let rejected_route_tables = Counter::default();
         let help = "Route tables that were not taken into effect because they are not valid";
         registry.register("rejected_route_tables", help, rejected_route_tables.clone());
+        let unused_settings = Counter::default();
+        let help = "Figures of the settings that state no amount, so that their defaults are used";
+        registry.register("unused_settings", help, unused_settings.clone());
+        let settings_reads = Family::default();
+        let help = "Readings of the settings after the start, by what came of them";
+        registry.register("settings_reads", help, settings_reads.clone());
         let work = WorkCounts::default();
         work.register(&mut registry);
         let gauges = Gauges::default();
@@ -195,6 +203,8 @@
             store_call_times,
             store_call_waits,
             rejected_route_tables,
+            unused_settings,
+            settings_reads,
             longest_timer_delay: Arc::default(),
             gauges,
             sampled: Arc::default(),
@@ -328,6 +338,18 @@
         self.rejected_route_tables.inc();
     }
 
+    /// Counts a figure of the settings whose default is used instead.
+    pub fn setting_unused(&self) {
+        self.unused_settings.inc();
+    }
+
+    /// Counts a reading of the settings after the start.
+    pub fn settings_read(&self, outcome: &'static str) {
+        self.settings_reads
+            .get_or_create(&OutcomeLabel { outcome })
+            .inc();
+    }
+
     /// Records by how much a timer was late.
     pub fn timer_delayed(&self, delay: Duration) {
         let mut longest = self.longest_timer_delay.lock();
