--- a/crates/foxtailhold/src/routes.rs
+++ b/crates/foxtailhold/src/routes.rs
@@ -132,8 +132,6 @@
 /// Limits on what clients send and how long they take.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ClientLimits {
-    /// Largest size of a request head.
-    pub header_bytes: usize,
     /// Largest size of a request body.
     pub body_bytes: usize,
     /// Time limit for a request head.
