upstream: an early answer that its connection does not prove is not whole

Cause: an answer without a length counted as whole once its connection had ended and its replica's port listened, even where the request was still being written, and one with `Transfer-Encoding: identity` counted as one whose end is stated. The OpenAI form checked nothing for plain services.

Change: connections to replicas observe their own end. A success that ends with its connection is whole only if the request was written in full by then and the connection is not reset; that of a request of 16 KB or more is watched for 100 ms. The send buffer is 128 KB, so that little counts as written that was not read. Failures stay answers, as a sound replica may fail a request early.

--- a/crates/foxtailhold-http/src/body.rs
+++ b/crates/foxtailhold-http/src/body.rs
@@ -14,6 +14,8 @@
 use thiserror::Error;
 use tokio::sync::{Semaphore, mpsc};
 
+use crate::response_end::{EndWitness, ResponseEnd, UnprovedEnd};
+
 /// Result of reading a body.
 pub type Result<T> = std::result::Result<T, BodyError>;
 
@@ -227,6 +229,24 @@
     Ok(parts.into_bytes())
 }
 
+/// Reads the body of a response like [`read_within`]. One that ends with its connection is checked
+/// unless it is a failure, of which the status is enough.
+pub async fn read_response(
+    response: Response<Incoming>,
+    limit_bytes: usize,
+    budget: &ReadBudget,
+) -> Result<Bytes> {
+    let (head, body) = response.into_parts();
+    let bytes = read_within(body, limit_bytes, budget).await?;
+    let is_proved =
+        !head.status.is_success() || ResponseEnd::from(&head.headers) == ResponseEnd::Stated;
+    if let (false, Some(witness)) = (is_proved, head.extensions.get::<EndWitness>()) {
+        let ended = |error: UnprovedEnd| BodyError::Ended(error.to_string());
+        witness.check().await.map_err(ended)?;
+    }
+    Ok(bytes)
+}
+
 /// Bytes of a body in parts of limited size. One buffer would take up to three times the bytes of
 /// the body while it grows.
 #[derive(Debug, Default)]
--- a/crates/foxtailhold-http/src/client.rs
+++ b/crates/foxtailhold-http/src/client.rs
@@ -7,7 +7,7 @@
 
 use crate::lock::Mutex;
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, Response, Uri, header};
+use http::{HeaderValue, Method, Request, Response, StatusCode, Uri, header};
 use http_body::Body;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -18,7 +18,9 @@
 use thiserror::Error;
 
 use crate::body::{self, ReadBudget};
-use crate::paced::{MAX_BUFFER_BYTES, PacedConnector};
+use crate::connect::WatchedConnector;
+use crate::paced::MAX_BUFFER_BYTES;
+use crate::response_end::SEND_BUFFER_BYTES;
 
 /// Result of sending a request.
 pub type Result<T> = std::result::Result<T, SendError>;
@@ -100,7 +102,7 @@
 /// The current connection pool. Connections of earlier ones close when their request ends.
 #[derive(Debug)]
 struct Pool<B> {
-    client: Client<PacedConnector, B>,
+    client: Client<WatchedConnector, B>,
     generation: u64,
 }
 
@@ -132,9 +134,10 @@
         &self.budget
     }
 
-    fn new_pool(reuse: Reuse) -> Client<PacedConnector, B> {
+    fn new_pool(reuse: Reuse) -> Client<WatchedConnector, B> {
         let mut connector = HttpConnector::new();
         connector.set_nodelay(true);
+        connector.set_send_buffer_size(Some(SEND_BUFFER_BYTES as usize));
         connector.set_connect_timeout(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)));
         let mut builder = Client::builder(TokioExecutor::new());
         builder.retry_canceled_requests(false);
@@ -144,7 +147,7 @@
         if reuse == Reuse::Fresh {
             builder.pool_max_idle_per_host(0);
         }
-        builder.build(PacedConnector(connector))
+        builder.build(WatchedConnector(connector))
     }
 
     /// Closes the idle connections. Requests under way are not affected.
@@ -199,7 +202,7 @@
         &self,
         call: &Call<'_>,
         body: Option<&T>,
-    ) -> Result<(http::StatusCode, Bytes)> {
+    ) -> Result<(StatusCode, Bytes)> {
         let invalid = |detail: String| SendError::Invalid { detail };
         let bytes = match body {
             Some(value) => serde_json::to_vec(value).map_err(|e| invalid(e.to_string()))?,
@@ -215,7 +218,7 @@
         call: &Call<'_>,
         bytes: Bytes,
         content_type: &'static str,
-    ) -> Result<(http::StatusCode, Bytes)> {
+    ) -> Result<(StatusCode, Bytes)> {
         let mut request = Request::new(B::from(bytes));
         *request.method_mut() = call.method.clone();
         *request.uri_mut() = uri(call.address, call.path_and_query)?;
@@ -227,7 +230,7 @@
         let whole = async {
             let response = self.send(call.address, request, call.timeout_ms).await?;
             let status = response.status();
-            let bytes = body::read_within(response.into_body(), call.limit_bytes, &self.budget)
+            let bytes = body::read_response(response, call.limit_bytes, &self.budget)
                 .await
                 .map_err(|error| SendError::Failed {
                     address: call.address,
--- a/crates/foxtailhold-http/src/lib.rs
+++ b/crates/foxtailhold-http/src/lib.rs
@@ -5,7 +5,9 @@
 pub mod body;
 pub mod client;
 pub mod clock;
+mod connect;
 pub mod lock;
 mod lock_order;
 pub mod paced;
+pub mod response_end;
 pub mod server;
--- a/crates/foxtailhold-http/src/paced.rs
+++ b/crates/foxtailhold-http/src/paced.rs
@@ -6,13 +6,9 @@
 use std::pin::Pin;
 use std::task::{Context, Poll, ready};
 
-use http::Uri;
-use hyper_util::client::legacy::connect::{Connected, Connection, HttpConnector};
-use hyper_util::rt::TokioIo;
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf, Take};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
-use tower_service::Service;
 
 /// Largest head of a message, and largest buffer of a connection in each direction.
 pub const MAX_BUFFER_BYTES: usize = 64 << 10;
@@ -95,6 +91,11 @@
         Poll::Ready(())
     }
 
+    /// The connection without its turns.
+    pub(crate) fn tcp(&self) -> &TcpStream {
+        self.stream.get_ref()
+    }
+
     fn socket(self: Pin<&mut Self>) -> Pin<&mut TcpStream> {
         Pin::new(self.get_mut().stream.get_mut())
     }
@@ -146,42 +147,3 @@
         self.socket().poll_shutdown(context)
     }
 }
-
-impl Connection for PacedStream {
-    fn connected(&self) -> Connected {
-        self.stream.get_ref().connected()
-    }
-}
-
-type Connecting = <HttpConnector as Service<Uri>>::Future;
-type ConnectError = <HttpConnector as Service<Uri>>::Error;
-
-/// Opens connections that are read in turns.
-#[derive(Debug, Clone)]
-pub(crate) struct PacedConnector(pub(crate) HttpConnector);
-
-/// A connection that is being opened.
-pub(crate) struct PacedConnecting(Connecting);
-
-impl Future for PacedConnecting {
-    type Output = Result<TokioIo<PacedStream>, ConnectError>;
-
-    fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<Self::Output> {
-        let connected = ready!(Pin::new(&mut self.0).poll(context));
-        Poll::Ready(connected.map(|io| TokioIo::new(PacedStream::from(io.into_inner()))))
-    }
-}
-
-impl Service<Uri> for PacedConnector {
-    type Response = TokioIo<PacedStream>;
-    type Error = ConnectError;
-    type Future = PacedConnecting;
-
-    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), ConnectError>> {
-        self.0.poll_ready(context)
-    }
-
-    fn call(&mut self, uri: Uri) -> PacedConnecting {
-        PacedConnecting(self.0.call(uri))
-    }
-}
--- /dev/null
+++ b/crates/foxtailhold-http/src/response_end.rs
@@ -0,0 +1,249 @@
+//! Whether a response that ends with its connection is whole.
+//!
+//! Such a response has no length, so a connection that fails looks like its end. Two things show that it
+//! is not whole: the server ended it before the request was written, or it reset the connection after
+//! that. A server that answers a long request early and then fails does either.
+
+use std::io;
+use std::net::TcpStream;
+use std::os::fd::AsFd;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+use thiserror::Error;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::Instant;
+
+use crate::lock::Mutex;
+use crate::paced::PacedStream;
+
+/// Result of checking the end of a response.
+pub type Result<T> = std::result::Result<T, UnprovedEnd>;
+
+/// Buffer of the operating system for requests that are being written. It is small, so that little of a
+/// request counts as written that its server has not read.
+pub const SEND_BUFFER_BYTES: u32 = 128 << 10;
+/// A request of this size may lie unread at a server that has ended its response.
+const LONG_REQUEST_BYTES: usize = 16 << 10;
+/// Time for which the connection of a long request is watched for a reset after the end of the response.
+const RESET_WAIT_MS: u64 = 100;
+/// Interval between two looks at it.
+const RESET_CHECK_INTERVAL_MS: u64 = 10;
+
+/// Why a response that ended with its connection is not known to be whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
+pub enum UnprovedEnd {
+    /// The response ended while the request was being written.
+    #[error("the response ended before its request was written")]
+    UnwrittenRequest,
+    /// The connection was reset after the end of the response.
+    #[error("the connection was reset after the end of the response")]
+    Reset,
+}
+
+/// How the end of a response body is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ResponseEnd {
+    /// By its length or its last chunk.
+    Stated,
+    /// By the end of its connection, which is also what a crash looks like.
+    WithConnection,
+}
+
+impl From<&HeaderMap> for ResponseEnd {
+    fn from(headers: &HeaderMap) -> Self {
+        let mut codings = headers.get_all(TRANSFER_ENCODING).iter();
+        let is_stated = match codings.next_back() {
+            Some(value) => {
+                let last = value.as_bytes().rsplit(|byte| *byte == b',').next();
+                last.is_some_and(|coding| coding.trim_ascii().eq_ignore_ascii_case(b"chunked"))
+            }
+            None => headers.contains_key(CONTENT_LENGTH),
+        };
+        match is_stated {
+            true => ResponseEnd::Stated,
+            false => ResponseEnd::WithConnection,
+        }
+    }
+}
+
+/// How the receiving direction of a connection ended.
+#[derive(Debug, Clone)]
+enum ObservedEnd {
+    UnwrittenRequest,
+    /// The request was written. The socket stays open until the end is judged, if that takes time.
+    Written(Option<Arc<TcpStream>>),
+    Reset,
+}
+
+/// What the end of a connection tells about the response that it carried; cheap to clone.
+#[derive(Debug, Clone, Default)]
+pub struct EndWitness {
+    observed: Arc<Mutex<Option<ObservedEnd>>>,
+}
+
+impl EndWitness {
+    /// Checks the end of a response that ended with the connection. This takes [`RESET_WAIT_MS`] after
+    /// a long request.
+    pub async fn check(&self) -> Result<()> {
+        let until = Instant::now() + Duration::from_millis(RESET_WAIT_MS);
+        loop {
+            let observed = self.observed.lock().clone();
+            let socket = match observed {
+                None | Some(ObservedEnd::Written(None)) => return Ok(()),
+                Some(ObservedEnd::UnwrittenRequest) => return Err(UnprovedEnd::UnwrittenRequest),
+                Some(ObservedEnd::Reset) => return Err(UnprovedEnd::Reset),
+                Some(ObservedEnd::Written(Some(socket))) => socket,
+            };
+            if has_failed(socket.take_error()) {
+                self.set(ObservedEnd::Reset);
+                return Err(UnprovedEnd::Reset);
+            }
+            if Instant::now() >= until {
+                self.set(ObservedEnd::Written(None));
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(RESET_CHECK_INTERVAL_MS)).await;
+        }
+    }
+
+    fn set(&self, observed: ObservedEnd) {
+        *self.observed.lock() = Some(observed);
+    }
+
+    fn is_watching(&self) -> bool {
+        matches!(*self.observed.lock(), Some(ObservedEnd::Written(Some(_))))
+    }
+}
+
+fn has_failed(error: io::Result<Option<io::Error>>) -> bool {
+    !matches!(error, Ok(None))
+}
+
+/// A connection to a server that observes its own end. Each request has its body in one buffer, which
+/// the HTTP library hands over together with the head; it flushes the connection once nothing of either
+/// is left to write.
+#[derive(Debug)]
+pub struct WatchedStream {
+    stream: PacedStream,
+    witness: EndWitness,
+    /// Whether the request has bytes that are not written yet.
+    is_writing: bool,
+    /// Bytes of the current request that have been written.
+    request_bytes: usize,
+    /// Whether something was received since the request began.
+    has_received: bool,
+}
+
+impl From<PacedStream> for WatchedStream {
+    fn from(stream: PacedStream) -> Self {
+        WatchedStream {
+            stream,
+            witness: EndWitness::default(),
+            is_writing: false,
+            request_bytes: 0,
+            has_received: false,
+        }
+    }
+}
+
+impl WatchedStream {
+    /// What the end of this connection will tell.
+    pub fn witness(&self) -> &EndWitness {
+        &self.witness
+    }
+
+    /// The connection itself.
+    pub(crate) fn get_ref(&self) -> &PacedStream {
+        &self.stream
+    }
+
+    fn begin_write(&mut self) {
+        if self.has_received && !self.is_writing {
+            self.request_bytes = 0;
+            self.has_received = false;
+        }
+        self.is_writing = true;
+    }
+
+    fn observe_end(&self) {
+        // An error is told only once.
+        if self.witness.observed.lock().is_some() {
+            return;
+        }
+        let observed = if self.is_writing {
+            ObservedEnd::UnwrittenRequest
+        } else if has_failed(self.stream.tcp().take_error()) {
+            ObservedEnd::Reset
+        } else if self.request_bytes < LONG_REQUEST_BYTES {
+            ObservedEnd::Written(None)
+        } else {
+            let socket = self.stream.tcp().as_fd().try_clone_to_owned();
+            ObservedEnd::Written(socket.ok().map(|socket| Arc::new(TcpStream::from(socket))))
+        };
+        self.witness.set(observed);
+    }
+}
+
+impl AsyncRead for WatchedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        if buffer.filled().len() > before {
+            self.has_received = true;
+        } else if buffer.remaining() > 0 {
+            self.observe_end();
+        }
+        Poll::Ready(Ok(()))
+    }
+}
+
+impl AsyncWrite for WatchedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        self.begin_write();
+        let written = ready!(Pin::new(&mut self.stream).poll_write(context, bytes))?;
+        self.request_bytes += written;
+        Poll::Ready(Ok(written))
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        parts: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        self.begin_write();
+        let written = ready!(Pin::new(&mut self.stream).poll_write_vectored(context, parts))?;
+        self.request_bytes += written;
+        Poll::Ready(Ok(written))
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        ready!(Pin::new(&mut self.stream).poll_flush(context))?;
+        self.is_writing = false;
+        Poll::Ready(Ok(()))
+    }
+
+    /// Leaves a socket that is watched open: once both directions have ended, a reset is not seen.
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.witness.is_watching() {
+            return Poll::Ready(Ok(()));
+        }
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
--- a/crates/foxtailhold-relay/src/connections.rs
+++ b/crates/foxtailhold-relay/src/connections.rs
@@ -13,6 +13,7 @@
 use foxtailhold::ids::BackendId;
 use foxtailhold_http::lock::Mutex;
 use foxtailhold_http::paced::{MAX_BUFFER_BYTES, PacedStream};
+use foxtailhold_http::response_end::{self, EndWitness, SEND_BUFFER_BYTES, WatchedStream};
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -20,7 +21,7 @@
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::io::AsyncReadExt;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
 
 /// Result of sending a request.
 pub type Result<T> = std::result::Result<T, SendFailure>;
@@ -92,9 +93,16 @@
     }
 }
 
+/// A connection whose end is observed.
 #[derive(Debug)]
-struct IdleConnection {
+struct WatchedSender {
     sender: SendRequest<Full<Bytes>>,
+    witness: EndWitness,
+}
+
+#[derive(Debug)]
+struct IdleConnection {
+    sender: WatchedSender,
     since: Instant,
     idle_timeout: Duration,
 }
@@ -116,16 +124,25 @@
 /// A connection that carries a request. It is returned once the response has been read to its end.
 #[derive(Debug)]
 pub struct BusyConnection {
-    sender: SendRequest<Full<Bytes>>,
+    sender: WatchedSender,
     backend: BackendId,
     idle_timeout: Duration,
     connections: Connections,
 }
 
 impl BusyConnection {
+    /// Checks that a response which ended with the connection was not cut off by its reset.
+    pub(crate) async fn check_end(&self) -> response_end::Result<()> {
+        let checked = self.sender.witness.check().await;
+        if let Err(error) = &checked {
+            log::info!(backend = self.backend.as_str(); "response is not known to be whole: {error}");
+        }
+        checked
+    }
+
     /// Returns the connection for reuse, unless it is closing.
     pub fn put_back(self) {
-        if self.sender.is_closed() || self.idle_timeout.is_zero() {
+        if self.sender.sender.is_closed() || self.idle_timeout.is_zero() {
             return;
         }
         let idle = IdleConnection {
@@ -191,11 +208,7 @@
         closed.is_err()
     }
 
-    async fn connect(
-        &self,
-        backend: &BackendId,
-        address: SocketAddr,
-    ) -> Result<SendRequest<Full<Bytes>>> {
+    async fn connect(&self, backend: &BackendId, address: SocketAddr) -> Result<WatchedSender> {
         let stream = self.open(backend, address).await?;
         handshake(stream, address).await
     }
@@ -203,7 +216,7 @@
     async fn open(&self, backend: &BackendId, address: SocketAddr) -> Result<TcpStream> {
         let not_sent = |detail: String| SendFailure::NotSent { address, detail };
         let wait = Duration::from_millis(CONNECT_TIMEOUT_MS);
-        let stream = match tokio::time::timeout(wait, TcpStream::connect(address)).await {
+        let stream = match tokio::time::timeout(wait, open_socket(address)).await {
             Err(_) => {
                 return Err(not_sent(format!(
                     "no connection within {CONNECT_TIMEOUT_MS} ms"
@@ -227,10 +240,12 @@
         self.idle.lock().remove(backend);
     }
 
-    fn take_idle(&self, backend: &BackendId, min_idle_ms: u64) -> Option<SendRequest<Full<Bytes>>> {
+    fn take_idle(&self, backend: &BackendId, min_idle_ms: u64) -> Option<WatchedSender> {
         let mut map = self.idle.lock();
         let all = map.get_mut(backend)?;
-        all.retain(|idle| !idle.sender.is_closed() && idle.since.elapsed() < idle.idle_timeout);
+        all.retain(|idle| {
+            !idle.sender.sender.is_closed() && idle.since.elapsed() < idle.idle_timeout
+        });
         let oldest = all.front()?;
         if oldest.since.elapsed() < Duration::from_millis(min_idle_ms) {
             return None;
@@ -255,10 +270,11 @@
         loop {
             let reused = self.take_idle(backend, min_idle_ms);
             let is_reused = reused.is_some();
-            let mut sender = match reused {
-                Some(sender) => sender,
+            let mut connected = match reused {
+                Some(connected) => connected,
                 None => self.connect(backend, address).await?,
             };
+            let sender = &mut connected.sender;
             if let Err(error) = sender.ready().await {
                 if is_reused {
                     continue;
@@ -271,7 +287,7 @@
             match sender.try_send_request(build_request()).await {
                 Ok(response) => {
                     let connection = BusyConnection {
-                        sender,
+                        sender: connected,
                         backend: backend.clone(),
                         idle_timeout: response_idle_timeout(response.headers()),
                         connections: self.clone(),
@@ -295,12 +311,25 @@
     }
 }
 
-async fn handshake(stream: TcpStream, address: SocketAddr) -> Result<SendRequest<Full<Bytes>>> {
+async fn open_socket(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    if let Err(error) = socket.set_send_buffer_size(SEND_BUFFER_BYTES) {
+        log::debug!("cannot set the send buffer of the connection to {address}: {error}");
+    }
+    socket.connect(address).await
+}
+
+async fn handshake(stream: TcpStream, address: SocketAddr) -> Result<WatchedSender> {
     let not_sent = |detail: String| SendFailure::NotSent { address, detail };
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("cannot set TCP_NODELAY on the connection to {address}: {error}");
     }
-    let io = TokioIo::new(PacedStream::from(stream));
+    let stream = WatchedStream::from(PacedStream::from(stream));
+    let witness = stream.witness().clone();
+    let io = TokioIo::new(stream);
     let mut builder = http1::Builder::new();
     let handshake = builder.max_buf_size(MAX_BUFFER_BYTES).handshake(io).await;
     let (sender, connection) = handshake.map_err(|error| not_sent(error.to_string()))?;
@@ -309,7 +338,7 @@
             log::debug!("connection to {address} ended: {error}");
         }
     });
-    Ok(sender)
+    Ok(WatchedSender { sender, witness })
 }
 
 /// Time for which the connection may stay idle; zero if it closes after this response.
--- a/crates/foxtailhold-relay/src/events.rs
+++ b/crates/foxtailhold-relay/src/events.rs
@@ -89,7 +89,7 @@
             let frame = match tokio::time::timeout_at(until, self.body.frame()).await {
                 Err(_) => return StreamRead::Silent,
                 Ok(None) if self.splitter.pending_bytes() > 0 => return StreamRead::Closed,
-                Ok(None) => return StreamRead::End,
+                Ok(None) => return self.check_end().await,
                 Ok(Some(Err(error))) => {
                     log::debug!("connection of a stream failed: {error}");
                     return StreamRead::Closed;
@@ -102,6 +102,13 @@
         }
     }
 
+    async fn check_end(&self) -> StreamRead {
+        if self.end == ResponseEnd::WithConnection && self.connection.check_end().await.is_err() {
+            return StreamRead::Closed;
+        }
+        StreamRead::End
+    }
+
     fn check_order(&mut self, event: RawEvent) -> StreamRead {
         let Some(id) = event_id(&event) else {
             return StreamRead::Event(event);
--- a/crates/foxtailhold-relay/src/upstream.rs
+++ b/crates/foxtailhold-relay/src/upstream.rs
@@ -6,7 +6,7 @@
 use foxtailhold::ids::BackendId;
 use foxtailhold::slots::SlotOutcome;
 use foxtailhold_http::body::{self, BodyError, ReadBudget};
-use http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
+pub use foxtailhold_http::response_end::ResponseEnd;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request, Response, Uri};
 use http_body_util::Full;
@@ -77,26 +77,6 @@
     }
 }
 
-/// How the end of a response body is told.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum ResponseEnd {
-    /// By its length or its last chunk.
-    Stated,
-    /// By the end of its connection, which is also what a crash looks like.
-    WithConnection,
-}
-
-impl From<&HeaderMap> for ResponseEnd {
-    fn from(headers: &HeaderMap) -> Self {
-        let is_stated =
-            headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
-        match is_stated {
-            true => ResponseEnd::Stated,
-            false => ResponseEnd::WithConnection,
-        }
-    }
-}
-
 /// A request as it is sent to backend servers.
 #[derive(Debug, Clone, Copy)]
 pub struct UpstreamRequest<'a> {
@@ -223,20 +203,29 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     let (head, body) = response.into_parts();
-    let reading = body::read_within(body, MAX_BUFFERED_BYTES, budget);
-    match tokio::time::timeout_at(deadline, reading).await {
-        Err(_) => Err(AttemptFailure::Silent),
-        Ok(Err(BodyError::Ended(detail))) => {
-            log::debug!("response truncated: {detail}");
-            Err(AttemptFailure::Closed)
-        }
-        Ok(Err(error)) => {
-            log::info!("response given up: {error}");
-            Err(AttemptFailure::Broken)
-        }
-        Ok(Ok(bytes)) => {
-            connection.put_back();
-            Ok(Response::from_parts(head, bytes))
+    let is_stated = ResponseEnd::from(&head.headers) == ResponseEnd::Stated;
+    let reading = async {
+        match body::read_within(body, MAX_BUFFERED_BYTES, budget).await {
+            Err(BodyError::Ended(detail)) => {
+                log::debug!("response truncated: {detail}");
+                Err(AttemptFailure::Closed)
+            }
+            Err(error) => {
+                log::info!("response given up: {error}");
+                Err(AttemptFailure::Broken)
+            }
+            Ok(bytes) => {
+                // Of a failure the status is enough, and a server may fail a request early.
+                if head.status.is_success() && !is_stated {
+                    let checked = connection.check_end().await;
+                    checked.map_err(|_| AttemptFailure::Closed)?;
+                }
+                Ok(bytes)
+            }
         }
-    }
+    };
+    let bytes = tokio::time::timeout_at(deadline, reading).await;
+    let bytes = bytes.unwrap_or(Err(AttemptFailure::Silent))?;
+    connection.put_back();
+    Ok(Response::from_parts(head, bytes))
 }
--- a/crates/foxtailhold-service/src/lib.rs
+++ b/crates/foxtailhold-service/src/lib.rs
@@ -129,15 +129,16 @@
             Reuse::Fresh => &self.fresh,
         };
         let response = client.send(address, request, call.timeout_ms).await?;
-        let (head, incoming) = response.into_parts();
-        let body = body::read_within(incoming, MAX_ANSWER_BYTES, &self.read_budget)
+        let status = response.status();
+        let content_type = response.headers().get(header::CONTENT_TYPE).cloned();
+        let body = body::read_response(response, MAX_ANSWER_BYTES, &self.read_budget)
             .await
             .map_err(|error| ServiceError::Cut {
                 detail: error.to_string(),
             })?;
         Ok(ServiceAnswer {
-            status: head.status,
-            content_type: head.headers.get(header::CONTENT_TYPE).cloned(),
+            status,
+            content_type,
             body,
         })
     }
