upstream: a status that is none is no answer

Cause: any three digits from 100 on counted as a status.

Change: a status below 200 or above 599 is a broken answer, as if no HTTP had come: 502, or another attempt where the request may run again.

--- a/crates/foxtailhold-http/src/client.rs
+++ b/crates/foxtailhold-http/src/client.rs
@@ -186,7 +186,11 @@
                     timeout_ms,
                 })
             }
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) if is_final(response.status()) => Ok(response),
+            Ok(Ok(response)) => Err(SendError::Failed {
+                address,
+                detail: format!("its status {} is none", response.status().as_u16()),
+            }),
             Ok(Err(error)) => {
                 let detail = error_chain(&error);
                 if error.is_connect() {
@@ -285,6 +289,11 @@
     }
 }
 
+/// Whether a status ends an exchange (RFC 9110, section 15): none above or below these classes does.
+pub fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Builds an absolute `http` URI.
 pub fn uri(address: SocketAddr, path_and_query: &str) -> Result<Uri> {
     Uri::builder()
--- a/crates/foxtailhold-relay/src/upstream.rs
+++ b/crates/foxtailhold-relay/src/upstream.rs
@@ -6,6 +6,7 @@
 use foxtailhold::ids::BackendId;
 use foxtailhold::slots::SlotOutcome;
 use foxtailhold_http::body::{self, BodyError, ReadBudget};
+use foxtailhold_http::client::is_final;
 pub use foxtailhold_http::response_end::ResponseEnd;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request, Response, Uri};
@@ -162,6 +163,13 @@
                 return Err(AttemptFailure::Closed);
             }
         };
+        if !is_final(response.status()) {
+            log::info!(
+                "status {} of a response is none",
+                response.status().as_u16()
+            );
+            return Err(AttemptFailure::Broken);
+        }
         match dialect.read(self.request_id, &response) {
             ResponseCheck::Valid => Ok((response, connection)),
             ResponseCheck::NotRun => {
--- a/crates/foxtailhold-standin/tests/early_service_answers.rs
+++ b/crates/foxtailhold-standin/tests/early_service_answers.rs
@@ -1,5 +1,5 @@
 //! A plain service answers before it has read a long call. A part of its answer is never passed on as
-//! whole.
+//! whole, and neither is a status that is none.
 
 mod common;
 
@@ -147,6 +147,20 @@
     }
 }
 
+/// Guards against an answer of a service in trouble whose status is none.
+#[test_case("000 None" ; "zero")]
+#[test_case("101 Switching Protocols" ; "another protocol")]
+#[test_case("600 None" ; "above all classes")]
+#[tokio::test(flavor = "multi_thread")]
+async fn a_status_that_is_none_is_never_passed_on(status: &'static str) {
+    let deployment = start(Answer::Status(status), SHORT_BODY_BYTES).await;
+    let (status, body) = call(&deployment, Method::POST, SHORT_BODY_BYTES).await;
+    assert!(
+        [502, 503, 504].contains(&status.as_u16()),
+        "{status}: {body:?}"
+    );
+}
+
 /// An answer whose end is shown stays an answer.
 #[test_case(Answer::Whole, 200 ; "whole without a length")]
 #[test_case(Answer::Status("413 Payload Too Large"), 413 ; "a failure")]
