upstream: the next start of a replica does not prove an answer whole

Cause: an answer that ends with its connection counted as whole if the port of its replica listened. Where the instance stood still while the replica crashed, the port was that of its next start.

Change: while such an answer is read, a second connection to its replica is open. It leads to the same process if the first one is still open and quiet once it is there; if it is open after the end of the first one, the process has lived on and has ended the answer itself. If it is not, the answer counts as cut. This holds for a replica that keeps its identity, and needs no request that a replica would have to know.

--- a/crates/foxtailhold-http/src/response_end.rs
+++ b/crates/foxtailhold-http/src/response_end.rs
@@ -3,6 +3,12 @@
 //! Such a response has no length, so a connection that fails looks like its end. Two things show that it
 //! is not whole: the server ended it before the request was written, or it reset the connection after
 //! that. A server that answers a long request early and then fails does either.
+//!
+//! The end of the server's process also ends the connection, and its next start may listen at the same
+//! address under the same name. So a second connection is opened while the response is read, the
+//! companion. If the first one is still open once the companion is, both lead to the same process; if the
+//! companion is open after the end of the first one, that process lived on and has ended its response
+//! itself.
 
 use std::io;
 use std::net::TcpStream;
@@ -33,6 +39,9 @@
 const RESET_WAIT_MS: u64 = 100;
 /// Interval between two looks at it.
 const RESET_CHECK_INTERVAL_MS: u64 = 10;
+/// Time after the end of a response after which the end of the server's process has closed the companion
+/// as well.
+const COMPANION_WAIT_MS: u64 = 50;
 
 /// Why a response that ended with its connection is not known to be whole.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
@@ -43,6 +52,18 @@
     /// The connection was reset after the end of the response.
     #[error("the connection was reset after the end of the response")]
     Reset,
+    /// The server closed the companion, too.
+    #[error("the server closed another connection as well")]
+    ServerEnded,
+}
+
+/// What is known of a response that ended with its connection and is not known to be cut off.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndProof {
+    /// The process of the server lived on.
+    LivedOn,
+    /// There was no time to show that.
+    None,
 }
 
 /// How the end of a response body is told.
@@ -80,16 +101,76 @@
     Reset,
 }
 
+/// Another connection to the same address.
+#[derive(Debug)]
+struct Companion {
+    socket: TcpStream,
+    /// Whether it leads to the process that sends the response.
+    is_anchored: bool,
+    /// Whether it replaces one that did.
+    is_replacement: bool,
+}
+
+impl Companion {
+    fn is_open(&self) -> bool {
+        is_quiet(&self.socket)
+    }
+}
+
 /// What the end of a connection tells about the response that it carried; cheap to clone.
 #[derive(Debug, Clone, Default)]
 pub struct EndWitness {
     observed: Arc<Mutex<Option<ObservedEnd>>>,
+    companion: Arc<Mutex<Option<Companion>>>,
 }
 
 impl EndWitness {
+    /// Keeps another connection to the same address until the response is judged. An earlier one is
+    /// closed.
+    pub fn accompany(&self, socket: tokio::net::TcpStream) -> io::Result<()> {
+        let socket = socket.into_std()?;
+        let mut companion = self.companion.lock();
+        let had_anchor = |earlier: &Companion| earlier.is_anchored || earlier.is_replacement;
+        let is_replacement = companion.as_ref().is_some_and(had_anchor);
+        *companion = Some(Companion {
+            socket,
+            is_anchored: false,
+            is_replacement,
+        });
+        Ok(())
+    }
+
+    /// Whether the companion is still open. Servers close connections that carry nothing for some time.
+    pub fn is_accompanied(&self) -> bool {
+        self.companion
+            .lock()
+            .as_ref()
+            .is_some_and(Companion::is_open)
+    }
+
+    /// Whether nobody will judge the response.
+    pub fn is_abandoned(&self) -> bool {
+        Arc::strong_count(&self.companion) == 1
+    }
+
     /// Checks the end of a response that ended with the connection. This takes [`RESET_WAIT_MS`] after
-    /// a long request.
-    pub async fn check(&self) -> Result<()> {
+    /// a long request, and [`COMPANION_WAIT_MS`] with a companion.
+    pub async fn check(&self) -> Result<EndProof> {
+        self.check_connection().await?;
+        match &*self.companion.lock() {
+            Some(companion) if companion.is_anchored => {}
+            Some(companion) if companion.is_replacement => return Err(UnprovedEnd::ServerEnded),
+            _ => return Ok(EndProof::None),
+        }
+        tokio::time::sleep(Duration::from_millis(COMPANION_WAIT_MS)).await;
+        let lives_on = |companion: &Companion| companion.is_anchored && companion.is_open();
+        match self.companion.lock().as_ref().is_some_and(lives_on) {
+            true => Ok(EndProof::LivedOn),
+            false => Err(UnprovedEnd::ServerEnded),
+        }
+    }
+
+    async fn check_connection(&self) -> Result<()> {
         let until = Instant::now() + Duration::from_millis(RESET_WAIT_MS);
         loop {
             let observed = self.observed.lock().clone();
@@ -115,11 +196,33 @@
         *self.observed.lock() = Some(observed);
     }
 
+    /// Anchors the companion if the connection is open and has nothing to be read: the process that
+    /// sends the response was there after the companion was opened.
+    fn anchor(&self, stream: &PacedStream) {
+        let mut companion = self.companion.lock();
+        let Some(companion) = companion
+            .as_mut()
+            .filter(|companion| !companion.is_anchored)
+        else {
+            return;
+        };
+        // The runtime may not have looked at the socket for a while.
+        let socket = stream.tcp().as_fd().try_clone_to_owned();
+        companion.is_anchored = socket.is_ok_and(|socket| is_quiet(&TcpStream::from(socket)));
+        companion.is_replacement &= !companion.is_anchored;
+    }
+
     fn is_watching(&self) -> bool {
         matches!(*self.observed.lock(), Some(ObservedEnd::Written(Some(_))))
     }
 }
 
+/// Whether a socket that does not block is open and has nothing to be read.
+fn is_quiet(socket: &TcpStream) -> bool {
+    let peeked = socket.peek(&mut [0]);
+    peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+}
+
 fn has_failed(error: io::Result<Option<io::Error>>) -> bool {
     !matches!(error, Ok(None))
 }
@@ -196,7 +299,13 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        match Pin::new(&mut self.stream).poll_read(context, buffer) {
+            Poll::Pending => {
+                self.witness.anchor(&self.stream);
+                return Poll::Pending;
+            }
+            Poll::Ready(read) => read?,
+        }
         if buffer.filled().len() > before {
             self.has_received = true;
         } else if buffer.remaining() > 0 {
--- a/crates/foxtailhold-relay/src/connections.rs
+++ b/crates/foxtailhold-relay/src/connections.rs
@@ -13,7 +13,9 @@
 use foxtailhold::ids::BackendId;
 use foxtailhold_http::lock::Mutex;
 use foxtailhold_http::paced::{MAX_BUFFER_BYTES, PacedStream};
-use foxtailhold_http::response_end::{self, EndWitness, SEND_BUFFER_BYTES, WatchedStream};
+use foxtailhold_http::response_end::{
+    self, EndProof, EndWitness, SEND_BUFFER_BYTES, WatchedStream,
+};
 use http::{HeaderMap, Request, Response, header};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -34,6 +36,8 @@
 const KEPT_CONNECTION_MS: u64 = 50;
 /// Time for which a refused connection shows that its backend server has ended.
 const REFUSAL_TTL_MS: u64 = 10_000;
+/// Interval at which the companion of a connection is looked at.
+const COMPANION_INTERVAL_MS: u64 = 200;
 /// Least time between two checks of a backend server.
 const CHECK_INTERVAL_MS: u64 = 500;
 /// Idle timeout assumed if the backend server does not state one.
@@ -131,8 +135,29 @@
 }
 
 impl BusyConnection {
-    /// Checks that a response which ended with the connection was not cut off by its reset.
-    pub(crate) async fn check_end(&self) -> response_end::Result<()> {
+    /// Opens another connection to the backend server while its response is read, and again when the
+    /// backend server closes that one. They show whether it lives on after the end of the response.
+    pub(crate) fn accompany(&self, address: SocketAddr) {
+        let (connections, backend) = (self.connections.clone(), self.backend.clone());
+        let witness = self.sender.witness.clone();
+        tokio::spawn(async move {
+            while !witness.is_abandoned() {
+                if !witness.is_accompanied() {
+                    let Ok(socket) = connections.open(&backend, address).await else {
+                        return;
+                    };
+                    if let Err(error) = witness.accompany(socket) {
+                        log::debug!("no companion of the connection to {address}: {error}");
+                        return;
+                    }
+                }
+                tokio::time::sleep(Duration::from_millis(COMPANION_INTERVAL_MS)).await;
+            }
+        });
+    }
+
+    /// Checks that a response which ended with the connection was not cut off.
+    pub(crate) async fn check_end(&self) -> response_end::Result<EndProof> {
         let checked = self.sender.witness.check().await;
         if let Err(error) = &checked {
             log::info!(backend = self.backend.as_str(); "response is not known to be whole: {error}");
--- a/crates/foxtailhold-relay/src/engine.rs
+++ b/crates/foxtailhold-relay/src/engine.rs
@@ -401,7 +401,6 @@
         let to_send = upstream_request(request, route, request.after_event);
         let sent = self.send_to(&backend, &to_send, deadline, deadline).await?;
         let (response, connection) = sent;
-        let end = ResponseEnd::from(response.headers());
         activity.record();
         if !route.kind.is_stream() || !response.status().is_success() {
             let response = response.map(|body| {
@@ -412,13 +411,13 @@
             });
             let reading =
                 upstream::read_buffered(response, connection, deadline, &self.read_budget);
-            let response = reading.await?;
-            self.check_end(&backend, end).await?;
+            let (response, is_proved) = reading.await?;
+            self.check_end(&backend, is_proved).await?;
             return Ok(OpenedResponse::Buffered(response));
         }
         let opened = first_event(response, connection, request.after_event, deadline).await?;
-        if matches!(opened, OpenedResponse::Stream(_, _, StreamRead::End)) {
-            self.check_end(&backend, end).await?;
+        if let OpenedResponse::Stream(_, reader, StreamRead::End) = &opened {
+            self.check_end(&backend, reader.is_end_proved()).await?;
         }
         Ok(opened)
     }
--- a/crates/foxtailhold-relay/src/events.rs
+++ b/crates/foxtailhold-relay/src/events.rs
@@ -7,6 +7,8 @@
 use hyper::body::Incoming;
 use tokio::time::Instant;
 
+use foxtailhold_http::response_end::EndProof;
+
 use crate::connections::BusyConnection;
 use crate::upstream::ResponseEnd;
 
@@ -30,6 +32,8 @@
 pub struct EventReader {
     body: Incoming,
     end: ResponseEnd,
+    /// What the end of the response has shown, if it came with that of the connection.
+    proof: EndProof,
     connection: BusyConnection,
     splitter: EventSplitter,
     last_id: Option<u64>,
@@ -47,6 +51,7 @@
         EventReader {
             body,
             end,
+            proof: EndProof::None,
             connection,
             splitter: EventSplitter::default(),
             last_id: after,
@@ -58,6 +63,11 @@
         self.end
     }
 
+    /// Whether the response is known to be whole once its end has been read.
+    pub fn is_end_proved(&self) -> bool {
+        self.end == ResponseEnd::Stated || self.proof == EndProof::LivedOn
+    }
+
     /// Identifier of the last event; `None` if there is none.
     pub fn last_id(&self) -> Option<u64> {
         self.last_id
@@ -102,11 +112,17 @@
         }
     }
 
-    async fn check_end(&self) -> StreamRead {
-        if self.end == ResponseEnd::WithConnection && self.connection.check_end().await.is_err() {
-            return StreamRead::Closed;
+    async fn check_end(&mut self) -> StreamRead {
+        if self.end == ResponseEnd::Stated {
+            return StreamRead::End;
+        }
+        match self.connection.check_end().await {
+            Ok(proof) => {
+                self.proof = proof;
+                StreamRead::End
+            }
+            Err(_) => StreamRead::Closed,
         }
-        StreamRead::End
     }
 
     fn check_order(&mut self, event: RawEvent) -> StreamRead {
--- a/crates/foxtailhold-relay/src/jobs/item/attempt.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/attempt.rs
@@ -393,7 +393,9 @@
                 }
                 StreamRead::End => {
                     let end = reader.end();
-                    if let Err(failure) = self.jobs.relay.check_end(run.backend, end).await {
+                    let relay = &self.jobs.relay;
+                    if let Err(failure) = relay.check_end(run.backend, reader.is_end_proved()).await
+                    {
                         return AttemptEnd::Interrupted(failure);
                     }
                     reader.close();
--- a/crates/foxtailhold-relay/src/plain_dispatch.rs
+++ b/crates/foxtailhold-relay/src/plain_dispatch.rs
@@ -228,10 +228,9 @@
         let to_send = upstream_request(request, route, request.after_event);
         let sent = self.send_to(&backend, &to_send, deadline, deadline).await?;
         let (response, connection) = sent;
-        let end = ResponseEnd::from(response.headers());
         let read = upstream::read_buffered(response, connection, deadline, &self.read_budget);
-        let response = read.await?;
-        self.check_end(&backend, end).await?;
+        let (response, is_proved) = read.await?;
+        self.check_end(&backend, is_proved).await?;
         Ok(response)
     }
 }
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -30,7 +30,7 @@
 use crate::plain::PlainServiceLoads;
 use crate::planned_end::PlannedEnd;
 use crate::request::{EvidenceKeys, OpaqueRequest};
-use crate::upstream::{AttemptFailure, ResponseEnd, UpstreamRequest};
+use crate::upstream::{AttemptFailure, UpstreamRequest};
 
 /// Time without a first event after which an engine counts as silent for a stream that may be
 /// retried. It is many times the usual time to a first event and leaves time to retry within the
@@ -142,15 +142,13 @@
             .await
     }
 
-    /// Checks that a response which ended with its connection was not cut off by a crash.
+    /// Checks that a response was not cut off by a crash, unless that is proved.
     pub(crate) async fn check_end(
         &self,
         backend: &BackendServer,
-        end: ResponseEnd,
+        is_proved: bool,
     ) -> Result<(), AttemptFailure> {
-        match end == ResponseEnd::Stated
-            || has_lived_on(&self.peers, &self.connections, backend).await
-        {
+        match is_proved || has_lived_on(&self.peers, &self.connections, backend).await {
             true => Ok(()),
             false => Err(AttemptFailure::Closed),
         }
--- a/crates/foxtailhold-relay/src/stream_attempt.rs
+++ b/crates/foxtailhold-relay/src/stream_attempt.rs
@@ -149,7 +149,7 @@
             let opened = match &mut self.source {
                 Source::Open(reader) => {
                     let read = reader.read_until(until).await;
-                    let is_proved = read != StreamRead::End || reader.end() == ResponseEnd::Stated;
+                    let is_proved = read != StreamRead::End || reader.is_end_proved();
                     if is_proved || self.evidence.has_lived_on().await {
                         return AttemptRead::Stream(read);
                     }
--- a/crates/foxtailhold-relay/src/upstream.rs
+++ b/crates/foxtailhold-relay/src/upstream.rs
@@ -7,6 +7,7 @@
 use foxtailhold::slots::SlotOutcome;
 use foxtailhold_http::body::{self, BodyError, ReadBudget};
 use foxtailhold_http::client::is_final;
+use foxtailhold_http::response_end::EndProof;
 pub use foxtailhold_http::response_end::ResponseEnd;
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, Request, Response, Uri};
@@ -171,7 +172,13 @@
             return Err(AttemptFailure::Broken);
         }
         match dialect.read(self.request_id, &response) {
-            ResponseCheck::Valid => Ok((response, connection)),
+            ResponseCheck::Valid => {
+                let is_stated = ResponseEnd::from(response.headers()) == ResponseEnd::Stated;
+                if response.status().is_success() && !is_stated {
+                    connection.accompany(backend.address);
+                }
+                Ok((response, connection))
+            }
             ResponseCheck::NotRun => {
                 drain_and_put_back(response.into_body(), connection);
                 Err(AttemptFailure::NotRun)
@@ -199,13 +206,14 @@
     });
 }
 
-/// Buffers a complete response. The connection is reused only if the body arrived in full.
+/// Buffers a complete response, and says whether it is known to be whole. The connection is reused only
+/// if the body arrived in full.
 pub async fn read_buffered<B>(
     response: Response<B>,
     connection: BusyConnection,
     deadline: Instant,
     budget: &ReadBudget,
-) -> Result<Response<Bytes>, AttemptFailure>
+) -> Result<(Response<Bytes>, bool), AttemptFailure>
 where
     B: hyper::body::Body<Data = Bytes> + Unpin,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
@@ -224,16 +232,17 @@
             }
             Ok(bytes) => {
                 // Of a failure the status is enough, and a server may fail a request early.
-                if head.status.is_success() && !is_stated {
-                    let checked = connection.check_end().await;
-                    checked.map_err(|_| AttemptFailure::Closed)?;
+                if is_stated || !head.status.is_success() {
+                    return Ok((bytes, is_stated));
                 }
-                Ok(bytes)
+                let proof = connection.check_end().await;
+                let proof = proof.map_err(|_| AttemptFailure::Closed)?;
+                Ok((bytes, proof == EndProof::LivedOn))
             }
         }
     };
     let bytes = tokio::time::timeout_at(deadline, reading).await;
-    let bytes = bytes.unwrap_or(Err(AttemptFailure::Silent))?;
+    let (bytes, is_proved) = bytes.unwrap_or(Err(AttemptFailure::Silent))?;
     connection.put_back();
-    Ok(Response::from_parts(head, bytes))
+    Ok((Response::from_parts(head, bytes), is_proved))
 }
