upstream: the end of a request's own time is no silence of its server

Cause: the time at which an item is given up, and the deadline of a caller, ended a run as if its backend server had sent nothing for too long. The allocator ejected the sound server, for longer each time.

Change: `TimeOver` is the end of a request's own time. It is silence only where the server was given the usual time; otherwise nothing is held against it. A run of an item that breaks off then or later counts as suspended. Preemption, a planned stop, a caller that leaves and a lost lease were told as abandoned before.

--- a/crates/foxtailhold-relay/src/attempt_evidence.rs
+++ b/crates/foxtailhold-relay/src/attempt_evidence.rs
@@ -128,6 +128,9 @@
     /// crashes too, because each further attempt can cost a backend server.
     pub fn failed(mut self, cause: AttemptFailure) {
         self.log_probe_end(cause.as_str());
+        if cause == AttemptFailure::TimeOver {
+            return;
+        }
         if cause == AttemptFailure::Silent {
             self.connections.close_idle(&self.attempt.backend.id);
         }
@@ -139,6 +142,7 @@
             AttemptFailure::Unreachable
             | AttemptFailure::NotRun
             | AttemptFailure::Failed
+            | AttemptFailure::TimeOver
             | AttemptFailure::TooLate => false,
         };
         if self.attempt.is_probe && !cause.may_have_run() {
--- a/crates/foxtailhold-relay/src/engine.rs
+++ b/crates/foxtailhold-relay/src/engine.rs
@@ -77,6 +77,16 @@
         true
     }
 
+    /// The cause of a failure. A backend server that has sent nothing for the usual time is silent, also
+    /// if the time of the request is over.
+    fn cause(&self, failure: AttemptFailure) -> AttemptFailure {
+        let is_silent = self.silent_at.is_none() || self.slot.quiet_ms() >= FIRST_EVENT_TIMEOUT_MS;
+        match failure {
+            AttemptFailure::TimeOver if is_silent => AttemptFailure::Silent,
+            failure => failure,
+        }
+    }
+
     fn fail(self, failure: AttemptFailure, metrics: &RelayMetrics) {
         let outcome = AttemptOutcome::Failed(failure);
         metrics.attempt_ended(&self.backend.id, outcome, self.started);
@@ -352,6 +362,7 @@
                 Err(failure) => failure,
             };
             let failed = attempts.open.remove(index);
+            let failure = failed.cause(failure);
             let may_retry =
                 self.record_failed_attempt(route, &request, progress, &failed.backend, failure);
             failed.fail(failure, &self.metrics);
@@ -433,7 +444,7 @@
     let end = ResponseEnd::from(&head.headers);
     let mut reader = EventReader::new(body, end, connection, after);
     match reader.read_until(deadline).await {
-        StreamRead::Silent => Err(AttemptFailure::Silent),
+        StreamRead::Silent => Err(AttemptFailure::TimeOver),
         StreamRead::Closed => Err(AttemptFailure::Closed),
         StreamRead::Broken => Err(AttemptFailure::Broken),
         first => Ok(OpenedResponse::Stream(head, Box::new(reader), first)),
--- a/crates/foxtailhold-relay/src/jobs/item/attempt.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/attempt.rs
@@ -63,6 +63,12 @@
 }
 
 impl Run<'_> {
+    /// Whether the time of the item is over, though its backend server is not silent.
+    fn is_time_over(&self) -> bool {
+        let silence = Duration::from_millis(MAX_RUN_SILENCE_MS);
+        Instant::now() >= self.deadline && self.heard_at.borrow().elapsed() < silence
+    }
+
     fn record_activity(&self) {
         self.heard_at.send_replace(Instant::now());
     }
@@ -277,7 +283,7 @@
             not_after: self.jobs.relay.clock.instant(lease.until()),
             probe,
         };
-        tokio::select! {
+        let (end, next_slot) = tokio::select! {
             // What the run has received counts before a slot granted at the same moment.
             biased;
             end = self.send(request, run) => (end, None),
@@ -285,6 +291,11 @@
                 Ok(granted) => (AttemptEnd::Interrupted(AttemptFailure::Silent), Some(granted)),
                 Err(end) => (end, None),
             },
+        };
+        match end {
+            // The backend server stops work then as well.
+            AttemptEnd::Interrupted(_) if run.is_time_over() => (AttemptEnd::Suspended, next_slot),
+            end => (end, next_slot),
         }
     }
 
--- a/crates/foxtailhold-relay/src/jobs/item/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/backoff.rs
@@ -289,6 +289,7 @@
             AttemptFailure::Unreachable
             | AttemptFailure::NotRun
             | AttemptFailure::Failed
+            | AttemptFailure::TimeOver
             | AttemptFailure::TooLate => return,
         }
         self.interruptions += 1;
--- a/crates/foxtailhold-relay/src/plain_dispatch.rs
+++ b/crates/foxtailhold-relay/src/plain_dispatch.rs
@@ -41,6 +41,8 @@
     in_flight: InFlightGuard<'a>,
     evidence: AttemptEvidence,
     started: Instant,
+    /// Time without a response after which the backend server counts as silent.
+    silent_after: Duration,
     is_silent: bool,
     response: Pin<Box<F>>,
 }
@@ -57,6 +59,16 @@
         self.evidence.answered();
     }
 
+    /// The cause of a failure. A backend server that has not responded for the usual time is silent, also
+    /// if the time of the request is over.
+    fn cause(&self, failure: AttemptFailure) -> AttemptFailure {
+        let is_silent = self.is_silent || self.started.elapsed() >= self.silent_after;
+        match failure {
+            AttemptFailure::TimeOver if is_silent => AttemptFailure::Silent,
+            failure => failure,
+        }
+    }
+
     fn fail(mut self, failure: AttemptFailure) {
         self.in_flight.outcome = failure.outcome();
         self.evidence.failed(failure);
@@ -125,6 +137,7 @@
                     },
                     evidence: self.begin_attempt(keys.clone(), &backend, request.after_event),
                     started: Instant::now(),
+                    silent_after,
                     is_silent: false,
                     response: Box::pin(self.fetch_buffered(
                         route,
@@ -173,6 +186,7 @@
                     (Some(response), AttemptFailure::Failed)
                 }
                 Err(failure) => {
+                    let failure = attempt.cause(failure);
                     let outcome = AttemptOutcome::Failed(failure);
                     self.metrics
                         .attempt_ended(&backend.id, outcome, attempt.started);
--- a/crates/foxtailhold-relay/src/upstream.rs
+++ b/crates/foxtailhold-relay/src/upstream.rs
@@ -37,8 +37,10 @@
     Broken,
     /// The backend server answered with a server error.
     Failed,
-    /// Nothing was received before the deadline.
+    /// Nothing was received for too long.
     Silent,
+    /// The time of the request was over, which says nothing about the backend server.
+    TimeOver,
     /// The leave to send it ended before a connection was there.
     TooLate,
 }
@@ -53,6 +55,7 @@
             AttemptFailure::Broken => "broken",
             AttemptFailure::Failed => "failed",
             AttemptFailure::Silent => "silent",
+            AttemptFailure::TimeOver => "time_over",
             AttemptFailure::TooLate => "too_late",
         }
     }
@@ -74,7 +77,7 @@
                 SlotOutcome::Broken
             }
             AttemptFailure::Silent => SlotOutcome::Silent,
-            AttemptFailure::TooLate => SlotOutcome::Abandoned,
+            AttemptFailure::TimeOver | AttemptFailure::TooLate => SlotOutcome::Abandoned,
         }
     }
 }
@@ -121,8 +124,9 @@
         request
     }
 
-    /// Sends the request and waits for the response head until `response_deadline`. The
-    /// deadline sent to the backend server is `deadline`.
+    /// Sends the request and waits for the response head until `response_deadline`, after which the
+    /// backend server counts as silent. The time of the request is over at `deadline`, which is sent
+    /// to the backend server.
     pub async fn send<D: Dialect>(
         &self,
         dialect: &D,
@@ -145,7 +149,8 @@
             build_request,
         );
         let sent = match tokio::time::timeout_at(response_deadline, response_head).await {
-            Err(_) => return Err(AttemptFailure::Silent),
+            Err(_) if response_deadline < deadline => return Err(AttemptFailure::Silent),
+            Err(_) => return Err(AttemptFailure::TimeOver),
             Ok(sent) => sent,
         };
         let (response, connection) = match sent {
@@ -242,7 +247,7 @@
         }
     };
     let bytes = tokio::time::timeout_at(deadline, reading).await;
-    let (bytes, is_proved) = bytes.unwrap_or(Err(AttemptFailure::Silent))?;
+    let (bytes, is_proved) = bytes.unwrap_or(Err(AttemptFailure::TimeOver))?;
     connection.put_back();
     Ok((Response::from_parts(head, bytes), is_proved))
 }
