connections: a copy of a refusal refuses no other request that may run once

Cause: a refusal bears no identity, so a late copy of it can't be told from the refusal of the next request on the connection.

Change: a connection on which a response without an identity has come is kept for requests that may run more than once. A copy can only be of a response on the same connection, so a refusal on any other one is this request's own.

--- a/crates/foxtailhold-relay/src/connections.rs
+++ b/crates/foxtailhold-relay/src/connections.rs
@@ -109,6 +109,21 @@
     sender: WatchedSender,
     since: Instant,
     idle_timeout: Duration,
+    /// Whether all its responses have stated the identity of their request. A late copy of one that
+    /// did not would be taken for the response to another request.
+    is_identified: bool,
+}
+
+impl IdleConnection {
+    fn is_usable(&self) -> bool {
+        !self.sender.sender.is_closed() && self.since.elapsed() < self.idle_timeout
+    }
+
+    /// Whether a request may be sent on it now.
+    fn suits(&self, terms: SendTerms) -> bool {
+        let delay = Duration::from_millis(REUSE_DELAY_MS);
+        terms.is_idempotent || (self.is_identified && self.since.elapsed() >= delay)
+    }
 }
 
 /// Backend servers whose port refused a connection, and when.
@@ -129,6 +144,7 @@
 #[derive(Debug)]
 pub struct BusyConnection {
     sender: WatchedSender,
+    is_identified: bool,
     backend: BackendId,
     idle_timeout: Duration,
     connections: Connections,
@@ -165,6 +181,12 @@
         checked
     }
 
+    /// Records a response that does not state the identity of its request. The connection is kept for
+    /// requests that may run more than once.
+    pub(crate) fn record_unidentified(&mut self) {
+        self.is_identified = false;
+    }
+
     /// Returns the connection for reuse, unless it is closing.
     pub fn put_back(self) {
         if self.sender.sender.is_closed() || self.idle_timeout.is_zero() {
@@ -174,6 +196,7 @@
             sender: self.sender,
             since: Instant::now(),
             idle_timeout: self.idle_timeout,
+            is_identified: self.is_identified,
         };
         let mut map = self.connections.idle.lock();
         map.entry(self.backend).or_default().push_back(idle);
@@ -265,17 +288,15 @@
         self.idle.lock().remove(backend);
     }
 
-    fn take_idle(&self, backend: &BackendId, min_idle_ms: u64) -> Option<WatchedSender> {
+    /// Takes an idle connection for a request, rather one that is of no use to others.
+    fn take_idle(&self, backend: &BackendId, terms: SendTerms) -> Option<(WatchedSender, bool)> {
         let mut map = self.idle.lock();
         let all = map.get_mut(backend)?;
-        all.retain(|idle| {
-            !idle.sender.sender.is_closed() && idle.since.elapsed() < idle.idle_timeout
-        });
-        let oldest = all.front()?;
-        if oldest.since.elapsed() < Duration::from_millis(min_idle_ms) {
-            return None;
-        }
-        all.pop_front().map(|idle| idle.sender)
+        all.retain(IdleConnection::is_usable);
+        let suiting = all.iter().enumerate().filter(|(_, idle)| idle.suits(terms));
+        let (index, _) = suiting.min_by_key(|(_, idle)| idle.is_identified)?;
+        let idle = all.remove(index)?;
+        Some((idle.sender, idle.is_identified))
     }
 
     /// Sends the request built by `build_request` once a connection is available, and waits for the
@@ -287,17 +308,13 @@
         terms: SendTerms,
         build_request: impl Fn() -> Request<Full<Bytes>>,
     ) -> Result<(Response<Incoming>, BusyConnection)> {
-        let min_idle_ms = match terms.is_idempotent {
-            true => 0,
-            false => REUSE_DELAY_MS,
-        };
         let not_sent = |detail: String| SendFailure::NotSent { address, detail };
         loop {
-            let reused = self.take_idle(backend, min_idle_ms);
+            let reused = self.take_idle(backend, terms);
             let is_reused = reused.is_some();
-            let mut connected = match reused {
-                Some(connected) => connected,
-                None => self.connect(backend, address).await?,
+            let (mut connected, is_identified) = match reused {
+                Some(reused) => reused,
+                None => (self.connect(backend, address).await?, true),
             };
             let sender = &mut connected.sender;
             if let Err(error) = sender.ready().await {
@@ -313,6 +330,7 @@
                 Ok(response) => {
                     let connection = BusyConnection {
                         sender: connected,
+                        is_identified,
                         backend: backend.clone(),
                         idle_timeout: response_idle_timeout(response.headers()),
                         connections: self.clone(),
--- a/crates/foxtailhold-relay/src/dialect.rs
+++ b/crates/foxtailhold-relay/src/dialect.rs
@@ -49,6 +49,9 @@
     /// Checks the head of a response to the request `request_id`.
     fn read<B>(&self, request_id: &str, response: &Response<B>) -> ResponseCheck;
 
+    /// Whether a response states the identity of a request, so that a copy of it can be told.
+    fn is_identified<B>(&self, response: &Response<B>) -> bool;
+
     /// Load stated in a response; `None` if it states none.
     fn load(&self, headers: &HeaderMap) -> Option<ReportedLoad>;
 
--- a/crates/foxtailhold-relay/src/upstream.rs
+++ b/crates/foxtailhold-relay/src/upstream.rs
@@ -153,7 +153,7 @@
             Err(_) => return Err(AttemptFailure::TimeOver),
             Ok(sent) => sent,
         };
-        let (response, connection) = match sent {
+        let (response, mut connection) = match sent {
             Ok(sent) => sent,
             Err(failure @ SendFailure::NotSent { .. }) => {
                 log::debug!("{failure}");
@@ -169,6 +169,9 @@
                 return Err(AttemptFailure::Closed);
             }
         };
+        if !dialect.is_identified(&response) {
+            connection.record_unidentified();
+        }
         if !is_final(response.status()) {
             log::info!(
                 "status {} of a response is none",
