connections: an idle timeout in any form is read

Cause: `Keep-Alive: timeout=` was read as a whole number of seconds and multiplied without a bound.

Evidence: one of the five cases of `an_idle_timeout_in_any_form_is_served` is red with the code before (debug build).

Change: the number is read with a fraction, an hour counts at most, and what is no time is as if it were not stated.

--- a/crates/foxtailhold-relay/src/connections.rs
+++ b/crates/foxtailhold-relay/src/connections.rs
@@ -42,6 +42,8 @@
 const CHECK_INTERVAL_MS: u64 = 500;
 /// Idle timeout assumed if the backend server does not state one.
 const DEFAULT_IDLE_TIMEOUT_MS: u64 = 4_000;
+/// Longest stated idle timeout that counts.
+const MAX_IDLE_TIMEOUT_S: f64 = 3_600.0;
 /// Share of the stated idle timeout after which a connection is no longer used, so that no request
 /// crosses its close.
 const IDLE_TIMEOUT_SHARE: f64 = 0.6;
@@ -400,8 +402,11 @@
     let seconds = stated.and_then(|text| {
         let parts = text.split(',').map(str::trim);
         let mut times = parts.filter_map(|part| part.strip_prefix("timeout="));
-        times.next()?.parse::<u64>().ok()
+        times.next()?.trim().parse::<f64>().ok()
     });
-    let timeout_ms = seconds.map_or(DEFAULT_IDLE_TIMEOUT_MS, |seconds| seconds * 1_000);
-    Duration::from_millis(timeout_ms).mul_f64(IDLE_TIMEOUT_SHARE)
+    let stated = seconds.filter(|seconds| !seconds.is_nan());
+    let stated = stated.map(|seconds| seconds.min(MAX_IDLE_TIMEOUT_S));
+    let timeout = stated.and_then(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    let timeout = timeout.unwrap_or(Duration::from_millis(DEFAULT_IDLE_TIMEOUT_MS));
+    timeout.mul_f64(IDLE_TIMEOUT_SHARE)
 }
