connections: a companion that a replica does not keep says nothing

Cause: a companion of a response without a length counted as soon as it was open, and one that was closed as the end of the replica's process. A replica resets connections beyond its limit, and closes those that carry nothing. What callers would see: a whole stream that is cut.

Evidence: `a_stream_is_whole_where_the_replica_keeps_no_other_connection` with the code before, 1 of 2 cases red; the other one red once the companion had to be kept.

Change: a companion counts once it has been kept for 50 ms. One that is closed while the response goes on was closed by the replica, which lives: another one is opened, and until it counts the port is asked as before.

--- a/crates/foxtailhold-http/src/response_end.rs
+++ b/crates/foxtailhold-http/src/response_end.rs
@@ -42,6 +42,8 @@
 /// Time after the end of a response after which the end of the server's process has closed the companion
 /// as well.
 const COMPANION_WAIT_MS: u64 = 50;
+/// Age of a companion that the server keeps. One beyond its limit of connections is reset at once.
+const MIN_COMPANION_AGE_MS: u64 = 50;
 
 /// Why a response that ended with its connection is not known to be whole.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
@@ -105,9 +107,10 @@
 #[derive(Debug)]
 struct Companion {
     socket: TcpStream,
+    opened_at: Instant,
     /// Whether it leads to the process that sends the response.
     is_anchored: bool,
-    /// Whether it replaces one that did.
+    /// Whether it replaces one that did, and the process has not shown itself since.
     is_replacement: bool,
 }
 
@@ -115,6 +118,10 @@
     fn is_open(&self) -> bool {
         is_quiet(&self.socket)
     }
+
+    fn is_kept(&self) -> bool {
+        self.opened_at.elapsed() >= Duration::from_millis(MIN_COMPANION_AGE_MS)
+    }
 }
 
 /// What the end of a connection tells about the response that it carried; cheap to clone.
@@ -134,6 +141,7 @@
         let is_replacement = companion.as_ref().is_some_and(had_anchor);
         *companion = Some(Companion {
             socket,
+            opened_at: Instant::now(),
             is_anchored: false,
             is_replacement,
         });
@@ -196,20 +204,25 @@
         *self.observed.lock() = Some(observed);
     }
 
-    /// Anchors the companion if the connection is open and has nothing to be read: the process that
-    /// sends the response was there after the companion was opened.
+    /// Looks at the companion while the connection is open and has nothing to be read, so that the
+    /// process that sends the response is there. A companion that is open leads to that process; one
+    /// that is closed was closed by it, which says nothing about its end.
     fn anchor(&self, stream: &PacedStream) {
-        let mut companion = self.companion.lock();
-        let Some(companion) = companion
-            .as_mut()
-            .filter(|companion| !companion.is_anchored)
-        else {
+        let mut slot = self.companion.lock();
+        let Some(companion) = slot.as_mut() else {
             return;
         };
         // The runtime may not have looked at the socket for a while.
         let socket = stream.tcp().as_fd().try_clone_to_owned();
-        companion.is_anchored = socket.is_ok_and(|socket| is_quiet(&TcpStream::from(socket)));
-        companion.is_replacement &= !companion.is_anchored;
+        if !socket.is_ok_and(|socket| is_quiet(&TcpStream::from(socket))) {
+            return;
+        }
+        if !companion.is_open() {
+            *slot = None;
+            return;
+        }
+        companion.is_replacement = false;
+        companion.is_anchored |= companion.is_kept();
     }
 
     fn is_watching(&self) -> bool {
