tests: crowds of clients that send large bodies to each listener

Cause: clients that send many large bodies, most of which never end, end a process on a machine that holds it to its memory. Nothing bounds what callers together make a process hold.

Evidence: the tests start a node (the platform's form) and an entry instance (the OpenAI form) with the memory of the smallest machine, 88 MB, and 600 descriptors, of which 200 are for files. 60 clients send bodies of 4 MiB: all but the last byte at once, in pieces, in large or small chunks, byte by byte at the end, whole, over the limit as announced or without end; 500 and 1,200 clients open connections; HTTP/2, parsed forms of batch jobs, bodies that wait for a server and responses that nobody reads. They go to requests, streams, batch jobs, reads, uploads, the directory, readiness, operators and peers. Checked are the process, its resident memory with the bytes received and not read, its sockets, and one ordinary request beside the crowd. Crowd and bounds follow from the target and stay as they are.

The tests of a file take turns.

--- a/crates/foxtailhold-standin/tests/common/mod.rs
+++ b/crates/foxtailhold-standin/tests/common/mod.rs
@@ -44,9 +44,15 @@
 impl Process {
     /// Starts a program and waits for the line that it prints when ready.
     pub fn start(name: &str, arguments: &[&str]) -> Self {
+        Process::start_with(name, arguments, &[])
+    }
+
+    /// Like [`Process::start`], with these environment variables.
+    pub fn start_with(name: &str, arguments: &[&str], environment: &[(&str, String)]) -> Self {
         let mut command = Command::new(program(name));
         let level = std::env::var("RUST_LOG").unwrap_or("error".into());
         command.args(arguments).env("RUST_LOG", level);
+        command.envs(environment.iter().map(|(name, value)| (name, value)));
         Process::spawn(name, command)
     }
 
@@ -67,6 +73,11 @@
         Process { child, ready }
     }
 
+    /// Identifier of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: Signal) {
         kill(Pid::from_raw(self.child.id() as i32), signal).unwrap();
@@ -115,6 +126,15 @@
     /// Starts the platform, `engines`, one service and `entries`, and waits until all instances
     /// know each other and every backend server.
     pub async fn start(engines: usize, entries: usize) -> Self {
+        Deployment::start_with_environment(engines, entries, &[]).await
+    }
+
+    /// Like [`Deployment::start`], with these environment variables of the entry instances.
+    pub async fn start_with_environment(
+        engines: usize,
+        entries: usize,
+        environment: &[(&str, String)],
+    ) -> Self {
         let platform = Process::start(
             "foxtailhold-standin",
             &["platform", "--fleet-lag-ms", "200"],
@@ -131,7 +151,8 @@
         }
         deployment.add_service("service-0", ZONES[0]);
         for index in 0..entries {
-            deployment.add_entry(&format!("entry-{index}"), ZONES[index % 3], &[]);
+            let id = format!("entry-{index}");
+            deployment.add_entry_with(&id, ZONES[index % 3], &[], environment);
         }
         deployment.settle(entries).await;
         deployment
@@ -160,6 +181,16 @@
 
     /// Starts an entry instance on ports chosen by the system and adds it to the fleet list.
     pub fn add_entry(&mut self, id: &str, zone: &str, more: &[&str]) {
+        self.add_entry_with(id, zone, more, &[]);
+    }
+
+    fn add_entry_with(
+        &mut self,
+        id: &str,
+        zone: &str,
+        more: &[&str],
+        environment: &[(&str, String)],
+    ) {
         let platform = self.platform_address();
         let any = "127.0.0.1:0";
         let mut arguments = vec!["--instance", id, "--availability-zone", zone];
@@ -167,7 +198,7 @@
         arguments.extend(["--operator-address", any, "--platform-address", &platform]);
         arguments.extend(["--operator-token", TOKEN, "--keep-for-ms", "500"]);
         arguments.extend(more);
-        let entry = Process::start("foxtailhold-entry", &arguments);
+        let entry = Process::start_with("foxtailhold-entry", &arguments, environment);
         let peer = entry.address("peer_address").to_string();
         let mut add = vec!["add-instance", "--id", id, "--peer-address", &peer];
         add.extend(["--platform-address", &platform]);
