memory: bodies of requests are bounded together for as long as they are held

Cause: clients that send many bodies of legal size, whole or stopping short, end a process: each body up to MaxBodyBytes was read into a growing buffer of its own, up to twice its size, and nothing bounded all of them. A body stayed while its request waited, was sent and was kept for another try; a read of results kept a body that it does not need; a length far over the limit was read up to the limit before it was refused. The listener of other instances took 10 MiB a call.

Change: MemoryBudget (foxtailhold-http) gives memory out and takes it back when the last part of a body is dropped, so that a reservation lives as long as the bytes. MachineLimits derives it from MemoryMb: a third of the memory. The larger a body is, the more has to stay free, so that small ones do not depend on large ones; a body that makes no progress for 250 ms gives way to others. Bodies of reads are not kept. The time of the caller, or 120 s, bounds how long a body may come. Responses that are buffered are counted in the same budget until they are written; the answers of the store that are read at the same time follow from MemoryMb too.

--- a/crates/foxtailhold-caller/src/handler.rs
+++ b/crates/foxtailhold-caller/src/handler.rs
@@ -182,7 +182,9 @@
                 Refusal::not_run(RefusalReason::BodyTooLarge { limit_bytes })
             }
             BodyError::Slow { idle_ms } => Refusal::not_run(RefusalReason::BodyTimeout { idle_ms }),
-            BodyError::Ended(_) => Refusal::invalid(error.to_string()),
+            BodyError::Late | BodyError::NoMemory(_) | BodyError::Evicted | BodyError::Ended(_) => {
+                Refusal::invalid(error.to_string())
+            }
         })
     }
 }
--- a/crates/foxtailhold-http/src/body.rs
+++ b/crates/foxtailhold-http/src/body.rs
@@ -2,7 +2,7 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
@@ -13,7 +13,9 @@
 use serde::Serialize;
 use thiserror::Error;
 use tokio::sync::{Semaphore, mpsc};
+use tokio::time::Instant;
 
+use crate::memory::{MemoryBudget, MemoryExhausted};
 use crate::response_end::{EndWitness, ResponseEnd, UnprovedEnd};
 
 /// Result of reading a body.
@@ -128,7 +130,7 @@
 /// Why a body could not be read.
 #[derive(Debug, Error)]
 pub enum BodyError {
-    /// The body is larger than the limit, or than what a shared budget has left.
+    /// The body is larger than the limit.
     #[error("the body is over {limit_bytes} bytes")]
     TooLarge {
         /// Size limit.
@@ -140,79 +142,31 @@
         /// Limit of the pause between two frames.
         idle_ms: u64,
     },
+    /// The body did not end in the time of its request.
+    #[error("the body did not end in time")]
+    Late,
+    /// There is no memory for the body.
+    #[error(transparent)]
+    NoMemory(#[from] MemoryExhausted),
+    /// The body made no progress, and others needed its memory.
+    #[error("the body made no progress and gave way to others")]
+    Evicted,
     /// The connection failed before the body ended.
     #[error("the body ended early: {0}")]
     Ended(String),
 }
 
-/// Bytes that each body may have without a reservation.
-pub const FREE_BYTES: usize = 64 << 10;
-
 /// Largest part in which a body is kept while it is read.
 const PART_BYTES: usize = 64 << 10;
 
-/// Memory for bodies that are being read at the same time; clones share it.
-#[derive(Debug, Clone)]
-pub struct ReadBudget {
-    free_bytes: Arc<AtomicUsize>,
-}
-
-impl ReadBudget {
-    /// A budget of `total_bytes`.
-    pub fn new(total_bytes: usize) -> Self {
-        ReadBudget {
-            free_bytes: Arc::new(AtomicUsize::new(total_bytes)),
-        }
-    }
-
-    /// Takes `bytes`; returns `false` if fewer are left.
-    fn take(&self, bytes: usize) -> bool {
-        let take = |free: usize| free.checked_sub(bytes);
-        let taken = self
-            .free_bytes
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
-        taken.is_ok()
-    }
-}
-
-/// Reservation of one body, returned to the budget when dropped.
-#[derive(Debug)]
-struct Reservation<'a> {
-    budget: &'a ReadBudget,
-    reserved_bytes: usize,
-}
-
-impl Reservation<'_> {
-    fn grow_to(&mut self, body_bytes: usize) -> Result<()> {
-        let needed = body_bytes.saturating_sub(FREE_BYTES);
-        let missing = needed.saturating_sub(self.reserved_bytes);
-        if !self.budget.take(missing) {
-            let limit_bytes = FREE_BYTES + self.reserved_bytes;
-            return Err(BodyError::TooLarge { limit_bytes });
-        }
-        self.reserved_bytes += missing;
-        Ok(())
-    }
-}
-
-impl Drop for Reservation<'_> {
-    fn drop(&mut self) {
-        self.budget
-            .free_bytes
-            .fetch_add(self.reserved_bytes, Ordering::Relaxed);
-    }
-}
-
-/// Reads a body of at most `limit_bytes` to its end, with memory from `budget`.
-pub async fn read_within<B>(mut body: B, limit_bytes: usize, budget: &ReadBudget) -> Result<Bytes>
+/// Reads a body of at most `limit_bytes` to its end, with memory from `budget`, which is returned when
+/// the last part of the body is dropped.
+pub async fn read_within<B>(mut body: B, limit_bytes: usize, budget: &MemoryBudget) -> Result<Bytes>
 where
     B: Body<Data = Bytes> + Unpin,
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
-    let mut reservation = Reservation {
-        budget,
-        reserved_bytes: 0,
-    };
+    let mut reservation = budget.reserve(0)?;
     let mut parts = BodyParts::default();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|error| BodyError::Ended(error.into().to_string()))?;
@@ -223,10 +177,10 @@
         if total_bytes > limit_bytes {
             return Err(BodyError::TooLarge { limit_bytes });
         }
-        reservation.grow_to(total_bytes)?;
+        reservation.grow_to(BodyParts::reserved_bytes(total_bytes))?;
         parts.push(&data);
     }
-    Ok(parts.into_bytes())
+    Ok(reservation.keep_with(parts.into_bytes()))
 }
 
 /// Reads the body of a response like [`read_within`]. One that ends with its connection is checked
@@ -234,7 +188,7 @@
 pub async fn read_response(
     response: Response<Incoming>,
     limit_bytes: usize,
-    budget: &ReadBudget,
+    budget: &MemoryBudget,
 ) -> Result<Bytes> {
     let (head, body) = response.into_parts();
     let bytes = read_within(body, limit_bytes, budget).await?;
@@ -250,14 +204,28 @@
 /// Bytes of a body in parts of limited size. One buffer would take up to three times the bytes of
 /// the body while it grows.
 #[derive(Debug, Default)]
-struct BodyParts {
+pub struct BodyParts {
     full: Vec<BytesMut>,
     last: BytesMut,
     total_bytes: usize,
 }
 
 impl BodyParts {
-    fn push(&mut self, mut data: &[u8]) {
+    /// Bytes that have been pushed.
+    pub fn total_bytes(&self) -> usize {
+        self.total_bytes
+    }
+
+    /// Memory that a body of `total_bytes` takes in parts.
+    pub fn reserved_bytes(total_bytes: usize) -> usize {
+        match total_bytes {
+            ..=PART_BYTES => total_bytes.next_power_of_two(),
+            _ => total_bytes.next_multiple_of(PART_BYTES),
+        }
+    }
+
+    /// Appends bytes.
+    pub fn push(&mut self, mut data: &[u8]) {
         self.total_bytes += data.len();
         while !data.is_empty() {
             if self.last.len() == PART_BYTES {
@@ -269,7 +237,8 @@
         }
     }
 
-    fn into_bytes(self) -> Bytes {
+    /// All bytes in one buffer.
+    pub fn into_bytes(self) -> Bytes {
         if self.full.is_empty() {
             return self.last.freeze();
         }
@@ -324,6 +293,122 @@
     }
 }
 
+/// Terms on which the body of a request is read.
+#[derive(Debug, Clone)]
+pub struct RequestTerms<'a> {
+    /// Largest size of the body.
+    pub limit_bytes: usize,
+    /// Longest pause between two frames.
+    pub idle_ms: u64,
+    /// Time until which the body may be read; `None` if only its pauses are limited.
+    pub deadline: Option<Instant>,
+    /// Memory for the body.
+    pub memory: &'a MemoryBudget,
+}
+
+impl<'a> RequestTerms<'a> {
+    /// Terms with a limit of size and pauses.
+    pub fn new(limit_bytes: usize, idle_ms: u64, memory: &'a MemoryBudget) -> Self {
+        RequestTerms {
+            limit_bytes,
+            idle_ms,
+            deadline: None,
+            memory,
+        }
+    }
+
+    /// The next frame; `None` at the end of the body.
+    async fn next_frame<B>(&self, body: &mut B) -> Result<Option<Bytes>>
+    where
+        B: Body<Data = Bytes> + Unpin,
+        B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+    {
+        let idle = Duration::from_millis(self.idle_ms);
+        loop {
+            let idle_until = Instant::now() + idle;
+            let until = self.deadline.map_or(idle_until, |end| end.min(idle_until));
+            let frame = match tokio::time::timeout_at(until, body.frame()).await {
+                Err(_) if until < idle_until => return Err(BodyError::Late),
+                Err(_) => {
+                    let idle_ms = self.idle_ms;
+                    return Err(BodyError::Slow { idle_ms });
+                }
+                Ok(None) => return Ok(None),
+                Ok(Some(frame)) => frame,
+            };
+            let frame = frame.map_err(|error| BodyError::Ended(error.into().to_string()))?;
+            if let Ok(data) = frame.into_data() {
+                return Ok(Some(data));
+            }
+        }
+    }
+
+    fn check_announced<B: Body>(&self, body: &B) -> Result<usize> {
+        let announced = body.size_hint().lower();
+        let announced = usize::try_from(announced).unwrap_or(usize::MAX);
+        self.check_size(announced)?;
+        Ok(announced)
+    }
+
+    fn check_size(&self, body_bytes: usize) -> Result<()> {
+        let limit_bytes = self.limit_bytes;
+        match body_bytes > limit_bytes {
+            true => Err(BodyError::TooLarge { limit_bytes }),
+            false => Ok(()),
+        }
+    }
+}
+
+/// Reads the body of a request to its end. Its memory is returned when its last part is dropped. A body
+/// that makes no progress gives way to others.
+pub async fn read_request<B>(body: &mut B, terms: &RequestTerms<'_>) -> Result<Bytes>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    let announced_bytes = terms.check_announced(body)?;
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    let mut reservation = terms.memory.grow_body();
+    reservation
+        .make_room(BodyParts::reserved_bytes(announced_bytes))
+        .await?;
+    let eviction = reservation.eviction();
+    let mut parts = BodyParts::default();
+    loop {
+        let next = tokio::select! {
+            next = terms.next_frame(body) => next?,
+            () = eviction.cancelled() => return Err(BodyError::Evicted),
+        };
+        let Some(data) = next else {
+            return Ok(reservation.close().keep_with(parts.into_bytes()));
+        };
+        let total_bytes = parts.total_bytes + data.len();
+        terms.check_size(total_bytes)?;
+        reservation
+            .grow_to(BodyParts::reserved_bytes(total_bytes))
+            .await?;
+        parts.push(&data);
+        reservation.record_progress(total_bytes);
+    }
+}
+
+/// Reads the body of a request to its end and keeps nothing of it.
+pub async fn discard_request<B>(body: &mut B, terms: &RequestTerms<'_>) -> Result<()>
+where
+    B: Body<Data = Bytes> + Unpin,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
+    terms.check_announced(body)?;
+    let mut total_bytes = 0;
+    while let Some(data) = terms.next_frame(body).await? {
+        total_bytes += data.len();
+        terms.check_size(total_bytes)?;
+    }
+    Ok(())
+}
+
 /// Upper limit of the unread body bytes that are drained after the response.
 pub const DRAIN_LIMIT_BYTES: usize = 64 << 20;
 /// Time limit for draining an unread body after the response.
--- a/crates/foxtailhold-http/src/client.rs
+++ b/crates/foxtailhold-http/src/client.rs
@@ -17,8 +17,9 @@
 use serde::Serialize;
 use thiserror::Error;
 
-use crate::body::{self, ReadBudget};
+use crate::body;
 use crate::connect::WatchedConnector;
+use crate::memory::MemoryBudget;
 use crate::paced::MAX_BUFFER_BYTES;
 use crate::response_end::SEND_BUFFER_BYTES;
 
@@ -95,7 +96,7 @@
 #[derive(Debug, Clone)]
 pub struct BodyClient<B> {
     reuse: Reuse,
-    budget: ReadBudget,
+    budget: MemoryBudget,
     pool: Arc<Mutex<Pool<B>>>,
 }
 
@@ -124,13 +125,13 @@
         };
         BodyClient {
             reuse,
-            budget: ReadBudget::new(read_bytes),
+            budget: MemoryBudget::for_large(read_bytes),
             pool: Arc::new(Mutex::new(pool)),
         }
     }
 
     /// Memory for the responses that this client reads.
-    pub fn budget(&self) -> &ReadBudget {
+    pub fn budget(&self) -> &MemoryBudget {
         &self.budget
     }
 
--- a/crates/foxtailhold-http/src/lib.rs
+++ b/crates/foxtailhold-http/src/lib.rs
@@ -8,6 +8,8 @@
 mod connect;
 pub mod lock;
 mod lock_order;
+pub mod machine;
+pub mod memory;
 pub mod paced;
 pub mod response_end;
 pub mod server;
--- a/crates/foxtailhold-relay/src/attempt_evidence.rs
+++ b/crates/foxtailhold-relay/src/attempt_evidence.rs
@@ -143,7 +143,8 @@
             | AttemptFailure::NotRun
             | AttemptFailure::Failed
             | AttemptFailure::TimeOver
-            | AttemptFailure::TooLate => false,
+            | AttemptFailure::TooLate
+            | AttemptFailure::NoMemory => false,
         };
         if self.attempt.is_probe && !cause.may_have_run() {
             self.peers.crashes().release_probe(&self.attempt.keys.parts);
--- a/crates/foxtailhold-relay/src/engine.rs
+++ b/crates/foxtailhold-relay/src/engine.rs
@@ -420,8 +420,7 @@
                     frame
                 })
             });
-            let reading =
-                upstream::read_buffered(response, connection, deadline, &self.read_budget);
+            let reading = upstream::read_buffered(response, connection, deadline, &self.memory);
             let (response, is_proved) = reading.await?;
             self.check_end(&backend, is_proved).await?;
             return Ok(OpenedResponse::Buffered(response));
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -11,6 +11,7 @@
 use foxtailhold::routes::RouteTable;
 use foxtailhold::turns::Turns;
 use foxtailhold_http::lock::Mutex;
+use foxtailhold_http::machine::MachineLimits;
 use foxtailhold_http::server::{Server, ServerError};
 use foxtailhold_platform::{Changes, Committed, ObjectStore, RowKey, RowStore};
 use thiserror::Error;
@@ -43,8 +44,6 @@
 use crate::shared_store::SharedStore;
 use crate::tables::FollowedTable;
 use crate::timers::watch_timers;
-use crate::upstream::BUFFERED_TOTAL_BYTES;
-use foxtailhold_http::body::ReadBudget;
 
 /// Result of starting an instance.
 pub type Result<T> = std::result::Result<T, InstanceError>;
@@ -86,6 +85,8 @@
     pub caller_address: SocketAddr,
     /// CPU share, in thousandths of a core.
     pub core_permille: u32,
+    /// Limits of the machine.
+    pub machine: MachineLimits,
     /// Time for which batch jobs stay readable after their acceptance.
     pub job_retention_ms: u64,
     /// Time within which a change of the platform's tables has to be in effect.
@@ -131,8 +132,12 @@
         let (instance, zone) = (identity.instance.clone(), identity.zone.clone());
         let status = metrics.tables().clone();
         let peers = Peers::new(instance, zone, socket, clock, status.clone());
-        let store = SharedStore::new(store, peers.clone(), metrics.clone());
-        let peer_server = Server::bind(address, store.server()).await?;
+        let memory = identity.machine.request_memory();
+        let answer_bytes = identity.machine.answer_bytes();
+        let store =
+            SharedStore::with_answer_memory(store, peers.clone(), metrics.clone(), answer_bytes);
+        let store_server = store.server(memory.clone());
+        let peer_server = Server::bind(address, store_server).await?;
         let relay = Arc::new(Relay {
             dialect,
             connections: Connections::default(),
@@ -142,7 +147,7 @@
             routes: Arc::new(ArcSwap::from_pointee(RouteTable::default())),
             clock,
             pending_attempts: PendingAttempts::default(),
-            read_budget: ReadBudget::new(BUFFERED_TOTAL_BYTES),
+            memory,
             ending: CancellationToken::new(),
             planned_end: PlannedEnd::default(),
             metrics,
--- a/crates/foxtailhold-relay/src/jobs/item/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/backoff.rs
@@ -290,7 +290,8 @@
             | AttemptFailure::NotRun
             | AttemptFailure::Failed
             | AttemptFailure::TimeOver
-            | AttemptFailure::TooLate => return,
+            | AttemptFailure::TooLate
+            | AttemptFailure::NoMemory => return,
         }
         self.interruptions += 1;
         if self.interruptions < 2 {
--- a/crates/foxtailhold-relay/src/plain_dispatch.rs
+++ b/crates/foxtailhold-relay/src/plain_dispatch.rs
@@ -242,7 +242,7 @@
         let to_send = upstream_request(request, route, request.after_event);
         let sent = self.send_to(&backend, &to_send, deadline, deadline).await?;
         let (response, connection) = sent;
-        let read = upstream::read_buffered(response, connection, deadline, &self.read_budget);
+        let read = upstream::read_buffered(response, connection, deadline, &self.memory);
         let (response, is_proved) = read.await?;
         self.check_end(&backend, is_proved).await?;
         Ok(response)
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -10,8 +10,8 @@
 use foxtailhold::prompt_parts::{PartId, SharedParts};
 use foxtailhold::routes::{Route, RouteTable};
 use foxtailhold::slots::SlotOutcome;
-use foxtailhold_http::body::ReadBudget;
 use foxtailhold_http::clock::Clock;
+use foxtailhold_http::memory::MemoryBudget;
 use http::Response;
 use hyper::body::Incoming;
 use tokio::time::Instant;
@@ -75,8 +75,8 @@
     pub clock: Clock,
     /// Attempts for which it is not known yet whether their backend server crashed.
     pub pending_attempts: PendingAttempts,
-    /// Memory for responses that are being buffered.
-    pub read_budget: ReadBudget,
+    /// Memory for requests and for responses that are buffered.
+    pub memory: MemoryBudget,
     /// Cancelled when the process is about to end. What is unanswered then is answered at once.
     pub ending: CancellationToken,
     /// When a planned stop ends requests, and which are still sent before.
--- a/crates/foxtailhold-relay/src/request.rs
+++ b/crates/foxtailhold-relay/src/request.rs
@@ -96,6 +96,10 @@
     VersionGone,
     /// This instance is about to end.
     Ending,
+    /// There is no memory for its body, or for serving it.
+    NoMemory,
+    /// The rest of its body did not come, and others needed its memory.
+    Stalled,
 }
 
 impl NotRunReason {
@@ -114,6 +118,8 @@
             NotRunReason::UnconfirmedVersion => "unconfirmed_version",
             NotRunReason::VersionGone => "version_gone",
             NotRunReason::Ending => "ending",
+            NotRunReason::NoMemory => "no_memory",
+            NotRunReason::Stalled => "stalled",
         }
     }
 }
--- a/crates/foxtailhold-relay/src/shared_store/mod.rs
+++ b/crates/foxtailhold-relay/src/shared_store/mod.rs
@@ -17,8 +17,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use foxtailhold_http::body::{self, AnswerBody};
+use foxtailhold_http::body::{self, AnswerBody, BodyError, RequestTerms};
 use foxtailhold_http::client::{Call, HttpClient, Reuse};
+use foxtailhold_http::machine::MachineLimits;
+use foxtailhold_http::memory::MemoryBudget;
 use foxtailhold_http::server::Handler;
 use foxtailhold_peer::codec;
 use foxtailhold_platform::{
@@ -41,8 +43,8 @@
 const REJECTED: StatusCode = StatusCode::UNPROCESSABLE_ENTITY;
 /// Size limit of a call or answer: the largest object, with room.
 const MAX_MESSAGE_BYTES: usize = 10 << 20;
-/// Memory for the answers of other instances that are read at the same time.
-const MAX_READ_BYTES: usize = 24 << 20;
+/// Longest pause between two parts of a call.
+const MAX_CALL_PAUSE_MS: u64 = 1_000;
 /// Time limit of a call through another instance, in addition to the wait that the call itself
 /// requests.
 const PEER_CALL_TIMEOUT_MS: u64 = 1_200;
@@ -111,20 +113,34 @@
 }
 
 impl<S: RowStore + ObjectStore> SharedStore<S> {
-    /// Creates the fallback for `direct` through the instances known to `peers`.
+    /// Creates the fallback for `direct` through the instances known to `peers`, for a machine with the
+    /// default limits.
     pub fn new(direct: S, peers: Peers, metrics: RelayMetrics) -> Self {
+        let answer_bytes = MachineLimits::default().answer_bytes();
+        SharedStore::with_answer_memory(direct, peers, metrics, answer_bytes)
+    }
+
+    /// Like [`SharedStore::new`], but reads answers of other instances of `answer_bytes` at the same
+    /// time.
+    pub fn with_answer_memory(
+        direct: S,
+        peers: Peers,
+        metrics: RelayMetrics,
+        answer_bytes: usize,
+    ) -> Self {
         SharedStore {
             direct,
             health: StoreHealth::default(),
             peers,
-            http: HttpClient::with_read_budget(Reuse::PooledUntilTimeout, MAX_READ_BYTES),
+            http: HttpClient::with_read_budget(Reuse::PooledUntilTimeout, answer_bytes),
             metrics,
         }
     }
 
-    /// Handler for the store calls of other instances.
-    pub fn server(&self) -> StoreServer<S> {
+    /// Handler for the store calls of other instances, which are read into `memory`.
+    pub fn server(&self, memory: MemoryBudget) -> StoreServer<S> {
         StoreServer {
+            memory,
             direct: self.direct.clone(),
             health: self.health.clone(),
             metrics: self.metrics.clone(),
@@ -348,6 +364,7 @@
 /// Serves store calls of other instances while this one reaches the store.
 #[derive(Debug, Clone)]
 pub struct StoreServer<S> {
+    memory: MemoryBudget,
     direct: S,
     health: StoreHealth,
     metrics: RelayMetrics,
@@ -359,7 +376,9 @@
         if self.health.is_unreachable() {
             return body::empty(StatusCode::SERVICE_UNAVAILABLE);
         }
-        let call: StoreCall = match body::read_whole(request.into_body(), MAX_MESSAGE_BYTES).await {
+        let mut incoming = request.into_body();
+        let terms = RequestTerms::new(MAX_MESSAGE_BYTES, MAX_CALL_PAUSE_MS, &self.memory);
+        let call: StoreCall = match body::read_request(&mut incoming, &terms).await {
             Ok(bytes) => match codec::decode(&bytes) {
                 Ok(call) => call,
                 Err(error) => {
@@ -367,6 +386,10 @@
                     return body::empty(StatusCode::BAD_REQUEST);
                 }
             },
+            Err(error @ (BodyError::NoMemory(_) | BodyError::Evicted)) => {
+                log::info!("store call of another instance refused: {error}");
+                return body::empty(StatusCode::SERVICE_UNAVAILABLE);
+            }
             Err(error) => {
                 log::debug!("store call of another instance truncated: {error}");
                 return body::empty(StatusCode::BAD_REQUEST);
--- a/crates/foxtailhold-relay/src/upstream.rs
+++ b/crates/foxtailhold-relay/src/upstream.rs
@@ -5,8 +5,9 @@
 use bytes::Bytes;
 use foxtailhold::ids::BackendId;
 use foxtailhold::slots::SlotOutcome;
-use foxtailhold_http::body::{self, BodyError, ReadBudget};
+use foxtailhold_http::body::{self, BodyError};
 use foxtailhold_http::client::is_final;
+use foxtailhold_http::memory::MemoryBudget;
 use foxtailhold_http::response_end::EndProof;
 pub use foxtailhold_http::response_end::ResponseEnd;
 use http::uri::PathAndQuery;
@@ -21,8 +22,6 @@
 
 /// Size limit of a response that is buffered until it is known to be complete.
 pub const MAX_BUFFERED_BYTES: usize = 32 << 20;
-/// Memory for all responses that are being buffered.
-pub const BUFFERED_TOTAL_BYTES: usize = 32 << 20;
 
 /// Why an attempt gave no response.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -43,6 +42,8 @@
     TimeOver,
     /// The leave to send it ended before a connection was there.
     TooLate,
+    /// There is no memory for the response, which says nothing about the backend server.
+    NoMemory,
 }
 
 impl AttemptFailure {
@@ -57,6 +58,7 @@
             AttemptFailure::Silent => "silent",
             AttemptFailure::TimeOver => "time_over",
             AttemptFailure::TooLate => "too_late",
+            AttemptFailure::NoMemory => "no_memory",
         }
     }
 
@@ -77,7 +79,9 @@
                 SlotOutcome::Broken
             }
             AttemptFailure::Silent => SlotOutcome::Silent,
-            AttemptFailure::TimeOver | AttemptFailure::TooLate => SlotOutcome::Abandoned,
+            AttemptFailure::TimeOver | AttemptFailure::TooLate | AttemptFailure::NoMemory => {
+                SlotOutcome::Abandoned
+            }
         }
     }
 }
@@ -218,7 +222,7 @@
     response: Response<B>,
     connection: BusyConnection,
     deadline: Instant,
-    budget: &ReadBudget,
+    budget: &MemoryBudget,
 ) -> Result<(Response<Bytes>, bool), AttemptFailure>
 where
     B: hyper::body::Body<Data = Bytes> + Unpin,
@@ -232,6 +236,10 @@
                 log::debug!("response truncated: {detail}");
                 Err(AttemptFailure::Closed)
             }
+            Err(error @ BodyError::NoMemory(_)) => {
+                log::info!("response given up: {error}");
+                Err(AttemptFailure::NoMemory)
+            }
             Err(error) => {
                 log::info!("response given up: {error}");
                 Err(AttemptFailure::Broken)
--- a/crates/foxtailhold-service/src/lib.rs
+++ b/crates/foxtailhold-service/src/lib.rs
@@ -6,8 +6,9 @@
 
 use bytes::Bytes;
 use foxtailhold::replicas::LoadReport;
-use foxtailhold_http::body::{self, ReadBudget};
+use foxtailhold_http::body;
 use foxtailhold_http::client::{Call, HttpClient, Reuse, SendError, uri};
+use foxtailhold_http::memory::MemoryBudget;
 use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, header};
 use http_body_util::Full;
 use thiserror::Error;
@@ -82,7 +83,7 @@
 pub struct ServiceClient {
     pooled: HttpClient,
     fresh: HttpClient,
-    read_budget: ReadBudget,
+    read_budget: MemoryBudget,
 }
 
 impl Default for ServiceClient {
@@ -90,7 +91,7 @@
         ServiceClient {
             pooled: HttpClient::new(Reuse::Pooled),
             fresh: HttpClient::new(Reuse::Fresh),
-            read_budget: ReadBudget::new(MAX_READ_BYTES),
+            read_budget: MemoryBudget::for_large(MAX_READ_BYTES),
         }
     }
 }
