connections: each listener has a limit, from the descriptors and the memory

Cause: clients that only open connections, or send heads alone, take all descriptors and about 190 KB each of an instance, so that it ends or can open no connection to a backend server. The 190 KB are the future that serves a request, 175 KB, which was there as soon as its head was read; an async function holds each future that it is given twice, and three of them were nested. Bytes that were received and not read count as memory of the process, up to megabytes a connection. A sender that only waited for its turn to be read was told 408 after 3 s.

Change: ConnectionLimit gives each listener its places, derived from MaxFds and MemoryMb. A listener without a free place closes the connection of least use: first those that never brought a request to its end, then idle ones, the longest first; never one whose request waits for its response, unless nothing of it could be written for 10 s. If all carry requests, the new connection is closed unread, after which its client may come back. Heads of more than 8 KB are counted in the memory of requests. A response of which nothing could be written for 2 s gives way when others need its memory. The future of a request is 5 KB until it is sent, and what serves it is boxed. Receive buffers are 32 KB, and 256 connections wait to be accepted. The pause of a sender does not count while its connection waits for its turn (seen in the code, not shown by a run).

--- a/crates/foxtailhold-http/src/body.rs
+++ b/crates/foxtailhold-http/src/body.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use http::{HeaderValue, Response, StatusCode, header};
+use http::{Extensions, HeaderValue, Response, StatusCode, header};
 use http_body_util::{BodyExt, Either, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Frame, Incoming};
 use serde::Serialize;
@@ -15,6 +15,7 @@
 use tokio::sync::{Semaphore, mpsc};
 use tokio::time::Instant;
 
+use crate::connections::ConnectionState;
 use crate::memory::{MemoryBudget, MemoryExhausted};
 use crate::response_end::{EndWitness, ResponseEnd, UnprovedEnd};
 
@@ -304,16 +305,24 @@
     pub deadline: Option<Instant>,
     /// Memory for the body.
     pub memory: &'a MemoryBudget,
+    /// Connection that carries the request; `None` if nothing is known of it.
+    pub connection: Option<Arc<ConnectionState>>,
 }
 
 impl<'a> RequestTerms<'a> {
-    /// Terms with a limit of size and pauses.
-    pub fn new(limit_bytes: usize, idle_ms: u64, memory: &'a MemoryBudget) -> Self {
+    /// Terms with a limit of size and pauses, for a request with these extensions.
+    pub fn new(
+        limit_bytes: usize,
+        idle_ms: u64,
+        memory: &'a MemoryBudget,
+        extensions: &Extensions,
+    ) -> Self {
         RequestTerms {
             limit_bytes,
             idle_ms,
             deadline: None,
             memory,
+            connection: extensions.get::<Arc<ConnectionState>>().cloned(),
         }
     }
 
@@ -324,10 +333,15 @@
         B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
     {
         let idle = Duration::from_millis(self.idle_ms);
+        let waits_for_turn = || {
+            let connection = self.connection.as_ref();
+            connection.is_some_and(|connection| connection.waits_for_turn())
+        };
         loop {
             let idle_until = Instant::now() + idle;
             let until = self.deadline.map_or(idle_until, |end| end.min(idle_until));
             let frame = match tokio::time::timeout_at(until, body.frame()).await {
+                Err(_) if until == idle_until && waits_for_turn() => continue,
                 Err(_) if until < idle_until => return Err(BodyError::Late),
                 Err(_) => {
                     let idle_ms = self.idle_ms;
@@ -370,6 +384,7 @@
     if body.is_end_stream() {
         return Ok(Bytes::new());
     }
+    let reading = terms.connection.as_ref().map(|state| state.begin_reading());
     let mut reservation = terms.memory.grow_body();
     reservation
         .make_room(BodyParts::reserved_bytes(announced_bytes))
@@ -390,7 +405,10 @@
             .grow_to(BodyParts::reserved_bytes(total_bytes))
             .await?;
         parts.push(&data);
-        reservation.record_progress(total_bytes);
+        let is_progress = reservation.record_progress(total_bytes);
+        if let Some(reading) = reading.as_ref().filter(|_| is_progress) {
+            reading.record_progress();
+        }
     }
 }
 
@@ -401,6 +419,7 @@
     B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
 {
     terms.check_announced(body)?;
+    let _reading = terms.connection.as_ref().map(|state| state.begin_reading());
     let mut total_bytes = 0;
     while let Some(data) = terms.next_frame(body).await? {
         total_bytes += data.len();
--- a/crates/foxtailhold-http/src/lib.rs
+++ b/crates/foxtailhold-http/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod client;
 pub mod clock;
 mod connect;
+pub mod connections;
 pub mod lock;
 mod lock_order;
 pub mod machine;
--- a/crates/foxtailhold-http/src/machine.rs
+++ b/crates/foxtailhold-http/src/machine.rs
@@ -2,15 +2,28 @@
 //!
 //! | part | what may hold it |
 //! |---|---|
-//! | 1/3 of the memory | heads and bodies of requests, requests that are served, and responses until they are written |
+//! | 1/6 of the memory | connections, with the bytes that were received and not yet read |
+//! | 1/3 | heads and bodies of requests, requests that are served, and responses until they are written |
 //! | 1/16 | answers of the platform, for each of its clients; at least 10 MiB |
 //! | the rest | the program and its tables |
+//!
+//! At most 3/8 of the sockets are for connections from outside; the others are for connections to
+//! backend servers, the platform and other instances.
 
+use crate::connections::ConnectionLimit;
 use crate::memory::MemoryBudget;
 
 /// Memory of the machine if the settings state none, in MB.
 pub const DEFAULT_MEMORY_MB: u64 = 256;
-/// Least with which the largest object can be read.
+/// Descriptors of the process if the settings state none.
+pub const DEFAULT_MAX_DESCRIPTORS: u64 = 4_096;
+/// Descriptors that are kept for files.
+const FILE_DESCRIPTORS: u64 = 200;
+/// Memory of one connection: the receive buffer of the operating system and the buffers and the state
+/// here.
+const CONNECTION_BYTES: u64 = 48 << 10;
+/// Least numbers with which an instance can serve at all.
+const MIN_CONNECTIONS: u64 = 32;
 const MIN_ANSWER_BYTES: u64 = 10 << 20;
 const MAX_ANSWER_BYTES: u64 = 24 << 20;
 
@@ -19,16 +32,30 @@
 pub struct MachineLimits {
     /// Memory in MB.
     pub memory_mb: u64,
+    /// Open files, sockets and pipes.
+    pub max_descriptors: u64,
 }
 
 impl Default for MachineLimits {
     fn default() -> Self {
         MachineLimits {
             memory_mb: DEFAULT_MEMORY_MB,
+            max_descriptors: DEFAULT_MAX_DESCRIPTORS,
         }
     }
 }
 
+/// Listeners of a process by who uses them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ListenerKind {
+    /// Requests and batch jobs of callers.
+    Callers,
+    /// Calls of other instances.
+    Peers,
+    /// Short calls without bodies, or calls of few clients: readiness, addresses, operators.
+    Control,
+}
+
 impl MachineLimits {
     fn memory_bytes(&self) -> u64 {
         self.memory_mb.saturating_mul(1 << 20)
@@ -44,6 +71,18 @@
         let share = self.memory_bytes() / 16;
         to_usize(share.clamp(MIN_ANSWER_BYTES, MAX_ANSWER_BYTES))
     }
+
+    /// The connections that a listener may have, which carry what is in `memory`.
+    pub fn connections(&self, kind: ListenerKind, memory: &MemoryBudget) -> ConnectionLimit {
+        let sockets = self.max_descriptors.saturating_sub(FILE_DESCRIPTORS);
+        let by_memory = self.memory_bytes() / 6 / CONNECTION_BYTES;
+        let total = (sockets / 4).min(by_memory).max(MIN_CONNECTIONS);
+        let share = match kind {
+            ListenerKind::Callers | ListenerKind::Peers => total / 2,
+            ListenerKind::Control => total / 4,
+        };
+        ConnectionLimit::new(to_usize(share), memory.clone())
+    }
 }
 
 fn to_usize(amount: u64) -> usize {
--- a/crates/foxtailhold-http/src/memory.rs
+++ b/crates/foxtailhold-http/src/memory.rs
@@ -24,6 +24,8 @@
 const STALL_MS: u64 = 250;
 /// Bytes that count as progress of a body.
 const PROGRESS_BYTES: usize = 16 << 10;
+/// A response counts as stalled once no byte of it could be written for this time.
+const WRITE_STALL_MS: u64 = 2_000;
 /// Longest wait for the memory of a holder that was told to release it.
 const RELEASE_WAIT_MS: u64 = 100;
 
@@ -56,6 +58,40 @@
     evicted: CancellationToken,
 }
 
+/// The writing side of a connection, which holds what its peer has not read.
+#[derive(Debug)]
+pub(crate) struct Writer {
+    /// Time since which nothing can be written, in milliseconds since the budget was created; 0 while
+    /// the peer reads.
+    blocked_since_ms: AtomicU64,
+    budget: MemoryBudget,
+    evicted: CancellationToken,
+}
+
+impl Writer {
+    /// Records whether bytes could be written.
+    pub(crate) fn record(&self, is_blocked: bool) {
+        let since_ms = &self.blocked_since_ms;
+        if !is_blocked {
+            since_ms.store(0, Ordering::Relaxed);
+        } else if since_ms.load(Ordering::Relaxed) == 0 {
+            since_ms.store(self.budget.now_ms().max(1), Ordering::Relaxed);
+        }
+    }
+
+    /// Time for which nothing could be written; `None` while the peer reads.
+    pub(crate) fn blocked(&self) -> Option<Duration> {
+        let since_ms = self.blocked_since_ms.load(Ordering::Relaxed);
+        let blocked_ms = self.budget.now_ms().saturating_sub(since_ms);
+        (since_ms > 0).then_some(Duration::from_millis(blocked_ms))
+    }
+
+    /// Waits until the connection has to be closed.
+    pub(crate) async fn evicted(&self) {
+        self.evicted.cancelled().await;
+    }
+}
+
 #[derive(Debug)]
 struct State {
     total_bytes: usize,
@@ -63,6 +99,7 @@
     used_bytes: AtomicUsize,
     created: Instant,
     growing: Mutex<Vec<Weak<GrowingBody>>>,
+    writers: Mutex<Vec<Weak<Writer>>>,
     released: Notify,
     evictions: AtomicU64,
 }
@@ -93,6 +130,7 @@
                 used_bytes: AtomicUsize::new(0),
                 created: Instant::now(),
                 growing: Mutex::default(),
+                writers: Mutex::default(),
                 released: Notify::new(),
                 evictions: AtomicU64::new(0),
             }),
@@ -172,16 +210,44 @@
         }
     }
 
-    /// Makes the body that has made no progress for the longest time release its memory. Returns `false`
-    /// if there is none.
+    /// The writing side of a new connection.
+    pub(crate) fn add_writer(&self) -> Arc<Writer> {
+        let writer = Arc::new(Writer {
+            blocked_since_ms: AtomicU64::new(0),
+            budget: self.clone(),
+            evicted: CancellationToken::new(),
+        });
+        let mut writers = self.state.writers.lock();
+        writers.retain(|writer| writer.strong_count() > 0);
+        writers.push(Arc::downgrade(&writer));
+        writer
+    }
+
+    /// Makes the holder that has made no progress for the longest time release its memory: a body that
+    /// is being read, or else a response. Returns `false` if there is none.
     fn evict_stalled(&self, except: &Arc<GrowingBody>) -> bool {
-        let is_evicted = self.evict_stalled_body(except);
+        let is_evicted = self.evict_stalled_body(except) || self.evict_stalled_writer();
         if is_evicted {
             self.state.evictions.fetch_add(1, Ordering::Relaxed);
         }
         is_evicted
     }
 
+    fn evict_stalled_writer(&self) -> bool {
+        let writers = self.state.writers.lock();
+        let writers: Vec<Arc<Writer>> = writers.iter().filter_map(Weak::upgrade).collect();
+        let limit = Duration::from_millis(WRITE_STALL_MS);
+        let stalled = writers.iter().filter(|writer| {
+            let is_stalled = writer.blocked().is_some_and(|blocked| blocked >= limit);
+            is_stalled && !writer.evicted.is_cancelled()
+        });
+        let Some(victim) = stalled.max_by_key(|writer| writer.blocked()) else {
+            return false;
+        };
+        victim.evicted.cancel();
+        true
+    }
+
     /// Tells the body that has made no progress for the longest time to release its memory.
     fn evict_stalled_body(&self, except: &Arc<GrowingBody>) -> bool {
         let now_ms = self.now_ms();
--- a/crates/foxtailhold-http/src/paced.rs
+++ b/crates/foxtailhold-http/src/paced.rs
@@ -4,12 +4,15 @@
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
+use std::sync::Arc;
 use std::task::{Context, Poll, ready};
 
 use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, ReadBuf, Take};
 use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::connections::ConnectionState;
+
 /// Largest head of a message, and largest buffer of a connection in each direction.
 pub const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// Bytes that are read from a connection before other tasks get their turn. All new connections have
@@ -55,6 +58,8 @@
     turns: Option<Turns>,
     /// The next turn, which has been asked for.
     next_turn: Option<oneshot::Receiver<()>>,
+    /// What is known of the connection; `None` if it is not limited.
+    state: Option<Arc<ConnectionState>>,
 }
 
 impl From<TcpStream> for PacedStream {
@@ -63,15 +68,17 @@
             stream: stream.take(TURN_BYTES),
             turns: None,
             next_turn: None,
+            state: None,
         }
     }
 }
 
 impl PacedStream {
-    /// A connection that takes turns with all others of `turns`.
-    pub(crate) fn with_turns(stream: TcpStream, turns: Turns) -> Self {
+    /// A connection that takes turns with all others of `turns`, and records in `state` what it does.
+    pub(crate) fn with_turns(stream: TcpStream, turns: Turns, state: Arc<ConnectionState>) -> Self {
         PacedStream {
             turns: Some(turns),
+            state: Some(state),
             ..PacedStream::from(stream)
         }
     }
@@ -84,8 +91,12 @@
             return Poll::Pending;
         };
         let next_turn = self.next_turn.get_or_insert_with(|| turns.ask());
+        let polled = Pin::new(next_turn).poll(context);
+        if let Some(state) = &self.state {
+            state.set_waits_for_turn(polled.is_pending());
+        }
         // An error means that nobody gives turns any more.
-        let _ = ready!(Pin::new(next_turn).poll(context));
+        let _ = ready!(polled);
         self.next_turn = None;
         self.stream.set_limit(TURN_BYTES);
         Poll::Ready(())
@@ -96,8 +107,14 @@
         self.stream.get_ref()
     }
 
-    fn socket(self: Pin<&mut Self>) -> Pin<&mut TcpStream> {
-        Pin::new(self.get_mut().stream.get_mut())
+    fn socket(&mut self) -> Pin<&mut TcpStream> {
+        Pin::new(self.stream.get_mut())
+    }
+
+    fn record_write(&self, written: &Poll<io::Result<usize>>) {
+        if let Some(state) = &self.state {
+            state.writer().record(written.is_pending());
+        }
     }
 }
 
@@ -110,40 +127,51 @@
         if self.stream.limit() == 0 {
             ready!(self.poll_turn(context));
         }
+        let filled_bytes = buffer.filled().len();
         let read = Pin::new(&mut self.stream).poll_read(context, buffer);
         if read.is_pending() {
             self.stream.set_limit(TURN_BYTES);
         }
+        let count = buffer.filled().len() - filled_bytes;
+        if let Some(state) = &self.state
+            && !state.record_read(count)
+        {
+            return Poll::Ready(Err(io::ErrorKind::OutOfMemory.into()));
+        }
         read
     }
 }
 
 impl AsyncWrite for PacedStream {
     fn poll_write(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        self.socket().poll_write(context, bytes)
+        let written = self.socket().poll_write(context, bytes);
+        self.record_write(&written);
+        written
     }
 
     fn poll_write_vectored(
-        self: Pin<&mut Self>,
+        mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        self.socket().poll_write_vectored(context, parts)
+        let written = self.socket().poll_write_vectored(context, parts);
+        self.record_write(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
         self.stream.get_ref().is_write_vectored()
     }
 
-    fn poll_flush(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.socket().poll_flush(context)
     }
 
-    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         self.socket().poll_shutdown(context)
     }
 }
--- a/crates/foxtailhold-http/src/server.rs
+++ b/crates/foxtailhold-http/src/server.rs
@@ -4,24 +4,26 @@
 use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
 use std::panic::{AssertUnwindSafe, catch_unwind};
-use std::pin::pin;
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode, Version, header};
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::server::conn::{http1, http2};
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioExecutor, TokioIo, TokioTimer};
 use hyper_util::server::graceful::{GracefulShutdown, Watcher};
 use thiserror::Error;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::{Instant, timeout};
 use tokio_util::sync::CancellationToken;
 
 use crate::body::{self, AnswerBody};
+use crate::connections::{ConnectionLimit, ConnectionSlot, OpenRequest};
 use crate::paced::{MAX_BUFFER_BYTES, PacedStream, Turns};
 
 /// Result of starting a server.
@@ -40,6 +42,11 @@
 /// Interval at which a client's first bytes are checked again, while they are too few to tell the
 /// version.
 const PEEK_PAUSE_MS: u64 = 5;
+/// Buffer of the operating system for bytes that were received on a connection and not yet read. It
+/// counts towards the memory of the process on some platforms.
+const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
+/// Connections that wait to be accepted, each with what it has sent.
+const BACKLOG: u32 = 256;
 
 /// Why a server could not start.
 #[derive(Debug, Error)]
@@ -73,31 +80,65 @@
     task: tokio::task::JoinHandle<()>,
 }
 
+/// Terms on which a server accepts connections.
+#[derive(Debug, Clone)]
+pub struct ServerTerms {
+    /// A connection, idle or slow, is closed when no complete request head has come for this time, in
+    /// milliseconds. A changed value applies to new connections.
+    pub head_timeout_ms: Arc<AtomicU64>,
+    /// Connections that the server may have.
+    pub connections: ConnectionLimit,
+}
+
+impl Default for ServerTerms {
+    fn default() -> Self {
+        ServerTerms::from(ConnectionLimit::default())
+    }
+}
+
+impl From<ConnectionLimit> for ServerTerms {
+    fn from(connections: ConnectionLimit) -> Self {
+        ServerTerms {
+            head_timeout_ms: Arc::new(AtomicU64::new(HEADER_READ_TIMEOUT_MS)),
+            connections,
+        }
+    }
+}
+
 /// Binds `address`; port 0 lets the system choose.
 pub async fn bind(address: SocketAddr) -> Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .map_err(|source| ServerError::Bind { address, source })
+    listen(address).map_err(|source| ServerError::Bind { address, source })
+}
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    if let Err(error) = socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES) {
+        log::debug!("cannot set the receive buffer of connections to {address}: {error}");
+    }
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
 }
 
 impl Server {
-    /// Starts to serve on a bound listener.
+    /// Starts to serve on a bound listener, on the default terms.
     pub fn start<H: Handler>(listener: TcpListener, address: SocketAddr, handler: H) -> Self {
-        let head_timeout = Arc::new(AtomicU64::new(HEADER_READ_TIMEOUT_MS));
-        Server::start_with_head_timeout(listener, address, handler, head_timeout)
+        Server::start_on_terms(listener, address, handler, ServerTerms::default())
     }
 
-    /// Starts to serve on a bound listener. A connection, idle or slow, is closed when no complete
-    /// request head has come for `head_timeout_ms`. A changed value applies to new connections.
-    pub fn start_with_head_timeout<H: Handler>(
+    /// Starts to serve on a bound listener.
+    pub fn start_on_terms<H: Handler>(
         listener: TcpListener,
         address: SocketAddr,
         handler: H,
-        head_timeout_ms: Arc<AtomicU64>,
+        terms: ServerTerms,
     ) -> Self {
         let (leaving, stop) = (CancellationToken::new(), CancellationToken::new());
         let tokens = (leaving.clone(), stop.clone());
-        let accepting = accept_loop(listener, handler, tokens, head_timeout_ms);
+        let accepting = accept_loop(listener, handler, tokens, terms);
         let task = tokio::spawn(accepting);
         Server {
             address,
@@ -107,11 +148,20 @@
         }
     }
 
-    /// Binds the address and starts to serve.
+    /// Binds the address and starts to serve, on the default terms.
     pub async fn bind<H: Handler>(address: SocketAddr, handler: H) -> Result<Self> {
+        Server::bind_on_terms(address, handler, ServerTerms::default()).await
+    }
+
+    /// Binds the address and starts to serve.
+    pub async fn bind_on_terms<H: Handler>(
+        address: SocketAddr,
+        handler: H,
+        terms: ServerTerms,
+    ) -> Result<Self> {
         let listener = bind(address).await?;
         let address = listener.local_addr().unwrap_or(address);
-        Ok(Server::start(listener, address, handler))
+        Ok(Server::start_on_terms(listener, address, handler, terms))
     }
 
     /// Address on which it listens.
@@ -163,14 +213,19 @@
     listener: TcpListener,
     handler: H,
     (leaving, stop): (CancellationToken, CancellationToken),
-    head_timeout_ms: Arc<AtomicU64>,
+    terms: ServerTerms,
 ) {
     let graceful = GracefulShutdown::new();
     let silent = CancellationToken::new();
     let turns = Turns::start();
-    let serve = |stream, remote| {
-        let builders = Builders::new(head_timeout_ms.load(Ordering::Relaxed));
+    let serve = async |stream, remote| {
+        let Some(slot) = terms.connections.admit().await else {
+            log::info!("connection from {remote} closed: all places carry requests");
+            return;
+        };
+        let builders = Builders::new(terms.head_timeout_ms.load(Ordering::Relaxed));
         let connection = Connection {
+            slot,
             stream,
             remote,
             handler: ClosingHandler(handler.clone(), leaving.clone()),
@@ -192,7 +247,7 @@
             },
             () = stop.cancelled() => break,
         };
-        serve(stream, remote);
+        serve(stream, remote).await;
     }
     leaving.cancel();
     let drain = Duration::from_millis(DRAIN_MS);
@@ -201,10 +256,10 @@
         let Ok(Ok((stream, remote))) = timeout(drain, listener.accept()).await else {
             break;
         };
-        serve(stream, remote);
+        serve(stream, remote).await;
     }
     for (stream, remote) in take_waiting(listener) {
-        serve(stream, remote);
+        serve(stream, remote).await;
     }
     tokio::time::sleep(drain).await;
     silent.cancel();
@@ -247,7 +302,34 @@
     }
 }
 
+/// A response body with the request that it belongs to.
+struct TrackedBody {
+    body: AnswerBody,
+    _request: OpenRequest,
+}
+
+impl Body for TrackedBody {
+    type Data = Bytes;
+    type Error = <AnswerBody as Body>::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<std::result::Result<Frame<Bytes>, Self::Error>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 struct Connection<H> {
+    slot: ConnectionSlot,
     stream: TcpStream,
     remote: SocketAddr,
     handler: H,
@@ -266,24 +348,52 @@
             biased;
             version = tokio::time::timeout(wait, is_http2(&self.stream)) => version,
             () = self.silent.cancelled() => return,
+            () = self.slot.state().evicted() => return,
         };
         let Ok(Ok(is_http2)) = version else {
             return;
         };
-        let (remote, handler) = (self.remote, self.handler);
-        let service = service_fn(move |request| {
-            let handler = handler.clone();
+        let (remote, handler, mut slot) = (self.remote, self.handler, self.slot);
+        if is_http2 && !slot.widen() {
+            log::info!("connection from {remote} closed: no place for HTTP/2");
+            return;
+        }
+        let state = Arc::clone(slot.state());
+        let service = service_fn(move |mut request: Request<Incoming>| {
+            let (handler, state) = (handler.clone(), Arc::clone(&state));
+            let open_request = state.begin_request();
+            request.extensions_mut().insert(Arc::clone(&state));
             // A connection reserves space for this future as long as it lives. The future is boxed
             // to keep that small, because a stream outlives the future that opened it.
-            Box::pin(async move { Ok::<_, Infallible>(answer(handler, remote, request).await) })
+            Box::pin(async move {
+                let response = answer(handler, remote, request).await;
+                if response.status().is_success() {
+                    state.record_success();
+                }
+                Ok::<_, Infallible>(response.map(|body| TrackedBody {
+                    body,
+                    _request: open_request,
+                }))
+            })
         });
-        let io = TokioIo::new(PacedStream::with_turns(self.stream, self.turns));
-        let ended = if is_http2 {
-            let connection = builders.http2.serve_connection(io, service);
-            self.watcher.watch(connection).await
-        } else {
-            let connection = builders.http1.serve_connection(io, service);
-            self.watcher.watch(connection).await
+        let state = slot.state();
+        let stream = PacedStream::with_turns(self.stream, self.turns, Arc::clone(state));
+        let io = TokioIo::new(stream);
+        let serving = async {
+            if is_http2 {
+                let connection = builders.http2.serve_connection(io, service);
+                self.watcher.watch(connection).await
+            } else {
+                let connection = builders.http1.serve_connection(io, service);
+                self.watcher.watch(connection).await
+            }
+        };
+        let ended = tokio::select! {
+            ended = serving => ended,
+            () = state.evicted() => {
+                log::info!("connection from {remote} closed: it made no progress");
+                return;
+            }
         };
         match ended {
             Err(error) if !error.is_timeout() => {
--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -1,5 +1,6 @@
 //! Serves opaque requests: chooses backend servers and retries within the limits of the route.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -107,9 +108,13 @@
         let (id, received) = (request.id.clone(), request.received);
         unanswered.enter(RequestStage::Origin);
         let result = if self.admits_before_end(route, &request, progress.attempts.deadline) {
-            let serving =
-                self.serve_until_answered(routes, route, request, &mut progress, unanswered);
-            match self.ending.run_until_cancelled(serving).await {
+            let served = {
+                let serving =
+                    self.serve_until_answered(routes, route, request, &mut progress, unanswered);
+                // An async function holds the futures that it is given twice.
+                self.ending.run_until_cancelled(pin!(serving)).await
+            };
+            match served {
                 Some(result) => result,
                 None => RelayOutcome::Unserved(progress.unserved_at_end(unanswered.stage())),
             }
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -11,7 +11,7 @@
 use foxtailhold::routes::RouteTable;
 use foxtailhold::turns::Turns;
 use foxtailhold_http::lock::Mutex;
-use foxtailhold_http::machine::MachineLimits;
+use foxtailhold_http::machine::{ListenerKind, MachineLimits};
 use foxtailhold_http::server::{Server, ServerError};
 use foxtailhold_platform::{Changes, Committed, ObjectStore, RowKey, RowStore};
 use thiserror::Error;
@@ -136,8 +136,10 @@
         let answer_bytes = identity.machine.answer_bytes();
         let store =
             SharedStore::with_answer_memory(store, peers.clone(), metrics.clone(), answer_bytes);
+        let peer_connections = identity.machine.connections(ListenerKind::Peers, &memory);
         let store_server = store.server(memory.clone());
-        let peer_server = Server::bind(address, store_server).await?;
+        let peer_server =
+            Server::bind_on_terms(address, store_server, peer_connections.into()).await?;
         let relay = Arc::new(Relay {
             dialect,
             connections: Connections::default(),
--- a/crates/foxtailhold-relay/src/shared_store/mod.rs
+++ b/crates/foxtailhold-relay/src/shared_store/mod.rs
@@ -376,8 +376,13 @@
         if self.health.is_unreachable() {
             return body::empty(StatusCode::SERVICE_UNAVAILABLE);
         }
-        let mut incoming = request.into_body();
-        let terms = RequestTerms::new(MAX_MESSAGE_BYTES, MAX_CALL_PAUSE_MS, &self.memory);
+        let (head, mut incoming) = request.into_parts();
+        let terms = RequestTerms::new(
+            MAX_MESSAGE_BYTES,
+            MAX_CALL_PAUSE_MS,
+            &self.memory,
+            &head.extensions,
+        );
         let call: StoreCall = match body::read_request(&mut incoming, &terms).await {
             Ok(bytes) => match codec::decode(&bytes) {
                 Ok(call) => call,
