--- a/crates/foxtailhold-http/src/server.rs
+++ b/crates/foxtailhold-http/src/server.rs
@@ -47,6 +47,13 @@
 const RECEIVE_BUFFER_BYTES: u32 = 32 << 10;
 /// Connections that wait to be accepted, each with what it has sent.
 const BACKLOG: u32 = 256;
+/// Requests that one connection of HTTP/2 carries at the same time.
+const HTTP2_STREAMS: u32 = 32;
+/// Bytes of one request, and of all requests of one connection of HTTP/2, that wait to be read.
+const HTTP2_STREAM_WINDOW_BYTES: u32 = 64 << 10;
+const HTTP2_CONNECTION_WINDOW_BYTES: u32 = 256 << 10;
+/// Bytes of one response of HTTP/2 that wait to be written.
+const HTTP2_SEND_BUFFER_BYTES: usize = 64 << 10;
 
 /// Why a server could not start.
 #[derive(Debug, Error)]
@@ -204,7 +211,12 @@
             .timer(TokioTimer::new())
             .max_buf_size(MAX_BUFFER_BYTES)
             .header_read_timeout(Duration::from_millis(head_timeout_ms));
-        let http2 = http2::Builder::new(TokioExecutor::new());
+        let mut http2 = http2::Builder::new(TokioExecutor::new());
+        http2
+            .max_concurrent_streams(HTTP2_STREAMS)
+            .initial_stream_window_size(HTTP2_STREAM_WINDOW_BYTES)
+            .initial_connection_window_size(HTTP2_CONNECTION_WINDOW_BYTES)
+            .max_send_buf_size(HTTP2_SEND_BUFFER_BYTES);
         Builders { http1, http2 }
     }
 }
