connections: the rest of a refused body is not counted as a head

Cause: after a refusal the rest of a body is read and dropped, and as its request has its response by then, those bytes were counted as the head of the next one. Twelve clients with bodies of 4 MiB, sent whole, all got 503, though there was memory for three: what each refusal left to drain took the memory of the bodies that went on.

Evidence: the log of parsed_forms_of_jobs_are_bounded, case 2: free memory fell as bodies were refused, and the last three were refused with 10 MB of 15 in use.

Change: the connection knows of bodies that are drained.

--- a/crates/foxtailhold-caller/src/handler.rs
+++ b/crates/foxtailhold-caller/src/handler.rs
@@ -195,7 +195,7 @@
         let (head, mut incoming) = request.into_parts();
         let id = self.gateway.request_id();
         let answer = self.route(remote, &id, &head, &mut incoming).await;
-        body::drain(incoming);
+        body::drain(incoming, &head.extensions);
         let kind = Route::of(head.uri.path()).map_or(RequestKind::Unknown, |route| route.kind());
         let refusal = answer.as_ref().err();
         self.gateway.record_answer(kind, refusal, start.elapsed());
--- a/crates/foxtailhold-http/src/body.rs
+++ b/crates/foxtailhold-http/src/body.rs
@@ -436,12 +436,16 @@
 /// Drains the rest of a request's body while its response is sent.
 ///
 /// If a connection is closed with unread bytes, it is reset and the client may lose the response
-/// (RFC 9112, 9.6). Above the limits the body is dropped, which closes the connection.
-pub fn drain(mut body: Incoming) {
+/// (RFC 9112, 9.6). Above the limits the body is dropped, which closes the connection. `extensions` are
+/// those of the request.
+pub fn drain(mut body: Incoming, extensions: &Extensions) {
     if body.is_end_stream() {
         return;
     }
+    let connection = extensions.get::<Arc<ConnectionState>>();
+    let draining = connection.map(ConnectionState::begin_draining);
     tokio::spawn(async move {
+        let _draining = draining;
         let mut drained_bytes = 0;
         let drained = async {
             while let Some(Ok(frame)) = body.frame().await {
--- a/crates/foxtailhold-http/src/connections.rs
+++ b/crates/foxtailhold-http/src/connections.rs
@@ -221,6 +221,8 @@
     /// Requests without a complete response, and those of them whose body is being read.
     requests: AtomicUsize,
     reading: AtomicUsize,
+    /// Bodies whose rest is read and dropped.
+    draining: AtomicUsize,
     /// Whether a request has succeeded.
     has_served: AtomicBool,
     /// Time of the last progress, in milliseconds since the table was created.
@@ -238,6 +240,7 @@
         ConnectionState {
             requests: AtomicUsize::new(0),
             reading: AtomicUsize::new(0),
+            draining: AtomicUsize::new(0),
             has_served: AtomicBool::new(false),
             progress_ms: AtomicU64::new(table.now_ms()),
             waits_for_turn: AtomicBool::new(false),
@@ -307,7 +310,8 @@
     /// Records bytes that were read. Returns `false` if there is no memory for the head of which they
     /// are a part.
     pub(crate) fn record_read(&self, count: usize) -> bool {
-        if self.requests.load(Ordering::Relaxed) > 0 {
+        let is_body = |count: &AtomicUsize| count.load(Ordering::Relaxed) > 0;
+        if is_body(&self.requests) || is_body(&self.draining) {
             return true;
         }
         let head_bytes = self.head_bytes.fetch_add(count, Ordering::Relaxed) + count;
@@ -343,6 +347,14 @@
         ReadingBody { state: self }
     }
 
+    /// Records that the rest of a body is read and dropped, until the result is dropped.
+    pub(crate) fn begin_draining(self: &Arc<Self>) -> DrainingBody {
+        self.draining.fetch_add(1, Ordering::Relaxed);
+        DrainingBody {
+            state: Arc::clone(self),
+        }
+    }
+
     /// Records that a request has succeeded.
     pub(crate) fn record_success(&self) {
         self.has_served.store(true, Ordering::Relaxed);
@@ -385,3 +397,15 @@
         self.state.record_progress();
     }
 }
+
+/// A body whose rest is read and dropped.
+#[derive(Debug)]
+pub(crate) struct DrainingBody {
+    state: Arc<ConnectionState>,
+}
+
+impl Drop for DrainingBody {
+    fn drop(&mut self) {
+        self.state.draining.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/crates/foxtailhold-operator/src/handler.rs
+++ b/crates/foxtailhold-operator/src/handler.rs
@@ -163,7 +163,7 @@
     async fn handle(&self, _: SocketAddr, request: Request<Incoming>) -> Response<AnswerBody> {
         let (head, mut incoming) = request.into_parts();
         let answer = self.route(&head, &mut incoming).await;
-        body::drain(incoming);
+        body::drain(incoming, &head.extensions);
         answer.unwrap_or_else(error_response)
     }
 }
