--- a/crates/foxtailhold-http/src/memory.rs
+++ b/crates/foxtailhold-http/src/memory.rs
@@ -163,6 +163,14 @@
         Ok(reservation)
     }
 
+    /// Takes memory for what one holder needs to come to its end. However large it is, it counts as of
+    /// medium size, so that holders which are still growing do not keep each other from ending.
+    pub fn reserve_to_finish(&self, bytes: usize) -> Result<Reservation> {
+        let mut reservation = self.reserve(0)?;
+        reservation.grow_below(bytes, self.ceiling_bytes(bytes.min(MEDIUM_BYTES)))?;
+        Ok(reservation)
+    }
+
     /// Whether a holder of this size fits now.
     pub fn fits(&self, bytes: usize) -> bool {
         let used_bytes = self.state.used_bytes.load(Ordering::Relaxed);
@@ -293,8 +301,11 @@
 
     /// Takes what is missing to hold `bytes`. On failure the reservation stays as it is.
     pub fn grow_to(&mut self, bytes: usize) -> Result<()> {
+        self.grow_below(bytes, self.budget.ceiling_bytes(bytes))
+    }
+
+    fn grow_below(&mut self, bytes: usize, ceiling_bytes: usize) -> Result<()> {
         let missing = bytes.saturating_sub(self.bytes);
-        let ceiling_bytes = self.budget.ceiling_bytes(bytes);
         let take = |used: usize| Some(used + missing).filter(|used| *used <= ceiling_bytes);
         let used_bytes = &self.budget.state.used_bytes;
         let taken = used_bytes.fetch_update(Ordering::Relaxed, Ordering::Relaxed, take);
