jobs: responses to reads are counted until they are written

Cause: clients that read the body of an item, or a page of results of up to 1 MB, and do not read the response, make the instance keep a copy for each.

--- a/crates/foxtailhold-http/src/body.rs
+++ b/crates/foxtailhold-http/src/body.rs
@@ -16,7 +16,7 @@
 use tokio::time::Instant;
 
 use crate::connections::ConnectionState;
-use crate::memory::{MemoryBudget, MemoryExhausted};
+use crate::memory::{self, MemoryBudget, MemoryExhausted};
 use crate::response_end::{EndWitness, ResponseEnd, UnprovedEnd};
 
 /// Result of reading a body.
@@ -490,10 +490,28 @@
 
 /// A response with a JSON body.
 pub fn json<T: Serialize>(status: StatusCode, value: &T) -> Response<AnswerBody> {
-    let text = serde_json::to_vec(value).unwrap_or_else(|error| {
+    json_response(status, encode_json(value).into())
+}
+
+/// Like [`json`], with memory from `budget` until the response is written.
+pub fn reserved_json<T: Serialize>(
+    status: StatusCode,
+    value: &T,
+    budget: &MemoryBudget,
+) -> memory::Result<Response<AnswerBody>> {
+    let text = encode_json(value);
+    let reservation = budget.reserve(text.len())?;
+    Ok(json_response(status, reservation.keep_with(text.into())))
+}
+
+fn encode_json<T: Serialize>(value: &T) -> Vec<u8> {
+    serde_json::to_vec(value).unwrap_or_else(|error| {
         log::error!("response not encoded as JSON, null is sent instead: {error}");
         b"null".to_vec()
-    });
+    })
+}
+
+fn json_response(status: StatusCode, text: Bytes) -> Response<AnswerBody> {
     let mut response = Response::new(whole(text));
     *response.status_mut() = status;
     let json = HeaderValue::from_static("application/json");
