entry: bodies of requests are bounded together in the OpenAI form too

Cause: an entry instance read each body of up to 4 MiB into a growing buffer of its own, with a pause of 30 s between two parts, and nothing bounded all of them. It had no setting for the memory and the descriptors of its machine. An order of an operator had no time limit at all.

Without memory callers get 503 `no_memory` with Retry-After and `ran: not_run`, operators 503 `no_memory`.

--- a/crates/foxtailhold-caller/src/error_body.rs
+++ b/crates/foxtailhold-caller/src/error_body.rs
@@ -98,6 +98,7 @@
             "overloaded_error",
             "cannot_land",
         ),
+        RefusalReason::NoMemory => class_of(unavailable, "overloaded_error", "no_memory"),
         RefusalReason::Stopping => class_of(unavailable, "overloaded_error", "stopping"),
     }
 }
--- a/crates/foxtailhold-caller/src/handler.rs
+++ b/crates/foxtailhold-caller/src/handler.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 use foxtailhold::ids::{AvailabilityZone, RequestId};
 use foxtailhold::refusal::{Refusal, RefusalReason, Result};
-use foxtailhold_http::body::{self, AnswerBody, BodyError};
+use foxtailhold_http::body::{self, AnswerBody, BodyError, RequestTerms};
+use foxtailhold_http::machine::MachineLimits;
+use foxtailhold_http::memory::MemoryBudget;
 use foxtailhold_http::server::Handler;
 use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, request};
 use hyper::body::Incoming;
@@ -14,7 +16,7 @@
 use crate::gateway::{EntriesQuery, Gateway, RequestContext, RequestKind};
 pub use crate::route::{CHAT_PATH, COMPLETIONS_PATH};
 use crate::route::{ENTRIES_PATH, Route};
-use crate::{batches, error_body, files, head, inference, list, models, service};
+use crate::{batches, error_body, files, head, inference, list, models, no_memory, service};
 
 /// Maximum pause between two parts of a request body.
 pub const BODY_IDLE_MS: u64 = 30_000;
@@ -26,17 +28,24 @@
 pub struct CallerHandler<G> {
     gateway: G,
     body_idle_ms: u64,
+    memory: MemoryBudget,
 }
 
 impl<G: Gateway> CallerHandler<G> {
-    /// Creates a handler that passes requests to `gateway`.
+    /// Creates a handler that passes requests to `gateway`, on a machine with the default limits.
     pub fn new(gateway: G) -> Self {
         CallerHandler {
             gateway,
             body_idle_ms: BODY_IDLE_MS,
+            memory: MachineLimits::default().request_memory(),
         }
     }
 
+    /// Sets the memory for bodies of requests.
+    pub fn memory(self, memory: MemoryBudget) -> Self {
+        CallerHandler { memory, ..self }
+    }
+
     /// Overrides [`BODY_IDLE_MS`].
     pub fn body_idle_ms(self, body_idle_ms: u64) -> Self {
         CallerHandler {
@@ -61,7 +70,7 @@
         route.check_method(&head.method)?;
         match route {
             Route::Entries => Err(Refusal::invalid("the path has an empty segment")),
-            Route::Inference(path) => self.infer(context, path, incoming).await,
+            Route::Inference(path) => self.infer(context, path, head, incoming).await,
             Route::Models => Ok(models::list(&self.gateway, &context.contract)),
             Route::Model(name) => models::get(&self.gateway, &context.contract, name),
             Route::Files => self.files(&context, head, incoming).await,
@@ -104,9 +113,11 @@
         &self,
         context: RequestContext,
         path: &'static str,
+        head: &request::Parts,
         incoming: &mut Incoming,
     ) -> Result<Response<AnswerBody>> {
-        let body = self.read_body(incoming, inference::MAX_BODY_BYTES).await?;
+        let limit_bytes = inference::MAX_BODY_BYTES;
+        let body = self.read_body(head, incoming, limit_bytes).await?;
         let request = inference::read(context, path, body)?;
         inference::answer(&self.gateway, request).await
     }
@@ -117,7 +128,8 @@
         head: &request::Parts,
         incoming: &mut Incoming,
     ) -> Result<Response<AnswerBody>> {
-        let body = self.read_body(incoming, service::MAX_BODY_BYTES).await?;
+        let limit_bytes = service::MAX_BODY_BYTES;
+        let body = self.read_body(head, incoming, limit_bytes).await?;
         let call = service::read(context, head, body)?;
         let answer = self.gateway.call_service(call).await?;
         Ok(inference::whole(answer))
@@ -162,7 +174,8 @@
         incoming: &mut Incoming,
     ) -> Result<Response<AnswerBody>> {
         if head.method == Method::POST {
-            let body = self.read_body(incoming, batches::MAX_BODY_BYTES).await?;
+            let limit_bytes = batches::MAX_BODY_BYTES;
+            let body = self.read_body(head, incoming, limit_bytes).await?;
             let digest = self.gateway.digest(&body);
             let request = batches::read(context, &body, digest)?;
             let batch = self.gateway.create_batch(request).await?;
@@ -174,17 +187,23 @@
         Ok(batches::list(&found.await?, page.limit))
     }
 
-    async fn read_body(&self, incoming: &mut Incoming, limit_bytes: usize) -> Result<Bytes> {
-        let read = body::read_with_idle_timeout(incoming, limit_bytes, self.body_idle_ms).await;
+    async fn read_body(
+        &self,
+        head: &request::Parts,
+        incoming: &mut Incoming,
+        limit_bytes: usize,
+    ) -> Result<Bytes> {
+        let extensions = &head.extensions;
+        let terms = RequestTerms::new(limit_bytes, self.body_idle_ms, &self.memory, extensions);
+        let read = body::read_request(incoming, &terms).await;
         read.map_err(|error| match error {
             BodyError::TooLarge { limit_bytes } => {
                 let limit_bytes = limit_bytes as u64;
                 Refusal::not_run(RefusalReason::BodyTooLarge { limit_bytes })
             }
             BodyError::Slow { idle_ms } => Refusal::not_run(RefusalReason::BodyTimeout { idle_ms }),
-            BodyError::Late | BodyError::NoMemory(_) | BodyError::Evicted | BodyError::Ended(_) => {
-                Refusal::invalid(error.to_string())
-            }
+            BodyError::NoMemory(_) | BodyError::Evicted => no_memory::refusal(&error),
+            BodyError::Late | BodyError::Ended(_) => Refusal::invalid(error.to_string()),
         })
     }
 }
--- a/crates/foxtailhold-entry/src/cli.rs
+++ b/crates/foxtailhold-entry/src/cli.rs
@@ -73,4 +73,12 @@
     /// [env: FOXTAILHOLD_WORKER_THREADS]
     #[argh(option)]
     pub worker_threads: Option<String>,
+    /// memory that the process may use, in MB, 64 to 1048576; default 256
+    /// [env: FOXTAILHOLD_MEMORY_MB]
+    #[argh(option)]
+    pub memory_mb: Option<String>,
+    /// descriptors that the process may use, a number, 512 to 1048576; default 4096
+    /// [env: FOXTAILHOLD_MAX_DESCRIPTORS]
+    #[argh(option)]
+    pub max_descriptors: Option<String>,
 }
--- a/crates/foxtailhold-entry/src/instance.rs
+++ b/crates/foxtailhold-entry/src/instance.rs
@@ -125,9 +125,10 @@
         let settings = &shared.settings;
         let peers = PeerServer::start(peer_listener, peer_address, EntryPeer(shared.clone()));
         wait_for_contracts(&shared).await;
-        let callers = CallerHandler::new(gateway.clone());
+        let callers = CallerHandler::new(gateway.clone()).memory(shared.memory.clone());
         let callers = Server::start(caller_listener, settings.caller_address, callers);
         let operators = OperatorHandler::new(gateway, &settings.operator_token);
+        let operators = operators.memory(shared.memory.clone());
         let operators = Server::start(operator_listener, settings.operator_address, operators);
         log::info!(
             "listening for callers on {}, for peers on {peer_address}, for operators on {}",
--- a/crates/foxtailhold-entry/src/settings.rs
+++ b/crates/foxtailhold-entry/src/settings.rs
@@ -6,6 +6,7 @@
 
 use foxtailhold::ids::{AvailabilityZone, IdError, InstanceId};
 use foxtailhold::orders::FencingEngines;
+use foxtailhold_http::machine::{DEFAULT_MAX_DESCRIPTORS, DEFAULT_MEMORY_MB, MachineLimits};
 use miette::Diagnostic;
 use thiserror::Error;
 
@@ -31,6 +32,10 @@
 const PERCENT_RANGE: RangeInclusive<i64> = 1..=100;
 /// Accepted values of `sweep_after_ms`.
 const SWEEP_AFTER_RANGE_MS: RangeInclusive<i64> = 0..=604_800_000;
+/// Accepted values of `memory_mb`.
+const MEMORY_RANGE_MB: RangeInclusive<i64> = 64..=1_048_576;
+/// Accepted values of `max_descriptors`.
+const DESCRIPTORS_RANGE: RangeInclusive<i64> = 512..=1_048_576;
 /// Accepted values of `wall_offset_ms`: up to one day in either direction.
 const WALL_OFFSET_RANGE_MS: RangeInclusive<i64> = -86_400_000..=86_400_000;
 /// Default of `batch_policy`.
@@ -208,6 +213,8 @@
     pub batch_share_percent: u64,
     /// Worker threads of the runtime; 0 starts one per core.
     pub worker_threads: u64,
+    /// Memory and descriptors that the process may use.
+    pub machine_limits: MachineLimits,
 }
 
 impl fmt::Debug for Settings {
@@ -227,6 +234,7 @@
             .field("batch_share_percent", &self.batch_share_percent)
             .field("wall_offset_ms", &self.wall_offset_ms)
             .field("worker_threads", &self.worker_threads)
+            .field("machine_limits", &self.machine_limits)
             .finish_non_exhaustive()
     }
 }
@@ -384,6 +392,12 @@
                 .count(100, PERCENT_RANGE)?,
             worker_threads: SettingValue::new("worker-threads", cli.worker_threads)
                 .count(0, WORKER_THREADS_RANGE)?,
+            machine_limits: MachineLimits {
+                memory_mb: SettingValue::new("memory-mb", cli.memory_mb)
+                    .count(DEFAULT_MEMORY_MB, MEMORY_RANGE_MB)?,
+                max_descriptors: SettingValue::new("max-descriptors", cli.max_descriptors)
+                    .count(DEFAULT_MAX_DESCRIPTORS, DESCRIPTORS_RANGE)?,
+            },
         })
     }
 }
--- a/crates/foxtailhold-entry/src/shared.rs
+++ b/crates/foxtailhold-entry/src/shared.rs
@@ -39,6 +39,7 @@
 use crate::settings::{BatchPolicy, Settings};
 use crate::timeline::{ProcessClock, Timeline};
 use foxtailhold_http::clock::Clock;
+use foxtailhold_http::memory::MemoryBudget;
 
 /// The actors of one instance that others send messages to.
 #[derive(Debug, Clone)]
@@ -66,6 +67,8 @@
     pub settings: Settings,
     /// Monotonic clock, and wall clock with the configured offset.
     pub clock: Clock,
+    /// Memory for requests and responses of callers, peers and operators.
+    pub memory: MemoryBudget,
     /// Platform client.
     pub platform: P,
     /// Client for engines.
@@ -158,6 +161,7 @@
             request_prefix: format!("{}-{:08x}", settings.instance, rand::random::<u32>()),
             chunk_slots: SharedChunkSlots::default(),
             batch_slots: Semaphore::new(batch_slots(&settings)),
+            memory: settings.machine_limits.request_memory(),
             settings,
             clock,
             platform,
--- a/crates/foxtailhold-entry/tests/settings.rs
+++ b/crates/foxtailhold-entry/tests/settings.rs
@@ -105,7 +105,7 @@
 }
 
 /// Each option with its default and unit; an empty default means that the option is required.
-const OPTIONS: [(&str, &str, &str); 16] = [
+const OPTIONS: [(&str, &str, &str); 18] = [
     ("--instance", "", "name"),
     ("--availability-zone", "", "zone"),
     ("--caller-address", "", "IP and port"),
@@ -126,6 +126,8 @@
     ("--batch-share-percent", "default 100", "in percent"),
     ("--wall-offset-ms", "default 0", "in ms"),
     ("--worker-threads", "default 0", "a number"),
+    ("--memory-mb", "default 256", "in MB"),
+    ("--max-descriptors", "default 4096", "a number"),
 ];
 
 #[test]
--- a/crates/foxtailhold-http/src/body.rs
+++ b/crates/foxtailhold-http/src/body.rs
@@ -265,35 +265,6 @@
     }
 }
 
-/// Reads a body of at most `limit_bytes` to its end, from a sender that may pause for at most
-/// `idle_ms` between two frames.
-pub async fn read_with_idle_timeout<B>(
-    body: &mut B,
-    limit_bytes: usize,
-    idle_ms: u64,
-) -> Result<Bytes>
-where
-    B: Body<Data = Bytes> + Unpin,
-    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
-{
-    let mut whole = BytesMut::new();
-    let idle = Duration::from_millis(idle_ms);
-    loop {
-        let frame = match tokio::time::timeout(idle, body.frame()).await {
-            Err(_) => return Err(BodyError::Slow { idle_ms }),
-            Ok(None) => return Ok(whole.freeze()),
-            Ok(Some(frame)) => frame.map_err(|error| BodyError::Ended(error.into().to_string()))?,
-        };
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if whole.len() + data.len() > limit_bytes {
-            return Err(BodyError::TooLarge { limit_bytes });
-        }
-        whole.extend_from_slice(&data);
-    }
-}
-
 /// Terms on which the body of a request is read.
 #[derive(Debug, Clone)]
 pub struct RequestTerms<'a> {
--- a/crates/foxtailhold-operator/src/error.rs
+++ b/crates/foxtailhold-operator/src/error.rs
@@ -59,6 +59,12 @@
     #[error("the platform's store is unavailable; the change has no effect")]
     #[diagnostic(help("try again"))]
     StoreUnavailable,
+    /// The instance has no memory for the document. The call had no effect.
+    #[error("the instance has no memory for the document; the call has no effect")]
+    #[diagnostic(help(
+        "try again in a second, or pass another instance's address with --instance"
+    ))]
+    NoMemory,
     /// The platform's answer was lost, and reading the store did not show whether the change took
     /// effect.
     #[error(
--- a/crates/foxtailhold-operator/src/handler.rs
+++ b/crates/foxtailhold-operator/src/handler.rs
@@ -4,10 +4,13 @@
 
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use foxtailhold::contract::Contract;
 use foxtailhold::ids::{BackendId, CustomerId};
 use foxtailhold::orders::EngineSetup;
-use foxtailhold_http::body::{self, AnswerBody};
+use foxtailhold_http::body::{self, AnswerBody, BodyError, RequestTerms};
+use foxtailhold_http::machine::MachineLimits;
+use foxtailhold_http::memory::MemoryBudget;
 use foxtailhold_http::server::Handler;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header, request};
 use hyper::body::Incoming;
@@ -31,6 +34,7 @@
 pub struct OperatorHandler<G> {
     gateway: G,
     token: std::sync::Arc<str>,
+    memory: MemoryBudget,
 }
 
 /// Response body of a failed call.
@@ -43,14 +47,39 @@
 }
 
 impl<G: OperatorGateway> OperatorHandler<G> {
-    /// Creates a handler that requires `token`.
+    /// Creates a handler that requires `token`, on a machine with the default limits.
     pub fn new(gateway: G, token: &str) -> Self {
         OperatorHandler {
             gateway,
             token: token.into(),
+            memory: MachineLimits::default().request_memory(),
         }
     }
 
+    /// Sets the memory for documents.
+    pub fn memory(self, memory: MemoryBudget) -> Self {
+        OperatorHandler { memory, ..self }
+    }
+
+    /// Reads the document of a call; `invalid` is the error if it cannot be read.
+    async fn read_document(
+        &self,
+        head: &request::Parts,
+        incoming: &mut Incoming,
+        invalid: impl FnOnce(String) -> OperatorError,
+    ) -> Result<Bytes> {
+        let extensions = &head.extensions;
+        let terms = RequestTerms::new(MAX_DOCUMENT_BYTES, BODY_IDLE_MS, &self.memory, extensions);
+        let read = body::read_request(incoming, &terms).await;
+        read.map_err(|error| match error {
+            BodyError::NoMemory(_) | BodyError::Evicted => {
+                log::info!("document of an operator refused: {error}");
+                OperatorError::NoMemory
+            }
+            error => invalid(error.to_string()),
+        })
+    }
+
     async fn route(
         &self,
         head: &request::Parts,
@@ -73,7 +102,7 @@
             Route::Backends => ok(&self.gateway.backends()),
             Route::Jobs => ok(&self.gateway.jobs().await?),
             Route::Orders => ok(&self.gateway.orders().await?),
-            Route::Order(backend) => self.set_order(backend, incoming).await?,
+            Route::Order(backend) => self.set_order(backend, head, incoming).await?,
             Route::Timeline => ok(&self.gateway.timeline()),
         })
     }
@@ -81,13 +110,11 @@
     async fn set_order(
         &self,
         backend: &str,
+        head: &request::Parts,
         incoming: &mut Incoming,
     ) -> Result<Response<AnswerBody>> {
-        let bytes = body::read_whole(incoming, MAX_DOCUMENT_BYTES)
-            .await
-            .map_err(|error| OperatorError::BadRequest {
-                detail: error.to_string(),
-            })?;
+        let invalid = |detail| OperatorError::BadRequest { detail };
+        let bytes = self.read_document(head, incoming, invalid).await?;
         let (backend, setup) = (backend_id(backend)?, read_setup(&bytes)?);
         Ok(ok(&self.gateway.set_order(&backend, &setup).await?))
     }
@@ -148,7 +175,11 @@
         let expected_version = expected_version(head)?;
         let contract = match head.method {
             Method::DELETE => None,
-            _ => Some(read_contract(&customer, incoming).await?),
+            _ => {
+                let invalid = |detail| OperatorError::BadContract { detail };
+                let bytes = self.read_document(head, incoming, invalid).await?;
+                Some(read_contract(&customer, &bytes)?)
+            }
         };
         let update = ContractUpdate {
             customer,
@@ -207,12 +238,9 @@
         })
 }
 
-async fn read_contract(customer: &CustomerId, incoming: &mut Incoming) -> Result<Contract> {
+fn read_contract(customer: &CustomerId, bytes: &[u8]) -> Result<Contract> {
     let bad_contract = |detail: String| OperatorError::BadContract { detail };
-    let bytes = body::read_with_idle_timeout(incoming, MAX_DOCUMENT_BYTES, BODY_IDLE_MS)
-        .await
-        .map_err(|error| bad_contract(error.to_string()))?;
-    let document = std::str::from_utf8(&bytes).map_err(|error| bad_contract(error.to_string()))?;
+    let document = std::str::from_utf8(bytes).map_err(|error| bad_contract(error.to_string()))?;
     let contract = Contract::try_from(document)?;
     if contract.customer != *customer {
         let found_customer = &contract.customer;
@@ -231,7 +259,9 @@
         }
         OperatorError::Conflict { .. } | OperatorError::KeyTaken { .. } => StatusCode::CONFLICT,
         OperatorError::NotFound { .. } => StatusCode::NOT_FOUND,
-        OperatorError::StoreUnavailable => StatusCode::SERVICE_UNAVAILABLE,
+        OperatorError::StoreUnavailable | OperatorError::NoMemory => {
+            StatusCode::SERVICE_UNAVAILABLE
+        }
         OperatorError::EffectUnknown { .. } => StatusCode::GATEWAY_TIMEOUT,
         OperatorError::MethodNotAllowed { .. } => StatusCode::METHOD_NOT_ALLOWED,
         OperatorError::Unreachable { .. } | OperatorError::AnswerLost { .. } => {
--- a/crates/foxtailhold-standin/src/cluster.rs
+++ b/crates/foxtailhold-standin/src/cluster.rs
@@ -6,6 +6,7 @@
 use foxtailhold::replicas::{BackendKind, FleetState};
 use foxtailhold_entry::settings::BatchPolicy;
 use foxtailhold_entry::{Instance, Settings};
+use foxtailhold_http::machine::MachineLimits;
 use foxtailhold_http::server::Server;
 use foxtailhold_platform::{FleetInstance, HttpPlatform};
 
@@ -93,6 +94,7 @@
         batch_share_percent: 100,
         wall_offset_ms: 0,
         worker_threads: 0,
+        machine_limits: MachineLimits::default(),
     })
 }
 
--- a/crates/foxtailhold/src/refusal.rs
+++ b/crates/foxtailhold/src/refusal.rs
@@ -136,6 +136,9 @@
         /// Time from acceptance to the deadline of the job.
         window_ms: u64,
     },
+    /// This instance has no memory for the body of the request.
+    #[error("there is no memory for the request here")]
+    NoMemory,
     /// This instance is stopping and accepts no new requests.
     #[error("this instance is stopping; ask another one")]
     Stopping,
