files: what an upload holds before it is stored is bounded

Cause: the part of a file that is not stored yet was held until its last line ended. A line without an end held up to 512 MB, and the head of a field of the form was buffered without a limit.

A field with an endless head was answered 408 after the pause of the test, with all that came before in memory.

Change: what waits to be stored takes memory of requests and gives way while the upload makes no progress, with 503 `no_memory`. A line has at most 8 MiB, more than an item with a body of the largest size; a form of which 128 KiB are buffered and nothing can be taken out is refused with 400.

--- a/crates/foxtailhold-caller/src/gateway.rs
+++ b/crates/foxtailhold-caller/src/gateway.rs
@@ -190,6 +190,9 @@
     /// Appends bytes to the file.
     fn push(&mut self, bytes: &[u8]) -> impl Future<Output = Result<()>> + Send;
 
+    /// Bytes that have been appended and are not stored yet.
+    fn held_bytes(&self) -> usize;
+
     /// Stores the remaining bytes and makes the file readable.
     fn close(
         self,
--- a/crates/foxtailhold-caller/src/handler.rs
+++ b/crates/foxtailhold-caller/src/handler.rs
@@ -13,6 +13,7 @@
 use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, request};
 use hyper::body::Incoming;
 
+use crate::files::UploadTerms;
 use crate::gateway::{EntriesQuery, Gateway, RequestContext, RequestKind};
 pub use crate::route::{CHAT_PATH, COMPLETIONS_PATH};
 use crate::route::{ENTRIES_PATH, Route};
@@ -142,8 +143,11 @@
         incoming: &mut Incoming,
     ) -> Result<Response<AnswerBody>> {
         if head.method == Method::POST {
-            let idle_ms = self.body_idle_ms;
-            let file = files::upload(&self.gateway, context, head, incoming, idle_ms).await?;
+            let terms = UploadTerms {
+                idle_ms: self.body_idle_ms,
+                memory: &self.memory,
+            };
+            let file = files::upload(&self.gateway, context, head, incoming, &terms).await?;
             return Ok(files::object(&file));
         }
         let page = list::Page::read(&head.uri, files::LIST_LIMITS)?;
--- a/crates/foxtailhold-caller/tests/bodies.rs
+++ b/crates/foxtailhold-caller/tests/bodies.rs
@@ -76,6 +76,25 @@
     assert_eq!(answer.json()["error"]["code"], "body_timeout");
 }
 
+/// Guards against forms that are buffered as a whole because no field of theirs begins.
+#[tokio::test]
+async fn upload_with_an_endless_head_of_a_field_is_refused() {
+    let served = serve().await;
+    let mut stream = served.connect().await;
+    let head = format!(
+        "POST /v1/files HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
+         content-type: multipart/form-data; boundary=b\r\ncontent-length: 100000000\r\n\r\n\
+         --b\r\nContent-Disposition: form-data; name=\""
+    );
+    stream.write_all(head.as_bytes()).await.unwrap();
+    let name = "x".repeat(64 << 10);
+    for _ in 0..8 {
+        stream.write_all(name.as_bytes()).await.unwrap();
+    }
+    let answer = read_answer(&mut stream).await;
+    assert_eq!(answer.status, 400, "{answer:?}");
+}
+
 #[tokio::test]
 async fn slow_but_steady_caller_is_served() {
     let served = serve().await;
--- a/crates/foxtailhold-caller/tests/common/mod.rs
+++ b/crates/foxtailhold-caller/tests/common/mod.rs
@@ -91,6 +91,10 @@
         Ok(())
     }
 
+    fn held_bytes(&self) -> usize {
+        0
+    }
+
     async fn close(self, filename: String, purpose: String) -> Result<FileObject> {
         self.0.uploads_closed.fetch_add(1, Ordering::SeqCst);
         let (id, bytes) = ("file-1".try_into().unwrap(), self.1);
--- a/crates/foxtailhold-entry/src/gateway/files.rs
+++ b/crates/foxtailhold-entry/src/gateway/files.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 
 use bytes::Bytes;
-use foxtailhold::batch::{ChunkRow, FilePart, FileRow, PartSplitter};
+use foxtailhold::batch::{ChunkRow, FilePart, FileRow, MAX_CHUNK_BYTES, PartSplitter};
 use foxtailhold::contract::Contract;
 use foxtailhold::ids::{CustomerId, FileId};
 use foxtailhold::refusal::{ExecutionStatus, Refusal, RefusalReason, Result};
@@ -18,6 +18,10 @@
 /// Size limit of an uploaded file.
 pub const MAX_FILE_BYTES: u64 = 512 << 20;
 
+/// Size limit of a line of an uploaded file, of which a part has at least one. An item whose body has
+/// the largest size that a request may have takes less.
+pub const MAX_LINE_BYTES: usize = 8 << 20;
+
 /// An upload in progress. Parts are stored as they arrive; the file exists once its row is written
 /// at the end.
 #[derive(Debug)]
@@ -70,9 +74,17 @@
         for part in self.splitter.push(bytes) {
             self.store(part).await?;
         }
+        if self.splitter.pending_bytes() > MAX_CHUNK_BYTES + MAX_LINE_BYTES {
+            let detail = format!("the file has a line of more than {MAX_LINE_BYTES} bytes");
+            return Err(Refusal::invalid(detail));
+        }
         Ok(())
     }
 
+    fn held_bytes(&self) -> usize {
+        self.splitter.pending_bytes()
+    }
+
     async fn close(mut self, filename: String, purpose: String) -> Result<FileObject> {
         let splitter = std::mem::take(&mut self.splitter);
         if let Some(part) = splitter.finish() {
--- a/crates/foxtailhold/src/batch/mod.rs
+++ b/crates/foxtailhold/src/batch/mod.rs
@@ -190,6 +190,11 @@
         completed
     }
 
+    /// Bytes that are in no part yet.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Returns the last part, or `None` if no bytes are left.
     pub fn finish(mut self) -> Option<FilePart> {
         self.take_part()
