peers: messages and connections of peers are bounded

Cause: the listener of peers of the OpenAI form reads messages of up to 32 MiB into growing buffers, from any number of connections, without a time limit.

Change: messages take memory of requests while they are read, with a pause of 5 s at most, and give way while they make no progress (status 503); the listener has places like the others, and 64 messages a connection at the same time.

--- a/crates/foxtailhold-entry/src/instance.rs
+++ b/crates/foxtailhold-entry/src/instance.rs
@@ -7,6 +7,7 @@
 use foxtailhold::membership::{Member, MemberState};
 use foxtailhold::timeline::TimelineEvent;
 use foxtailhold_caller::CallerHandler;
+use foxtailhold_http::machine::ListenerKind;
 use foxtailhold_http::server::{self, Server};
 use foxtailhold_operator::OperatorHandler;
 use foxtailhold_peer::PeerServer;
@@ -123,7 +124,13 @@
         shared.timeline.note(TimelineEvent::Started);
         let gateway = EntryGateway(shared.clone());
         let settings = &shared.settings;
-        let peers = PeerServer::start(peer_listener, peer_address, EntryPeer(shared.clone()));
+        let (machine, memory) = (settings.machine_limits, &shared.memory);
+        let peers = PeerServer::start_with_limits(
+            peer_listener,
+            peer_address,
+            EntryPeer(shared.clone()),
+            machine.connections(ListenerKind::Peers, memory),
+        );
         wait_for_contracts(&shared).await;
         let callers = CallerHandler::new(gateway.clone()).memory(shared.memory.clone());
         let callers = Server::start(caller_listener, settings.caller_address, callers);
--- a/crates/foxtailhold-peer/src/error.rs
+++ b/crates/foxtailhold-peer/src/error.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use foxtailhold_http::memory::MemoryExhausted;
 use thiserror::Error;
 
 /// Result of a message to a peer.
@@ -41,6 +42,15 @@
         /// Size limit.
         limit_bytes: usize,
     },
+    /// There is no memory for a message, or it made no progress and others needed its memory.
+    #[error("the message is not read: {0}")]
+    NoMemory(#[from] MemoryExhausted),
+    /// A message stopped before its end.
+    #[error("no byte of the message came within {idle_ms} ms")]
+    Slow {
+        /// Longest pause between two parts of a message.
+        idle_ms: u64,
+    },
     /// The peer answered with a status other than success.
     #[error("the peer answered with status {status}")]
     Status {
--- a/crates/foxtailhold-peer/src/server.rs
+++ b/crates/foxtailhold-peer/src/server.rs
@@ -2,9 +2,12 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use foxtailhold::timeline::HlcTime;
+use foxtailhold_http::connections::{ConnectionLimit, ConnectionState};
+use foxtailhold_http::memory::MemoryBudget;
 use h2::RecvStream;
 use h2::server::SendResponse;
 use http::{Request, Response, StatusCode};
@@ -16,6 +19,9 @@
 use crate::message::{PeerAnswer, PeerRequest};
 use crate::stamp;
 
+/// Messages that one connection carries at the same time.
+const MAX_STREAMS: u32 = 64;
+
 /// Handles the messages of peers.
 pub trait PeerHandler: Clone + Send + Sync + 'static {
     /// Handles one message and returns the answer.
@@ -46,9 +52,19 @@
         Ok((listener, local))
     }
 
-    /// Starts to serve on a bound listener.
+    /// Starts to serve on a bound listener, with default limits.
     pub fn start<H: PeerHandler>(listener: TcpListener, address: SocketAddr, handler: H) -> Self {
-        let task = tokio::spawn(accept_loop(listener, handler));
+        PeerServer::start_with_limits(listener, address, handler, ConnectionLimit::default())
+    }
+
+    /// Starts to serve on a bound listener.
+    pub fn start_with_limits<H: PeerHandler>(
+        listener: TcpListener,
+        address: SocketAddr,
+        handler: H,
+        limit: ConnectionLimit,
+    ) -> Self {
+        let task = tokio::spawn(accept_loop(listener, handler, limit));
         PeerServer { address, task }
     }
 
@@ -64,7 +80,7 @@
     }
 }
 
-async fn accept_loop<H: PeerHandler>(listener: TcpListener, handler: H) {
+async fn accept_loop<H: PeerHandler>(listener: TcpListener, handler: H, limit: ConnectionLimit) {
     let mut connections = JoinSet::new();
     loop {
         while connections.try_join_next().is_some() {}
@@ -72,24 +88,44 @@
             tokio::time::sleep(std::time::Duration::from_millis(10)).await;
             continue;
         };
-        let handler = handler.clone();
+        let Some(slot) = limit.admit().await else {
+            log::info!("peer connection from {remote} closed: all places carry messages");
+            continue;
+        };
+        let (handler, memory) = (handler.clone(), limit.memory().clone());
         connections.spawn(async move {
-            if let Err(error) = serve(stream, handler).await {
-                log::debug!("peer connection from {remote} ended: {error}");
+            tokio::select! {
+                ended = serve(stream, handler, slot.state(), &memory) => {
+                    if let Err(error) = ended {
+                        log::debug!("peer connection from {remote} ended: {error}");
+                    }
+                }
+                () = slot.state().evicted() => {
+                    log::info!("peer connection from {remote} closed: it made no progress");
+                }
             }
         });
     }
 }
 
-async fn serve<H: PeerHandler>(stream: TcpStream, handler: H) -> Result<()> {
+async fn serve<H: PeerHandler>(
+    stream: TcpStream,
+    handler: H,
+    state: &Arc<ConnectionState>,
+    memory: &MemoryBudget,
+) -> Result<()> {
     let _ = stream.set_nodelay(true);
-    let mut connection = h2::server::handshake(stream).await?;
+    let mut builder = h2::server::Builder::new();
+    builder.max_concurrent_streams(MAX_STREAMS);
+    let mut connection = builder.handshake(stream).await?;
     while let Some(accepted) = connection.accept().await {
         let (request, respond) = accepted?;
-        let handler = handler.clone();
+        let (handler, memory) = (handler.clone(), memory.clone());
+        let open_request = state.begin_request();
         tokio::spawn(async move {
-            if let Err(error) = answer(request, respond, handler).await {
-                log::debug!("peer message not handled: {error}");
+            let _open_request = open_request;
+            if let Err(error) = answer(request, respond, handler, &memory).await {
+                log::info!("peer message not handled: {error}");
             }
         });
     }
@@ -100,9 +136,19 @@
     request: Request<RecvStream>,
     mut respond: SendResponse<Bytes>,
     handler: H,
+    memory: &MemoryBudget,
 ) -> Result<()> {
     let received = stamp::read(request.headers());
-    let body = codec::read_body(request.into_body()).await?;
+    let body = match codec::read_message(request.into_body(), memory).await {
+        Ok(body) => body,
+        Err(error @ PeerError::NoMemory(_)) => {
+            let mut response = Response::new(());
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+            respond.send_response(response, true)?;
+            return Err(error);
+        }
+        Err(error) => return Err(error),
+    };
     if let Some(at) = received {
         handler.receive(at);
     }
@@ -115,6 +161,7 @@
             return Err(error);
         }
     };
+    drop(body);
     let bytes = codec::encode(&handler.handle(message).await)?;
     stamp::write(response.headers_mut(), handler.stamp());
     respond
