entry: answers and downloads share the memory of requests

Cause: what an engine, a service or the platform answers was read into budgets of its own, 24 MiB for each client in the process, and a part of a file stayed in memory as long as its caller did not read it.

Evidence: 60 callers that do not read their answers held 145 MB of 88 (responses_that_a_crowd_does_not_read_are_bounded_at_an_entry_instance).

Change: answers of engines and services take memory of requests, those of the platform a sixteenth of the memory; a part of a file is copied into the memory of requests until it is sent, so that the platform's client gets its own back. Without memory a download is cut, as it is where the store fails.

Result: the case passes, with all 39 of its file.

--- a/crates/foxtailhold-caller/src/lib.rs
+++ b/crates/foxtailhold-caller/src/lib.rs
@@ -13,7 +13,7 @@
 pub mod inference;
 pub mod list;
 pub mod models;
-mod no_memory;
+pub mod no_memory;
 pub mod route;
 pub mod service;
 
--- a/crates/foxtailhold-engine/src/client.rs
+++ b/crates/foxtailhold-engine/src/client.rs
@@ -15,6 +15,7 @@
 use foxtailhold::replicas::LoadReport;
 use foxtailhold_http::body;
 use foxtailhold_http::client::{BodyClient, Call, Reuse, SendError, uri};
+use foxtailhold_http::memory::MemoryBudget;
 use http::{HeaderValue, Method, Request, StatusCode, header};
 use hyper::body::Incoming;
 use serde::Serialize;
@@ -92,9 +93,7 @@
 
 impl Default for EngineClient {
     fn default() -> Self {
-        EngineClient {
-            http: BodyClient::with_read_budget(Reuse::Pooled, MAX_READ_BYTES),
-        }
+        EngineClient::with_memory(MemoryBudget::for_large(MAX_READ_BYTES))
     }
 }
 
@@ -107,6 +106,13 @@
 }
 
 impl EngineClient {
+    /// Creates a client whose unstreamed answers take memory of `memory` as long as they are held.
+    pub fn with_memory(memory: MemoryBudget) -> Self {
+        EngineClient {
+            http: BodyClient::with_memory(Reuse::Pooled, memory),
+        }
+    }
+
     /// Sends a request and waits for the response head of a stream or for the complete unstreamed
     /// answer. The request's `timeout_ms` covers both the send and the wait.
     pub async fn send(
--- a/crates/foxtailhold-entry/src/gateway/files.rs
+++ b/crates/foxtailhold-entry/src/gateway/files.rs
@@ -8,6 +8,7 @@
 use foxtailhold::ids::{CustomerId, FileId};
 use foxtailhold::refusal::{ExecutionStatus, Refusal, RefusalReason, Result};
 use foxtailhold_caller::gateway::{Download, FileObject, Upload};
+use foxtailhold_caller::no_memory;
 use foxtailhold_platform::{Expect, Operation, Platform, Transacted};
 
 use crate::gateway::results::ResultFile;
@@ -228,13 +229,24 @@
     })
 }
 
+impl<P: Platform> EntryDownload<P> {
+    /// A copy of a part, with memory of requests until it is sent. What the platform's client read is
+    /// returned to it, however slowly the caller reads.
+    fn hold(&self, part: &Bytes) -> Result<Bytes> {
+        let reservation = self.shared.memory.reserve(part.len());
+        let reservation = reservation.map_err(|error| no_memory::refusal(&error))?;
+        Ok(reservation.keep_with(Bytes::copy_from_slice(part)))
+    }
+}
+
 impl<P: Platform> Download for EntryDownload<P> {
     async fn next(&mut self) -> Option<Result<Bytes>> {
         let segment = self.segments.pop_front()?;
-        Some(match (&segment, &self.result) {
+        let read = match (&segment, &self.result) {
             (FileSegment::Chunk(chunk), Some(result)) => result.lines(&self.shared, chunk).await,
             (FileSegment::Chunk(chunk), None) => rows::object(&self.shared, &chunk.object).await,
             (FileSegment::Object(name), _) => rows::object(&self.shared, name).await,
-        })
+        };
+        Some(read.and_then(|bytes| self.hold(&bytes)))
     }
 }
--- a/crates/foxtailhold-entry/src/main.rs
+++ b/crates/foxtailhold-entry/src/main.rs
@@ -43,7 +43,8 @@
 async fn run(settings: Settings) -> miette::Result<()> {
     let mut terminate =
         signal(SignalKind::terminate()).map_err(foxtailhold_entry::EntryError::from)?;
-    let platform = HttpPlatform::new(settings.platform_address);
+    let answer_bytes = settings.machine_limits.answer_bytes();
+    let platform = HttpPlatform::with_answer_memory(settings.platform_address, answer_bytes);
     let instance = Instance::start(settings, platform).await?;
     println!("{}", instance.announcement());
     terminate.recv().await;
--- a/crates/foxtailhold-entry/src/shared.rs
+++ b/crates/foxtailhold-entry/src/shared.rs
@@ -155,19 +155,20 @@
         let clock = Clock::new(settings.wall_offset_ms);
         let timeline = Timeline::new(settings.instance.clone(), clock);
         let limits = Limits::new(settings.instance.clone(), clock.mono(), clock.wall());
+        let memory = settings.machine_limits.request_memory();
         Shared(Arc::new(SharedState {
             peers: PeerClient::new(timeline.clock().clone()),
             timeline,
             request_prefix: format!("{}-{:08x}", settings.instance, rand::random::<u32>()),
             chunk_slots: SharedChunkSlots::default(),
             batch_slots: Semaphore::new(batch_slots(&settings)),
-            memory: settings.machine_limits.request_memory(),
             settings,
             clock,
             platform,
             metrics,
-            engines: EngineClient::default(),
-            services: ServiceClient::default(),
+            engines: EngineClient::with_memory(memory.clone()),
+            services: ServiceClient::with_memory(memory.clone()),
+            memory,
             members: ArcSwap::from_pointee(vec![me]),
             contracts: ArcSwap::default(),
             batch_controllers: ArcSwap::default(),
--- a/crates/foxtailhold-http/src/client.rs
+++ b/crates/foxtailhold-http/src/client.rs
@@ -119,13 +119,18 @@
 
     /// Creates a client that reads responses of `read_bytes` at the same time.
     pub fn with_read_budget(reuse: Reuse, read_bytes: usize) -> Self {
+        Self::with_memory(reuse, MemoryBudget::for_large(read_bytes))
+    }
+
+    /// Creates a client that reads responses into `budget`.
+    pub fn with_memory(reuse: Reuse, budget: MemoryBudget) -> Self {
         let pool = Pool {
             client: BodyClient::new_pool(reuse),
             generation: 0,
         };
         BodyClient {
             reuse,
-            budget: MemoryBudget::for_large(read_bytes),
+            budget,
             pool: Arc::new(Mutex::new(pool)),
         }
     }
--- a/crates/foxtailhold-platform/src/http.rs
+++ b/crates/foxtailhold-platform/src/http.rs
@@ -44,6 +44,14 @@
         }
     }
 
+    /// Like [`HttpPlatform::new`], but reads answers of `answer_bytes` at the same time.
+    pub fn with_answer_memory(address: SocketAddr, answer_bytes: usize) -> Self {
+        HttpPlatform {
+            client: HttpClient::with_read_budget(Reuse::PooledUntilTimeout, answer_bytes),
+            address,
+        }
+    }
+
     async fn call<T: Serialize + Sync>(
         &self,
         service: &'static str,
--- a/crates/foxtailhold-service/src/lib.rs
+++ b/crates/foxtailhold-service/src/lib.rs
@@ -88,15 +88,20 @@
 
 impl Default for ServiceClient {
     fn default() -> Self {
+        ServiceClient::with_memory(MemoryBudget::for_large(MAX_READ_BYTES))
+    }
+}
+
+impl ServiceClient {
+    /// Creates a client whose answers take memory of `memory` as long as they are held.
+    pub fn with_memory(memory: MemoryBudget) -> Self {
         ServiceClient {
             pooled: HttpClient::new(Reuse::Pooled),
             fresh: HttpClient::new(Reuse::Fresh),
-            read_budget: MemoryBudget::for_large(MAX_READ_BYTES),
+            read_budget: memory,
         }
     }
-}
 
-impl ServiceClient {
     /// Calls a service and reads the complete answer. The call's `timeout_ms` covers both.
     pub async fn call(
         &self,
