entry: the listeners for callers and operators have limits

Cause: an entry instance accepted connections without a limit, so clients that send heads alone took all of its descriptors.

Evidence: 500 such clients left 517 sockets open where 400 are allowed, at callers, uploads and operators (connections_of_a_crowd_are_bounded_at_an_entry_instance).

Change: both listeners have places like those of a node.

--- a/crates/foxtailhold-entry/src/instance.rs
+++ b/crates/foxtailhold-entry/src/instance.rs
@@ -132,11 +132,20 @@
             machine.connections(ListenerKind::Peers, memory),
         );
         wait_for_contracts(&shared).await;
-        let callers = CallerHandler::new(gateway.clone()).memory(shared.memory.clone());
-        let callers = Server::start(caller_listener, settings.caller_address, callers);
+        let callers = CallerHandler::new(gateway.clone()).memory(memory.clone());
+        let callers = Server::start_on_terms(
+            caller_listener,
+            settings.caller_address,
+            callers,
+            machine.connections(ListenerKind::Callers, memory).into(),
+        );
         let operators = OperatorHandler::new(gateway, &settings.operator_token);
-        let operators = operators.memory(shared.memory.clone());
-        let operators = Server::start(operator_listener, settings.operator_address, operators);
+        let operators = Server::start_on_terms(
+            operator_listener,
+            settings.operator_address,
+            operators.memory(memory.clone()),
+            machine.connections(ListenerKind::Control, memory).into(),
+        );
         log::info!(
             "listening for callers on {}, for peers on {peer_address}, for operators on {}",
             settings.caller_address,
