metrics: what clients make a process hold, and what was ended for it

Cause: an operator could not see how near a process is to its limits, nor that connections were closed or bodies ended for others: only requests refused without memory were counted.

Evidence: the scrape of a node beside a crowd had no such sample.

Change: ResourceMetrics (foxtailhold-http) reads the budgets of memory and the limits of listeners on each scrape, the same for nodes and entry instances: total and free memory, evictions, places and their use, connections closed for newer ones or for want of a place, heads without memory.

--- a/crates/foxtailhold-entry/src/instance.rs
+++ b/crates/foxtailhold-entry/src/instance.rs
@@ -125,11 +125,18 @@
         let gateway = EntryGateway(shared.clone());
         let settings = &shared.settings;
         let (machine, memory) = (settings.machine_limits, &shared.memory);
+        let resources = &shared.metrics.resources;
+        resources.add_memory("requests", memory);
+        let listener = |name, kind| {
+            let connections = machine.connections(kind, memory);
+            resources.add_listener(name, &connections);
+            connections
+        };
         let peers = PeerServer::start_with_limits(
             peer_listener,
             peer_address,
             EntryPeer(shared.clone()),
-            machine.connections(ListenerKind::Peers, memory),
+            listener("peers", ListenerKind::Peers),
         );
         wait_for_contracts(&shared).await;
         let callers = CallerHandler::new(gateway.clone()).memory(memory.clone());
@@ -137,14 +144,14 @@
             caller_listener,
             settings.caller_address,
             callers,
-            machine.connections(ListenerKind::Callers, memory).into(),
+            listener("callers", ListenerKind::Callers).into(),
         );
         let operators = OperatorHandler::new(gateway, &settings.operator_token);
         let operators = Server::start_on_terms(
             operator_listener,
             settings.operator_address,
             operators.memory(memory.clone()),
-            machine.connections(ListenerKind::Control, memory).into(),
+            listener("operators", ListenerKind::Control).into(),
         );
         log::info!(
             "listening for callers on {}, for peers on {peer_address}, for operators on {}",
--- a/crates/foxtailhold-entry/src/metrics.rs
+++ b/crates/foxtailhold-entry/src/metrics.rs
@@ -2,6 +2,7 @@
 
 use std::sync::atomic::AtomicU64;
 
+use foxtailhold_http::metrics::ResourceMetrics;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -152,6 +153,8 @@
     pub platform: PlatformMetrics,
     /// Gauges updated on each scrape.
     pub gauges: Gauges,
+    /// Memory and connections that peers hold.
+    pub resources: ResourceMetrics,
 }
 
 impl Default for Metrics {
@@ -186,6 +189,7 @@
                 seconds: Family::new_with_constructor(short_times),
             },
             gauges: Gauges::default(),
+            resources: ResourceMetrics::default(),
         };
         metrics.register();
         metrics
@@ -214,6 +218,7 @@
         self.register_limits(&mut registrar);
         self.register_platform(&mut registrar);
         self.gauges.register(&mut registrar);
+        registry.register_collector(Box::new(self.resources.clone()));
         self.registry = registry;
     }
 
--- a/crates/foxtailhold-http/src/connections.rs
+++ b/crates/foxtailhold-http/src/connections.rs
@@ -49,6 +49,7 @@
     created: Instant,
     evictions: AtomicU64,
     refusals: AtomicU64,
+    refused_heads: AtomicU64,
 }
 
 #[derive(Debug, Default)]
@@ -77,6 +78,7 @@
                 created: Instant::now(),
                 evictions: AtomicU64::new(0),
                 refusals: AtomicU64::new(0),
+                refused_heads: AtomicU64::new(0),
             }),
         }
     }
@@ -106,6 +108,11 @@
         self.table.refusals.load(Ordering::Relaxed)
     }
 
+    /// Connections that were closed because there was no memory for a head.
+    pub fn refused_heads(&self) -> u64 {
+        self.table.refused_heads.load(Ordering::Relaxed)
+    }
+
     /// Gives a place to a new connection; `None` if all are taken by connections with requests.
     pub async fn admit(&self) -> Option<ConnectionSlot> {
         let deadline = Instant::now() + Duration::from_millis(ADMISSION_WAIT_MS);
@@ -329,6 +336,9 @@
                 Err(error) => Err(error),
             },
         };
+        if grown.is_err() {
+            self.table.refused_heads.fetch_add(1, Ordering::Relaxed);
+        }
         grown.is_ok()
     }
 
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -137,6 +137,11 @@
         let store =
             SharedStore::with_answer_memory(store, peers.clone(), metrics.clone(), answer_bytes);
         let peer_connections = identity.machine.connections(ListenerKind::Peers, &memory);
+        let item_memory = identity.machine.item_memory();
+        let resources = metrics.resources();
+        resources.add_memory("requests", &memory);
+        resources.add_memory("items", &item_memory);
+        resources.add_listener("peers", &peer_connections);
         let store_server = store.server(memory.clone());
         let peer_server =
             Server::bind_on_terms(address, store_server, peer_connections.into()).await?;
@@ -157,7 +162,7 @@
         let timing = FeedTiming::new(identity.change_bound_ms);
         let cache = Arc::new(JobCache::new(peers.ended().clone()));
         let jobs = Arc::new(Jobs {
-            store: JobStore::with_item_memory(store.clone(), identity.machine.item_memory()),
+            store: JobStore::with_item_memory(store.clone(), item_memory),
             cache: Arc::clone(&cache),
             relay: Arc::clone(&relay),
             item_durations: Mutex::default(),
--- a/crates/foxtailhold-relay/src/metrics.rs
+++ b/crates/foxtailhold-relay/src/metrics.rs
@@ -6,6 +6,7 @@
 
 use foxtailhold::ids::BackendId;
 use foxtailhold_http::lock::Mutex;
+use foxtailhold_http::metrics::ResourceMetrics;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
@@ -120,6 +121,7 @@
     tables: TableStatus,
     item_waits: ItemWaits,
     work: WorkCounts,
+    resources: ResourceMetrics,
 }
 
 impl Default for RelayMetrics {
@@ -186,6 +188,8 @@
         work.register(&mut registry);
         let gauges = Gauges::default();
         gauges.register(&mut registry);
+        let resources = ResourceMetrics::default();
+        registry.register_collector(Box::new(resources.clone()));
         RelayMetrics {
             registry: Arc::new(Mutex::new(registry)),
             responses,
@@ -211,6 +215,7 @@
             tables: TableStatus::default(),
             item_waits: ItemWaits::default(),
             work,
+            resources,
         }
     }
 }
@@ -333,6 +338,11 @@
         &self.work
     }
 
+    /// Memory and connections that peers hold.
+    pub fn resources(&self) -> &ResourceMetrics {
+        &self.resources
+    }
+
     /// Counts a route table that is not valid.
     pub fn route_table_rejected(&self) {
         self.rejected_route_tables.inc();
--- a/crates/foxtailhold-standin/tests/watching.rs
+++ b/crates/foxtailhold-standin/tests/watching.rs
@@ -103,6 +103,11 @@
         "platform_calls_total{call=\"object_put\"}",
         "platform_call_seconds_count{call=\"table_get\"}",
         "lease_epoch",
+        "memory_total_bytes{holder=\"requests\"}",
+        "memory_free_bytes{holder=\"requests\"}",
+        "connection_places{listener=\"callers\"}",
+        "connection_places{listener=\"peers\"}",
+        "connection_places_in_use{listener=\"operators\"}",
     ] {
         assert!(
             sample(&text, &format!("foxtailhold_{name}")) >= 1.0,
