prompts: an item is in memory in fewer forms, and parts are hashed as they are read

Cause: while an item runs, its line, its body without and with a stream, and at its end the text of each of its messages, once more as one string, were in memory: six times its size.

Change: the prompt is read from the body that is sent, the other form is dropped; the identity of a part is hashed while it is written, and stays the same.

--- a/crates/foxtailhold-entry/src/jobs/item.rs
+++ b/crates/foxtailhold-entry/src/jobs/item.rs
@@ -86,13 +86,15 @@
     /// one.
     pub fn outgoing(&self, id: RequestId, body: ItemBody) -> OutgoingRequest {
         let fingerprint = Fingerprint::of(self.customer, self.item.body.get().as_bytes());
+        let streamed = body.streamed.is_some();
+        let sent = body.streamed.unwrap_or(body.whole);
         OutgoingRequest {
-            prompt: Prompt::from(body.whole.clone()),
+            prompt: Prompt::from(sent.clone()),
             id,
             path: self.path,
             model: body.model,
-            streamed: body.streamed.is_some(),
-            body: body.streamed.unwrap_or(body.whole),
+            streamed,
+            body: sent,
             fingerprint,
             max_tokens: body.max_tokens,
             deadline: None,
--- a/crates/foxtailhold-entry/src/jobs/item_body.rs
+++ b/crates/foxtailhold-entry/src/jobs/item_body.rs
@@ -118,9 +118,9 @@
 
 /// Inserts `stream` as the first field. The comma is valid because `model` always follows.
 fn with_stream(whole: &[u8]) -> Bytes {
-    let mut text = b"{\"stream\":true,".to_vec();
-    text.extend_from_slice(whole.trim_ascii_start().strip_prefix(b"{").unwrap_or(whole));
-    text.into()
+    let start = b"{\"stream\":true,".as_slice();
+    let fields = whole.trim_ascii_start().strip_prefix(b"{").unwrap_or(whole);
+    [start, fields].concat().into()
 }
 
 #[derive(Debug, Default, Deserialize)]
--- a/crates/foxtailhold-entry/src/prompt.rs
+++ b/crates/foxtailhold-entry/src/prompt.rs
@@ -1,12 +1,13 @@
 //! The shared parts of a prompt in the OpenAI format.
 
+use std::fmt;
 use std::sync::{Arc, OnceLock};
 
 use bytes::Bytes;
 use foxtailhold::prompt_parts::{PartId, SharedParts};
 use serde::Deserialize;
 use serde_json::Value;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::Xxh3;
 
 /// The fields of a body that hold its prompt.
 #[derive(Debug, Deserialize)]
@@ -55,15 +56,33 @@
 /// A message is known by role and content. One without content, such as a call of a tool, is known
 /// by all its fields.
 fn message_part(message: &Value) -> PartId {
-    let text = match (message.get("role"), message.get("content")) {
-        (Some(role), Some(content)) if !content.is_null() => format!("{role}\n{content}"),
-        _ => message.to_string(),
-    };
-    PartId(xxh3_64(text.as_bytes()))
+    match (message.get("role"), message.get("content")) {
+        (Some(role), Some(content)) if !content.is_null() => {
+            hash_text(format_args!("{role}\n{content}"))
+        }
+        _ => hash_text(format_args!("{message}")),
+    }
+}
+
+/// A hash of text that is written to it, which is never in memory as a whole.
+struct TextHash(Xxh3);
+
+impl fmt::Write for TextHash {
+    fn write_str(&mut self, text: &str) -> fmt::Result {
+        self.0.update(text.as_bytes());
+        Ok(())
+    }
+}
+
+fn hash_text(text: fmt::Arguments<'_>) -> PartId {
+    let mut hash = TextHash(Xxh3::new());
+    // Writing to a hash does not fail.
+    let _ = fmt::write(&mut hash, text);
+    PartId(hash.0.digest())
 }
 
 /// One prompt of several. A number is a token of a single prompt and no part.
 fn prompt_part(prompt: &Value) -> Option<PartId> {
     let is_part = prompt.is_string() || prompt.is_array();
-    is_part.then(|| PartId(xxh3_64(prompt.to_string().as_bytes())))
+    is_part.then(|| hash_text(format_args!("{prompt}")))
 }
