jobs: chunks of the OpenAI form are bounded while they run

Cause: an entry instance runs eight chunks at once, whatever their size. A line may hold a body of 4 MiB, so that one accepted job holds eight such items, each in several forms, and the results besides.

Change: ChunkMemory gives out the memory of a chunk (four times its lines and 8 KB an item, from an eighth of the machine's memory) in the order in which chunks ask, which also read their items one after another; they are read again once there is room. A chunk that is larger than what one may use runs alone. Results are counted as they come, until they are stored.

--- a/crates/foxtailhold-entry/src/instance.rs
+++ b/crates/foxtailhold-entry/src/instance.rs
@@ -127,6 +127,7 @@
         let (machine, memory) = (settings.machine_limits, &shared.memory);
         let resources = &shared.metrics.resources;
         resources.add_memory("requests", memory);
+        resources.add_memory("items", shared.chunk_memory.budget());
         let listener = |name, kind| {
             let connections = machine.connections(kind, memory);
             resources.add_listener(name, &connections);
--- a/crates/foxtailhold-entry/src/jobs/chunk.rs
+++ b/crates/foxtailhold-entry/src/jobs/chunk.rs
@@ -8,13 +8,15 @@
 use foxtailhold::batch::{BatchItem, ChunkRow};
 use foxtailhold::lease::LeaseState;
 use foxtailhold::time::WallMs;
+use foxtailhold_http::memory::Reservation;
 use foxtailhold_platform::{Platform, PlatformError, Result};
 use futures_util::{StreamExt, stream};
 use tokio::sync::watch;
 
+use crate::jobs::chunk_memory::ChunkTurn;
 use crate::jobs::item::{FinishedItem, ItemTask};
-use crate::jobs::policy;
 use crate::jobs::store::{self, Backoff};
+use crate::jobs::{chunk_memory, policy};
 use crate::shared::Shared;
 use crate::tables;
 
@@ -40,7 +42,7 @@
     lease_state: watch::Receiver<LeaseState>,
     all_started: impl Fn() + Send + Sync,
 ) -> Option<ChunkRow> {
-    let items = read_items(shared, owned, index).await;
+    let (mut memory, items) = read_items(shared, owned, index).await;
     let path = request_path(&owned.row.endpoint);
     let order = shared.item_key();
     let not_started = AtomicUsize::new(items.len());
@@ -74,6 +76,7 @@
         let ended = ended?;
         chunk.completed += u64::from(ended.completed);
         chunk.failed += u64::from(!ended.completed);
+        let held_bytes = lines.len();
         if let Err(error) = serde_json::to_writer(&mut lines, &ended.result) {
             log::error!(
                 "a result of job {} could not be serialized: {error}",
@@ -81,6 +84,7 @@
             );
         }
         lines.push(b'\n');
+        memory.add_held(lines.len() - held_bytes);
     }
     chunk.bytes = lines.len() as u64;
     let lines = bytes::Bytes::from(lines);
@@ -161,25 +165,45 @@
     matches!(state, LeaseState::Held | LeaseState::Unconfirmed)
 }
 
+/// Reads the items of a chunk and takes the memory for them.
 async fn read_items<P: Platform>(
     shared: &Shared<P>,
     owned: &OwnedJob,
     index: u32,
-) -> Vec<BatchItem> {
+) -> (Reservation, Vec<BatchItem>) {
     let name = tables::part_object(&owned.row.input_file, index);
     let mut pause = Backoff::default();
     loop {
-        match parse_items(shared.platform.get_object(&name).await) {
-            Ok(items) => return items,
+        let turn = shared.chunk_memory.turn().await;
+        match read_in_turn(shared, &name, &turn).await {
+            Ok(read) => return read,
             Err(error) => log::warn!(
                 "input of job {} could not be read, retrying: {error}",
                 owned.row.job
             ),
         }
+        drop(turn);
         pause.pause().await;
     }
 }
 
+async fn read_in_turn<P: Platform>(
+    shared: &Shared<P>,
+    name: &str,
+    turn: &ChunkTurn<'_>,
+) -> Result<(Reservation, Vec<BatchItem>)> {
+    let items = parse_items(shared.platform.get_object(name).await)?;
+    let bytes = chunk_memory::chunk_bytes(&items);
+    if let Some(memory) = turn.try_reserve(bytes) {
+        return Ok((memory, items));
+    }
+    // The items are read again once there is memory for them.
+    drop(items);
+    let memory = turn.reserve(bytes).await;
+    let items = parse_items(shared.platform.get_object(name).await)?;
+    Ok((memory, items))
+}
+
 fn parse_items(object: Result<Option<bytes::Bytes>>) -> Result<Vec<BatchItem>> {
     let missing = || PlatformError::Malformed {
         service: foxtailhold_platform::http::OBJECT_STORE,
--- a/crates/foxtailhold-entry/src/jobs/mod.rs
+++ b/crates/foxtailhold-entry/src/jobs/mod.rs
@@ -1,6 +1,7 @@
 //! Batch jobs owned by this instance: claiming jobs, running their items, committing their chunks.
 
 pub mod chunk;
+pub mod chunk_memory;
 pub mod chunk_slots;
 pub mod deadline_check;
 pub mod item;
--- a/crates/foxtailhold-entry/src/shared.rs
+++ b/crates/foxtailhold-entry/src/shared.rs
@@ -27,6 +27,7 @@
 use crate::admission::Admission;
 use crate::backends::BackendTable;
 use crate::batch_controllers::BatchControllers;
+use crate::jobs::chunk_memory::ChunkMemory;
 use crate::jobs::chunk_slots::SharedChunkSlots;
 use crate::limits::Limits;
 use crate::messages::{
@@ -112,6 +113,8 @@
     pub batch_slots: Semaphore,
     /// Slots for chunks, and the work that waits for them.
     pub chunk_slots: SharedChunkSlots,
+    /// Memory of the chunks that run.
+    pub chunk_memory: ChunkMemory,
     /// Batch controllers of the engines.
     pub batch_controllers: ArcSwap<BatchControllers>,
     /// Whether a planned stop has begun.
@@ -161,6 +164,7 @@
             timeline,
             request_prefix: format!("{}-{:08x}", settings.instance, rand::random::<u32>()),
             chunk_slots: SharedChunkSlots::default(),
+            chunk_memory: ChunkMemory::new(settings.machine_limits.item_memory()),
             batch_slots: Semaphore::new(batch_slots(&settings)),
             settings,
             clock,
--- a/crates/foxtailhold-http/src/memory.rs
+++ b/crates/foxtailhold-http/src/memory.rs
@@ -171,6 +171,12 @@
         Ok(reservation)
     }
 
+    /// Like [`MemoryBudget::reserve_to_finish`], but takes no more than one holder may use, so that a
+    /// holder of any size can run while there are few others.
+    pub fn reserve_to_run(&self, bytes: usize) -> Result<Reservation> {
+        self.reserve_to_finish(bytes.min(self.ceiling_bytes(MEDIUM_BYTES)))
+    }
+
     /// Whether a holder of this size fits now.
     pub fn fits(&self, bytes: usize) -> bool {
         let used_bytes = self.state.used_bytes.load(Ordering::Relaxed);
@@ -316,6 +322,13 @@
         Ok(())
     }
 
+    /// Counts `bytes` more that are held already, even beyond the budget, which then gives out no more.
+    pub fn add_held(&mut self, bytes: usize) {
+        let used_bytes = &self.budget.state.used_bytes;
+        used_bytes.fetch_add(bytes, Ordering::Relaxed);
+        self.bytes += bytes;
+    }
+
     /// Keeps the reservation as long as `bytes` or a part of them.
     pub fn keep_with(self, bytes: Bytes) -> Bytes {
         Bytes::from_owner(ReservedBytes {
--- a/crates/foxtailhold-standin/tests/crowds.rs
+++ b/crates/foxtailhold-standin/tests/crowds.rs
@@ -17,7 +17,7 @@
 use foxtailhold_peer::codec::MAX_MESSAGE_BYTES;
 use foxtailhold_standin::demo::API_KEY;
 use http::{Method, Request};
-use serde_json::json;
+use serde_json::{Value, json};
 use test_case::test_case;
 use tokio::net::TcpStream;
 use tokio::sync::{Mutex, MutexGuard};
@@ -35,6 +35,10 @@
 const BODY_CROWD: usize = 60;
 /// Clients that only open connections: more than the machine has descriptors for.
 const CONNECTION_CROWD: usize = 500;
+/// Items of a job, each with a body of the largest size.
+const LARGE_ITEMS: usize = 12;
+/// Longest time for such a job, on any machine.
+const LARGE_JOB_TIME: Duration = Duration::from_secs(120);
 /// Messages of peers that are sent at the same time.
 const PEER_MESSAGES: usize = 6;
 /// Time for which a crowd that ends nothing is held.
@@ -328,6 +332,41 @@
     }
 }
 
+/// Guards against jobs whose chunks together fill the memory of an instance while they run.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn large_items_of_a_job_are_bounded_and_done() {
+    let machine = SmallMachine::start().await;
+    let address = machine.deployment.caller_address(0);
+    let caller = &machine.deployment.caller;
+    let body = std::str::from_utf8(&LARGEST_BODY).unwrap();
+    let lines = (0..LARGE_ITEMS).map(|number| {
+        format!(
+            "{{\"custom_id\":\"large-{number}\",\"method\":\"POST\",\
+             \"url\":\"/v1/chat/completions\",\"body\":{body}}}\n"
+        )
+    });
+    let file = caller.upload(address, &lines.collect::<String>()).await;
+    let request = json!({
+        "input_file_id": file.unwrap(), "endpoint": "/v1/chat/completions", "completion_window": "1h",
+    });
+    let batch = caller.json(address, Method::POST, "/v1/batches", &request);
+    let batch = batch.await.unwrap();
+    let path = format!("/v1/batches/{}", batch["id"].as_str().unwrap());
+    let done = async {
+        loop {
+            let batch = caller.json(address, Method::GET, &path, &Value::Null).await;
+            if let Some(batch) = batch.ok().filter(|batch| batch["status"] == "completed") {
+                return batch;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+    };
+    let done = tokio::time::timeout(LARGE_JOB_TIME, done).await;
+    machine.check("job of large items").await;
+    let counts = &done.expect("the job is not completed")["request_counts"];
+    assert_eq!(counts["completed"], LARGE_ITEMS, "{counts}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn one_chat_of_the_largest_size_is_served() {
     let machine = SmallMachine::start().await;
