metrics: the resources of a process are in a crate of their own

Cause: gave foxtailhold-http a dependency on prometheus-client. The review's stand-ins use that crate with a lock file of their own, which stays as it is, so review/build.sh failed: "cannot update the lock file".

--- a/crates/foxtailhold-entry/src/metrics.rs
+++ b/crates/foxtailhold-entry/src/metrics.rs
@@ -2,7 +2,7 @@
 
 use std::sync::atomic::AtomicU64;
 
-use foxtailhold_http::metrics::ResourceMetrics;
+use foxtailhold_metrics::ResourceMetrics;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
--- a/crates/foxtailhold-http/src/lib.rs
+++ b/crates/foxtailhold-http/src/lib.rs
@@ -11,7 +11,6 @@
 mod lock_order;
 pub mod machine;
 pub mod memory;
-pub mod metrics;
 pub mod paced;
 pub mod response_end;
 pub mod server;
--- a/crates/foxtailhold-http/src/metrics.rs
+++ b/crates/foxtailhold-metrics/src/lib.rs
@@ -1,8 +1,12 @@
-//! Metrics of the memory and the connections that peers hold.
+//! Metrics of the memory and the connections that the peers of a process make it hold.
+#![warn(clippy::unwrap_used)]
 
 use std::fmt;
 use std::sync::Arc;
 
+use foxtailhold_http::connections::ConnectionLimit;
+use foxtailhold_http::lock::Mutex;
+use foxtailhold_http::memory::MemoryBudget;
 use prometheus_client::collector::Collector;
 use prometheus_client::encoding::{DescriptorEncoder, EncodeMetric};
 use prometheus_client::metrics::MetricType;
@@ -10,10 +14,6 @@
 use prometheus_client::metrics::gauge::ConstGauge;
 use prometheus_client::registry::Unit;
 
-use crate::connections::ConnectionLimit;
-use crate::lock::Mutex;
-use crate::memory::MemoryBudget;
-
 /// Budgets and limits whose use is read on each scrape; clones share them.
 #[derive(Debug, Clone, Default)]
 pub struct ResourceMetrics {
--- a/crates/foxtailhold-relay/src/metrics.rs
+++ b/crates/foxtailhold-relay/src/metrics.rs
@@ -6,7 +6,7 @@
 
 use foxtailhold::ids::BackendId;
 use foxtailhold_http::lock::Mutex;
-use foxtailhold_http::metrics::ResourceMetrics;
+use foxtailhold_metrics::ResourceMetrics;
 use prometheus_client::encoding::{EncodeLabelSet, text};
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
