--- a/crates/foxtailhold-entry/src/jobs/chunk_memory.rs
+++ b/crates/foxtailhold-entry/src/jobs/chunk_memory.rs
@@ -6,8 +6,8 @@
 use foxtailhold_http::memory::{MemoryBudget, Reservation};
 use tokio::sync::{Mutex, MutexGuard};
 
-/// Forms of an item that are in memory at the same time: its line, its body as it can be sent whole and
-/// as a stream, and what the connection has not written.
+/// Forms of an item that may be in memory at the same time: its line, its body as it is sent, and while
+/// its prompt is read the messages and their texts.
 const FORMS: usize = 4;
 /// Memory of an item beside its line.
 const ITEM_BYTES: usize = 8 << 10;
--- a/crates/foxtailhold-http/src/machine.rs
+++ b/crates/foxtailhold-http/src/machine.rs
@@ -4,7 +4,7 @@
 //! |---|---|
 //! | 1/4 of the memory | connections of all listeners, with the bytes that were received and not yet read |
 //! | 1/3 | heads and bodies of requests, requests that are served, and responses until they are written |
-//! | 1/8 | bodies of batch items that wait or run |
+//! | 1/8 | bodies of batch items that wait or run; in the OpenAI form chunks that run, with their results |
 //! | 1/16 | answers of the platform, for each of its clients; at least 10 MiB |
 //! | the rest | the program and its tables |
 //!
