jobs: an output over 1 MB is delivered, not held and errored

What callers saw: a job with a short item and one of 1.09 MB, retention time 25 s, a replica without delay. The short result was listed in the first second, the long one after 31 s as errored, without its text.

Cause: a result that exceeds a page of results, or that the store refused alone, was set aside and slept until the job was given up. Over 1 MiB the item was run anew until then. That it could not be read was known in the first second; nothing was tried meanwhile.

Change: a page has one result at least (PROTOCOL.md: "at least one if one exists, and at most 1 MB"), so a result that alone exceeds 1 MB is a page by itself, whole, as soon as it is done. Its position is noted in the row of the job, so that a reader holds one such result at a time. A result that the store refuses alone is tried in smaller rows, then again after 1 to 15 s. Short results are listed before long ones that finish at the same time. An output has 4 MiB at most.

--- a/crates/foxtailhold-relay/src/jobs/accept.rs
+++ b/crates/foxtailhold-relay/src/jobs/accept.rs
@@ -209,6 +209,7 @@
             owner: self.new_owner(&new.id),
             lost_owners: 0,
             listed: Vec::new(),
+            long_results: Vec::new(),
             is_ended: false,
             accepted_unix_ms: now,
             due_unix_ms: now + limits.due_ms.saturating_sub(DUE_MARGIN_MS),
--- a/crates/foxtailhold-relay/src/jobs/cache.rs
+++ b/crates/foxtailhold-relay/src/jobs/cache.rs
@@ -47,6 +47,10 @@
     pub lost_owners: u32,
     /// Indexes of the items that have results, in the order of the results.
     pub listed: Vec<u16>,
+    /// Positions of the results that exceed a transaction of the store. It may lack some, which costs
+    /// a reader memory only: earlier builds drop the field, and a full row has no room for it.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub long_results: Vec<u16>,
     /// Whether the caller has ended the job.
     pub is_ended: bool,
     /// Unix milliseconds of acceptance.
@@ -68,6 +72,19 @@
         self.listed.len() >= self.items.len()
     }
 
+    /// End of the results that are read together from position `after` on. A long one is read alone,
+    /// so that a reader holds one of them at a time.
+    pub fn read_end(&self, after: usize, max_results: usize) -> usize {
+        let end = self.listed.len().min(after + max_results);
+        let long = self.long_results.iter().copied().map(usize::from);
+        let next_long = long.filter(|position| *position >= after).min();
+        match next_long {
+            Some(position) if position == after => end.min(after + 1),
+            Some(position) => end.min(position),
+            None => end,
+        }
+    }
+
     /// Tokens of the items without a result; 0 once the job has ended.
     pub fn waiting_tokens(&self) -> u64 {
         if self.is_ended {
--- a/crates/foxtailhold-relay/src/jobs/item/attempt.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/attempt.rs
@@ -36,8 +36,9 @@
 const PASSED_PROBE: (Duration, u64) = (Duration::from_millis(2_000), 64);
 /// A start on a copy of the table of jobs of this age is logged.
 const LOGGED_COPY_AGE_MS: u64 = 1_000;
-/// Size limit of the output of an item, as much as one read of results returns.
-const MAX_OUTPUT_BYTES: usize = 1 << 20;
+/// Size limit of the output of an item, which its owner holds in memory until it is listed. The
+/// contract states none: a response beyond it counts as one without an end.
+const MAX_OUTPUT_BYTES: usize = 4 << 20;
 
 /// What all attempts at an item send.
 #[derive(Debug, Clone, Copy)]
--- a/crates/foxtailhold-relay/src/jobs/read.rs
+++ b/crates/foxtailhold-relay/src/jobs/read.rs
@@ -14,10 +14,9 @@
 use crate::jobs::{ItemState, Job, JobError, Jobs, Result};
 use crate::tables::FollowedTable;
 
-/// Size limit of the results in one page as they are encoded, below what callers accept (1 MB).
+/// Size limit of the results in one page as they are encoded, below what the platform states (1 MB).
+/// A page has one result at least, so one that exceeds the limit is a page by itself.
 const MAX_PAGE_BYTES: usize = 950_000;
-/// Size limit of a page with one result, of which callers accept no more.
-const MAX_RESULT_BYTES: usize = 999_000;
 /// Bytes of an encoded result beside its identifier and its text.
 const RESULT_OVERHEAD_BYTES: usize = 64;
 /// Time limit of all store calls for a reader after its wait, within the time that callers wait beyond
@@ -62,11 +61,6 @@
     answer.map_err(no_answer)?.map_err(JobError::of_read)
 }
 
-/// Whether callers can read a result.
-pub(super) fn is_readable(result: &ListedResult) -> bool {
-    encoded_result_bytes(result) <= MAX_RESULT_BYTES
-}
-
 fn encoded_result_bytes(result: &ListedResult) -> usize {
     RESULT_OVERHEAD_BYTES + encoded_text_bytes(&result.item) + encoded_text_bytes(&result.text)
 }
@@ -103,7 +97,7 @@
                 results: Vec::new(),
             });
         }
-        let to = listed.min(after + MAX_PAGE_RESULTS);
+        let to = cached.job.read_end(after, MAX_PAGE_RESULTS);
         let mut results = until(deadline, self.store.results(id, after, to)).await?;
         if results.len() < to - after {
             return Err(self
--- /dev/null
+++ b/crates/foxtailhold-relay/src/jobs/result_rows.rs
@@ -0,0 +1,90 @@
+//! Rows of the results of items.
+
+use bytes::Bytes;
+use foxtailhold::ids::JobId;
+use foxtailhold_platform::{RowKey, VersionedRow};
+use serde::{Deserialize, Serialize};
+
+use crate::jobs::split::{ResultForm, split_text};
+use crate::jobs::store::encode_row;
+use crate::jobs::{ItemState, JobError, ListedResult, RESULTS_TABLE, Result};
+
+/// Last part of a result whose key has two digits for it.
+const MAX_SHORT_PART: usize = 99;
+
+/// Part of a result in one row.
+#[derive(Debug, Serialize, Deserialize)]
+struct ResultPart {
+    item: String,
+    state: ItemState,
+    text: String,
+    is_last: bool,
+}
+
+/// Keys are in the order of positions and parts.
+pub(super) fn result_key(id: &JobId, position: usize, part: usize) -> String {
+    match part {
+        0..=MAX_SHORT_PART => format!("{id}/{position:05}.{part:02}"),
+        _ => format!("{id}/{position:05}.{MAX_SHORT_PART}.{part:05}"),
+    }
+}
+
+/// Job and position in the key of a result's row.
+fn position_in_key(key: &str) -> Option<&str> {
+    let position_at = key.rfind('/')? + 1;
+    let part_at = position_at + key[position_at..].find('.')?;
+    Some(&key[..part_at])
+}
+
+/// Encodes the rows of a result at `position`.
+pub(super) fn result_rows(
+    id: &JobId,
+    position: usize,
+    result: &ListedResult,
+    form: ResultForm,
+) -> Result<Vec<(RowKey, Bytes)>> {
+    let texts = split_text(&result.text, form.max_text_bytes());
+    let last = texts.len() - 1;
+    let rows = texts.into_iter().enumerate().map(|(number, text)| {
+        let part = ResultPart {
+            item: result.item.clone(),
+            state: result.state,
+            text: text.to_owned(),
+            is_last: number == last,
+        };
+        let key = result_key(id, position, number);
+        Ok((RowKey::new(RESULTS_TABLE, &key), encode_row(id, &part)?))
+    });
+    rows.collect()
+}
+
+/// Decodes the results whose rows are complete.
+pub(super) fn decode_results(id: &JobId, rows: &[VersionedRow]) -> Result<Vec<ListedResult>> {
+    let mut results = Vec::new();
+    let mut text = String::new();
+    let mut complete_position = None;
+    for row in rows {
+        // Rows of an earlier owner may be left behind the last one of the listed result.
+        let position = position_in_key(&row.key.key);
+        if position.is_some() && position == complete_position {
+            continue;
+        }
+        let value = row.value.as_deref().unwrap_or_default();
+        let part: ResultPart =
+            serde_json::from_slice(value).map_err(|error| JobError::Malformed {
+                job: id.clone(),
+                detail: error.to_string(),
+            })?;
+        text.push_str(&part.text);
+        if !part.is_last {
+            continue;
+        }
+        complete_position = position;
+        results.push(ListedResult {
+            item: part.item,
+            state: part.state,
+            text: std::mem::take(&mut text),
+        });
+    }
+    Ok(results)
+}
--- a/crates/foxtailhold-relay/src/jobs/run.rs
+++ b/crates/foxtailhold-relay/src/jobs/run.rs
@@ -7,34 +7,31 @@
 use foxtailhold::stream_origins::StreamOrigin;
 use foxtailhold_platform::{Committed, ObjectStore, RowStore};
 use tokio::task::JoinSet;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::dialect::Dialect;
-use crate::jobs::checkpoint::{CHECKPOINT_EVENTS, PartialOutputs};
+use crate::jobs::checkpoint::PartialOutputs;
+use crate::jobs::checkpoint_writer::{save_checkpoints_once, write_checkpoints};
 use crate::jobs::counts_writer::CountsWriter;
 use crate::jobs::item::ItemRunner;
 use crate::jobs::progress::TaskProgress;
-use crate::jobs::read::is_readable;
-use crate::jobs::split::{FinishedResults, split_checkpoint};
-use crate::jobs::{Checkpoint, Item, ItemState, Job, JobBodies, JobError, Jobs, ListedResult};
+use crate::jobs::split::{FinishedResults, ResultForm};
+use crate::jobs::{Item, ItemState, Job, JobBodies, JobError, Jobs, ListedResult};
 use crate::retry_delay::RetryDelay;
 
 /// Results that finish within this time are listed with one commit.
 const COMMIT_DELAY_MS: u64 = 30;
 /// Delay after a failed store call.
 const RETRY_DELAY_MS: u64 = 200;
-/// First and longest delay before results are listed again after a conflict.
-const CONFLICT_DELAY_MS: (u64, u64) = (20, 1_000);
-/// Conflicts after which checkpoints are left to the next interval.
-const MAX_CONFLICTS: usize = 4;
-/// Names of rows in metrics.
+/// First and longest delay after a change of the row of the job that came first.
+pub(super) const CONFLICT_DELAY_MS: (u64, u64) = (20, 1_000);
+/// Name of the rows of results in metrics.
 const RESULT_ROWS: &str = "results";
-const CHECKPOINT_ROWS: &str = "checkpoints";
 /// Delay before bodies are read again that are missing or cannot be decoded.
 const UNREADABLE_RETRY_DELAY_MS: u64 = 1_000;
-/// Interval between checkpoints. Together with [`CHECKPOINT_EVENTS`] it bounds the output that
-/// items lose with their owner.
-const CHECKPOINT_INTERVAL_MS: u64 = 800;
+/// First and longest delay before a result is listed again that the store has refused in each form.
+const REFUSED_DELAY_MS: (u64, u64) = (1_000, 15_000);
 /// Results listed with one commit.
 const MAX_RESULTS_PER_COMMIT: usize = 16;
 
@@ -117,32 +114,31 @@
         ));
     }
     let mut finished = FinishedResults::new(MAX_RESULTS_PER_COMMIT);
-    while let Some(result) = running.join_next().await {
-        collect(&mut finished.waiting, result);
-        progress.set_unlisted_since(Some(jobs.relay.clock.mono()));
-        let commit_delay = tokio::time::sleep(Duration::from_millis(COMMIT_DELAY_MS));
-        tokio::pin!(commit_delay);
-        loop {
-            tokio::select! {
-                Some(result) = running.join_next() => collect(&mut finished.waiting, result),
-                () = &mut commit_delay => break,
-                else => break,
+    let mut refused_delay = RetryDelay::new(REFUSED_DELAY_MS.0, REFUSED_DELAY_MS.1);
+    let mut retry_at = Instant::now();
+    loop {
+        tokio::select! {
+            Some(result) = running.join_next() => {
+                collect(&mut finished.waiting, result);
+                progress.set_unlisted_since(Some(jobs.relay.clock.mono()));
+                collect_more(&mut running, &mut finished.waiting).await;
+            }
+            () = tokio::time::sleep_until(retry_at), if finished.has_refused() => {
+                match is_time_over(jobs, &cached.job) {
+                    true => finished.give_up_refused(),
+                    false => finished.retry_refused(),
+                }
             }
+            else => break,
         }
+        let had_refused = finished.has_refused();
         if !list_all(jobs, id, &mut finished).await? {
             return Ok(RunEnd::Incomplete);
         }
-        if !finished.has_rejected() {
-            progress.set_unlisted_since(None);
-        }
-    }
-    if finished.has_rejected() {
-        let left_ms = cached.job.give_up_unix_ms;
-        let left_ms = left_ms.saturating_sub(jobs.relay.clock.wall().0);
-        tokio::time::sleep(Duration::from_millis(left_ms)).await;
-        finished.give_up_rejected();
-        if !list_all(jobs, id, &mut finished).await? {
-            return Ok(RunEnd::Incomplete);
+        match finished.has_refused() {
+            true if had_refused => {}
+            true => retry_at = Instant::now() + until_retry(jobs, &cached.job, &mut refused_delay),
+            false => progress.set_unlisted_since(None),
         }
     }
     // Items whose tasks failed, or that the stored bodies do not have.
@@ -152,6 +148,36 @@
     }
 }
 
+/// Adds the results that finish within the time of one commit.
+async fn collect_more(
+    running: &mut JoinSet<Option<ListedResult>>,
+    waiting: &mut Vec<ListedResult>,
+) {
+    let commit_delay = tokio::time::sleep(Duration::from_millis(COMMIT_DELAY_MS));
+    tokio::pin!(commit_delay);
+    loop {
+        tokio::select! {
+            Some(result) = running.join_next() => collect(waiting, result),
+            () = &mut commit_delay => break,
+            else => break,
+        }
+    }
+}
+
+/// Time until results that the store has refused are listed again, or given up with the job.
+fn until_retry<S: RowStore + ObjectStore, D: Dialect>(
+    jobs: &Jobs<S, D>,
+    job: &Job,
+    delay: &mut RetryDelay,
+) -> Duration {
+    let delay = delay.next_delay();
+    let left_ms = job.give_up_unix_ms;
+    match left_ms.saturating_sub(jobs.relay.clock.wall().0) {
+        0 => delay,
+        left_ms => delay.min(Duration::from_millis(left_ms)),
+    }
+}
+
 fn is_time_over<S: RowStore + ObjectStore, D: Dialect>(jobs: &Jobs<S, D>, job: &Job) -> bool {
     jobs.relay.clock.wall().0 >= job.give_up_unix_ms
 }
@@ -251,73 +277,6 @@
     }
 }
 
-/// Writes checkpoints of the items until aborted.
-async fn write_checkpoints<S: RowStore + ObjectStore, D: Dialect>(
-    jobs: Arc<Jobs<S, D>>,
-    id: JobId,
-    partial_outputs: PartialOutputs,
-) {
-    loop {
-        tokio::time::sleep(Duration::from_millis(CHECKPOINT_INTERVAL_MS)).await;
-        save_checkpoints_once(&jobs, &id, &partial_outputs, CHECKPOINT_EVENTS).await;
-    }
-}
-
-async fn save_checkpoints_once<S: RowStore + ObjectStore, D: Dialect>(
-    jobs: &Jobs<S, D>,
-    id: &JobId,
-    partial_outputs: &PartialOutputs,
-    min_events: u64,
-) {
-    let unsaved = partial_outputs.unsaved_checkpoints(min_events);
-    let mut checkpoints = Vec::new();
-    for (item, checkpoint) in unsaved {
-        let parts = split_checkpoint(&checkpoint).into_iter();
-        checkpoints.extend(parts.map(|part| (item.clone(), part)));
-    }
-    for group in jobs.store.pack_checkpoints(id, checkpoints) {
-        if !save_group(jobs, id, &group).await {
-            return;
-        }
-        for (item, checkpoint) in &group {
-            partial_outputs.mark_saved(item, checkpoint);
-        }
-    }
-}
-
-/// Saves checkpoints that fit into one transaction. `false`: they have to be saved again, if the job
-/// is still run here.
-async fn save_group<S: RowStore + ObjectStore, D: Dialect>(
-    jobs: &Jobs<S, D>,
-    id: &JobId,
-    group: &[(String, Checkpoint)],
-) -> bool {
-    let mut conflict_delay = RetryDelay::new(CONFLICT_DELAY_MS.0, CONFLICT_DELAY_MS.1);
-    // Listed results change the row of the job.
-    for _ in 0..MAX_CONFLICTS {
-        let Some(version) = jobs.owned_version(id) else {
-            return false;
-        };
-        match jobs.store.save_checkpoints(id, version, group).await {
-            Ok(Committed::At(_)) => return true,
-            Ok(Committed::Conflict(rows)) => {
-                jobs.cache.apply_conflict(id, version, &rows);
-                tokio::time::sleep(conflict_delay.next_delay()).await;
-            }
-            Ok(Committed::Refused(detail)) => {
-                jobs.relay.metrics.row_refused(CHECKPOINT_ROWS);
-                log::warn!(job = id.as_str(); "checkpoints refused, their items go on without: {detail}");
-                return true;
-            }
-            Err(error) => {
-                log::info!(job = id.as_str(); "checkpoints not saved, retrying with the next ones: {error}");
-                return false;
-            }
-        }
-    }
-    false
-}
-
 /// Loads the items, with retries until the time of the job is over; `None` if they cannot be read
 /// by then.
 async fn load_bodies<S: RowStore + ObjectStore, D: Dialect>(
@@ -360,6 +319,7 @@
     finished: &mut FinishedResults,
 ) -> Result<bool, JobError> {
     let mut conflict_delay = RetryDelay::new(CONFLICT_DELAY_MS.0, CONFLICT_DELAY_MS.1);
+    finished.sort();
     while !finished.waiting.is_empty() {
         match list_results(jobs, id, finished).await? {
             Listing::Ended => return Ok(false),
@@ -397,7 +357,7 @@
     let is_listed = |result: &ListedResult| {
         item_index(job, &result.item).is_none_or(|index| job.listed.contains(&index))
     };
-    finished.waiting.retain(|result| !is_listed(result));
+    finished.drop_listed(is_listed);
     let results = &finished.waiting[..finished.next_count()];
     if results.is_empty() {
         return Ok(Listing::Changed);
@@ -408,22 +368,23 @@
         .filter_map(|result| item_index(job, &result.item));
     next.listed.extend(indexes);
     let first = job.listed.len();
-    let count = jobs.store.count_fitting(id, &next, first, results)?;
+    let form = finished.form();
+    let count = match form {
+        ResultForm::Usual => jobs.store.count_fitting(id, &next, first, results)?,
+        ResultForm::SmallRows => 0,
+    };
     let version = cached.version;
-    if count == 0 && !is_readable(&results[0]) {
-        log::warn!(job = id.as_str(); "result exceeds a page of results, given up when its time is over");
-        finished.reject(1);
-        return Ok(Listing::Changed);
-    }
-    let is_long = count == 0;
+    let is_ahead = count == 0;
     let count = count.max(1);
     let results = &results[..count];
     next.listed.truncate(first + count);
     let store = &jobs.store;
-    let committed = match is_long {
+    let committed = match is_ahead {
         true => {
+            next.long_results.extend(u16::try_from(first));
+            let place = (first, form);
             store
-                .list_long(id, &next, version, first, &results[0])
+                .list_ahead(id, &next, version, place, &results[0])
                 .await
         }
         false => store.update(id, &next, version, first, results).await,
@@ -435,7 +396,7 @@
                 "results listed"
             );
             jobs.cache.put(id, next, new_version);
-            finished.waiting.drain(..count);
+            finished.remove_listed(count);
         }
         Ok(Committed::Conflict(rows)) => {
             jobs.cache.apply_conflict(id, version, &rows);
@@ -445,9 +406,9 @@
             jobs.relay.metrics.row_refused(RESULT_ROWS);
             log::warn!(
                 job = id.as_str(), from = first, results = count;
-                "results refused, listing fewer at once: {detail}"
+                "results refused, listing fewer at once or smaller rows: {detail}"
             );
-            finished.reject(count);
+            finished.record_refusal(count);
         }
         // A commit without a response may still take effect; the next one then finds the new
         // version.
--- a/crates/foxtailhold-relay/src/jobs/split.rs
+++ b/crates/foxtailhold-relay/src/jobs/split.rs
@@ -22,13 +22,13 @@
     text.chars().map(encoded_bytes).sum()
 }
 
-/// Splits a text into parts that each fit into a row; one empty part for an empty text.
-pub fn split_text(text: &str) -> Vec<&str> {
+/// Splits a text into parts of at most `max_bytes` as encoded; one empty part for an empty text.
+pub fn split_text(text: &str, max_bytes: usize) -> Vec<&str> {
     let mut parts = Vec::new();
     let (mut start, mut part_bytes) = (0, 0);
     for (at, character) in text.char_indices() {
         let bytes = encoded_bytes(character);
-        if part_bytes + bytes > MAX_TEXT_BYTES {
+        if part_bytes + bytes > max_bytes {
             parts.push(&text[start..at]);
             (start, part_bytes) = (at, 0);
         }
@@ -98,13 +98,35 @@
     groups
 }
 
+/// How the rows of a result are written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum ResultForm {
+    /// Rows of the usual size, in one transaction with the row of the job if they fit.
+    #[default]
+    Usual,
+    /// Smaller rows, written ahead.
+    SmallRows,
+}
+
+impl ResultForm {
+    /// Size limit of the encoded text in one row.
+    pub fn max_text_bytes(self) -> usize {
+        match self {
+            ResultForm::Usual => MAX_TEXT_BYTES,
+            ResultForm::SmallRows => MAX_TEXT_BYTES / 4,
+        }
+    }
+}
+
 /// Results of a job that wait to be listed.
 #[derive(Debug)]
 pub struct FinishedResults {
     pub waiting: Vec<ListedResult>,
-    /// Results that the store does not accept even alone.
-    rejected: Vec<ListedResult>,
+    /// Results that the store has refused in each form.
+    refused: Vec<ListedResult>,
     max_per_commit: usize,
+    /// Form of the first result that waits.
+    form: ResultForm,
 }
 
 impl FinishedResults {
@@ -112,36 +134,74 @@
     pub fn new(max_per_commit: usize) -> Self {
         FinishedResults {
             waiting: Vec::new(),
-            rejected: Vec::new(),
+            refused: Vec::new(),
             max_per_commit,
+            form: ResultForm::Usual,
         }
     }
 
     /// Number of results for the next commit.
     pub fn next_count(&self) -> usize {
-        self.waiting.len().min(self.max_per_commit)
+        match self.form {
+            ResultForm::Usual => self.waiting.len().min(self.max_per_commit),
+            ResultForm::SmallRows => self.waiting.len().min(1),
+        }
     }
 
-    /// Records that the first `count` results were refused together: fewer are listed at once, and
-    /// one that was refused alone is set aside.
-    pub fn reject(&mut self, count: usize) {
+    /// Form of the rows of the next commit.
+    pub fn form(&self) -> ResultForm {
+        self.form
+    }
+
+    /// Puts short results first, which take a caller of the job the least time each.
+    pub fn sort(&mut self) {
+        self.waiting.sort_by_key(|result| result.text.len());
+    }
+
+    /// Records that the first `count` results were listed.
+    pub fn remove_listed(&mut self, count: usize) {
+        self.waiting.drain(..count);
+        self.form = ResultForm::Usual;
+    }
+
+    /// Drops the results that `is_listed` knows.
+    pub fn drop_listed(&mut self, is_listed: impl Fn(&ListedResult) -> bool) {
+        if self.waiting.first().is_some_and(&is_listed) {
+            self.form = ResultForm::Usual;
+        }
+        self.waiting.retain(|result| !is_listed(result));
+    }
+
+    /// Records that the store has refused the first `count` results together: fewer are listed at
+    /// once, and one that was refused alone is tried in another form, then set aside.
+    pub fn record_refusal(&mut self, count: usize) {
         if count > 1 {
             self.max_per_commit = count / 2;
             return;
         }
+        if self.form == ResultForm::Usual {
+            self.form = ResultForm::SmallRows;
+            return;
+        }
+        self.form = ResultForm::Usual;
         if !self.waiting.is_empty() {
-            self.rejected.push(self.waiting.remove(0));
+            self.refused.push(self.waiting.remove(0));
         }
     }
 
     /// Whether results were set aside.
-    pub fn has_rejected(&self) -> bool {
-        !self.rejected.is_empty()
+    pub fn has_refused(&self) -> bool {
+        !self.refused.is_empty()
+    }
+
+    /// Lets the results that were set aside wait to be listed again.
+    pub fn retry_refused(&mut self) {
+        self.waiting.append(&mut self.refused);
     }
 
     /// Lists the results that were set aside as given up.
-    pub fn give_up_rejected(&mut self) {
-        for result in self.rejected.drain(..) {
+    pub fn give_up_refused(&mut self) {
+        for result in self.refused.drain(..) {
             self.waiting.push(ListedResult {
                 state: ItemState::GivenUp,
                 text: String::new(),
--- a/crates/foxtailhold-relay/src/jobs/store.rs
+++ b/crates/foxtailhold-relay/src/jobs/store.rs
@@ -17,10 +17,11 @@
 use crate::jobs::cache::{JOB_PREFIX, QUOTA_PREFIX};
 use crate::jobs::checkpoint::{ATTEMPT_COUNTS_KEY, item_key};
 use crate::jobs::counts_writer::CountsWrite;
-use crate::jobs::split::{pack, split_text};
+use crate::jobs::result_rows::{decode_results, result_key, result_rows};
+use crate::jobs::split::{ResultForm, pack};
 use crate::jobs::{
-    BODIES_TABLE, CHECKPOINTS_TABLE, Checkpoint, Item, ItemState, JOBS_TABLE, Job, JobError,
-    ListedResult, NewJob, RESULTS_TABLE, Result, RunId,
+    BODIES_TABLE, CHECKPOINTS_TABLE, Checkpoint, Item, JOBS_TABLE, Job, JobError, ListedResult,
+    NewJob, RESULTS_TABLE, Result, RunId,
 };
 
 /// Bodies up to this size are committed together with the job's row, which saves one call. It is
@@ -42,15 +43,6 @@
     pub waiting_tokens: u64,
 }
 
-/// Part of a result in one row.
-#[derive(Debug, Serialize, Deserialize)]
-struct ResultPart {
-    item: String,
-    state: ItemState,
-    text: String,
-    is_last: bool,
-}
-
 /// Access to the rows and objects of jobs.
 #[derive(Debug, Clone)]
 pub struct JobStore<S> {
@@ -80,10 +72,6 @@
     format!("job-{id}")
 }
 
-fn result_key(id: &JobId, position: usize, part: usize) -> String {
-    format!("{id}/{position:05}.{part:02}")
-}
-
 /// Ranges of two runs never replace each other.
 fn checkpoint_key(id: &JobId, item: &str, (after, last): (u64, u64), run: Option<RunId>) -> RowKey {
     let mut key = format!("{id}/{}/{after:06}.{last:06}", item_key(id, item));
@@ -105,23 +93,7 @@
     Ok((key, encode_row(id, checkpoint)?))
 }
 
-fn result_rows(id: &JobId, position: usize, result: &ListedResult) -> Result<Vec<(RowKey, Bytes)>> {
-    let texts = split_text(&result.text);
-    let last = texts.len() - 1;
-    let rows = texts.into_iter().enumerate().map(|(number, text)| {
-        let part = ResultPart {
-            item: result.item.clone(),
-            state: result.state,
-            text: text.to_owned(),
-            is_last: number == last,
-        };
-        let key = result_key(id, position, number);
-        Ok((RowKey::new(RESULTS_TABLE, &key), encode_row(id, &part)?))
-    });
-    rows.collect()
-}
-
-fn encode_row<T: Serialize>(job: &JobId, value: &T) -> Result<Bytes> {
+pub(super) fn encode_row<T: Serialize>(job: &JobId, value: &T) -> Result<Bytes> {
     let encoded = serde_json::to_vec(value).map_err(|error| JobError::Malformed {
         job: job.clone(),
         detail: error.to_string(),
@@ -129,6 +101,19 @@
     Ok(encoded.into())
 }
 
+/// Encodes the row of a job. Where it would exceed a row, it leaves out which results are long.
+fn encode_job(id: &JobId, job: &Job) -> Result<Bytes> {
+    let row = encode_row(id, job)?;
+    if row.len() <= MAX_VALUE_BYTES || job.long_results.is_empty() {
+        return Ok(row);
+    }
+    let shorter = Job {
+        long_results: Vec::new(),
+        ..job.clone()
+    };
+    encode_row(id, &shorter)
+}
+
 impl<S: RowStore + ObjectStore> JobStore<S> {
     /// Creates the job store on a platform's store, for a machine with the default limits.
     pub fn new(platform: S) -> Self {
@@ -253,7 +238,7 @@
     ) -> Result<Committed> {
         let mut changes = Changes {
             expected: vec![(job_key(id), 0)],
-            puts: vec![(job_key(id), encode_row(id, job)?)],
+            puts: vec![(job_key(id), encode_job(id, job)?)],
             deletes: Vec::new(),
         };
         for (part, bytes) in bodies.0.iter().enumerate() {
@@ -279,13 +264,12 @@
     ) -> Result<Committed> {
         let mut changes = Changes {
             expected: vec![(job_key(id), version)],
-            puts: vec![(job_key(id), encode_row(id, job)?)],
+            puts: vec![(job_key(id), encode_job(id, job)?)],
             deletes: Vec::new(),
         };
         for (offset, result) in results.iter().enumerate() {
-            changes
-                .puts
-                .extend(result_rows(id, first + offset, result)?);
+            let rows = result_rows(id, first + offset, result, ResultForm::Usual)?;
+            changes.puts.extend(rows);
         }
         Ok(self.platform.commit(&changes).await?)
     }
@@ -301,13 +285,12 @@
     ) -> Result<usize> {
         let mut changes = Changes {
             expected: vec![(job_key(id), 0)],
-            puts: vec![(job_key(id), encode_row(id, job)?)],
+            puts: vec![(job_key(id), encode_job(id, job)?)],
             deletes: Vec::new(),
         };
         for (offset, result) in results.iter().enumerate() {
-            changes
-                .puts
-                .extend(result_rows(id, first + offset, result)?);
+            let rows = result_rows(id, first + offset, result, ResultForm::Usual)?;
+            changes.puts.extend(rows);
             if !changes.fits() {
                 return Ok(offset);
             }
@@ -315,21 +298,21 @@
         Ok(results.len())
     }
 
-    /// Lists a result that exceeds a transaction, at `position`, with the row of a job at `version`. Its
-    /// rows are written ahead: nobody reads a position that is not listed.
-    pub async fn list_long(
+    /// Lists a result at `position`, with the row of a job at `version`. Its rows are written ahead in
+    /// transactions of their own: nobody reads a position that is not listed.
+    pub async fn list_ahead(
         &self,
         id: &JobId,
         job: &Job,
         version: u64,
-        position: usize,
+        (position, form): (usize, ResultForm),
         result: &ListedResult,
     ) -> Result<Committed> {
         let conditions = || Changes {
             expected: vec![(job_key(id), version)],
             ..Changes::default()
         };
-        let rows = result_rows(id, position, result)?;
+        let rows = result_rows(id, position, result, form)?;
         let last = rows.last().cloned();
         let add = |changes: &mut Changes, row: &(RowKey, Bytes)| changes.puts.push(row.clone());
         for group in pack(rows, conditions, add) {
@@ -341,7 +324,7 @@
             }
         }
         let mut changes = conditions();
-        changes.puts.push((job_key(id), encode_row(id, job)?));
+        changes.puts.push((job_key(id), encode_job(id, job)?));
         changes.puts.extend(last);
         Ok(self.platform.commit(&changes).await?)
     }
@@ -444,32 +427,6 @@
     pub async fn results(&self, id: &JobId, from: usize, to: usize) -> Result<Vec<ListedResult>> {
         let (first, end) = (result_key(id, from, 0), result_key(id, to, 0));
         let snapshot = self.platform.read(RESULTS_TABLE, "", &first, &end).await?;
-        let mut results = Vec::new();
-        let mut text = String::new();
-        let mut complete_position = None;
-        for row in &snapshot.rows {
-            // Rows of an earlier owner may be left behind the last one of the listed result.
-            let position = row.key.key.rsplit_once('.').map(|(position, _)| position);
-            if position.is_some() && position == complete_position {
-                continue;
-            }
-            let value = row.value.as_deref().unwrap_or_default();
-            let part: ResultPart =
-                serde_json::from_slice(value).map_err(|error| JobError::Malformed {
-                    job: id.clone(),
-                    detail: error.to_string(),
-                })?;
-            text.push_str(&part.text);
-            if !part.is_last {
-                continue;
-            }
-            complete_position = position;
-            results.push(ListedResult {
-                item: part.item,
-                state: part.state,
-                text: std::mem::take(&mut text),
-            });
-        }
-        Ok(results)
+        decode_results(id, &snapshot.rows)
     }
 }
--- a/crates/foxtailhold-relay/tests/ended_messages.rs
+++ b/crates/foxtailhold-relay/tests/ended_messages.rs
@@ -53,6 +53,7 @@
         owner: "edge".try_into().unwrap(),
         lost_owners: 0,
         listed: Vec::new(),
+        long_results: Vec::new(),
         is_ended,
         accepted_unix_ms: 1,
         due_unix_ms: 2,
--- a/crates/foxtailhold-relay/tests/job_cache_changes.rs
+++ b/crates/foxtailhold-relay/tests/job_cache_changes.rs
@@ -14,6 +14,7 @@
         owner: InstanceId::try_from("edge").unwrap(),
         lost_owners: 0,
         listed: Vec::new(),
+        long_results: Vec::new(),
         is_ended,
         accepted_unix_ms: 1,
         due_unix_ms: 2,
