slots: a caller's own time decides whether he waits, not the aim of his route

What callers saw: 32 streams of 1.5 s at one engine of 8 slots, each caller with 10 s and one attempt. With GoalMs 400, 22 of 32 were refused within 100 ms; with GoalMs 5000 all were served. Those who came back as told needed 232 attempts. A caller with 1.2 s, who could not get a slot in that time, was held for all of it with GoalMs 5000.

Cause: a request might wait for a slot as long as its first event could meet the aim (GoalMs), whatever time its caller had. Requests beyond the aim stood behind all others. What a refused caller was told lay between 150 and 1500 ms whatever the queue, the same for all; the estimate of the time that a request holds a slot began at 800 ms and followed slowly.

Change: the time to wait follows from Deadline-Ms, TimeoutMs, the usual run, and what PROTOCOL.md says about how long clients wait for an event. Whoever cannot be served in it is refused at once, also when he is queued already. Within a rank, and after resumed streams, whoever has the least time left goes first; first tries and repeats alike. The wait is estimated from when the present holders are likely to be done. A refused caller is told when his slot is likely to be free, less half of the time for which he waits, and callers come back one after another. The mean service time is the one that the OpenAI form uses. An allocator that takes over is told the time that is left.

Tests that rested on the assumed 800 ms let a request of 800 ms end first, and state the same bounds by it; the wait by version counts how long slots have been held.

--- a/crates/foxtailhold-relay/src/engine.rs
+++ b/crates/foxtailhold-relay/src/engine.rs
@@ -33,7 +33,7 @@
 };
 use crate::stream::StreamForwarder;
 use crate::stream_attempt::StreamAttempt;
-use crate::take_up::{Destination, caller_patience_ms};
+use crate::take_up::Destination;
 use crate::upstream::{self, AttemptFailure, ResponseEnd};
 
 /// Attempts of one request that are open at the same time.
@@ -214,14 +214,10 @@
         let service = &destination.service;
         let deadline = progress.attempts.deadline;
         let request_slot = |avoid: Vec<BackendId>, has_open: bool| {
-            let spent_ms = request.received.elapsed().as_millis() as u64;
-            let patience_ms = match destination.is_taken_up() {
-                true => caller_patience_ms(route),
-                false => route.objective_ms,
-            };
+            // A request beside an open attempt holds up nobody.
             let slack_ms = match has_open {
                 true => u64::from(u32::MAX),
-                false => patience_ms.saturating_sub(spent_ms),
+                false => self.wait_left_ms(route, &request, deadline),
             };
             Box::pin(self.request_slot(route, destination, avoid, slack_ms, deadline))
         };
@@ -318,6 +314,10 @@
                     let kept = attempts.keep_only(index, progress, &self.metrics);
                     let version = kept.backend.version.clone();
                     let started = kept.started;
+                    if matches!(first, StreamRead::Event(_)) {
+                        let took_ms = started.elapsed().as_millis() as u64;
+                        self.first_events.record(route, took_ms);
+                    }
                     let granted = (kept.slot, kept.backend);
                     let attempt =
                         StreamAttempt::opened(granted, started, reader, kept.evidence, route);
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod attempt_evidence;
 pub mod attempts;
+mod caller_time;
 pub mod connections;
 pub mod crash_rows;
 pub mod crashes;
--- a/crates/foxtailhold-relay/src/peers/slot.rs
+++ b/crates/foxtailhold-relay/src/peers/slot.rs
@@ -37,7 +37,7 @@
 /// Why no slot was granted. The request has not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Error)]
 pub enum SlotError {
-    /// The request would be late.
+    /// No slot becomes free while the caller waits.
     #[error("no slot in time, retry in {retry_after_ms} ms")]
     Refused {
         /// Delay after which the caller should retry.
@@ -58,7 +58,7 @@
     pub pool: &'a TargetName,
     /// Online with a priority, or batch.
     pub urgency: Urgency,
-    /// Online: time until the first event is late. Batch: time until the deadline can no longer be
+    /// Online: time for which the caller still waits. Batch: time until the deadline can no longer be
     /// met.
     pub slack_ms: u64,
     /// Batch: time in ms since the deadline could last be met; 0 if it can still be met.
@@ -334,7 +334,14 @@
         };
         let mut unanswered = 0;
         let mut last_address: Option<SocketAddr> = None;
+        let began = Instant::now();
         loop {
+            // An allocator that knows nothing of the request counts from now.
+            let mut request = request.clone();
+            if request.urgency != Urgency::Batch {
+                let waited_ms = began.elapsed().as_millis() as u64;
+                request.slack_ms = request.slack_ms.saturating_sub(waited_ms);
+            }
             let now = self.inner.clock.mono();
             let allocator = self.members().allocator(now).cloned();
             let address = allocator.as_ref().map(|member| member.peer_address);
@@ -343,8 +350,8 @@
             }
             let mut is_queued = false;
             match address {
-                Some(address) => self.send(address, &PeerMessage::SlotRequest(request.clone())),
-                None => match self.decide(now, request.clone()) {
+                Some(address) => self.send(address, &PeerMessage::SlotRequest(request)),
+                None => match self.decide(now, request) {
                     SlotDecision::Queued => is_queued = true,
                     decision => return Ok(decision),
                 },
--- a/crates/foxtailhold-relay/src/planned_end.rs
+++ b/crates/foxtailhold-relay/src/planned_end.rs
@@ -48,6 +48,11 @@
         durations.record(&route.name, output_tokens, took_ms);
     }
 
+    /// Usual duration in ms of a complete run of such a request; `None` if none is known.
+    pub fn usual_run_ms(&self, route: &Route, output_tokens: Option<u64>) -> Option<u64> {
+        self.durations.lock().usual_ms(&route.name, output_tokens)
+    }
+
     /// Whether a request may begin to run now: it ends by `deadline`, or as others of its route did,
     /// before the end of a planned stop. One of which nothing is known may run if its answer comes
     /// whole and it may be repeated.
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -19,6 +19,7 @@
 
 use crate::attempt_evidence::{AttemptEvidence, has_lived_on};
 use crate::attempts::AttemptBudget;
+use crate::caller_time::{FirstEventTimes, MIN_PATIENCE_MS, stream_patience_ms};
 use crate::connections::{BusyConnection, Connections};
 use crate::crashes::PROBE_TURN_MS;
 use crate::dialect::Dialect;
@@ -33,19 +34,14 @@
 use crate::upstream::{AttemptFailure, UpstreamRequest};
 
 /// Time without a first event after which an engine counts as silent for a stream that may be
-/// retried. It is many times the usual time to a first event and leaves time to retry within the
-/// limit for late streams.
-pub const FIRST_EVENT_TIMEOUT_MS: u64 = 650;
+/// retried. It is a third of the least time for which callers wait, so that another engine can be
+/// tried twice.
+pub const FIRST_EVENT_TIMEOUT_MS: u64 = MIN_PATIENCE_MS / 3;
 /// A stream counts as silent after a gap of this many times the longest regular gap between events
 /// that its route states.
 const EVENT_GAP_FACTOR: u64 = 3;
 /// Lower bound of the gap that counts as silence.
 const MIN_EVENT_GAP_TIMEOUT_MS: u64 = 600;
-/// Callers leave a stream after a gap of the longest of this time, this many latency objectives and
-/// this many regular gaps.
-const MIN_PATIENCE_MS: u64 = 2_000;
-const PATIENCE_OBJECTIVES: u64 = 4;
-const PATIENCE_PAUSES: u64 = 8;
 /// Retry delay for callers of a request that may run only as a probe, which another instance may
 /// then admit.
 const PROBE_RETRY_AFTER_MS: u64 = 1_000;
@@ -81,6 +77,8 @@
     pub ending: CancellationToken,
     /// When a planned stop ends requests, and which are still sent before.
     pub planned_end: PlannedEnd,
+    /// How long streams take to their first event.
+    pub first_events: FirstEventTimes,
     /// Counters and histograms of this instance.
     pub metrics: RelayMetrics,
 }
@@ -479,8 +477,5 @@
 /// Longest wait for a slot with no attempt open: until another backend server can no longer send an
 /// event before callers leave.
 pub fn slot_wait(route: &Route) -> Duration {
-    let by_objective_ms = route.objective_ms * PATIENCE_OBJECTIVES;
-    let by_pause_ms = route.pause_ms * PATIENCE_PAUSES;
-    let patience_ms = MIN_PATIENCE_MS.max(by_objective_ms).max(by_pause_ms);
-    Duration::from_millis(patience_ms - FIRST_EVENT_TIMEOUT_MS)
+    Duration::from_millis(stream_patience_ms(route) - FIRST_EVENT_TIMEOUT_MS)
 }
--- a/crates/foxtailhold-relay/src/run_durations.rs
+++ b/crates/foxtailhold-relay/src/run_durations.rs
@@ -54,4 +54,14 @@
         let longest_ms = runs.iter().copied().max()?;
         Some(longest_ms.saturating_mul(1 << (class - smaller).min(MAX_DOUBLINGS)))
     }
+
+    /// The median in milliseconds of the latest runs of requests of this size, or of the next smaller
+    /// one that has run; `None` if none is known.
+    pub fn usual_ms(&self, route: &str, output_tokens: Option<u64>) -> Option<u64> {
+        let classes = self.routes.get(route)?;
+        let (_, runs) = classes.range(..=size_class(output_tokens)).next_back()?;
+        let mut sorted_ms: Vec<u64> = runs.iter().copied().collect();
+        sorted_ms.sort_unstable();
+        sorted_ms.get(sorted_ms.len() / 2).copied()
+    }
 }
--- a/crates/foxtailhold-relay/src/take_up.rs
+++ b/crates/foxtailhold-relay/src/take_up.rs
@@ -25,28 +25,6 @@
     pub(crate) attempt: AttemptHash,
 }
 
-impl Destination {
-    /// Whether a stream is taken up there, which only backend servers of one version can complete.
-    pub(crate) fn is_taken_up(&self) -> bool {
-        self.version.is_some()
-    }
-}
-
-/// Least time for which callers wait for an event, whatever the route states.
-const MIN_CALLER_PATIENCE_MS: u64 = 2_000;
-/// Callers wait for this many times the objective of the route, or its longest pause.
-const PATIENCE_OBJECTIVES: u64 = 4;
-const PATIENCE_PAUSES: u64 = 8;
-/// Part of that time that is left for the first event.
-const FIRST_EVENT_MARGIN_MS: u64 = 300;
-
-/// Time for which a stream that is taken up may wait for a slot. Its caller has no other attempt to
-/// spare, and its first run may hold a slot until its instance is known to be lost.
-pub(crate) fn caller_patience_ms(route: &Route) -> u64 {
-    let by_route = (PATIENCE_OBJECTIVES * route.objective_ms).max(PATIENCE_PAUSES * route.pause_ms);
-    by_route.max(MIN_CALLER_PATIENCE_MS) - FIRST_EVENT_MARGIN_MS
-}
-
 /// Result of choosing the destination of a request.
 pub(crate) type Result<T> = std::result::Result<T, NotRunReason>;
 
--- a/crates/foxtailhold/src/admission/mod.rs
+++ b/crates/foxtailhold/src/admission/mod.rs
@@ -9,9 +9,11 @@
 //! Batch items are not admitted here; they never share a queue with online requests.
 
 mod queue;
+mod service_time;
 mod window;
 
 pub use queue::{AdmissionQueue, Arrival, DequeueOutcome, EnqueueOutcome, WaiterId};
+pub use service_time::ServiceTime;
 pub use window::{Capacity, ConcurrencyWindow};
 
 /// Largest number of waiting requests of one customer.
--- a/crates/foxtailhold/src/admission/queue.rs
+++ b/crates/foxtailhold/src/admission/queue.rs
@@ -3,7 +3,8 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
 use crate::admission::{
-    MAX_RETRY_AFTER_MS, MAX_WAIT_MS, MIN_RETRY_AFTER_MS, WAITING_IN_ALL, WAITING_PER_CUSTOMER,
+    MAX_RETRY_AFTER_MS, MAX_WAIT_MS, MIN_RETRY_AFTER_MS, ServiceTime, WAITING_IN_ALL,
+    WAITING_PER_CUSTOMER,
 };
 use crate::contract::Urgency;
 use crate::ids::CustomerId;
@@ -11,8 +12,6 @@
 
 /// Virtual time that a request of weight 1 takes.
 const STRIDE: u64 = 1 << 16;
-/// The newest sample has a weight of one in this many in the mean service time.
-const SERVICE_SAMPLES: f64 = 16.0;
 
 /// Identifies a waiting request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -85,7 +84,7 @@
     waiting: usize,
     weights: u64,
     virtual_time: u64,
-    service_ms: Option<f64>,
+    service_time: ServiceTime,
     next_id: u64,
 }
 
@@ -109,7 +108,7 @@
             waiting: 0,
             weights: 0,
             virtual_time: 0,
-            service_ms: None,
+            service_time: ServiceTime::default(),
             next_id: 1,
         }
     }
@@ -166,9 +165,7 @@
     /// Records the end of a request in flight that was admitted at `since`.
     pub fn leave(&mut self, since: MonoMs, now: MonoMs) {
         self.in_flight = self.in_flight.saturating_sub(1);
-        let sample_ms = now.since_ms(since) as f64;
-        let mean_ms = self.service_ms.unwrap_or(sample_ms);
-        self.service_ms = Some(mean_ms + (sample_ms - mean_ms) / SERVICE_SAMPLES);
+        self.service_time.record(now.since_ms(since));
     }
 
     /// The next request that need not wait any longer; call until `None`.
@@ -203,7 +200,7 @@
     /// Time after which a refused caller should retry: the time until the queue has drained, plus a
     /// random time of up to the same length.
     pub fn retry_after_ms(&self, draw: u64) -> u64 {
-        let drain_ms = self.service_ms.unwrap_or(0.0) / f64::from(self.window.max(1));
+        let drain_ms = self.service_time.mean_ms().unwrap_or(0.0) / f64::from(self.window.max(1));
         let base_ms = (self.waiting as f64 * drain_ms) as u64;
         let base_ms = base_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS / 2);
         base_ms + draw % (base_ms + 1)
@@ -218,7 +215,7 @@
         let others = self.weights - queued.map_or(0, |queue| queue.weight);
         let rounds = (queued_before + 1) as f64 * (others + weight) as f64 / weight as f64;
         let ahead = rounds.min((self.waiting + 1) as f64);
-        ahead * self.service_ms.unwrap_or(0.0) / f64::from(self.window.max(1))
+        ahead * self.service_time.mean_ms().unwrap_or(0.0) / f64::from(self.window.max(1))
     }
 
     fn refused(&self, draw: u64) -> EnqueueOutcome {
--- a/crates/foxtailhold/src/slots/backend.rs
+++ b/crates/foxtailhold/src/slots/backend.rs
@@ -127,6 +127,31 @@
         }
     }
 
+    /// Times in ms after which slots that callers hold are likely to be free, if requests hold them for
+    /// `held_ms`. One that is held for longer is likely to be held for half as long again.
+    pub(super) fn online_returns_ms(&self, now: MonoMs, held_ms: u64) -> impl Iterator<Item = u64> {
+        let online = self.grants.values();
+        let online = online.filter(|grant| grant.urgency != Urgency::Batch);
+        let left_ms = online.map(|grant| {
+            let left_ms = held_ms.saturating_sub(now.since_ms(grant.granted_at));
+            if left_ms > 0 { left_ms } else { held_ms / 2 }
+        });
+        let mut returns_ms: Vec<u64> = left_ms.collect();
+        returns_ms.sort_unstable();
+        // Slots beyond those that are usable stay unused when they are returned.
+        let unused = self.grants.len().saturating_sub(self.usable(now) as usize);
+        returns_ms.into_iter().skip(unused)
+    }
+
+    /// When one of its slots may be in use, if none may now; `None` if it is silent, as nothing tells
+    /// when that ends.
+    pub(super) fn usable_at(&self, now: MonoMs) -> Option<MonoMs> {
+        match self.is_silent(now) {
+            Some(true) => None,
+            _ => Some(self.health.usable_at(now)),
+        }
+    }
+
     pub(super) fn free(&self, now: MonoMs) -> u32 {
         self.usable(now).saturating_sub(self.grants.len() as u32)
     }
--- a/crates/foxtailhold/src/slots/health.rs
+++ b/crates/foxtailhold/src/slots/health.rs
@@ -76,6 +76,14 @@
         kept.clamp(1, slots.max(1))
     }
 
+    /// When a slot may be in use, if none may now.
+    pub fn usable_at(&self, now: MonoMs) -> MonoMs {
+        match self.breaker.availability(now) {
+            Availability::Ejected => self.full_until.max(self.breaker.blocked_until()),
+            Availability::Available | Availability::HalfOpen => self.full_until,
+        }
+    }
+
     /// Number of its `slots` that may be in use now.
     pub fn limit(&self, now: MonoMs, slots: u32) -> u32 {
         if self.full_until > now {
--- a/crates/foxtailhold/src/slots/mod.rs
+++ b/crates/foxtailhold/src/slots/mod.rs
@@ -10,10 +10,12 @@
 mod allocator;
 mod backend;
 pub mod health;
+mod online_wait;
 mod pool;
 mod pool_load;
 mod preemption;
 mod queue;
+mod returns;
 mod supply;
 
 pub use allocator::{Allocator, SlotNotice};
@@ -74,8 +76,8 @@
     pub pool: TargetName,
     /// Priority class of the request.
     pub urgency: Urgency,
-    /// For an online request, the time left until its first event is late. For a batch item, the
-    /// time it can still wait and meet its deadline.
+    /// For an online request, the time for which it can still wait before its caller leaves without an
+    /// answer. For a batch item, the time it can still wait and meet its deadline.
     pub slack_ms: u64,
     /// Backend servers that have already received this request and must not be chosen again.
     pub avoid: Vec<BackendId>,
@@ -98,9 +100,9 @@
     Granted(BackendId),
     /// The request is queued; a later decision follows.
     Queued,
-    /// The request would miss its objective and has not been run.
+    /// The request cannot get a slot while its caller waits, and has not been run.
     Refused {
-        /// Estimated time in ms until a slot is free.
+        /// Time in ms after which its caller is likely to get one if he comes back.
         retry_after_ms: u64,
     },
     /// No backend server of the requested version is listed. Only sent to instances that ask for a
--- /dev/null
+++ b/crates/foxtailhold/src/slots/online_wait.rs
@@ -0,0 +1,164 @@
+//! How long requests of callers wait for a slot, which of them are refused, and when their callers
+//! should come back.
+
+use crate::slots::pool::{Pool, count};
+use crate::slots::queue::QueuedRequest;
+use crate::slots::supply::OnlineSupply;
+use crate::slots::{SlotDecision, SlotNotice, SlotRequest, Urgency};
+use crate::time::MonoMs;
+
+/// Interval at which the waits of queued callers are estimated again.
+const REVIEW_INTERVAL_MS: u64 = 100;
+/// A queued caller is refused if slots would have to become free this many times sooner than usual.
+const HOPELESS_FACTOR: u64 = 2;
+
+/// How long a request is likely to wait for a slot.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct ExpectedWait {
+    /// `None` if nothing tells when a backend server accepts requests.
+    wait_ms: Option<u64>,
+    /// Time between two slots that become free.
+    interval_ms: u64,
+}
+
+impl ExpectedWait {
+    /// Whether it is known to be longer than `limit_ms`.
+    pub(super) fn exceeds(self, limit_ms: u64) -> bool {
+        self.wait_ms.is_some_and(|wait_ms| wait_ms > limit_ms)
+    }
+}
+
+/// Whether a queued request goes before a new one of a caller, whatever their deadlines are.
+fn goes_before(queued: &SlotRequest, new: &SlotRequest) -> bool {
+    let (
+        Urgency::Online {
+            priority: queued_priority,
+        },
+        Urgency::Online { priority },
+    ) = (queued.urgency, new.urgency)
+    else {
+        return false;
+    };
+    // A resumed stream goes before new ones.
+    let is_resumed = new.version.is_none() || queued.version.is_some();
+    queued_priority < priority || (queued_priority == priority && is_resumed)
+}
+
+impl Pool {
+    /// The slots that requests of callers may get, without the queue for them.
+    fn online_supply(&self, now: MonoMs) -> OnlineSupply<'_> {
+        let held_ms = self.held_ms(now);
+        let mut supply = OnlineSupply::new(held_ms);
+        for backend in self.backends.values() {
+            let usable = u64::from(backend.usable(now));
+            let mut ready = u64::from(backend.free(now));
+            if usable > 0 {
+                ready += count(backend.grants.values(), |g| g.urgency == Urgency::Batch);
+            }
+            let returns_ms = backend.online_returns_ms(now, held_ms);
+            supply.add_backend(&backend.config.version, (ready, usable), returns_ms);
+        }
+        supply
+    }
+
+    /// Time in ms for which a request of a caller is likely to hold a slot. Before the first one has
+    /// ended, it is at least as long as the present ones have.
+    fn held_ms(&self, now: MonoMs) -> u64 {
+        if let Some(mean_ms) = self.service_time.mean_ms() {
+            return mean_ms as u64;
+        }
+        let grants = self.backends.values().flat_map(|b| b.grants.values());
+        let online = grants.filter(|grant| grant.urgency != Urgency::Batch);
+        let held_ms = online.map(|grant| now.since_ms(grant.granted_at));
+        held_ms.max().unwrap_or(0)
+    }
+
+    /// How long a new request of a caller is likely to wait.
+    pub(super) fn expected_wait(&self, now: MonoMs, request: &SlotRequest) -> ExpectedWait {
+        let mut supply = self.online_supply(now);
+        for waiting in &self.waiting {
+            if goes_before(&waiting.request, request) {
+                supply.add_ahead(waiting.request.version.as_ref());
+            }
+        }
+        self.wait_in(&supply, now, request)
+    }
+
+    fn wait_in(
+        &self,
+        supply: &OnlineSupply<'_>,
+        now: MonoMs,
+        request: &SlotRequest,
+    ) -> ExpectedWait {
+        let interval_ms = supply.held_ms() / supply.usable().max(1);
+        if let Some(wait_ms) = supply.wait_ms(request.version.as_ref()) {
+            return ExpectedWait {
+                wait_ms: Some(wait_ms),
+                interval_ms,
+            };
+        }
+        let version = request.version.as_ref();
+        let backends = self.backends.values();
+        let eligible = backends.filter(|b| version.is_none_or(|v| b.config.version == *v));
+        let usable_at = eligible.filter_map(|b| b.usable_at(now)).min();
+        ExpectedWait {
+            wait_ms: usable_at.map(|at| at.since_ms(now)),
+            interval_ms,
+        }
+    }
+
+    /// When a refused caller should come back: while others are still ahead of him, so that he is in
+    /// the queue when his slot becomes free, and after those who were told before.
+    pub(super) fn assign_return(
+        &mut self,
+        now: MonoMs,
+        request: &SlotRequest,
+        wait: ExpectedWait,
+    ) -> u64 {
+        let Urgency::Online { priority } = request.urgency else {
+            return 0;
+        };
+        let earliest_ms = wait.wait_ms.unwrap_or(request.slack_ms);
+        let earliest_ms = earliest_ms.saturating_sub(request.slack_ms / 2);
+        self.returns
+            .assign(now, priority, earliest_ms, wait.interval_ms)
+    }
+
+    /// Refuses the queued callers whose time to wait is over, or who cannot get a slot within it.
+    pub(super) fn refuse_hopeless(&mut self, now: MonoMs, decisions: &mut Vec<SlotNotice>) {
+        let is_review = now >= self.next_review_at;
+        if is_review {
+            self.next_review_at = now + REVIEW_INTERVAL_MS;
+        }
+        let is_due = |waiting: &QueuedRequest| {
+            waiting.request.urgency.is_of_caller() && (is_review || waiting.slack_until <= now)
+        };
+        if !self.waiting.iter().any(is_due) {
+            return;
+        }
+        let mut supply = self.online_supply(now);
+        let mut refused = Vec::new();
+        for waiting in &self.waiting {
+            if waiting.request.urgency == Urgency::Batch {
+                continue;
+            }
+            let wait = self.wait_in(&supply, now, &waiting.request);
+            let left_ms = waiting.slack_until.since_ms(now);
+            let is_hopeless = left_ms == 0 || wait.exceeds(HOPELESS_FACTOR * left_ms);
+            if waiting.request.urgency.is_of_caller() && is_hopeless {
+                refused.push((waiting.request.clone(), wait));
+                continue;
+            }
+            supply.add_ahead(waiting.request.version.as_ref());
+        }
+        for (request, wait) in refused {
+            self.waiting
+                .retain(|waiting| waiting.request.id != request.id);
+            let retry_after_ms = self.assign_return(now, &request, wait);
+            decisions.push(SlotNotice {
+                request: request.id,
+                decision: Some(SlotDecision::Refused { retry_after_ms }),
+            });
+        }
+    }
+}
--- a/crates/foxtailhold/src/slots/pool.rs
+++ b/crates/foxtailhold/src/slots/pool.rs
@@ -2,12 +2,12 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
+use crate::admission::ServiceTime;
 use crate::ids::BackendId;
 use crate::slots::backend::{Backend, Grant, MAX_REPORT_INTERVAL_MS, MAX_SILENCE_MS};
-use crate::slots::health::MAX_EJECTION_MS;
 use crate::slots::preemption::{self, Candidate};
-use crate::slots::queue::{FIRST_EVENT_MS, FreeSlots, QueuedRequest, queue_key};
-use crate::slots::supply::OnlineSupply;
+use crate::slots::queue::{FreeSlots, QueuedRequest, queue_key};
+use crate::slots::returns::ReturnTimes;
 use crate::slots::{
     BackendSlots, HeldSlot, PoolLoad, SlotDecision, SlotNotice, SlotOutcome, SlotRequest,
     SlotRequestId, Urgency,
@@ -34,36 +34,21 @@
 const MIN_SLOTS_PER_HEADROOM: u64 = 4;
 /// Period over which arrivals are counted.
 const ARRIVAL_PERIOD_MS: u64 = 1_000;
-/// Initial estimate of the time that an online request holds a slot, used until some have ended.
-const INITIAL_HELD_MS: f64 = 800.0;
-/// Weight of the newest sample in the moving average of the holding time.
-const HELD_WEIGHT: f64 = 0.05;
-/// Least and largest time after which a refused caller should retry.
-const RETRY_AFTER_MS: (u64, u64) = (150, 1_500);
-
 /// The slots and the queue of one service.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub struct Pool {
-    backends: BTreeMap<BackendId, Backend>,
-    waiting: Vec<QueuedRequest>,
+    pub(super) backends: BTreeMap<BackendId, Backend>,
+    pub(super) waiting: Vec<QueuedRequest>,
     arrivals: VecDeque<MonoMs>,
-    held_ms: f64,
+    /// Time for which requests of callers hold a slot.
+    pub(super) service_time: ServiceTime,
+    pub(super) returns: ReturnTimes,
+    /// When the waits of queued callers are estimated again.
+    pub(super) next_review_at: MonoMs,
     /// Since when a batch item has waited at each moment.
     batch_queued_since: Option<MonoMs>,
 }
 
-impl Default for Pool {
-    fn default() -> Self {
-        Pool {
-            backends: BTreeMap::new(),
-            waiting: Vec::new(),
-            arrivals: VecDeque::new(),
-            held_ms: INITIAL_HELD_MS,
-            batch_queued_since: None,
-        }
-    }
-}
-
 impl Pool {
     /// Replaces the backend servers; grants at those that stay are kept. One that now runs another
     /// version has started again and is a new one, also if it does not state its start.
@@ -81,8 +66,8 @@
         }
     }
 
-    /// Handles a new or repeated slot request. A new online request that would miss its objective
-    /// is refused; any other is queued until the next [`Pool::decide`].
+    /// Handles a new or repeated slot request. A new request of a caller who would leave before a slot
+    /// is free is refused; any other is queued until the next [`Pool::decide`].
     pub fn request_slot(&mut self, now: MonoMs, request: SlotRequest) -> SlotDecision {
         if let Some(backend) = self.granted_backend(&request.id) {
             return SlotDecision::Granted(backend);
@@ -99,7 +84,9 @@
             if request.avoid.is_empty() {
                 self.arrivals.push_back(now);
             }
-            if let Some(retry_after_ms) = self.retry_after_if_late(now, &request) {
+            let wait = self.expected_wait(now, &request);
+            if wait.exceeds(request.slack_ms) {
+                let retry_after_ms = self.assign_return(now, &request, wait);
                 return SlotDecision::Refused { retry_after_ms };
             }
         }
@@ -126,51 +113,6 @@
         !self.backends.is_empty() && backends.all(|b| b.config.version != *version)
     }
 
-    /// Time until the caller should retry, if the request would miss its objective.
-    fn retry_after_if_late(&self, now: MonoMs, request: &SlotRequest) -> Option<u64> {
-        let Urgency::Online { priority } = request.urgency else {
-            return None;
-        };
-        let mut supply = OnlineSupply::default();
-        for backend in self.backends.values() {
-            let usable = u64::from(backend.usable(now));
-            let mut ready = u64::from(backend.free(now));
-            if usable > 0 {
-                ready += count(backend.grants.values(), |g| g.urgency == Urgency::Batch);
-            }
-            supply.add_backend(&backend.config.version, ready, usable);
-        }
-        for waiting in &self.waiting {
-            match waiting.request.urgency {
-                Urgency::Online { priority: other } if other < priority => {
-                    supply.add_ahead(waiting.request.version.as_ref());
-                }
-                // A resumed stream goes before new ones.
-                Urgency::Online { priority: other }
-                    if other == priority
-                        && (request.version.is_none() || waiting.request.version.is_some()) =>
-                {
-                    supply.add_ahead(waiting.request.version.as_ref());
-                }
-                Urgency::Online { .. } | Urgency::Batch => {}
-            }
-        }
-        let Some(turns) = supply.turns_until_free(request.version.as_ref()) else {
-            // The few backend servers of one version may all be blocked for a moment.
-            let outlasts_ejection =
-                request.version.is_some() && request.slack_ms >= MAX_EJECTION_MS;
-            return (!outlasts_ejection).then_some(RETRY_AFTER_MS.1 / 2);
-        };
-        if turns == 0.0 {
-            return None;
-        }
-        let wait_ms = (turns * self.held_ms) as u64;
-        if wait_ms + FIRST_EVENT_MS <= request.slack_ms {
-            return None;
-        }
-        Some(wait_ms.clamp(RETRY_AFTER_MS.0, RETRY_AFTER_MS.1))
-    }
-
     /// Frees the slot of a request, or removes it from the queue.
     pub fn release(&mut self, now: MonoMs, id: &SlotRequestId, outcome: SlotOutcome, draw: u64) {
         self.waiting.retain(|waiting| waiting.request.id != *id);
@@ -193,7 +135,7 @@
             if let SlotOutcome::Done { held_ms } = outcome
                 && grant.urgency.is_of_caller()
             {
-                self.held_ms += HELD_WEIGHT * (held_ms as f64 - self.held_ms);
+                self.service_time.record(held_ms);
             }
         }
     }
@@ -288,6 +230,7 @@
             free_slots.take(&self.grant(now, waiting, backend, decisions));
         }
         self.waiting = still_waiting;
+        self.refuse_hopeless(now, decisions);
         let mut waiting = self.waiting.iter();
         self.batch_queued_since = match waiting.any(|w| w.request.urgency == Urgency::Batch) {
             true => Some(self.batch_queued_since.unwrap_or(now)),
@@ -470,6 +413,6 @@
     }
 }
 
-fn count<T>(items: impl Iterator<Item = T>, matches_item: impl Fn(&T) -> bool) -> u64 {
+pub(super) fn count<T>(items: impl Iterator<Item = T>, matches_item: impl Fn(&T) -> bool) -> u64 {
     items.filter(|item| matches_item(item)).count() as u64
 }
--- a/crates/foxtailhold/src/slots/queue.rs
+++ b/crates/foxtailhold/src/slots/queue.rs
@@ -4,9 +4,6 @@
 use crate::software_version::SoftwareVersion;
 use crate::time::MonoMs;
 
-/// Time that an engine needs for a first event once it starts a request: reading the prompt and
-/// running a few steps.
-pub(super) const FIRST_EVENT_MS: u64 = 110;
 /// A batch item with less slack than this may use the headroom.
 const URGENT_SLACK_MS: u64 = 2_500;
 
@@ -71,16 +68,15 @@
 
 /// Queue order: online before batch, then by priority. Streams that are resumed, which name a
 /// version, go before new ones: their callers have a part of the answer already, and other engines
-/// cannot complete it. Requests that can still be on time go before late ones, since above capacity,
-/// serving late requests first makes the following ones late as well. Then by deadline, which late
-/// items keep however often they ask anew, so that none waits without end behind the others.
+/// cannot complete it. Then whoever has the least time left, so that no caller waits without end behind
+/// later ones. Batch items that can still meet their deadline go before late ones, which keep their
+/// deadline however often they ask anew.
 pub(super) fn queue_key(now: MonoMs, waiting: &QueuedRequest) -> (bool, u8, bool, bool, i128) {
     let (until, due_ms) = (waiting.slack_until, waiting.due_ms());
     match waiting.request.urgency {
         Urgency::Online { priority } => {
-            let is_late = until < now + FIRST_EVENT_MS;
             let is_new = waiting.request.version.is_none();
-            (false, priority, is_new, is_late, due_ms)
+            (false, priority, is_new, false, due_ms)
         }
         Urgency::Batch => (true, 0, false, until <= now, due_ms),
     }
--- a/crates/foxtailhold/src/slots/supply.rs
+++ b/crates/foxtailhold/src/slots/supply.rs
@@ -11,6 +11,8 @@
     ready: u64,
     /// Slots that the health of the backend servers allows to be in use.
     usable: u64,
+    /// Times in ms after which the usable slots that callers hold are likely to be free.
+    returns_ms: Vec<u64>,
     /// Queued requests that wait for this version.
     ahead: u64,
 }
@@ -28,28 +30,48 @@
 }
 
 /// Slots of a pool by version, and the queue ahead of one online request.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(super) struct OnlineSupply<'a> {
     versions: Vec<VersionSupply<'a>>,
     /// Queued requests that any version can serve.
     ahead_of_any: u64,
+    /// Time in ms for which a request is likely to hold a slot.
+    held_ms: u64,
 }
 
 impl<'a> OnlineSupply<'a> {
-    /// Adds the slots of one backend server.
-    pub(super) fn add_backend(&mut self, version: &'a SoftwareVersion, ready: u64, usable: u64) {
-        let known = self.versions.iter_mut().find(|v| v.version == version);
-        let Some(known) = known else {
+    /// A pool without backend servers, in which a request holds a slot for `held_ms`.
+    pub(super) fn new(held_ms: u64) -> Self {
+        OnlineSupply {
+            versions: Vec::new(),
+            ahead_of_any: 0,
+            held_ms,
+        }
+    }
+
+    /// Adds the slots of one backend server; `returns_ms` are the times after which those that callers
+    /// hold are likely to be free.
+    pub(super) fn add_backend(
+        &mut self,
+        version: &'a SoftwareVersion,
+        (ready, usable): (u64, u64),
+        returns_ms: impl Iterator<Item = u64>,
+    ) {
+        let known = self.versions.iter().position(|v| v.version == version);
+        let known = known.unwrap_or_else(|| {
             self.versions.push(VersionSupply {
                 version,
-                ready,
-                usable,
+                ready: 0,
+                usable: 0,
+                returns_ms: Vec::new(),
                 ahead: 0,
             });
-            return;
-        };
-        known.ready += ready;
-        known.usable += usable;
+            self.versions.len() - 1
+        });
+        let supply = &mut self.versions[known];
+        supply.ready += ready;
+        supply.usable += usable;
+        supply.returns_ms.extend(returns_ms);
     }
 
     /// Adds a queued request that goes first. All backend servers have to be added before.
@@ -64,51 +86,72 @@
         }
     }
 
-    /// Wait for a slot, as a multiple of the time for which a request holds one: 0 if one is ready,
-    /// `None` if no slot is usable.
-    pub(super) fn turns_until_free(&self, version: Option<&SoftwareVersion>) -> Option<f64> {
+    /// Time in ms for which a request is likely to hold a slot.
+    pub(super) fn held_ms(&self) -> u64 {
+        self.held_ms
+    }
+
+    /// Slots that may be in use.
+    pub(super) fn usable(&self) -> u64 {
+        self.versions.iter().map(|v| v.usable).sum()
+    }
+
+    /// Time in ms until a slot is likely to be free: 0 if one is ready, `None` if none is usable.
+    pub(super) fn wait_ms(&self, version: Option<&SoftwareVersion>) -> Option<u64> {
         match version {
-            Some(version) => self.turns_at(version),
-            None => self.turns_anywhere(),
+            Some(version) => self.wait_at_ms(version),
+            None => self.wait_anywhere_ms(),
         }
     }
 
-    fn turns_at(&self, version: &SoftwareVersion) -> Option<f64> {
+    fn wait_at_ms(&self, version: &SoftwareVersion) -> Option<u64> {
         let own = self.versions.iter().find(|v| v.version == version)?;
         let others = self.versions.iter().filter(|v| v.version != version);
         let spare_elsewhere: u64 = others.map(VersionSupply::spare).sum();
-        let usable: u64 = self.versions.iter().map(|v| v.usable).sum();
-        let share = own.usable as f64 / usable.max(1) as f64;
+        let share = own.usable as f64 / self.usable().max(1) as f64;
         let shared_ahead = self.ahead_of_any.saturating_sub(spare_elsewhere) as f64 * share;
-        let missing = own.ahead as f64 + shared_ahead - own.ready as f64;
-        if missing < 0.0 {
-            return Some(0.0);
-        }
-        (own.usable > 0).then(|| (missing + 1.0) / own.usable as f64)
+        let ahead = own.ahead + shared_ahead as u64;
+        let Some(missing) = ahead.checked_sub(own.ready) else {
+            return Some(0);
+        };
+        (own.usable > 0).then(|| self.return_ms(&[own], missing))
     }
 
-    fn turns_anywhere(&self) -> Option<f64> {
+    fn wait_anywhere_ms(&self) -> Option<u64> {
         let spare: u64 = self.versions.iter().map(VersionSupply::spare).sum();
-        if self.ahead_of_any < spare {
-            return Some(0.0);
-        }
+        let Some(mut missing) = self.ahead_of_any.checked_sub(spare) else {
+            return Some(0);
+        };
         // The returned slots of a version go to the requests that wait for it until they are all
         // served, and to any request from then on. Versions are added in that order, as long as
         // their slots shorten the wait.
         let usable = self.versions.iter().filter(|v| v.usable > 0);
-        let mut backlogs: Vec<(f64, f64)> = usable
-            .map(|v| (v.excess() as f64, v.usable as f64))
-            .collect();
-        backlogs.sort_by(|a, b| (a.0 / a.1).total_cmp(&(b.0 / b.1)));
-        let mut turns: Option<f64> = None;
-        let mut missing = (self.ahead_of_any - spare + 1) as f64;
-        let mut slots = 0.0;
-        for (excess, usable) in backlogs {
-            missing += excess;
-            slots += usable;
-            let with_version = missing / slots;
-            turns = Some(turns.map_or(with_version, |turns| turns.min(with_version)));
+        let mut by_backlog: Vec<&VersionSupply<'_>> = usable.collect();
+        by_backlog.sort_by(|a, b| {
+            let backlog = |v: &VersionSupply<'_>| v.excess() as f64 / v.usable as f64;
+            backlog(a).total_cmp(&backlog(b))
+        });
+        let mut wait_ms: Option<u64> = None;
+        for (index, supply) in by_backlog.iter().enumerate() {
+            missing += supply.excess();
+            let with_version_ms = self.return_ms(&by_backlog[..=index], missing);
+            wait_ms = Some(wait_ms.map_or(with_version_ms, |ms| ms.min(with_version_ms)));
         }
-        turns
+        wait_ms
+    }
+
+    /// Time in ms until slots of these versions have been returned once more than `ahead` times.
+    fn return_ms(&self, versions: &[&VersionSupply<'_>], ahead: u64) -> u64 {
+        let held = versions.iter().flat_map(|v| v.returns_ms.iter().copied());
+        // Slots that are ready go to the requests ahead, and are returned later.
+        let ready: u64 = versions.iter().map(|v| v.ready).sum();
+        let ready = std::iter::repeat_n(self.held_ms, ready as usize);
+        let mut returns_ms: Vec<u64> = held.chain(ready).collect();
+        returns_ms.sort_unstable();
+        let Some(slots) = u64::try_from(returns_ms.len()).ok().filter(|len| *len > 0) else {
+            return self.held_ms;
+        };
+        let first_return_ms = returns_ms[(ahead % slots) as usize];
+        first_return_ms + (ahead / slots) * self.held_ms
     }
 }
--- a/crates/foxtailhold/tests/slot_probes.rs
+++ b/crates/foxtailhold/tests/slot_probes.rs
@@ -87,6 +87,8 @@
 #[test]
 fn a_probe_is_queued_where_a_caller_would_be_refused() {
     let mut allocator = allocator(1);
+    submit(&mut allocator, 0, CALLER, OBJECTIVE_MS);
+    release(&mut allocator, 0, 800);
     submit(&mut allocator, 1, CALLER, OBJECTIVE_MS);
     for number in 2..20 {
         submit(&mut allocator, number, CALLER, 60_000);
--- /dev/null
+++ b/crates/foxtailhold/tests/slot_waits.rs
@@ -0,0 +1,224 @@
+//! Callers who wait for a slot: who is queued, who is refused, and when they are told to come back.
+
+use foxtailhold::ids::{AvailabilityZone, BackendId, InstanceId, TargetName};
+use foxtailhold::slots::{
+    Allocator, BackendSlots, SlotDecision, SlotNotice, SlotOutcome, SlotRequest, SlotRequestId,
+    Urgency,
+};
+use foxtailhold::software_version::SoftwareVersion;
+use foxtailhold::time::MonoMs;
+
+const ONLINE: Urgency = Urgency::Online { priority: 0 };
+const OBJECTIVE_MS: u64 = 300;
+
+fn pool() -> TargetName {
+    TargetName::try_from("writers").unwrap()
+}
+
+fn zone(name: &str) -> AvailabilityZone {
+    AvailabilityZone::try_from(name).unwrap()
+}
+
+fn backend(name: &str) -> BackendId {
+    BackendId::try_from(name).unwrap()
+}
+
+fn instance(name: &str) -> InstanceId {
+    InstanceId::try_from(name).unwrap()
+}
+
+/// Engines with the given numbers of slots, in the zones `a`, `b` and `c` in turn.
+fn allocator(slots: &[u32]) -> Allocator {
+    let mut allocator = Allocator::default();
+    allocator.set_backends(&pool(), &backend_slots(slots));
+    allocator
+}
+
+fn backend_slots(slots: &[u32]) -> Vec<BackendSlots> {
+    let zones = ["a", "b", "c"];
+    let engines = slots.iter().enumerate().map(|(index, slots)| BackendSlots {
+        backend: backend(&format!("engine-{index}")),
+        zone: zone(zones[index % zones.len()]),
+        slots: *slots,
+        version: version("v1"),
+    });
+    engines.collect()
+}
+
+fn version(text: &str) -> SoftwareVersion {
+    SoftwareVersion::try_from(text).unwrap()
+}
+
+fn request_from(instance_name: &str, number: u64, urgency: Urgency, slack_ms: u64) -> SlotRequest {
+    SlotRequest {
+        id: SlotRequestId {
+            instance: instance(instance_name),
+            number,
+        },
+        pool: pool(),
+        urgency,
+        slack_ms,
+        late_ms: 0,
+        avoid: Vec::new(),
+        zone: zone("a"),
+        version: None,
+    }
+}
+
+fn request(number: u64, urgency: Urgency) -> SlotRequest {
+    request_from("entry-1", number, urgency, OBJECTIVE_MS)
+}
+
+fn submit(
+    allocator: &mut Allocator,
+    at_ms: u64,
+    slot_request: SlotRequest,
+) -> (SlotDecision, Vec<SlotNotice>) {
+    let mut decisions = Vec::new();
+    let decision = allocator.request_slot(MonoMs(at_ms), slot_request, &mut decisions);
+    (decision, decisions)
+}
+
+fn granted(allocator: &mut Allocator, at_ms: u64, slot_request: SlotRequest) -> BackendId {
+    match submit(allocator, at_ms, slot_request).0 {
+        SlotDecision::Granted(backend) => backend,
+        other => panic!("not granted: {other:?}"),
+    }
+}
+
+fn release(
+    allocator: &mut Allocator,
+    at_ms: u64,
+    number: u64,
+    outcome: SlotOutcome,
+) -> Vec<SlotNotice> {
+    let mut decisions = Vec::new();
+    let id = request(number, ONLINE).id;
+    allocator.release(MonoMs(at_ms), &pool(), &id, outcome, &mut decisions);
+    decisions
+}
+
+const DONE: SlotOutcome = SlotOutcome::Done { held_ms: 800 };
+
+/// Like [`allocator`], after a request that held a slot for 800 ms.
+fn allocator_with_service_time(slots: &[u32]) -> Allocator {
+    let mut allocator = allocator(slots);
+    granted(&mut allocator, 0, request(1_000, ONLINE));
+    release(&mut allocator, 0, 1_000, DONE);
+    allocator
+}
+
+#[test]
+fn a_caller_who_would_leave_before_is_refused_at_once_and_told_when_a_slot_is_free() {
+    let mut allocator = allocator_with_service_time(&[1]);
+    granted(&mut allocator, 0, request(1, ONLINE));
+    let decision = submit(&mut allocator, 0, request(2, ONLINE)).0;
+    let SlotDecision::Refused { retry_after_ms } = decision else {
+        panic!("not refused: {decision:?}");
+    };
+    // The slot is free after 800 ms, and he waits for 300 ms.
+    assert!((500..=800).contains(&retry_after_ms), "{retry_after_ms}");
+    assert_eq!(release(&mut allocator, 10, 1, DONE), []);
+}
+
+/// Guards against callers who are refused by an assumption: nothing tells yet how long requests take.
+#[test]
+fn a_caller_is_not_refused_before_it_is_known_how_long_requests_take() {
+    let mut allocator = allocator(&[1]);
+    granted(&mut allocator, 0, request(1, ONLINE));
+    let decision = submit(&mut allocator, 0, request(2, ONLINE)).0;
+    assert_eq!(decision, SlotDecision::Queued);
+    // The first one has held its slot for longer than the next caller waits.
+    let decision = submit(&mut allocator, 900, request(3, ONLINE)).0;
+    assert!(
+        matches!(decision, SlotDecision::Refused { .. }),
+        "{decision:?}"
+    );
+}
+
+#[test]
+fn a_refused_request_is_not_granted_later() {
+    let mut allocator = allocator_with_service_time(&[1]);
+    granted(&mut allocator, 0, request(1, ONLINE));
+    assert!(matches!(
+        submit(&mut allocator, 0, request(2, ONLINE)).0,
+        SlotDecision::Refused { .. }
+    ));
+    assert_eq!(release(&mut allocator, 10, 1, DONE), []);
+    let loads: Vec<(u64, u64)> = allocator.loads().map(|(_, u, w)| (u, w)).collect();
+    assert_eq!(loads, [(0, 0)]);
+}
+
+/// Guards against a caller who waits without end behind those who came later.
+#[test]
+fn the_caller_with_the_least_time_left_goes_first() {
+    let mut allocator = allocator(&[1]);
+    granted(&mut allocator, 0, request(1_000, ONLINE));
+    release(&mut allocator, 0, 1_000, SlotOutcome::Done { held_ms: 100 });
+    granted(&mut allocator, 0, request(1, ONLINE));
+    submit(&mut allocator, 0, request_from("entry-1", 2, ONLINE, 900));
+    submit(&mut allocator, 300, request_from("entry-1", 3, ONLINE, 900));
+    submit(&mut allocator, 400, request_from("entry-1", 4, ONLINE, 400));
+    for (at_ms, number, next) in [(410, 1, 4), (420, 4, 2), (430, 2, 3)] {
+        let decisions = release(&mut allocator, at_ms, number, DONE);
+        assert_eq!(decisions[0].request.number, next, "after {number}");
+    }
+}
+
+/// Guards against a queued caller who is held until his time is over, though no slot can be free before.
+#[test]
+fn a_queued_caller_is_refused_once_no_slot_can_be_free_in_time() {
+    let mut allocator = allocator_with_service_time(&[2]);
+    granted(&mut allocator, 0, request(1, ONLINE));
+    granted(&mut allocator, 0, request(2, ONLINE));
+    let patient = |number| request_from("entry-1", number, Urgency::Online { priority: 1 }, 1_000);
+    assert_eq!(
+        submit(&mut allocator, 0, patient(3)).0,
+        SlotDecision::Queued
+    );
+    for number in 10..14 {
+        let urgent = request_from("entry-1", number, ONLINE, 10_000);
+        submit(&mut allocator, 100, urgent);
+    }
+    let mut decisions = Vec::new();
+    allocator.tick(MonoMs(300), &mut decisions);
+    assert_eq!(decisions.len(), 1, "{decisions:?}");
+    assert_eq!(decisions[0].request.number, 3);
+    let decision = decisions[0].decision.clone();
+    assert!(matches!(decision, Some(SlotDecision::Refused { .. })));
+}
+
+#[test]
+fn a_queued_caller_is_refused_when_his_time_to_wait_is_over() {
+    let mut allocator = allocator(&[1]);
+    granted(&mut allocator, 0, request(1, ONLINE));
+    submit(&mut allocator, 0, request(2, ONLINE));
+    let mut decisions = Vec::new();
+    allocator.tick(MonoMs(OBJECTIVE_MS / 2), &mut decisions);
+    assert_eq!(decisions, []);
+    allocator.tick(MonoMs(OBJECTIVE_MS), &mut decisions);
+    assert_eq!(decisions[0].request.number, 2);
+    let decision = decisions[0].decision.clone();
+    assert!(matches!(decision, Some(SlotDecision::Refused { .. })));
+}
+
+/// Guards against refused callers who all come back at the same time.
+#[test]
+fn refused_callers_come_back_one_after_another() {
+    let mut allocator = allocator_with_service_time(&[4]);
+    for number in 0..4 {
+        granted(&mut allocator, 0, request(number, ONLINE));
+    }
+    let mut told = Vec::new();
+    for number in 4..10 {
+        let SlotDecision::Refused { retry_after_ms } =
+            submit(&mut allocator, 0, request(number, ONLINE)).0
+        else {
+            panic!("{number} is not refused");
+        };
+        told.push(retry_after_ms);
+    }
+    // A slot becomes free every 200 ms.
+    let pauses: Vec<u64> = told.windows(2).map(|pair| pair[1] - pair[0]).collect();
+    assert_eq!(pauses, [200; 5], "{told:?}");
+}
