relay: callers of online requests come back by what is known of the cause

What callers saw, whatever had happened: 120 ms for a service whose servers are all full for 1.2 s; 400 ms for a service without a server, again and again for as long as it is away; 120 ms for a stream whose version is gone, at the end of the time that they had; 300 ms for a node that ends, though other nodes serve them at once.

Cause: fixed times. A version that goes while a request waits was told as a wait that had failed.

Evidence: return_times on the code before: 0.12 s told with requests of 0.4 and 1.2 s, 0.4 s for a service that has been away, 2.49 s until a caller hears that the version is gone: 4 of 4 red.

Change: full servers: the usual time of an answer on the route. No server: as long again as the service has been away, a third of the caller's time at most, as with outages of the store. A version that is gone: at once, with no time to come back, as no server can go on. No time left: none. An instance that ends, or engines that did not take the request: 0, as others serve it. A probe: half of an instance's turn. Where nothing is known, 300 ms.

Measured: return_times 4 of 4; requests, explained, planned_stop, late_routes green (debug build).

--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -15,7 +15,7 @@
 use crate::dialect::Dialect;
 use crate::fleet::BackendServer;
 use crate::metrics::AttemptOutcome;
-use crate::relay::{Admission, FailedAttempt, PLAIN_RETRY_AFTER_MS, Relay};
+use crate::relay::{Admission, FailedAttempt, Relay};
 use crate::request::{
     NotRunReason, OpaqueRequest, RelayOutcome, RequestStage, UnansweredRequest, Unserved,
 };
@@ -24,9 +24,9 @@
 /// Time reserved for returning the response before the caller's timeout.
 const RETURN_MARGIN_MS: u64 = 15;
 
-/// Retry delay for callers whose request has not run when the instance is about to end. Other
-/// instances serve it.
-pub const END_RETRY_AFTER_MS: u64 = 300;
+/// Retry delay for callers whose request has not run when the instance is about to end: other
+/// instances serve it at once.
+pub const END_RETRY_AFTER_MS: u64 = 0;
 
 /// When a request received at `received` has to be answered, by the time limit of its route and the
 /// time for which its caller waits.
@@ -241,15 +241,16 @@
     }
 
     /// The failure of a backend server itself if there is one, otherwise the end of a request whose
-    /// attempts failed.
+    /// attempts failed; if it has not run, its caller should retry after `retry_after_ms`.
     pub(crate) fn without_response(
         &self,
         failure_response: Option<(BackendId, Response<bytes::Bytes>)>,
+        retry_after_ms: u64,
         progress: &mut RequestProgress,
     ) -> RelayOutcome {
         let Some((backend, response)) = failure_response else {
             let reason = NotRunReason::NotTaken;
-            return RelayOutcome::Unserved(progress.unserved(reason, PLAIN_RETRY_AFTER_MS));
+            return RelayOutcome::Unserved(progress.unserved(reason, retry_after_ms));
         };
         progress.served_by = Some(backend);
         self.relay_response(response.map(body::whole))
--- a/crates/foxtailhold-relay/src/engine.rs
+++ b/crates/foxtailhold-relay/src/engine.rs
@@ -25,9 +25,7 @@
 use crate::fleet::BackendServer;
 use crate::metrics::{AttemptOutcome, RelayMetrics};
 use crate::peers::{Slot, SlotActivity, SlotError, SlotQuery};
-use crate::relay::{
-    Admission, FIRST_EVENT_TIMEOUT_MS, PLAIN_RETRY_AFTER_MS, Relay, upstream_request,
-};
+use crate::relay::{Admission, FIRST_EVENT_TIMEOUT_MS, Relay, upstream_request};
 use crate::request::{
     EvidenceKeys, NotRunReason, OpaqueRequest, RelayOutcome, RequestStage, UnansweredRequest,
 };
@@ -41,6 +39,10 @@
 /// Least and largest delay before a refused slot request is repeated; it is doubled each time.
 const SLOT_RETRY_DELAY_MS: (u64, u64) = (100, 1_600);
 
+/// Retry delay for callers of a request that no engine has taken: the next attempt waits for a slot at
+/// others.
+const NOT_TAKEN_RETRY_AFTER_MS: u64 = 0;
+
 type Granted = Result<(Slot, Arc<BackendServer>), SlotError>;
 type Opened = Result<OpenedResponse, AttemptFailure>;
 
@@ -256,7 +258,11 @@
                         let has_open = !attempts.open.is_empty();
                         attempts.slot_request = Some(request_slot(avoid, has_open));
                     } else if attempts.open.is_empty() && attempts.slot_request.is_none() {
-                        return self.without_response(attempts.failure_response, progress);
+                        return self.without_response(
+                            attempts.failure_response,
+                            NOT_TAKEN_RETRY_AFTER_MS,
+                            progress,
+                        );
                     }
                     continue;
                 }
@@ -271,8 +277,11 @@
                         Err(error) => {
                             if attempts.open.is_empty() {
                                 if attempts.failure_response.is_some() {
-                                    return self
-                                        .without_response(attempts.failure_response, progress);
+                                    return self.without_response(
+                                        attempts.failure_response,
+                                        NOT_TAKEN_RETRY_AFTER_MS,
+                                        progress,
+                                    );
                                 }
                                 return RelayOutcome::Unserved(no_slot(progress, error));
                             }
@@ -372,7 +381,11 @@
             }
             progress.served_by = None;
             if !may_retry {
-                return self.without_response(attempts.failure_response, progress);
+                return self.without_response(
+                    attempts.failure_response,
+                    NOT_TAKEN_RETRY_AFTER_MS,
+                    progress,
+                );
             }
             waiting_since = Instant::now();
             attempts.seek_at = Some(waiting_since);
@@ -455,8 +468,8 @@
         SlotError::Refused { retry_after_ms } => {
             progress.unserved(NotRunReason::NoSlot, retry_after_ms)
         }
-        SlotError::TimedOut | SlotError::VersionGone => {
-            progress.unserved(NotRunReason::Waited, PLAIN_RETRY_AFTER_MS)
-        }
+        // No time is left.
+        SlotError::TimedOut => progress.unserved(NotRunReason::Waited, None),
+        SlotError::VersionGone => progress.unserved(NotRunReason::VersionGone, None),
     }
 }
--- a/crates/foxtailhold-relay/src/instance.rs
+++ b/crates/foxtailhold-relay/src/instance.rs
@@ -20,6 +20,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::absences::ServiceAbsences;
 use crate::caller_time::FirstEventTimes;
 use crate::connections::Connections;
 use crate::crash_rows::persist_crashes;
@@ -157,6 +158,7 @@
             pending_attempts: PendingAttempts::default(),
             memory,
             ending: CancellationToken::new(),
+            absences: ServiceAbsences::default(),
             first_events: FirstEventTimes::default(),
             planned_end: PlannedEnd::default(),
             metrics,
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -1,7 +1,8 @@
 //! Forwards opaque requests and runs ordered batch jobs at backend servers chosen by routes.
 #![warn(clippy::unwrap_used)]
 
-pub mod attempt_evidence;
+pub mod absences;
+mod attempt_evidence;
 pub mod attempts;
 mod caller_time;
 pub mod connections;
--- a/crates/foxtailhold-relay/src/plain_dispatch.rs
+++ b/crates/foxtailhold-relay/src/plain_dispatch.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use foxtailhold::ids::{BackendId, TargetName};
+use foxtailhold::outage_return::return_after_ms;
 use foxtailhold::routes::Route;
 use foxtailhold::slots::SlotOutcome;
 use foxtailhold_http::body;
@@ -21,7 +22,7 @@
 use crate::fleet::BackendServer;
 use crate::metrics::AttemptOutcome;
 use crate::plain::PlainServiceLoads;
-use crate::relay::{Admission, Relay, upstream_request};
+use crate::relay::{Admission, DEFAULT_RETRY_AFTER_MS, Relay, upstream_request};
 use crate::request::{EvidenceKeys, NotRunReason, OpaqueRequest, RelayOutcome};
 use crate::upstream::{self, AttemptFailure, ResponseEnd};
 
@@ -30,8 +31,6 @@
 /// An attempt counts as silent after this many times the latency objective of the route; another
 /// backend server is then tried beside it.
 const SILENT_AFTER_OBJECTIVES: u32 = 2;
-/// Retry delay given to callers if no backend server is known.
-const NO_BACKEND_RETRY_AFTER_MS: u64 = 400;
 
 type Fetched = Result<Response<bytes::Bytes>, AttemptFailure>;
 
@@ -121,13 +120,15 @@
                 }
                 let Some(backend) = chosen else {
                     if failure_response.is_some() {
-                        return self.without_response(failure_response, progress);
+                        let retry_after_ms = self.usual_answer_ms(route, request);
+                        return self.without_response(failure_response, retry_after_ms, progress);
                     }
+                    let away_ms = self.absences.observe(service, self.clock.mono());
+                    let retry_after_ms = return_after_ms(Some(away_ms), request.caller_left_ms());
                     let reason = NotRunReason::NoBackend;
-                    return RelayOutcome::Unserved(
-                        progress.unserved(reason, NO_BACKEND_RETRY_AFTER_MS),
-                    );
+                    return RelayOutcome::Unserved(progress.unserved(reason, retry_after_ms));
                 };
+                self.absences.end(service);
                 open.push(OpenAttempt {
                     in_flight: InFlightGuard {
                         loads: &self.plain,
@@ -203,11 +204,19 @@
                 && (open_count == 0 || progress.attempts.may_start(route, open_count))
                 && !self.admit(keys, service, Admission::Free).is_refused();
             if !may_start && open.is_empty() {
-                return self.without_response(failure_response, progress);
+                let retry_after_ms = self.usual_answer_ms(route, request);
+                return self.without_response(failure_response, retry_after_ms, progress);
             }
         }
     }
 
+    /// Time in ms after which a full backend server is likely to have answered one of its requests.
+    fn usual_answer_ms(&self, route: &Route, request: &OpaqueRequest) -> u64 {
+        let output_tokens = self.dialect.output_tokens(&request.headers);
+        let usual_ms = self.planned_end.usual_run_ms(route, output_tokens);
+        usual_ms.unwrap_or(DEFAULT_RETRY_AFTER_MS)
+    }
+
     fn supersede<F>(&self, progress: &mut RequestProgress, attempt: OpenAttempt<'_, F>) {
         progress.attempts.record_superseded(&attempt.backend.id);
         let outcome = match attempt.is_silent {
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -17,6 +17,7 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
+use crate::absences::ServiceAbsences;
 use crate::attempt_evidence::{AttemptEvidence, has_lived_on};
 use crate::attempts::AttemptBudget;
 use crate::caller_time::{FirstEventTimes, MIN_PATIENCE_MS, stream_patience_ms};
@@ -42,15 +43,14 @@
 const EVENT_GAP_FACTOR: u64 = 3;
 /// Lower bound of the gap that counts as silence.
 const MIN_EVENT_GAP_TIMEOUT_MS: u64 = 600;
-/// Retry delay for callers of a request that may run only as a probe, which another instance may
-/// then admit.
-const PROBE_RETRY_AFTER_MS: u64 = 1_000;
+/// Longest retry delay for callers of a request that may run only as a probe. Instances admit it in
+/// turn, and a caller who comes back reaches any of them.
+const PROBE_RETRY_AFTER_MS: u64 = PROBE_TURN_MS / 2;
 /// Slot requests made if the allocator grants backend servers that this instance does not know, or
 /// of another version than requested. Instances learn of changes within milliseconds of each other.
 const MAX_SLOT_REQUESTS: u32 = 3;
-/// Retry delay for callers of a plain service without capacity; some requests have finished by
-/// then.
-pub const PLAIN_RETRY_AFTER_MS: u64 = 120;
+/// Retry delay for callers if nothing is known about the cause of the refusal.
+pub const DEFAULT_RETRY_AFTER_MS: u64 = 300;
 
 /// Forwards requests to backend servers.
 #[derive(Debug)]
@@ -77,6 +77,8 @@
     pub ending: CancellationToken,
     /// When a planned stop ends requests, and which are still sent before.
     pub planned_end: PlannedEnd,
+    /// Services without a backend server.
+    pub absences: ServiceAbsences,
     /// How long streams take to their first event.
     pub first_events: FirstEventTimes,
     /// Counters and histograms of this instance.
@@ -444,9 +446,8 @@
                 }
             }
         }
-        Err(SlotError::Refused {
-            retry_after_ms: PLAIN_RETRY_AFTER_MS,
-        })
+        // The lists of the instances differ for the time of a message.
+        Err(SlotError::Refused { retry_after_ms: 0 })
     }
 }
 
--- a/crates/foxtailhold-relay/src/request.rs
+++ b/crates/foxtailhold-relay/src/request.rs
@@ -58,6 +58,12 @@
         RequestFingerprints::of_opaque(&host, self.target.as_str(), &self.body)
     }
 
+    /// Time in ms that the caller has left; `None` if it does not say.
+    pub fn caller_left_ms(&self) -> Option<u64> {
+        let spent_ms = self.received.elapsed().as_millis() as u64;
+        self.caller_timeout_ms.map(|ms| ms.saturating_sub(spent_ms))
+    }
+
     /// What crash evidence about the request is kept under.
     pub fn evidence_keys(&self) -> EvidenceKeys {
         EvidenceKeys {
