jobs: callers of batch calls come back by what is known of the cause

What callers saw: 300 ms for a batch job over the quota, also for one that is larger than the quota and never fits; 300 ms for reads during an outage of the store of any length; after an outage a time that did not look at what they had left; 500 ms without memory.

Cause: fixed times, and the time left of a batch call was not passed on.

Evidence: a_batch_job_over_the_quota_comes_back_when_it_is_likely_to_fit on the code before: 0.3 s told for a job of 10,001 tokens with a quota of 10,000.

Change: over the quota: the tokens in excess, at the rate at which items ended in the last 10 s; no time for a job that never fits. During outages: as long again as it has lasted, a third of the caller's time at most, in reads as in changes. Without memory: the time after which a body that does not go on loses its memory (250 ms).

--- a/crates/foxtailhold-http/src/memory.rs
+++ b/crates/foxtailhold-http/src/memory.rs
@@ -21,7 +21,7 @@
 /// Largest size at which one holder may use three quarters of it. Larger ones may use half.
 const MEDIUM_BYTES: usize = 64 << 10;
 /// A body counts as stalled once it has grown by less than [`PROGRESS_BYTES`] for this time.
-const STALL_MS: u64 = 250;
+pub const STALL_MS: u64 = 250;
 /// Bytes that count as progress of a body.
 const PROGRESS_BYTES: usize = 16 << 10;
 /// A response counts as stalled once no byte of it could be written for this time.
--- a/crates/foxtailhold-relay/src/jobs/accept.rs
+++ b/crates/foxtailhold-relay/src/jobs/accept.rs
@@ -14,6 +14,7 @@
 use crate::jobs::owner::next_owner;
 use crate::jobs::store::JOB_ROWS;
 use crate::jobs::{Job, JobError, Jobs, NewJob, QuotaRow, Result};
+use crate::relay::DEFAULT_RETRY_AFTER_MS;
 use crate::tables::FollowedTable;
 
 /// Time limit for an acceptance against those of other instances, well within the time that callers
@@ -59,10 +60,18 @@
     }
     let waiting_tokens = view.max_waiting_tokens();
     if waiting_tokens + new_tokens > quota_tokens {
+        let excess_tokens = waiting_tokens + new_tokens - quota_tokens;
         return Err(JobError::OverQuota {
             waiting_tokens,
             new_tokens,
             quota_tokens,
+            retry_after_ms: match new_tokens > quota_tokens {
+                true => None,
+                false => Some(
+                    view.drain_ms(excess_tokens)
+                        .unwrap_or(DEFAULT_RETRY_AFTER_MS),
+                ),
+            },
         });
     }
     let row = QuotaRow {
@@ -184,11 +193,12 @@
         }))
     }
 
-    /// Time after which the caller of a change that the store did not take should come back.
-    pub fn return_after_ms(&self) -> u64 {
+    /// Time after which the caller of a change that the store did not take should come back. `left_ms`:
+    /// the time that the caller has left, if it says.
+    pub fn return_after_ms(&self, left_ms: Option<u64>) -> u64 {
         let tables = self.relay.metrics.tables();
         let outage = tables.outage(FollowedTable::Jobs).unwrap_or_default();
-        return_after_ms(Some(outage.as_millis() as u64), None)
+        return_after_ms(Some(outage.as_millis() as u64), left_ms)
     }
 
     async fn wait_for_turn(&self, deadline: Instant) -> Result<MutexGuard<'_, ()>> {
--- a/crates/foxtailhold-relay/src/jobs/cache.rs
+++ b/crates/foxtailhold-relay/src/jobs/cache.rs
@@ -9,9 +9,11 @@
 use serde::{Deserialize, Serialize};
 use thiserror::Error;
 use tokio::sync::watch;
+use tokio::time::Instant;
 
 use crate::ended_jobs::EndedJobs;
 use crate::follow::TableSink;
+use crate::jobs::drain::Drain;
 use crate::jobs::{JOBS_TABLE, QuotaRow};
 use crate::peers::Peers;
 
@@ -141,7 +143,7 @@
 }
 
 /// Quota of a route as known to this instance.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct QuotaView {
     /// Version of the row, 0 if there is none.
     pub version: u64,
@@ -150,9 +152,17 @@
     /// Tokens of unfinished items now; `None` if the job accepted together with the row is not
     /// known yet.
     pub waiting_tokens: Option<u64>,
+    /// Tokens of items that end in a second; `None` if none has ended for a while.
+    pub tokens_per_s: Option<f64>,
 }
 
 impl QuotaView {
+    /// Time in ms until items with `tokens` have ended; `None` if nothing tells.
+    pub fn drain_ms(&self, tokens: u64) -> Option<u64> {
+        let seconds = tokens as f64 / self.tokens_per_s?;
+        Some((1_000.0 * seconds) as u64)
+    }
+
     /// Upper bound of the waiting tokens. After an acceptance their number only falls until the
     /// next acceptance.
     pub fn max_waiting_tokens(&self) -> u64 {
@@ -168,6 +178,7 @@
         version: row.version,
         row: serde_json::from_slice(value).ok()?,
         waiting_tokens: None,
+        tokens_per_s: None,
     })
 }
 
@@ -175,9 +186,14 @@
 struct CacheState {
     jobs: HashMap<JobId, CachedJob>,
     quotas: HashMap<String, (u64, QuotaRow)>,
+    /// How fast the items of each route's jobs end.
+    drains: HashMap<String, Drain>,
     deletions: Deletions,
 }
 
+/// Routes for which it is known how fast items end. Beyond them all are forgotten, as names of removed
+/// routes stay otherwise.
+const MAX_DRAINS: usize = 1_000;
 /// Deletions that are remembered: more than happen while one call of the store is under way.
 const MAX_DELETIONS: usize = 4_096;
 
@@ -273,6 +289,10 @@
             version,
             row,
             waiting_tokens: Some(jobs.map(|cached| cached.job.waiting_tokens()).sum()),
+            tokens_per_s: state
+                .drains
+                .get(route)
+                .and_then(|drain| drain.tokens_per_s(Instant::now())),
         }
     }
 
@@ -351,7 +371,23 @@
         return false;
     }
     let job = Arc::new(job);
-    state.jobs.insert(id.clone(), CachedJob { job, version });
+    let route = job.route.clone();
+    let waiting_tokens = job.waiting_tokens();
+    let old = state.jobs.insert(id.clone(), CachedJob { job, version });
+    let old_tokens = old.map_or(0, |old| old.job.waiting_tokens());
+    if let Some(tokens) = old_tokens
+        .checked_sub(waiting_tokens)
+        .filter(|tokens| *tokens > 0)
+    {
+        if state.drains.len() >= MAX_DRAINS {
+            state.drains.clear();
+        }
+        state
+            .drains
+            .entry(route)
+            .or_default()
+            .record(Instant::now(), tokens);
+    }
     true
 }
 
--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -13,6 +13,7 @@
 mod checkpoint;
 mod checkpoint_writer;
 mod counts_writer;
+mod drain;
 mod end;
 mod freshness;
 mod item;
@@ -81,6 +82,8 @@
         new_tokens: u64,
         /// Limit of the contract.
         quota_tokens: u64,
+        /// Time in ms after which the new job is likely to fit; `None` if it never will.
+        retry_after_ms: Option<u64>,
     },
     /// The job or the item does not exist.
     #[error("there is no such job or item")]
