plain services: a second try follows from how long answers take

What callers saw: beside a silent server, 504 at the end of their 3 s where the route states an aim of 5 s, though another server answers. With an aim of 50 ms and answers of 400 ms every request ran twice.

Cause: an attempt counted as silent after twice the aim (GoalMs).

Change: after three times the longest of the latest answers on the route, 250 ms at least, 1 s while none is known, and a third of the time left at most, so that another server can answer.

--- a/crates/foxtailhold-relay/src/plain_dispatch.rs
+++ b/crates/foxtailhold-relay/src/plain_dispatch.rs
@@ -28,9 +28,16 @@
 
 /// Attempts of one request that are open at the same time.
 const MAX_OPEN_ATTEMPTS: usize = 2;
-/// An attempt counts as silent after this many times the latency objective of the route; another
-/// backend server is then tried beside it.
-const SILENT_AFTER_OBJECTIVES: u32 = 2;
+/// An attempt counts as silent after this many times the longest of the latest answers on the route;
+/// another backend server is then tried beside it.
+const SILENT_AFTER_ANSWERS: u64 = 3;
+/// Least time after which an attempt counts as silent: a lost packet is sent again after 200 ms.
+const MIN_SILENCE_MS: u64 = 250;
+/// Time after which an attempt counts as silent while no answer on the route is known.
+const UNKNOWN_SILENCE_MS: u64 = 1_000;
+/// An attempt counts as silent after this part of the time left at the latest, so that another one can
+/// answer.
+const MAX_SILENCE_PARTS: u32 = 3;
 
 type Fetched = Result<Response<bytes::Bytes>, AttemptFailure>;
 
@@ -105,8 +112,7 @@
         progress: &mut RequestProgress,
     ) -> RelayOutcome {
         let deadline = progress.attempts.deadline;
-        let silent_after =
-            Duration::from_millis(route.objective_ms.max(1)) * SILENT_AFTER_OBJECTIVES;
+        let silent_after = self.silent_after(route, request, deadline);
         let mut open = Vec::new();
         let mut may_start = true;
         let mut failure_response = None;
@@ -150,7 +156,6 @@
                 });
             }
             let may_seek = open.len() < MAX_OPEN_ATTEMPTS
-                && route.objective_ms > 0
                 && progress.attempts.may_start(route, open.len() as u32)
                 && open.iter().all(|attempt| !attempt.is_silent);
             let silent_at = may_seek.then(|| Instant::now() + silent_after);
@@ -210,6 +215,17 @@
         }
     }
 
+    /// Time without a response after which a backend server counts as silent.
+    fn silent_after(&self, route: &Route, request: &OpaqueRequest, deadline: Instant) -> Duration {
+        let output_tokens = self.dialect.output_tokens(&request.headers);
+        let longest_ms = self.planned_end.longest_run_ms(route, output_tokens);
+        let silent_after_ms = longest_ms.map_or(UNKNOWN_SILENCE_MS, |longest_ms| {
+            MIN_SILENCE_MS.max(SILENT_AFTER_ANSWERS * longest_ms)
+        });
+        let left = deadline.saturating_duration_since(Instant::now());
+        Duration::from_millis(silent_after_ms).min(left / MAX_SILENCE_PARTS)
+    }
+
     /// Time in ms after which a full backend server is likely to have answered one of its requests.
     fn usual_answer_ms(&self, route: &Route, request: &OpaqueRequest) -> u64 {
         let output_tokens = self.dialect.output_tokens(&request.headers);
--- a/crates/foxtailhold-relay/src/planned_end.rs
+++ b/crates/foxtailhold-relay/src/planned_end.rs
@@ -53,6 +53,12 @@
         self.durations.lock().usual_ms(&route.name, output_tokens)
     }
 
+    /// Longest duration in ms of the latest complete runs of such a request; `None` if none is known.
+    pub fn longest_run_ms(&self, route: &Route, output_tokens: Option<u64>) -> Option<u64> {
+        let durations = self.durations.lock();
+        durations.longest_ms(&route.name, output_tokens)
+    }
+
     /// Whether a request may begin to run now: it ends by `deadline`, or as others of its route did,
     /// before the end of a planned stop. One of which nothing is known may run if its answer comes
     /// whole and it may be repeated.
@@ -81,8 +87,7 @@
         if deadline <= end_at {
             return None;
         }
-        let longest_ms = self.durations.lock().longest_ms(&route.name, output_tokens);
-        match longest_ms {
+        match self.longest_run_ms(route, output_tokens) {
             Some(longest_ms) => {
                 let latest = end_at.checked_sub(Duration::from_millis(longest_ms));
                 Some(latest.unwrap_or(began_at))
