--- a/crates/foxtailhold-relay/src/jobs/accept.rs
+++ b/crates/foxtailhold-relay/src/jobs/accept.rs
@@ -10,8 +10,9 @@
 use tokio::time::Instant;
 
 use crate::dialect::Dialect;
-use crate::jobs::cache::{CachedJob, JOB_PREFIX, QuotaView, parse_quota};
+use crate::jobs::cache::{CachedJob, JOB_PREFIX};
 use crate::jobs::owner::next_owner;
+use crate::jobs::quota::{QuotaView, parse_quota};
 use crate::jobs::store::JOB_ROWS;
 use crate::jobs::{Job, JobError, Jobs, NewJob, QuotaRow, Result};
 use crate::relay::DEFAULT_RETRY_AFTER_MS;
--- a/crates/foxtailhold-relay/src/jobs/cache.rs
+++ b/crates/foxtailhold-relay/src/jobs/cache.rs
@@ -13,7 +13,7 @@
 
 use crate::ended_jobs::EndedJobs;
 use crate::follow::TableSink;
-use crate::jobs::drain::Drain;
+use crate::jobs::quota::{Drain, QuotaView};
 use crate::jobs::{JOBS_TABLE, QuotaRow};
 use crate::peers::Peers;
 
@@ -142,46 +142,6 @@
     pub version: u64,
 }
 
-/// Quota of a route as known to this instance.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct QuotaView {
-    /// Version of the row, 0 if there is none.
-    pub version: u64,
-    /// Decoded row.
-    pub row: QuotaRow,
-    /// Tokens of unfinished items now; `None` if the job accepted together with the row is not
-    /// known yet.
-    pub waiting_tokens: Option<u64>,
-    /// Tokens of items that end in a second; `None` if none has ended for a while.
-    pub tokens_per_s: Option<f64>,
-}
-
-impl QuotaView {
-    /// Time in ms until items with `tokens` have ended; `None` if nothing tells.
-    pub fn drain_ms(&self, tokens: u64) -> Option<u64> {
-        let seconds = tokens as f64 / self.tokens_per_s?;
-        Some((1_000.0 * seconds) as u64)
-    }
-
-    /// Upper bound of the waiting tokens. After an acceptance their number only falls until the
-    /// next acceptance.
-    pub fn max_waiting_tokens(&self) -> u64 {
-        self.waiting_tokens.unwrap_or(self.row.waiting_tokens)
-    }
-}
-
-/// Reads the quota row in the answer to a conflicting commit.
-pub fn parse_quota(row: &VersionedRow) -> Option<QuotaView> {
-    row.key.key.strip_prefix(QUOTA_PREFIX)?;
-    let value = row.value.as_deref()?;
-    Some(QuotaView {
-        version: row.version,
-        row: serde_json::from_slice(value).ok()?,
-        waiting_tokens: None,
-        tokens_per_s: None,
-    })
-}
-
 #[derive(Debug, Default)]
 struct CacheState {
     jobs: HashMap<JobId, CachedJob>,
