slots: the wait of callers is estimated once for all who ask for the same

With 710 backend servers of 8 slots each queued caller would sort 5,680 times for his estimate, ten times a second. The times are sorted once for each review, and not at all while a slot is ready.

Measured: slots, slot_waits, slot_versions, slot_probes, slot_late_items green.

--- a/crates/foxtailhold/src/slots/online_wait.rs
+++ b/crates/foxtailhold/src/slots/online_wait.rs
@@ -45,8 +45,9 @@
 }
 
 impl Pool {
-    /// The slots that requests of callers may get, without the queue for them.
-    fn online_supply(&self, now: MonoMs) -> OnlineSupply<'_> {
+    /// The slots that requests of callers may get, without the queue for them. Only those that are
+    /// ready if `is_ready_only`.
+    fn online_supply(&self, now: MonoMs, is_ready_only: bool) -> OnlineSupply<'_> {
         let held_ms = self.held_ms(now);
         let mut supply = OnlineSupply::new(held_ms);
         for backend in self.backends.values() {
@@ -55,8 +56,14 @@
             if usable > 0 {
                 ready += count(backend.grants.values(), |g| g.urgency == Urgency::Batch);
             }
-            let returns_ms = backend.online_returns_ms(now, held_ms);
-            supply.add_backend(&backend.config.version, (ready, usable), returns_ms);
+            let slots = (ready, usable);
+            match is_ready_only {
+                true => supply.add_backend(&backend.config.version, slots, std::iter::empty()),
+                false => {
+                    let returns_ms = backend.online_returns_ms(now, held_ms);
+                    supply.add_backend(&backend.config.version, slots, returns_ms);
+                }
+            }
         }
         supply
     }
@@ -75,13 +82,25 @@
 
     /// How long a new request of a caller is likely to wait.
     pub(super) fn expected_wait(&self, now: MonoMs, request: &SlotRequest) -> ExpectedWait {
-        let mut supply = self.online_supply(now);
+        let mut ready = self.online_supply(now, true);
+        self.add_ahead_of(&mut ready, request);
+        if ready.is_ready(request.version.as_ref()) {
+            return ExpectedWait {
+                wait_ms: Some(0),
+                interval_ms: 0,
+            };
+        }
+        let mut supply = self.online_supply(now, false);
+        self.add_ahead_of(&mut supply, request);
+        self.wait_in(&supply, now, request)
+    }
+
+    fn add_ahead_of(&self, supply: &mut OnlineSupply<'_>, request: &SlotRequest) {
         for waiting in &self.waiting {
             if goes_before(&waiting.request, request) {
                 supply.add_ahead(waiting.request.version.as_ref());
             }
         }
-        self.wait_in(&supply, now, request)
     }
 
     fn wait_in(
@@ -136,7 +155,7 @@
         if !self.waiting.iter().any(is_due) {
             return;
         }
-        let mut supply = self.online_supply(now);
+        let mut supply = self.online_supply(now, false);
         let mut refused = Vec::new();
         for waiting in &self.waiting {
             if waiting.request.urgency == Urgency::Batch {
--- a/crates/foxtailhold/src/slots/supply.rs
+++ b/crates/foxtailhold/src/slots/supply.rs
@@ -1,6 +1,8 @@
 //! Estimates how long an online request waits for a slot where backend servers of several software
 //! versions share a pool.
 
+use std::cell::RefCell;
+
 use crate::software_version::SoftwareVersion;
 
 /// What the backend servers of one version offer, and the requests that only they can serve.
@@ -37,6 +39,8 @@
     ahead_of_any: u64,
     /// Time in ms for which a request is likely to hold a slot.
     held_ms: u64,
+    /// Sorted times at which slots of these versions are returned. Many requests ask for the same.
+    sorted_returns: RefCell<Vec<(Vec<usize>, Vec<u64>)>>,
 }
 
 impl<'a> OnlineSupply<'a> {
@@ -46,6 +50,7 @@
             versions: Vec::new(),
             ahead_of_any: 0,
             held_ms,
+            sorted_returns: RefCell::default(),
         }
     }
 
@@ -104,54 +109,86 @@
         }
     }
 
-    fn wait_at_ms(&self, version: &SoftwareVersion) -> Option<u64> {
-        let own = self.versions.iter().find(|v| v.version == version)?;
+    /// Whether a slot is ready for a request.
+    pub(super) fn is_ready(&self, version: Option<&SoftwareVersion>) -> bool {
+        self.missing(version).is_none()
+    }
+
+    /// Slots that have to be returned before that of a request, beside those that versions lack for
+    /// themselves; `None` if one is ready.
+    fn missing(&self, version: Option<&SoftwareVersion>) -> Option<u64> {
+        let Some(version) = version else {
+            let spare: u64 = self.versions.iter().map(VersionSupply::spare).sum();
+            return self.ahead_of_any.checked_sub(spare);
+        };
+        let Some(own) = self.versions.iter().find(|v| v.version == version) else {
+            return Some(0);
+        };
         let others = self.versions.iter().filter(|v| v.version != version);
         let spare_elsewhere: u64 = others.map(VersionSupply::spare).sum();
         let share = own.usable as f64 / self.usable().max(1) as f64;
         let shared_ahead = self.ahead_of_any.saturating_sub(spare_elsewhere) as f64 * share;
-        let ahead = own.ahead + shared_ahead as u64;
-        let Some(missing) = ahead.checked_sub(own.ready) else {
+        (own.ahead + shared_ahead as u64).checked_sub(own.ready)
+    }
+
+    fn wait_at_ms(&self, version: &SoftwareVersion) -> Option<u64> {
+        let index = self.versions.iter().position(|v| v.version == version)?;
+        let Some(missing) = self.missing(Some(version)) else {
             return Some(0);
         };
-        (own.usable > 0).then(|| self.return_ms(&[own], missing))
+        (self.versions[index].usable > 0).then(|| self.return_ms(&[index], missing))
     }
 
     fn wait_anywhere_ms(&self) -> Option<u64> {
-        let spare: u64 = self.versions.iter().map(VersionSupply::spare).sum();
-        let Some(mut missing) = self.ahead_of_any.checked_sub(spare) else {
+        let Some(mut missing) = self.missing(None) else {
             return Some(0);
         };
         // The returned slots of a version go to the requests that wait for it until they are all
         // served, and to any request from then on. Versions are added in that order, as long as
         // their slots shorten the wait.
-        let usable = self.versions.iter().filter(|v| v.usable > 0);
-        let mut by_backlog: Vec<&VersionSupply<'_>> = usable.collect();
+        let usable = (0..self.versions.len()).filter(|index| self.versions[*index].usable > 0);
+        let mut by_backlog: Vec<usize> = usable.collect();
         by_backlog.sort_by(|a, b| {
-            let backlog = |v: &VersionSupply<'_>| v.excess() as f64 / v.usable as f64;
+            let backlog = |index: &usize| {
+                let supply = &self.versions[*index];
+                supply.excess() as f64 / supply.usable as f64
+            };
             backlog(a).total_cmp(&backlog(b))
         });
         let mut wait_ms: Option<u64> = None;
-        for (index, supply) in by_backlog.iter().enumerate() {
-            missing += supply.excess();
-            let with_version_ms = self.return_ms(&by_backlog[..=index], missing);
+        for (place, index) in by_backlog.iter().enumerate() {
+            missing += self.versions[*index].excess();
+            let with_version_ms = self.return_ms(&by_backlog[..=place], missing);
             wait_ms = Some(wait_ms.map_or(with_version_ms, |ms| ms.min(with_version_ms)));
         }
         wait_ms
     }
 
     /// Time in ms until slots of these versions have been returned once more than `ahead` times.
-    fn return_ms(&self, versions: &[&VersionSupply<'_>], ahead: u64) -> u64 {
-        let held = versions.iter().flat_map(|v| v.returns_ms.iter().copied());
-        // Slots that are ready go to the requests ahead, and are returned later.
-        let ready: u64 = versions.iter().map(|v| v.ready).sum();
-        let ready = std::iter::repeat_n(self.held_ms, ready as usize);
-        let mut returns_ms: Vec<u64> = held.chain(ready).collect();
-        returns_ms.sort_unstable();
-        let Some(slots) = u64::try_from(returns_ms.len()).ok().filter(|len| *len > 0) else {
+    fn return_ms(&self, versions: &[usize], ahead: u64) -> u64 {
+        let mut known = self.sorted_returns.borrow_mut();
+        let place = known.iter().position(|(of, _)| of == versions);
+        let place = place.unwrap_or_else(|| {
+            known.push((versions.to_vec(), self.sort_returns(versions)));
+            known.len() - 1
+        });
+        let returns_ms = &known[place].1;
+        let slots = returns_ms.len() as u64;
+        if slots == 0 {
             return self.held_ms;
-        };
-        let first_return_ms = returns_ms[(ahead % slots) as usize];
-        first_return_ms + (ahead / slots) * self.held_ms
+        }
+        returns_ms[(ahead % slots) as usize] + (ahead / slots) * self.held_ms
+    }
+
+    fn sort_returns(&self, versions: &[usize]) -> Vec<u64> {
+        let mut returns_ms = Vec::new();
+        for index in versions {
+            let supply = &self.versions[*index];
+            returns_ms.extend_from_slice(&supply.returns_ms);
+            // Slots that are ready go to the requests ahead, and are returned later.
+            returns_ms.extend(std::iter::repeat_n(self.held_ms, supply.ready as usize));
+        }
+        returns_ms.sort_unstable();
+        returns_ms
     }
 }
