jobs: items are given up at their retention time, by the clock of the store

What callers saw: an item that no replica takes, retention time 4 s, was listed as errored after 10.05 s, and after 10.61 s where its job had been taken over. With 25 s it was 31 s.

Cause: 6 s were added to every retention time, because the clocks of instances may differ by seconds. An item that waited for a slot looked at its time every 2 s only.

Change: the store's answers state a steady clock (PROTOCOL.md, NowMs). The row of a job has its retention time by that clock, and half a second for the time of an answer; instances compare it with the latest answers. A jump of an instance's clock no longer moves it. A wait for a slot ends with the time of the item. Results are due 600 ms before the promised time, as callers read twice per second (PROTOCOL.md).

--- a/crates/foxtailhold-relay/src/jobs/accept.rs
+++ b/crates/foxtailhold-relay/src/jobs/accept.rs
@@ -34,12 +34,14 @@
 const ACCEPTANCES: &str = "acceptances of the route";
 /// Time limit of the read that shows whether the store is back.
 const OUTAGE_PROBE_MS: u64 = 80;
-/// Items are given up this much later than the contract allows, because the clocks of instances
-/// differ by seconds.
+/// Items are given up this much later than the contract allows where only the clocks of instances tell
+/// the time, which differ by seconds.
 const GIVE_UP_MARGIN_MS: u64 = 6_000;
-/// The internal deadline of results is this much earlier than the promised one, for the last commit
-/// and the caller's next read.
-const DUE_MARGIN_MS: u64 = 300;
+/// The same by the clock of the store, of which an instance is behind by the time of an answer.
+const STORE_CLOCK_MARGIN_MS: u64 = 500;
+/// The internal deadline of results is this much earlier than the promised one: callers read twice per
+/// second, and a commit comes before.
+const DUE_MARGIN_MS: u64 = 600;
 
 /// Outcome of submitting a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -225,6 +227,14 @@
             accepted_unix_ms: now,
             due_unix_ms: now + limits.due_ms.saturating_sub(DUE_MARGIN_MS),
             give_up_unix_ms: now + limits.give_up_ms + GIVE_UP_MARGIN_MS,
+            give_up_store_ms: self
+                .relay
+                .metrics
+                .store_clock()
+                .now_ms()
+                .map_or(0, |now_ms| {
+                    now_ms + limits.give_up_ms + STORE_CLOCK_MARGIN_MS
+                }),
         }
     }
 
--- a/crates/foxtailhold-relay/src/jobs/cache.rs
+++ b/crates/foxtailhold-relay/src/jobs/cache.rs
@@ -61,6 +61,14 @@
     pub due_unix_ms: u64,
     /// Unix milliseconds from which unfinished items are given up.
     pub give_up_unix_ms: u64,
+    /// The same by the clock of the store, in ms; 0 if it was not known, or in rows of builds that do
+    /// not record it.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub give_up_store_ms: u64,
+}
+
+fn is_zero(number: &u64) -> bool {
+    *number == 0
 }
 
 impl Job {
--- a/crates/foxtailhold-relay/src/jobs/end.rs
+++ b/crates/foxtailhold-relay/src/jobs/end.rs
@@ -173,7 +173,7 @@
     fn is_end_given_up(&self, ending: &Ending<'_>) -> bool {
         let is_due = ending.started.elapsed() >= Duration::from_millis(self.ends.ack_ms);
         match self.cache.get(ending.id) {
-            Some(known) => is_due && self.relay.clock.wall().0 >= known.job.give_up_unix_ms,
+            Some(known) => is_due && self.time_left_ms(&known.job) == 0,
             None => is_due || self.is_store_away(),
         }
     }
--- a/crates/foxtailhold-relay/src/jobs/item/attempt.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/attempt.rs
@@ -269,10 +269,7 @@
         lease: ActLease,
         probe: Option<&EvidenceKeys>,
     ) -> (AttemptEnd, Option<GrantedSlot>) {
-        let left_ms = request
-            .job
-            .give_up_unix_ms
-            .saturating_sub(self.jobs.relay.clock.wall().0);
+        let left_ms = self.jobs.time_left_ms(request.job);
         let heard_at = watch::Sender::new(Instant::now());
         let heard = heard_at.subscribe();
         let run = Run {
--- a/crates/foxtailhold-relay/src/jobs/item/backoff.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/backoff.rs
@@ -66,7 +66,7 @@
         let until = Instant::now() + Duration::from_millis(PENDING_BACKOFF_MS);
         let limit = Duration::from_millis(PENDING_BACKOFF_MS);
         self.wait_for(WaitCause::LostOwners, Some(limit));
-        let is_open = || self.jobs.relay.clock.wall().0 < job.give_up_unix_ms;
+        let is_open = || self.jobs.time_left_ms(job) > 0;
         while Instant::now() < until && self.is_still_owned() && is_open() {
             let check_at = Instant::now() + Duration::from_millis(BACKOFF_CHECK_MS);
             tokio::time::sleep_until(until.min(check_at)).await;
--- a/crates/foxtailhold-relay/src/jobs/item/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/mod.rs
@@ -157,7 +157,7 @@
         self.counts = self.earlier_attempt_counts(job);
         let mut no_route: Option<Absence> = None;
         loop {
-            if self.jobs.relay.clock.wall().0 >= job.give_up_unix_ms {
+            if self.jobs.time_left_ms(job) == 0 {
                 return Some(self.into_result(ItemState::GivenUp));
             }
             match self.jobs.start_leave(self.id) {
--- a/crates/foxtailhold-relay/src/jobs/item/version.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/version.rs
@@ -68,7 +68,8 @@
                 done_unix_ms.saturating_sub(job.due_unix_ms),
             ),
         };
-        let timeout_at = Instant::now() + Duration::from_millis(SLOT_TIMEOUT_MS);
+        let timeout_ms = SLOT_TIMEOUT_MS.min(self.jobs.time_left_ms(job));
+        let timeout_at = Instant::now() + Duration::from_millis(timeout_ms);
         let wait_ends_at = *wait.ends_at.get_or_insert_with(|| self.version_wait_end());
         let mut avoid_with_others = avoid.to_vec();
         loop {
--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -235,6 +235,17 @@
         is_owned.then_some(cached.version)
     }
 
+    /// Time in ms until the unfinished items of a job are given up, 0 from then on.
+    pub(crate) fn time_left_ms(&self, job: &Job) -> u64 {
+        match self.relay.metrics.store_clock().now_ms() {
+            Some(now_ms) if job.give_up_store_ms > 0 => job.give_up_store_ms.saturating_sub(now_ms),
+            _ => {
+                let now_ms = self.relay.clock.wall().0;
+                job.give_up_unix_ms.saturating_sub(now_ms)
+            }
+        }
+    }
+
     /// Identifier of this instance.
     pub fn me(&self) -> &InstanceId {
         self.relay.peers.me()
--- a/crates/foxtailhold-relay/src/jobs/run.rs
+++ b/crates/foxtailhold-relay/src/jobs/run.rs
@@ -171,15 +171,14 @@
     delay: &mut RetryDelay,
 ) -> Duration {
     let delay = delay.next_delay();
-    let left_ms = job.give_up_unix_ms;
-    match left_ms.saturating_sub(jobs.relay.clock.wall().0) {
+    match jobs.time_left_ms(job) {
         0 => delay,
         left_ms => delay.min(Duration::from_millis(left_ms)),
     }
 }
 
 fn is_time_over<S: RowStore + ObjectStore, D: Dialect>(jobs: &Jobs<S, D>, job: &Job) -> bool {
-    jobs.relay.clock.wall().0 >= job.give_up_unix_ms
+    jobs.time_left_ms(job) == 0
 }
 
 fn run_end<S: RowStore + ObjectStore, D: Dialect>(jobs: &Jobs<S, D>, id: &JobId) -> RunEnd {
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -43,6 +43,7 @@
 pub mod saved_origin_rows;
 pub mod shared_store;
 pub mod store_access;
+pub mod store_clock;
 pub mod stream;
 pub mod stream_attempt;
 pub mod tables;
--- a/crates/foxtailhold-relay/src/metrics.rs
+++ b/crates/foxtailhold-relay/src/metrics.rs
@@ -19,6 +19,7 @@
 use crate::item_waits::ItemWaits;
 pub use crate::outcomes::{AttemptOutcome, CutReason};
 use crate::request::NotRunReason;
+use crate::store_clock::StoreClock;
 use crate::tables::TableStatus;
 use crate::work_counts::WorkCounts;
 
@@ -119,6 +120,7 @@
     gauges: Gauges,
     sampled: Arc<Mutex<SampledAttempts>>,
     tables: TableStatus,
+    store_clock: StoreClock,
     item_waits: ItemWaits,
     work: WorkCounts,
     resources: ResourceMetrics,
@@ -213,6 +215,7 @@
             gauges,
             sampled: Arc::default(),
             tables: TableStatus::default(),
+            store_clock: StoreClock::default(),
             item_waits: ItemWaits::default(),
             work,
             resources,
@@ -328,6 +331,11 @@
         &self.tables
     }
 
+    /// Time of the store, as its answers state it.
+    pub fn store_clock(&self) -> &StoreClock {
+        &self.store_clock
+    }
+
     /// Waits of batch items, which are metrics.
     pub fn item_waits(&self) -> &ItemWaits {
         &self.item_waits
--- a/crates/foxtailhold-relay/tests/job_cache_changes.rs
+++ b/crates/foxtailhold-relay/tests/job_cache_changes.rs
@@ -19,6 +19,7 @@
         accepted_unix_ms: 1,
         due_unix_ms: 2,
         give_up_unix_ms: 3,
+        give_up_store_ms: 0,
     };
     VersionedRow {
         key: RowKey::new("jobs", "job/j1"),
