admission: a caller of the OpenAI form waits for as long as he states

What callers saw: a caller who states 10 s is refused when his turn is 4 s away, and is taken out of the queue after 2 s.

Cause: 2 s were the longest wait, whatever the caller had stated.

Evidence: a_caller_waits_for_as_long_as_he_states, "a long deadline" red on the code before.

Change: whoever states a deadline waits until his request can no longer be served by then, and is refused at once if that is known. The 2 s stay for callers who state none.

--- a/crates/foxtailhold/src/admission/mod.rs
+++ b/crates/foxtailhold/src/admission/mod.rs
@@ -20,9 +20,10 @@
 pub const WAITING_PER_CUSTOMER: usize = 64;
 /// Largest number of waiting requests of all customers.
 pub const WAITING_IN_ALL: usize = 1_024;
-/// Longest time that a request waits.
+/// Longest time that a request waits whose caller states no deadline: he hears soon that he has to come
+/// back. A caller who states one waits until his request can no longer be served by then.
 pub const MAX_WAIT_MS: u64 = 2_000;
-/// Least retry time after a refusal.
+/// Least retry time after a refusal: `Retry-After` has whole seconds.
 pub const MIN_RETRY_AFTER_MS: u64 = 1_000;
 /// Longest retry time after a refusal.
 pub const MAX_RETRY_AFTER_MS: u64 = 30_000;
--- a/crates/foxtailhold/src/admission/queue.rs
+++ b/crates/foxtailhold/src/admission/queue.rs
@@ -139,8 +139,10 @@
             self.in_flight += 1;
             return EnqueueOutcome::Admitted;
         }
-        let give_up_at = now + MAX_WAIT_MS;
-        let give_up_at = arrival.deadline.map_or(give_up_at, |at| at.min(give_up_at));
+        let give_up_at = match arrival.deadline {
+            Some(at) => MonoMs(at.0.saturating_sub(self.service_ms() as u64)),
+            None => now + MAX_WAIT_MS,
+        };
         let in_time = self.expected_wait_ms(arrival) <= give_up_at.since_ms(now) as f64;
         let queued = self.customers.get(arrival.customer);
         let queued = queued.map_or(0, |queue| queue.waiters.len());
@@ -200,7 +202,7 @@
     /// Time after which a refused caller should retry: the time until the queue has drained, plus a
     /// random time of up to the same length.
     pub fn retry_after_ms(&self, draw: u64) -> u64 {
-        let drain_ms = self.service_time.mean_ms().unwrap_or(0.0) / f64::from(self.window.max(1));
+        let drain_ms = self.service_ms() / f64::from(self.window.max(1));
         let base_ms = (self.waiting as f64 * drain_ms) as u64;
         let base_ms = base_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS / 2);
         base_ms + draw % (base_ms + 1)
@@ -215,7 +217,12 @@
         let others = self.weights - queued.map_or(0, |queue| queue.weight);
         let rounds = (queued_before + 1) as f64 * (others + weight) as f64 / weight as f64;
         let ahead = rounds.min((self.waiting + 1) as f64);
-        ahead * self.service_time.mean_ms().unwrap_or(0.0) / f64::from(self.window.max(1))
+        ahead * self.service_ms() / f64::from(self.window.max(1))
+    }
+
+    /// Time in ms for which a request is likely to be served, 0 if nothing is known.
+    fn service_ms(&self) -> f64 {
+        self.service_time.mean_ms().unwrap_or(0.0)
     }
 
     fn refused(&self, draw: u64) -> EnqueueOutcome {
--- a/crates/foxtailhold/tests/admission.rs
+++ b/crates/foxtailhold/tests/admission.rs
@@ -112,6 +112,27 @@
     );
 }
 
+/// Guards against a caller who is refused though he has stated that he waits for as long as it takes.
+#[test_case(Some(10_000), true; "a long deadline")]
+#[test_case(Some(3_000), false; "a deadline before his turn")]
+#[test_case(None, false; "none stated")]
+fn a_caller_waits_for_as_long_as_he_states(deadline_ms: Option<u64>, waits: bool) {
+    let mut queue = AdmissionQueue::new(1);
+    let customer = id("granite-trail");
+    queue.enter(&arrival(&customer, Urgency::Normal, None), MonoMs(0));
+    let now = MonoMs(400);
+    queue.leave(MonoMs(0), now);
+    let patient = Some(now + 60_000);
+    for _ in 0..10 {
+        queue.enter(&arrival(&customer, Urgency::Normal, patient), now);
+    }
+    // One is in flight and nine wait, for 400 ms each.
+    let deadline = deadline_ms.map(|ms| now + ms);
+    let entered = queue.enter(&arrival(&customer, Urgency::Normal, deadline), now);
+    let is_waiting = matches!(entered, EnqueueOutcome::Waiting { .. });
+    assert_eq!(is_waiting, waits, "{entered:?}");
+}
+
 #[test]
 fn a_full_queue_evicts_from_the_longest_queue_for_a_newcomer() {
     let mut queue = AdmissionQueue::new(0);
