limits: a caller without a slot of his contract hears when one is likely to be free

What callers saw: 500 ms, whether their requests take 50 ms or 8 s.

Cause: a fixed time.

Evidence: the test names what was not there before: the time for which requests hold their slot.

Change: the mean time for which requests of the customer hold a slot, over the slots in use; 500 ms while none has ended.

--- a/crates/foxtailhold-entry/src/limits.rs
+++ b/crates/foxtailhold-entry/src/limits.rs
@@ -5,6 +5,7 @@
 use std::hash::BuildHasher;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::Instant;
 
 use arc_swap::ArcSwap;
 use foxtailhold::contract::Contract;
@@ -113,6 +114,7 @@
     customer: CustomerId,
     charged_tokens: f64,
     generated_tokens: f64,
+    admitted_at: Instant,
     slot: Option<Slot>,
 }
 
@@ -168,6 +170,7 @@
                 customer: customer.clone(),
                 charged_tokens,
                 generated_tokens: 0.0,
+                admitted_at: Instant::now(),
                 slot: None,
             }),
             LimitDecision::Wait => {
@@ -369,7 +372,8 @@
     fn drop(&mut self) {
         let unused_tokens = self.charged_tokens - self.generated_tokens;
         if let Some(usage) = self.limits.shard(&self.customer).get_mut(&self.customer) {
-            usage.holder.finish(unused_tokens);
+            let held_ms = self.admitted_at.elapsed().as_millis() as u64;
+            usage.holder.finish(unused_tokens, held_ms);
         }
     }
 }
--- a/crates/foxtailhold/src/limits/holder.rs
+++ b/crates/foxtailhold/src/limits/holder.rs
@@ -1,5 +1,6 @@
 //! Holder side: one customer's limits on one instance.
 
+use crate::admission::ServiceTime;
 use crate::ids::CustomerId;
 use crate::limits::{
     Credit, CustomerLimits, Demand, EXCHANGE_MS, FAST_RENEWAL_MS, IDLE_MS, LEASE_MS, Share,
@@ -7,7 +8,8 @@
 };
 use crate::time::MonoMs;
 
-/// Retry time for a request that is refused because all slots are in use.
+/// Retry time for a request that is refused because all slots are in use, while it is not known how
+/// long requests take.
 const SLOT_RETRY_AFTER_MS: u64 = 500;
 /// Shortest period over which demand is measured.
 const MIN_PERIOD_MS: u64 = 200;
@@ -78,6 +80,7 @@
     requests: TokenBucket,
     tokens: TokenBucket,
     in_flight: u32,
+    service_time: ServiceTime,
     measured: MeasuredDemand,
     measured_since: MonoMs,
     last_demand: Demand,
@@ -99,6 +102,7 @@
             requests: TokenBucket::new(0.0, 0.0, 0.0, now),
             tokens: TokenBucket::new(0.0, 0.0, 0.0, now),
             in_flight: 0,
+            service_time: ServiceTime::default(),
             measured: MeasuredDemand::default(),
             measured_since: now,
             last_demand: Demand::default(),
@@ -160,10 +164,11 @@
         LimitDecision::Admitted
     }
 
-    /// Ends an admitted request. `unused_tokens` is the charge minus the generated tokens, negative
-    /// if more were generated.
-    pub fn finish(&mut self, unused_tokens: f64) {
+    /// Ends an admitted request, which held its slot for `held_ms`. `unused_tokens` is the charge minus
+    /// the generated tokens, negative if more were generated.
+    pub fn finish(&mut self, unused_tokens: f64, held_ms: u64) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.service_time.record(held_ms);
         self.tokens.give(unused_tokens);
     }
 
@@ -305,7 +310,7 @@
 
     fn exceeded_limit(&mut self, now: MonoMs) -> Option<(LimitKind, u64)> {
         if self.in_flight >= self.share.slots {
-            return Some((LimitKind::Slots, SLOT_RETRY_AFTER_MS));
+            return Some((LimitKind::Slots, self.slot_return_ms()));
         }
         let wait_ms = self.requests.wait_ms(0.0, now);
         if wait_ms > 0 {
@@ -317,6 +322,14 @@
         }
     }
 
+    /// Time in ms after which one of the slots in use is likely to be free.
+    fn slot_return_ms(&self) -> u64 {
+        let mean_ms = self.service_time.mean_ms();
+        mean_ms.map_or(SLOT_RETRY_AFTER_MS, |mean_ms| {
+            (mean_ms / f64::from(self.in_flight.max(1))) as u64
+        })
+    }
+
     /// The share under a valid grant, empty without one.
     fn held(&self, now: MonoMs) -> Share {
         match self.state {
--- a/crates/foxtailhold/tests/common/shares.rs
+++ b/crates/foxtailhold/tests/common/shares.rs
@@ -225,7 +225,7 @@
             };
             match decision {
                 LimitDecision::Admitted => {
-                    node.holder.finish(0.0);
+                    node.holder.finish(0.0, 0);
                     return true;
                 }
                 LimitDecision::Over { .. } => return false,
--- a/crates/foxtailhold/tests/limits.rs
+++ b/crates/foxtailhold/tests/limits.rs
@@ -5,6 +5,8 @@
 mod common;
 
 use common::shares::{INSTANCES, LIMITS, World};
+use foxtailhold::limits::{CustomerLimits, LimitDecision, LimitKind, ShareHolder};
+use foxtailhold::time::MonoMs;
 use test_case::test_case;
 
 #[test_case(&[0]; "one instance")]
@@ -140,3 +142,25 @@
     }
     println!("admitted after {waited_ms} ms");
 }
+
+/// Guards against a caller who is told the same time however long the requests take that hold the slots.
+#[test]
+fn a_caller_without_a_slot_comes_back_when_one_is_likely_to_be_free() {
+    let now = MonoMs(0);
+    let limits = CustomerLimits { slots: 4, ..LIMITS };
+    let mut holder = ShareHolder::new(now);
+    assert_eq!(holder.admit(&limits, 1, 0.0, now), LimitDecision::Wait);
+    holder.fall_back(&limits, 1, now);
+    let fill = |holder: &mut ShareHolder| loop {
+        match holder.admit(&limits, 1, 0.0, now) {
+            LimitDecision::Admitted => {}
+            LimitDecision::Over { limit, after_ms } => break (limit, after_ms),
+            LimitDecision::Wait => panic!("waits"),
+        }
+    };
+    let (limit, _) = fill(&mut holder);
+    assert_eq!(limit, LimitKind::Slots);
+    let slots = u64::from(holder.in_flight());
+    holder.finish(0.0, 1_000 * slots);
+    assert_eq!(fill(&mut holder), (LimitKind::Slots, 1_000));
+}
