--- a/crates/foxtailhold/src/crashes.rs
+++ b/crates/foxtailhold/src/crashes.rs
@@ -27,7 +27,7 @@
 pub use crate::crash_evidence::CrashEvidence;
 use crate::crash_evidence::{met_by_probe, without_mark};
 pub use crate::crash_status::{CrashStatus, MAX_CRASHES};
-pub use crate::item_backoff::item_backoff_ms;
+pub use crate::item_backoff::{ITEM_RETURN_MS, item_backoff_ms};
 use crate::quarantine::{CrashId, Fingerprint, MAX_ENTRIES, PROBATION_MS, SUSPECT_TTL_MS};
 use crate::time::WallMs;
 
