slots: headroom and tight items follow from what is measured here

What callers saw: nothing they could name.

Change: headroom is for the callers who arrive while one batch item is preempted, by the usual time of a preemption. An item may use it if it has less slack than items usually wait for a slot, as it would miss its deadline by the usual wait. Both are measured by the allocator; one slot is kept before the first preemption, as before.

The tests let items wait first, and check the headroom with short and long preemptions.

--- a/crates/foxtailhold/src/slots/backend.rs
+++ b/crates/foxtailhold/src/slots/backend.rs
@@ -23,7 +23,8 @@
     pub(super) urgency: Urgency,
     pub(super) slack_until: MonoMs,
     pub(super) granted_at: MonoMs,
-    pub(super) preempting: bool,
+    /// Since when it is being preempted.
+    pub(super) preempting_since: Option<MonoMs>,
     /// Time without data as its instance last reported it; `None` before the first report.
     pub(super) reported_quiet_ms: Option<u64>,
 }
--- a/crates/foxtailhold/src/slots/pool.rs
+++ b/crates/foxtailhold/src/slots/pool.rs
@@ -26,10 +26,6 @@
 /// Slots kept free of batch work without online arrivals, so that a single arrival need not preempt
 /// a batch item.
 const MIN_HEADROOM: u64 = 1;
-/// Online arrivals per second for which one more slot is kept free. In the simulations of
-/// `foxtailhold-experiment`, twice as much headroom makes up to 1 in 100 batch items late, and no
-/// headroom makes 1 in 100 online requests late.
-const ARRIVALS_PER_HEADROOM: u64 = 28;
 /// The headroom is at most one slot in this many.
 const MIN_SLOTS_PER_HEADROOM: u64 = 4;
 /// Period over which arrivals are counted.
@@ -42,6 +38,10 @@
     arrivals: VecDeque<MonoMs>,
     /// Time for which requests of callers hold a slot.
     pub(super) service_time: ServiceTime,
+    /// Time until a preempted batch item has given up its slot.
+    preemption_time: ServiceTime,
+    /// Time for which granted batch items have waited.
+    batch_wait: ServiceTime,
     pub(super) returns: ReturnTimes,
     /// When the waits of queued callers are estimated again.
     pub(super) next_review_at: MonoMs,
@@ -91,6 +91,7 @@
             }
         }
         self.waiting.push(QueuedRequest {
+            queued_at: now,
             slack_until: now + request.slack_ms,
             last_request_at: now,
             request,
@@ -122,6 +123,9 @@
             let Some(grant) = backend.remove_grant(id) else {
                 continue;
             };
+            if let Some(since) = grant.preempting_since {
+                self.preemption_time.record(now.since_ms(since));
+            }
             if matches!(outcome, SlotOutcome::Done { .. }) {
                 backend.record_done(now);
             }
@@ -181,7 +185,7 @@
                 urgency: held.urgency,
                 slack_until: now + 1,
                 granted_at: now,
-                preempting: false,
+                preempting_since: None,
                 reported_quiet_ms: None,
             });
             grant.reported_quiet_ms = Some(held.quiet_ms);
@@ -284,6 +288,7 @@
         let mut free_slots = FreeSlots {
             free: 0,
             headroom: self.headroom(now),
+            urgent_slack_ms: self.batch_wait.mean_ms().unwrap_or(0.0) as u64,
             by_version: Vec::new(),
         };
         for backend in self.backends.values() {
@@ -301,10 +306,13 @@
         free_slots
     }
 
-    /// Slots kept free of batch work. A small or unhealthy pool keeps none: where engines only
+    /// Slots kept free of batch work: one, and one more for each caller who arrives while a batch item
+    /// is preempted. A small or unhealthy pool keeps none: where engines only
     /// accept single probes, batch items must be able to probe them too.
     fn headroom(&self, now: MonoMs) -> u64 {
-        let wanted = MIN_HEADROOM + self.arrivals.len() as u64 / ARRIVALS_PER_HEADROOM;
+        let preemption_ms = self.preemption_time.mean_ms().unwrap_or(0.0);
+        let arriving = self.arrivals.len() as f64 * preemption_ms / ARRIVAL_PERIOD_MS as f64;
+        let wanted = MIN_HEADROOM + arriving as u64;
         wanted.min(self.usable_slots(now) / MIN_SLOTS_PER_HEADROOM)
     }
 
@@ -322,11 +330,14 @@
         id: BackendId,
         decisions: &mut Vec<SlotNotice>,
     ) -> SoftwareVersion {
+        if waiting.request.urgency == Urgency::Batch {
+            self.batch_wait.record(now.since_ms(waiting.queued_at));
+        }
         let grant = Grant {
             urgency: waiting.request.urgency,
             slack_until: waiting.slack_until,
             granted_at: now,
-            preempting: false,
+            preempting_since: None,
             reported_quiet_ms: None,
         };
         let mut version = SoftwareVersion::default();
@@ -361,12 +372,12 @@
                     frees_slot,
                     is_late: grant.slack_until <= grant.granted_at,
                     slack_until: grant.slack_until,
-                    is_preempting: &mut grant.preempting,
+                    preempting_since: &mut grant.preempting_since,
                     is_claimed: false,
                 });
             }
         }
-        preemption::preempt(candidates, online, decisions);
+        preemption::preempt(now, candidates, online, decisions);
     }
 
     /// How the slots are used, and what waits for them.
--- a/crates/foxtailhold/src/slots/preemption.rs
+++ b/crates/foxtailhold/src/slots/preemption.rs
@@ -19,8 +19,8 @@
     pub(super) is_late: bool,
     /// Time until which it could wait and meet its deadline.
     pub(super) slack_until: MonoMs,
-    /// Whether it is being preempted.
-    pub(super) is_preempting: &'a mut bool,
+    /// Since when it is being preempted.
+    pub(super) preempting_since: &'a mut Option<MonoMs>,
     /// Whether it ends for one of the queued requests.
     pub(super) is_claimed: bool,
 }
@@ -30,11 +30,12 @@
         !self.is_claimed && self.frees_slot && self.config.version == *version
     }
 
-    fn claim(&mut self, decisions: &mut Vec<SlotNotice>) {
+    fn claim(&mut self, now: MonoMs, decisions: &mut Vec<SlotNotice>) {
         self.is_claimed = true;
-        if std::mem::replace(self.is_preempting, true) {
+        if self.preempting_since.is_some() {
             return;
         }
+        *self.preempting_since = Some(now);
         decisions.push(SlotNotice {
             request: self.request.clone(),
             decision: None,
@@ -46,13 +47,18 @@
 /// then those with the most slack. A request for a version preempts only at backend servers that
 /// it may be granted.
 pub(super) fn preempt<'a>(
+    now: MonoMs,
     mut candidates: Vec<Candidate<'_>>,
     online: impl Iterator<Item = &'a SlotRequest>,
     decisions: &mut Vec<SlotNotice>,
 ) {
     candidates.sort_by_key(|candidate| {
         let slack_until = Reverse(candidate.slack_until);
-        (!*candidate.is_preempting, !candidate.is_late, slack_until)
+        (
+            candidate.preempting_since.is_none(),
+            !candidate.is_late,
+            slack_until,
+        )
     });
     let mut wanted_anywhere = 0;
     let mut exhausted: Vec<&SoftwareVersion> = Vec::new();
@@ -65,7 +71,7 @@
             continue;
         }
         if let Some(candidate) = find_at_version(&mut candidates, request, version) {
-            candidate.claim(decisions);
+            candidate.claim(now, decisions);
             continue;
         }
         if !candidates.iter().any(|c| c.is_free_for(version)) {
@@ -74,7 +80,7 @@
     }
     let unclaimed = candidates.iter_mut().filter(|c| !c.is_claimed);
     for candidate in unclaimed.take(wanted_anywhere) {
-        candidate.claim(decisions);
+        candidate.claim(now, decisions);
     }
 }
 
--- a/crates/foxtailhold/src/slots/queue.rs
+++ b/crates/foxtailhold/src/slots/queue.rs
@@ -4,13 +4,11 @@
 use crate::software_version::SoftwareVersion;
 use crate::time::MonoMs;
 
-/// A batch item with less slack than this may use the headroom.
-const URGENT_SLACK_MS: u64 = 2_500;
-
 /// A request that waits for a slot.
 #[derive(Debug)]
 pub(super) struct QueuedRequest {
     pub(super) request: SlotRequest,
+    pub(super) queued_at: MonoMs,
     pub(super) slack_until: MonoMs,
     pub(super) last_request_at: MonoMs,
 }
@@ -28,17 +26,19 @@
 pub(super) struct FreeSlots {
     pub(super) free: u64,
     pub(super) headroom: u64,
+    /// Time for which batch items usually wait: one with less slack may use the headroom.
+    pub(super) urgent_slack_ms: u64,
     /// Free slots of each listed version; empty if no queued request names a version.
     pub(super) by_version: Vec<(SoftwareVersion, u64)>,
 }
 
 impl FreeSlots {
-    /// Whether a slot may be granted to the waiting request. A batch item that is close to missing
-    /// its deadline may use the headroom, since it is preempted anyway when an online request needs
-    /// its slot.
+    /// Whether a slot may be granted to the waiting request. A batch item that would miss its deadline
+    /// by the usual wait may use the headroom, since it is preempted anyway when an online request
+    /// needs its slot.
     pub(super) fn allows(&self, now: MonoMs, waiting: &QueuedRequest) -> bool {
         let until = waiting.slack_until;
-        let is_urgent = until > now && until < now + URGENT_SLACK_MS;
+        let is_urgent = until > now && until < now + self.urgent_slack_ms;
         if let Some(version) = &waiting.request.version {
             let mut versions = self.by_version.iter();
             if !versions.any(|(listed, free)| listed == version && *free > 0) {
--- a/crates/foxtailhold/tests/slot_waits.rs
+++ b/crates/foxtailhold/tests/slot_waits.rs
@@ -7,6 +7,7 @@
 };
 use foxtailhold::software_version::SoftwareVersion;
 use foxtailhold::time::MonoMs;
+use test_case::test_case;
 
 const ONLINE: Urgency = Urgency::Online { priority: 0 };
 const OBJECTIVE_MS: u64 = 300;
@@ -222,3 +223,28 @@
     let pauses: Vec<u64> = told.windows(2).map(|pair| pair[1] - pair[0]).collect();
     assert_eq!(pauses, [200; 5], "{told:?}");
 }
+
+/// Guards against a headroom that looks at the arrivals only: what counts is how many callers come while
+/// one preemption takes.
+#[test_case(20, 1 ; "short preemptions")]
+#[test_case(150, 4 ; "long preemptions")]
+fn the_headroom_is_for_the_callers_who_arrive_during_a_preemption(
+    preemption_ms: u64,
+    expected: u64,
+) {
+    let mut allocator = allocator(&[16]);
+    for number in 0..15 {
+        let item = request_from("entry-1", number, Urgency::Batch, 9_000);
+        submit(&mut allocator, 0, item);
+    }
+    granted(&mut allocator, 0, request(100, ONLINE));
+    let (_, preempted) = submit(&mut allocator, 0, request(101, ONLINE));
+    let item = preempted[0].request.number;
+    release(&mut allocator, preemption_ms, item, SlotOutcome::Abandoned);
+    let at_ms = preemption_ms + 1_001;
+    for number in 200..220 {
+        submit(&mut allocator, at_ms, request(number, ONLINE));
+    }
+    let mut loads = allocator.pool_loads(MonoMs(at_ms));
+    assert_eq!(loads.next().unwrap().1.headroom, expected);
+}
