--- a/crates/foxtailhold/src/outage_return.rs
+++ b/crates/foxtailhold/src/outage_return.rs
@@ -1,11 +1,11 @@
 //! When callers that are turned away during an outage of the platform's store should come back.
 //!
-//! Load pattern: every instance that has just started, and every call that the store has to make
-//! durable, turns all its callers away for seconds, nobody knows the end of the outage, and each
-//! caller has only a few attempts. An attempt during the outage is lost, so callers come back after
-//! about as long again as the outage has lasted.
+//! Nobody knows the end of an outage, and by the contract callers retry a few times. An attempt during
+//! the outage is lost, so callers come back after about as long again as the outage has lasted. The same
+//! holds for a service without a backend server.
 
-/// Least length that is assumed of an outage.
+/// Least length that is assumed of an outage: a call of the store may take this long until it shows that
+/// the store is back.
 pub const SHORT_OUTAGE_MS: u64 = 1_500;
 /// Longest time after which a caller should come back.
 pub const MAX_RETURN_MS: u64 = 10_000;
