--- a/crates/foxtailhold-relay/tests/run_durations.rs
+++ b/crates/foxtailhold-relay/tests/run_durations.rs
@@ -49,3 +49,17 @@
         Some(10)
     );
 }
+
+#[test]
+fn the_usual_run_is_that_of_the_same_size_or_the_next_smaller_one() {
+    let mut durations = RunDurations::default();
+    assert_eq!(durations.usual_ms("a", Some(100)), None);
+    for took_ms in [10, 900, 20, 30, 40] {
+        durations.record("a", Some(100), took_ms);
+    }
+    assert_eq!(durations.usual_ms("a", Some(100)), Some(30));
+    assert_eq!(durations.usual_ms("a", Some(4_000)), Some(30));
+    // A smaller request may take any shorter time.
+    assert_eq!(durations.usual_ms("a", Some(10)), None);
+    assert_eq!(durations.usual_ms("b", Some(100)), None);
+}
