slots: a full engine is tried again when a slot is likely to be free there

Callers who took up a stream while the store had to confirm its origin were told a time that did not look at what they had left; that is passed on now too.

Cause: 40 ms for each engine that said that it was full, about two requests of one step of one engine.

Change: the mean time of a request over the slots of the engine; 40 ms while none is known.

--- a/crates/foxtailhold-relay/src/dispatch.rs
+++ b/crates/foxtailhold-relay/src/dispatch.rs
@@ -136,7 +136,7 @@
         let destination = match self.destination(routes, route, &request).await {
             Ok(destination) => destination,
             Err(reason) => {
-                let retry_after_ms = self.retry_take_up_ms(reason);
+                let retry_after_ms = self.retry_take_up_ms(&request, reason);
                 return RelayOutcome::Unserved(progress.unserved(reason, retry_after_ms));
             }
         };
--- a/crates/foxtailhold-relay/src/take_up.rs
+++ b/crates/foxtailhold-relay/src/take_up.rs
@@ -111,13 +111,17 @@
     }
 
     /// Delay after which a stream that could not be taken up may be: the store may answer then.
-    pub(crate) fn retry_take_up_ms(&self, reason: NotRunReason) -> Option<u64> {
+    pub(crate) fn retry_take_up_ms(
+        &self,
+        request: &OpaqueRequest,
+        reason: NotRunReason,
+    ) -> Option<u64> {
         if reason != NotRunReason::UnconfirmedVersion {
             return None;
         }
         let outage = self.metrics.tables().outage(FollowedTable::Backends);
         let outage_ms = outage.unwrap_or_default().as_millis() as u64;
-        Some(return_after_ms(Some(outage_ms), None))
+        Some(return_after_ms(Some(outage_ms), request.caller_left_ms()))
     }
 
     /// Records where a resumable stream began, before its first event is passed on. The first streams
--- a/crates/foxtailhold/src/slots/health.rs
+++ b/crates/foxtailhold/src/slots/health.rs
@@ -19,8 +19,8 @@
 /// responded well for a while. A server that fails half of its requests must not get all slots back
 /// with its first success.
 const SLOTS_PER_SHARE: f64 = 4.0;
-/// A backend server that reported itself full gets no new request for this time, which is about two
-/// requests of one engine step each.
+/// A backend server that reported itself full gets no new request for this time, while it is not known
+/// how long its requests take.
 pub const FULL_BACKOFF_MS: u64 = 40;
 /// Longest time for which an ejection blocks all slots. While more than this remains of the
 /// ejection, one slot stays usable for a probe, since a backend server is usually back a few
@@ -46,7 +46,7 @@
                 self.broken_share *= 1.0 - SHARE_WEIGHT;
                 self.breaker.succeeded();
             }
-            SlotOutcome::Full => self.full_until = now + FULL_BACKOFF_MS,
+            SlotOutcome::Full => self.record_full(now, FULL_BACKOFF_MS),
             SlotOutcome::Unreachable | SlotOutcome::Silent => self.eject(now, draw),
             SlotOutcome::Broken => {
                 self.consecutive_broken += 1;
@@ -61,6 +61,11 @@
         }
     }
 
+    /// Records that the backend server is full, and likely to have a free slot after `for_ms`.
+    pub fn record_full(&mut self, now: MonoMs, for_ms: u64) {
+        self.full_until = now + for_ms;
+    }
+
     fn eject(&mut self, now: MonoMs, draw: u64) {
         if self.breaker.availability(now) == Availability::Ejected {
             return;
--- a/crates/foxtailhold/src/slots/pool.rs
+++ b/crates/foxtailhold/src/slots/pool.rs
@@ -5,6 +5,7 @@
 use crate::admission::ServiceTime;
 use crate::ids::BackendId;
 use crate::slots::backend::{Backend, Grant, MAX_REPORT_INTERVAL_MS, MAX_SILENCE_MS};
+use crate::slots::health::FULL_BACKOFF_MS;
 use crate::slots::preemption::{self, Candidate};
 use crate::slots::queue::{FreeSlots, QueuedRequest, queue_key};
 use crate::slots::returns::ReturnTimes;
@@ -118,6 +119,7 @@
     pub fn release(&mut self, now: MonoMs, id: &SlotRequestId, outcome: SlotOutcome, draw: u64) {
         self.waiting.retain(|waiting| waiting.request.id != *id);
         let is_herd_silent = self.is_herd_silent(now);
+        let held_ms = self.service_time.mean_ms().map(|mean_ms| mean_ms as u64);
         for backend in self.backends.values_mut() {
             let is_silent = backend.is_silent(now) == Some(true);
             let Some(grant) = backend.remove_grant(id) else {
@@ -131,6 +133,11 @@
             }
             match outcome {
                 SlotOutcome::Silent if is_herd_silent => backend.suspect(),
+                SlotOutcome::Full => {
+                    let slots = u64::from(backend.config.slots.max(1));
+                    let for_ms = held_ms.map_or(FULL_BACKOFF_MS, |held_ms| held_ms / slots);
+                    backend.health.record_full(now, for_ms);
+                }
                 SlotOutcome::Abandoned if is_silent && !is_herd_silent => {
                     backend.health.note(now, SlotOutcome::Silent, draw);
                 }
--- a/crates/foxtailhold/tests/slot_waits.rs
+++ b/crates/foxtailhold/tests/slot_waits.rs
@@ -248,3 +248,25 @@
     let mut loads = allocator.pool_loads(MonoMs(at_ms));
     assert_eq!(loads.next().unwrap().1.headroom, expected);
 }
+
+/// Guards against requests that are sent again and again to an engine that is full for longer.
+#[test_case(None, 40 ; "nothing is known")]
+#[test_case(Some(1_600), 200 ; "requests of 1600 ms")]
+fn a_full_engine_is_tried_again_when_a_slot_is_likely_to_be_free(
+    held_ms: Option<u64>,
+    expected_ms: u64,
+) {
+    let mut allocator = allocator(&[8]);
+    if let Some(held_ms) = held_ms {
+        granted(&mut allocator, 0, request(1, ONLINE));
+        release(&mut allocator, 0, 1, SlotOutcome::Done { held_ms });
+    }
+    granted(&mut allocator, 0, request(2, ONLINE));
+    release(&mut allocator, 0, 2, SlotOutcome::Full);
+    let patient = |number| request_from("entry-1", number, ONLINE, 5_000);
+    assert_eq!(
+        submit(&mut allocator, expected_ms - 1, patient(3)).0,
+        SlotDecision::Queued
+    );
+    granted(&mut allocator, expected_ms, patient(4));
+}
