relay: modules of the new parts import in one direction

modules, no_crate_has_import_cycles, was red: the time of callers and the relay, the rows of results and the store of jobs, quotas and the cache, checkpoints and the run of a job imported each other. What both need is in a module of its own. Nothing else has changed.

--- a/crates/foxtailhold-relay/src/jobs/cache.rs
+++ b/crates/foxtailhold-relay/src/jobs/cache.rs
@@ -13,14 +13,12 @@
 
 use crate::ended_jobs::EndedJobs;
 use crate::follow::TableSink;
-use crate::jobs::quota::{Drain, QuotaView};
+use crate::jobs::quota::{Drain, QUOTA_PREFIX, QuotaView};
 use crate::jobs::{JOBS_TABLE, QuotaRow};
 use crate::peers::Peers;
 
 /// Key prefix of the rows of jobs.
 pub const JOB_PREFIX: &str = "job/";
-/// Key prefix of the rows of quotas.
-pub const QUOTA_PREFIX: &str = "quota/";
 
 /// Most tokens that the items of a job may have together, far from where those of all jobs could
 /// overflow.
--- a/crates/foxtailhold-relay/src/jobs/checkpoint_writer.rs
+++ b/crates/foxtailhold-relay/src/jobs/checkpoint_writer.rs
@@ -8,7 +8,6 @@
 
 use crate::dialect::Dialect;
 use crate::jobs::checkpoint::{CHECKPOINT_EVENTS, PartialOutputs};
-use crate::jobs::run::CONFLICT_DELAY_MS;
 use crate::jobs::split::split_checkpoint;
 use crate::jobs::{Checkpoint, Jobs};
 use crate::retry_delay::RetryDelay;
@@ -16,6 +15,8 @@
 /// Interval between checkpoints. Together with [`CHECKPOINT_EVENTS`] it bounds the output that
 /// items lose with their owner.
 const CHECKPOINT_INTERVAL_MS: u64 = 800;
+/// First and longest delay after a change of the row of the job that came first.
+pub(super) const CONFLICT_DELAY_MS: (u64, u64) = (20, 1_000);
 /// Conflicts after which checkpoints are left to the next interval.
 const MAX_CONFLICTS: usize = 4;
 /// Name of the rows of checkpoints in metrics.
--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -22,6 +22,7 @@
 mod quota;
 mod read;
 mod result_rows;
+mod row_encoding;
 mod run;
 mod split;
 mod store;
--- a/crates/foxtailhold-relay/src/jobs/quota.rs
+++ b/crates/foxtailhold-relay/src/jobs/quota.rs
@@ -7,8 +7,9 @@
 use tokio::time::Instant;
 
 use crate::jobs::QuotaRow;
-use crate::jobs::cache::QUOTA_PREFIX;
 
+/// Key prefix of the rows of quotas.
+pub const QUOTA_PREFIX: &str = "quota/";
 /// Time over which ended items are counted.
 const WINDOW: Duration = Duration::from_secs(10);
 
--- a/crates/foxtailhold-relay/src/jobs/result_rows.rs
+++ b/crates/foxtailhold-relay/src/jobs/result_rows.rs
@@ -5,8 +5,8 @@
 use foxtailhold_platform::{RowKey, VersionedRow};
 use serde::{Deserialize, Serialize};
 
+use crate::jobs::row_encoding::encode_row;
 use crate::jobs::split::{ResultForm, split_text};
-use crate::jobs::store::encode_row;
 use crate::jobs::{ItemState, JobError, ListedResult, RESULTS_TABLE, Result};
 
 /// Last part of a result whose key has two digits for it.
--- a/crates/foxtailhold-relay/src/jobs/run.rs
+++ b/crates/foxtailhold-relay/src/jobs/run.rs
@@ -12,7 +12,7 @@
 
 use crate::dialect::Dialect;
 use crate::jobs::checkpoint::PartialOutputs;
-use crate::jobs::checkpoint_writer::{save_checkpoints_once, write_checkpoints};
+use crate::jobs::checkpoint_writer::{CONFLICT_DELAY_MS, save_checkpoints_once, write_checkpoints};
 use crate::jobs::counts_writer::CountsWriter;
 use crate::jobs::item::ItemRunner;
 use crate::jobs::progress::TaskProgress;
@@ -24,8 +24,6 @@
 const COMMIT_DELAY_MS: u64 = 30;
 /// Delay after a failed store call.
 const RETRY_DELAY_MS: u64 = 200;
-/// First and longest delay after a change of the row of the job that came first.
-pub(super) const CONFLICT_DELAY_MS: (u64, u64) = (20, 1_000);
 /// Name of the rows of results in metrics.
 const RESULT_ROWS: &str = "results";
 /// Delay before bodies are read again that are missing or cannot be decoded.
--- a/crates/foxtailhold-relay/src/jobs/store.rs
+++ b/crates/foxtailhold-relay/src/jobs/store.rs
@@ -14,10 +14,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::jobs::bodies::{BodyCache, JobBodies};
-use crate::jobs::cache::{JOB_PREFIX, QUOTA_PREFIX};
+use crate::jobs::cache::JOB_PREFIX;
 use crate::jobs::checkpoint::{ATTEMPT_COUNTS_KEY, item_key};
 use crate::jobs::counts_writer::CountsWrite;
+use crate::jobs::quota::QUOTA_PREFIX;
 use crate::jobs::result_rows::{decode_results, result_key, result_rows};
+use crate::jobs::row_encoding::encode_row;
 use crate::jobs::split::{ResultForm, pack};
 use crate::jobs::{
     BODIES_TABLE, CHECKPOINTS_TABLE, Checkpoint, Item, JOBS_TABLE, Job, JobError, ListedResult,
@@ -93,14 +95,6 @@
     Ok((key, encode_row(id, checkpoint)?))
 }
 
-pub(super) fn encode_row<T: Serialize>(job: &JobId, value: &T) -> Result<Bytes> {
-    let encoded = serde_json::to_vec(value).map_err(|error| JobError::Malformed {
-        job: job.clone(),
-        detail: error.to_string(),
-    })?;
-    Ok(encoded.into())
-}
-
 /// Encodes the row of a job. Where it would exceed a row, it leaves out which results are long.
 fn encode_job(id: &JobId, job: &Job) -> Result<Bytes> {
     let row = encode_row(id, job)?;
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod run_durations;
 pub mod saved_origin_rows;
 pub mod shared_store;
+mod slot_wait;
 pub mod store_access;
 pub mod store_clock;
 pub mod stream;
