slots: a caller with little time is not refused behind those with much

What callers saw: a caller with 0.6 s was refused behind four with 6 s each, though whoever has the least time left goes first: the slot that is free after 0.4 s would be his.

Cause: the wait of a newcomer was estimated behind all of his rank, but the queue is in the order of the time left.

Evidence: a_caller_with_little_time_is_served_before_those_with_much, case 1 red on the code before.

Change: the wait is estimated by the order of the queue. A newcomer who would take the turn of one of his rank who has time for no later one is refused, so that nobody is turned away for one who came later.

--- a/crates/foxtailhold/src/slots/online_wait.rs
+++ b/crates/foxtailhold/src/slots/online_wait.rs
@@ -2,7 +2,7 @@
 //! should come back.
 
 use crate::slots::pool::{Pool, count};
-use crate::slots::queue::QueuedRequest;
+use crate::slots::queue::{QueueKey, QueuedRequest, queue_key};
 use crate::slots::supply::OnlineSupply;
 use crate::slots::{SlotDecision, SlotNotice, SlotRequest, Urgency};
 use crate::time::MonoMs;
@@ -28,22 +28,6 @@
     }
 }
 
-/// Whether a queued request goes before a new one of a caller, whatever their deadlines are.
-fn goes_before(queued: &SlotRequest, new: &SlotRequest) -> bool {
-    let (
-        Urgency::Online {
-            priority: queued_priority,
-        },
-        Urgency::Online { priority },
-    ) = (queued.urgency, new.urgency)
-    else {
-        return false;
-    };
-    // A resumed stream goes before new ones.
-    let is_resumed = new.version.is_none() || queued.version.is_some();
-    queued_priority < priority || (queued_priority == priority && is_resumed)
-}
-
 impl Pool {
     /// The slots that requests of callers may get, without the queue for them. Only those that are
     /// ready if `is_ready_only`.
@@ -80,24 +64,47 @@
         held_ms.max().unwrap_or(0)
     }
 
-    /// How long a new request of a caller is likely to wait.
-    pub(super) fn expected_wait(&self, now: MonoMs, request: &SlotRequest) -> ExpectedWait {
+    /// How long a new request of a caller is likely to wait, if it has to be refused: its caller would
+    /// leave before, or it would take the turn of one of its rank who has time for no later one.
+    pub(super) fn refusal(&self, now: MonoMs, request: &SlotRequest) -> Option<ExpectedWait> {
+        let version = request.version.as_ref();
+        let key = queue_key(now, request, now + request.slack_ms);
         let mut ready = self.online_supply(now, true);
-        self.add_ahead_of(&mut ready, request);
-        if ready.is_ready(request.version.as_ref()) {
-            return ExpectedWait {
-                wait_ms: Some(0),
-                interval_ms: 0,
-            };
+        self.add_ahead_of(&mut ready, now, key);
+        if ready.is_ready(version) {
+            return None;
         }
         let mut supply = self.online_supply(now, false);
-        self.add_ahead_of(&mut supply, request);
-        self.wait_in(&supply, now, request)
+        self.add_ahead_of(&mut supply, now, key);
+        let wait = self.wait_in(&supply, now, request);
+        if wait.exceeds(request.slack_ms) {
+            return Some(wait);
+        }
+        let mut with_new = supply.clone();
+        with_new.add_ahead(version);
+        let same_rank = |waiting: &&QueuedRequest| {
+            let other = waiting.key(now);
+            other > key && (other.0, other.1, other.2) == (key.0, key.1, key.2)
+        };
+        let mut behind: Vec<&QueuedRequest> = self.waiting.iter().filter(same_rank).collect();
+        behind.sort_by_key(|waiting| waiting.key(now));
+        for waiting in behind {
+            let left_ms = waiting.slack_until.since_ms(now);
+            let delayed = self.wait_in(&with_new, now, &waiting.request);
+            let undelayed = self.wait_in(&supply, now, &waiting.request);
+            if delayed.exceeds(left_ms) && !undelayed.exceeds(left_ms) {
+                return Some(delayed);
+            }
+            let version = waiting.request.version.as_ref();
+            supply.add_ahead(version);
+            with_new.add_ahead(version);
+        }
+        None
     }
 
-    fn add_ahead_of(&self, supply: &mut OnlineSupply<'_>, request: &SlotRequest) {
+    fn add_ahead_of(&self, supply: &mut OnlineSupply<'_>, now: MonoMs, key: QueueKey) {
         for waiting in &self.waiting {
-            if goes_before(&waiting.request, request) {
+            if waiting.key(now) <= key {
                 supply.add_ahead(waiting.request.version.as_ref());
             }
         }
--- a/crates/foxtailhold/src/slots/pool.rs
+++ b/crates/foxtailhold/src/slots/pool.rs
@@ -7,7 +7,7 @@
 use crate::slots::backend::{Backend, Grant, MAX_REPORT_INTERVAL_MS, MAX_SILENCE_MS};
 use crate::slots::health::FULL_BACKOFF_MS;
 use crate::slots::preemption::{self, Candidate};
-use crate::slots::queue::{FreeSlots, QueuedRequest, queue_key};
+use crate::slots::queue::{FreeSlots, QueuedRequest};
 use crate::slots::returns::ReturnTimes;
 use crate::slots::{
     BackendSlots, HeldSlot, PoolLoad, SlotDecision, SlotNotice, SlotOutcome, SlotRequest,
@@ -67,8 +67,9 @@
         }
     }
 
-    /// Handles a new or repeated slot request. A new request of a caller who would leave before a slot
-    /// is free is refused; any other is queued until the next [`Pool::decide`].
+    /// Handles a new or repeated slot request. A new request of a caller is refused if he would leave
+    /// before a slot is free, or make one leave who waits already; any other is queued until the next
+    /// [`Pool::decide`].
     pub fn request_slot(&mut self, now: MonoMs, request: SlotRequest) -> SlotDecision {
         if let Some(backend) = self.granted_backend(&request.id) {
             return SlotDecision::Granted(backend);
@@ -85,8 +86,7 @@
             if request.avoid.is_empty() {
                 self.arrivals.push_back(now);
             }
-            let wait = self.expected_wait(now, &request);
-            if wait.exceeds(request.slack_ms) {
+            if let Some(wait) = self.refusal(now, &request) {
                 let retry_after_ms = self.assign_return(now, &request, wait);
                 return SlotDecision::Refused { retry_after_ms };
             }
@@ -225,7 +225,7 @@
             }
             self.arrivals.pop_front();
         }
-        self.waiting.sort_by_key(|waiting| queue_key(now, waiting));
+        self.waiting.sort_by_key(|waiting| waiting.key(now));
         let mut free_slots = self.free_slots(now);
         self.drop_gone_versions(&free_slots, decisions);
         let mut still_waiting = Vec::new();
--- a/crates/foxtailhold/src/slots/queue.rs
+++ b/crates/foxtailhold/src/slots/queue.rs
@@ -14,10 +14,9 @@
 }
 
 impl QueuedRequest {
-    /// When its slack ends or has ended, in ms on the allocator's clock. An item may have become late
-    /// before that clock started.
-    fn due_ms(&self) -> i128 {
-        i128::from(self.slack_until.0) - i128::from(self.request.late_ms)
+    /// Its place in the queue.
+    pub(super) fn key(&self, now: MonoMs) -> QueueKey {
+        queue_key(now, &self.request, self.slack_until)
     }
 }
 
@@ -66,18 +65,22 @@
     }
 }
 
+/// Place of a request in the queue, the first one being the least.
+pub(super) type QueueKey = (bool, u8, bool, bool, i128);
+
 /// Queue order: online before batch, then by priority. Streams that are resumed, which name a
 /// version, go before new ones: their callers have a part of the answer already, and other engines
 /// cannot complete it. Then whoever has the least time left, so that no caller waits without end behind
 /// later ones. Batch items that can still meet their deadline go before late ones, which keep their
 /// deadline however often they ask anew.
-pub(super) fn queue_key(now: MonoMs, waiting: &QueuedRequest) -> (bool, u8, bool, bool, i128) {
-    let (until, due_ms) = (waiting.slack_until, waiting.due_ms());
-    match waiting.request.urgency {
+pub(super) fn queue_key(now: MonoMs, request: &SlotRequest, slack_until: MonoMs) -> QueueKey {
+    // An item may have become late before the clock of the allocator started.
+    let due_ms = i128::from(slack_until.0) - i128::from(request.late_ms);
+    match request.urgency {
         Urgency::Online { priority } => {
-            let is_new = waiting.request.version.is_none();
+            let is_new = request.version.is_none();
             (false, priority, is_new, false, due_ms)
         }
-        Urgency::Batch => (true, 0, false, until <= now, due_ms),
+        Urgency::Batch => (true, 0, false, slack_until <= now, due_ms),
     }
 }
--- a/crates/foxtailhold/src/slots/supply.rs
+++ b/crates/foxtailhold/src/slots/supply.rs
@@ -6,7 +6,7 @@
 use crate::software_version::SoftwareVersion;
 
 /// What the backend servers of one version offer, and the requests that only they can serve.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct VersionSupply<'a> {
     version: &'a SoftwareVersion,
     /// Slots that are free or can be preempted.
@@ -32,7 +32,7 @@
 }
 
 /// Slots of a pool by version, and the queue ahead of one online request.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(super) struct OnlineSupply<'a> {
     versions: Vec<VersionSupply<'a>>,
     /// Queued requests that any version can serve.
--- a/crates/foxtailhold/tests/slot_waits.rs
+++ b/crates/foxtailhold/tests/slot_waits.rs
@@ -166,6 +166,39 @@
     }
 }
 
+/// Guards against a caller with little time who is refused behind others with much, though he goes first.
+#[test_case(600, true ; "the others have time left")]
+#[test_case(150, false ; "the slot is free after his time")]
+fn a_caller_with_little_time_is_served_before_those_with_much(slack_ms: u64, is_queued: bool) {
+    let mut allocator = allocator_with_service_time(&[1]);
+    granted(&mut allocator, 0, request(1, ONLINE));
+    for number in 2..6 {
+        let patient = request_from("entry-1", number, ONLINE, 6_000);
+        assert_eq!(submit(&mut allocator, 0, patient).0, SlotDecision::Queued);
+    }
+    let impatient = request_from("entry-1", 6, ONLINE, slack_ms);
+    let decision = submit(&mut allocator, 400, impatient).0;
+    assert_eq!(decision == SlotDecision::Queued, is_queued, "{decision:?}");
+    if is_queued {
+        let decisions = release(&mut allocator, 800, 1, DONE);
+        assert_eq!(decisions[0].request.number, 6);
+    }
+}
+
+/// Guards against a caller who waits and is then turned away for one who came later.
+#[test]
+fn a_caller_does_not_take_the_turn_of_one_who_has_time_for_no_later_one() {
+    let mut allocator = allocator_with_service_time(&[1]);
+    granted(&mut allocator, 0, request(1, ONLINE));
+    let waiting = request_from("entry-1", 2, ONLINE, 1_000);
+    assert_eq!(submit(&mut allocator, 0, waiting).0, SlotDecision::Queued);
+    let decision = submit(&mut allocator, 100, request_from("entry-1", 3, ONLINE, 800)).0;
+    assert!(
+        matches!(decision, SlotDecision::Refused { .. }),
+        "{decision:?}"
+    );
+}
+
 /// Guards against a queued caller who is held until his time is over, though no slot can be free before.
 #[test]
 fn a_queued_caller_is_refused_once_no_slot_can_be_free_in_time() {
