store clock: one answer with a wrong time gives up no item

Cause: an answer with a time far ahead would have counted at once and until the next one. All open items would have been over their retention time, and listed as errored.

The test that let the first answer of another store count asks for two.

--- a/crates/foxtailhold-relay/tests/store_clock.rs
+++ b/crates/foxtailhold-relay/tests/store_clock.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use foxtailhold_relay::store_clock::StoreClock;
+use test_case::test_case;
 
 const PAUSE_MS: u64 = 50;
 /// Much more than the tests take.
@@ -41,10 +42,25 @@
     assert_about(&clock, 58_000);
 }
 
-#[test]
-fn the_clock_of_another_store_counts_from_its_first_answer() {
+/// Guards against items that are all given up because of one wrong time.
+#[test_case(9_000_000_000 ; "far ahead")]
+#[test_case(3 ; "far behind")]
+fn one_answer_with_another_time_counts_for_nothing(wrong_ms: u64) {
+    let clock = StoreClock::default();
+    clock.observe(500_000);
+    clock.observe(wrong_ms);
+    assert_about(&clock, 500_000);
+    clock.observe(500_001);
+    clock.observe(wrong_ms);
+    assert_about(&clock, 500_000);
+}
+
+#[test_case(9_000_000_000 ; "far ahead")]
+#[test_case(3 ; "far behind")]
+fn another_time_counts_once_two_answers_agree(other_ms: u64) {
     let clock = StoreClock::default();
-    clock.observe(5_000_000);
-    clock.observe(100);
-    assert_about(&clock, 100);
+    clock.observe(500_000);
+    clock.observe(other_ms);
+    clock.observe(other_ms + 1);
+    assert_about(&clock, other_ms);
 }
