relay: the module of evidence is public again

The module of callers' times is public as its type is a public field. A comment says why a slot request beside an open attempt has no limit.

--- a/crates/foxtailhold-relay/src/engine.rs
+++ b/crates/foxtailhold-relay/src/engine.rs
@@ -216,7 +216,7 @@
         let service = &destination.service;
         let deadline = progress.attempts.deadline;
         let request_slot = |avoid: Vec<BackendId>, has_open: bool| {
-            // A request beside an open attempt holds up nobody.
+            // While an attempt is open, its caller does not wait for the slot.
             let slack_ms = match has_open {
                 true => u64::from(u32::MAX),
                 false => self.wait_left_ms(route, &request, deadline),
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -2,9 +2,9 @@
 #![warn(clippy::unwrap_used)]
 
 pub mod absences;
-mod attempt_evidence;
+pub mod attempt_evidence;
 pub mod attempts;
-mod caller_time;
+pub mod caller_time;
 pub mod connections;
 pub mod crash_rows;
 pub mod crashes;
