tests: the setup of the tests of slots stands once

slot_waits had a copy of 90 lines of slots. The time of a caller is PATIENCE_MS, not an objective. No test has changed.

--- a/crates/foxtailhold/tests/common/mod.rs
+++ b/crates/foxtailhold/tests/common/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod shares;
+pub mod slots;
 
 use std::sync::Arc;
 
--- a/crates/foxtailhold/tests/slot_probes.rs
+++ b/crates/foxtailhold/tests/slot_probes.rs
@@ -9,7 +9,7 @@
 use foxtailhold::time::MonoMs;
 
 const CALLER: Urgency = Urgency::Online { priority: 0 };
-const OBJECTIVE_MS: u64 = 300;
+const PATIENCE_MS: u64 = 300;
 const PROBE_SLACK_MS: u64 = 2_000;
 
 fn pool() -> TargetName {
@@ -62,7 +62,7 @@
 fn full_with_short_requests(probe_held_ms: Option<u64>) -> Allocator {
     let mut allocator = allocator(2);
     for number in 0..200 {
-        submit(&mut allocator, number, CALLER, OBJECTIVE_MS);
+        submit(&mut allocator, number, CALLER, PATIENCE_MS);
         release(&mut allocator, number, 20);
     }
     if let Some(held_ms) = probe_held_ms {
@@ -70,7 +70,7 @@
         release(&mut allocator, 300, held_ms);
     }
     for number in 400..402 {
-        submit(&mut allocator, number, CALLER, OBJECTIVE_MS);
+        submit(&mut allocator, number, CALLER, PATIENCE_MS);
     }
     allocator
 }
@@ -79,7 +79,7 @@
 fn callers_are_not_refused_for_the_time_that_a_probe_held_its_slot() {
     for probe_held_ms in [None, Some(15_000)] {
         let mut allocator = full_with_short_requests(probe_held_ms);
-        let decision = submit(&mut allocator, 500, CALLER, OBJECTIVE_MS);
+        let decision = submit(&mut allocator, 500, CALLER, PATIENCE_MS);
         assert_eq!(decision, SlotDecision::Queued, "{probe_held_ms:?}");
     }
 }
@@ -87,15 +87,15 @@
 #[test]
 fn a_probe_is_queued_where_a_caller_would_be_refused() {
     let mut allocator = allocator(1);
-    submit(&mut allocator, 0, CALLER, OBJECTIVE_MS);
+    submit(&mut allocator, 0, CALLER, PATIENCE_MS);
     release(&mut allocator, 0, 800);
-    submit(&mut allocator, 1, CALLER, OBJECTIVE_MS);
+    submit(&mut allocator, 1, CALLER, PATIENCE_MS);
     for number in 2..20 {
         submit(&mut allocator, number, CALLER, 60_000);
     }
-    let caller = submit(&mut allocator, 30, CALLER, OBJECTIVE_MS);
+    let caller = submit(&mut allocator, 30, CALLER, PATIENCE_MS);
     assert!(matches!(caller, SlotDecision::Refused { .. }), "{caller:?}");
-    let probe = submit(&mut allocator, 31, Urgency::ITEM_PROBE, OBJECTIVE_MS);
+    let probe = submit(&mut allocator, 31, Urgency::ITEM_PROBE, PATIENCE_MS);
     assert_eq!(probe, SlotDecision::Queued);
 }
 
--- a/crates/foxtailhold/tests/slot_versions.rs
+++ b/crates/foxtailhold/tests/slot_versions.rs
@@ -11,7 +11,7 @@
 use test_case::test_case;
 
 const ONLINE: Urgency = Urgency::Online { priority: 0 };
-const OBJECTIVE_MS: u64 = 300;
+const PATIENCE_MS: u64 = 300;
 const PATIENT_MS: u64 = 60_000;
 const DONE: SlotOutcome = SlotOutcome::Done { held_ms: 800 };
 
@@ -72,7 +72,7 @@
 }
 
 fn online(number: u64, wanted: Option<&str>) -> SlotRequest {
-    request(number, ONLINE, OBJECTIVE_MS, wanted)
+    request(number, ONLINE, PATIENCE_MS, wanted)
 }
 
 fn patient(number: u64, wanted: Option<&str>) -> SlotRequest {
--- a/crates/foxtailhold/tests/slot_waits.rs
+++ b/crates/foxtailhold/tests/slot_waits.rs
@@ -1,106 +1,14 @@
 //! Callers who wait for a slot: who is queued, who is refused, and when they are told to come back.
 
-use foxtailhold::ids::{AvailabilityZone, BackendId, InstanceId, TargetName};
-use foxtailhold::slots::{
-    Allocator, BackendSlots, SlotDecision, SlotNotice, SlotOutcome, SlotRequest, SlotRequestId,
-    Urgency,
+mod common;
+
+use common::slots::{
+    DONE, ONLINE, PATIENCE_MS, allocator, granted, release, request, request_from, submit,
 };
-use foxtailhold::software_version::SoftwareVersion;
+use foxtailhold::slots::{Allocator, SlotDecision, SlotOutcome, Urgency};
 use foxtailhold::time::MonoMs;
 use test_case::test_case;
 
-const ONLINE: Urgency = Urgency::Online { priority: 0 };
-const OBJECTIVE_MS: u64 = 300;
-
-fn pool() -> TargetName {
-    TargetName::try_from("writers").unwrap()
-}
-
-fn zone(name: &str) -> AvailabilityZone {
-    AvailabilityZone::try_from(name).unwrap()
-}
-
-fn backend(name: &str) -> BackendId {
-    BackendId::try_from(name).unwrap()
-}
-
-fn instance(name: &str) -> InstanceId {
-    InstanceId::try_from(name).unwrap()
-}
-
-/// Engines with the given numbers of slots, in the zones `a`, `b` and `c` in turn.
-fn allocator(slots: &[u32]) -> Allocator {
-    let mut allocator = Allocator::default();
-    allocator.set_backends(&pool(), &backend_slots(slots));
-    allocator
-}
-
-fn backend_slots(slots: &[u32]) -> Vec<BackendSlots> {
-    let zones = ["a", "b", "c"];
-    let engines = slots.iter().enumerate().map(|(index, slots)| BackendSlots {
-        backend: backend(&format!("engine-{index}")),
-        zone: zone(zones[index % zones.len()]),
-        slots: *slots,
-        version: version("v1"),
-    });
-    engines.collect()
-}
-
-fn version(text: &str) -> SoftwareVersion {
-    SoftwareVersion::try_from(text).unwrap()
-}
-
-fn request_from(instance_name: &str, number: u64, urgency: Urgency, slack_ms: u64) -> SlotRequest {
-    SlotRequest {
-        id: SlotRequestId {
-            instance: instance(instance_name),
-            number,
-        },
-        pool: pool(),
-        urgency,
-        slack_ms,
-        late_ms: 0,
-        avoid: Vec::new(),
-        zone: zone("a"),
-        version: None,
-    }
-}
-
-fn request(number: u64, urgency: Urgency) -> SlotRequest {
-    request_from("entry-1", number, urgency, OBJECTIVE_MS)
-}
-
-fn submit(
-    allocator: &mut Allocator,
-    at_ms: u64,
-    slot_request: SlotRequest,
-) -> (SlotDecision, Vec<SlotNotice>) {
-    let mut decisions = Vec::new();
-    let decision = allocator.request_slot(MonoMs(at_ms), slot_request, &mut decisions);
-    (decision, decisions)
-}
-
-fn granted(allocator: &mut Allocator, at_ms: u64, slot_request: SlotRequest) -> BackendId {
-    match submit(allocator, at_ms, slot_request).0 {
-        SlotDecision::Granted(backend) => backend,
-        other => panic!("not granted: {other:?}"),
-    }
-}
-
-fn release(
-    allocator: &mut Allocator,
-    at_ms: u64,
-    number: u64,
-    outcome: SlotOutcome,
-) -> Vec<SlotNotice> {
-    let mut decisions = Vec::new();
-    let id = request(number, ONLINE).id;
-    allocator.release(MonoMs(at_ms), &pool(), &id, outcome, &mut decisions);
-    decisions
-}
-
-const DONE: SlotOutcome = SlotOutcome::Done { held_ms: 800 };
-
 /// Like [`allocator`], after a request that held a slot for 800 ms.
 fn allocator_with_service_time(slots: &[u32]) -> Allocator {
     let mut allocator = allocator(slots);
@@ -228,9 +136,9 @@
     granted(&mut allocator, 0, request(1, ONLINE));
     submit(&mut allocator, 0, request(2, ONLINE));
     let mut decisions = Vec::new();
-    allocator.tick(MonoMs(OBJECTIVE_MS / 2), &mut decisions);
+    allocator.tick(MonoMs(PATIENCE_MS / 2), &mut decisions);
     assert_eq!(decisions, []);
-    allocator.tick(MonoMs(OBJECTIVE_MS), &mut decisions);
+    allocator.tick(MonoMs(PATIENCE_MS), &mut decisions);
     assert_eq!(decisions[0].request.number, 2);
     let decision = decisions[0].decision.clone();
     assert!(matches!(decision, Some(SlotDecision::Refused { .. })));
--- a/crates/foxtailhold/tests/slots.rs
+++ b/crates/foxtailhold/tests/slots.rs
@@ -1,107 +1,17 @@
 //! Allocation of slots at engines: grants, queueing, preemption and refusals. Guards against
 //! engines with more requests than slots, lost slots, and batch items that delay online requests.
 
-use foxtailhold::ids::{AvailabilityZone, BackendId, InstanceId, TargetName};
-use foxtailhold::slots::{
-    Allocator, BackendSlots, HeldSlot, SlotDecision, SlotNotice, SlotOutcome, SlotRequest,
-    SlotRequestId, Urgency,
+mod common;
+
+use common::slots::{
+    DONE, ONLINE, PATIENCE_MS, allocator, backend, backend_slots, granted, instance, pool, release,
+    request, request_from, submit, zone,
 };
-use foxtailhold::software_version::SoftwareVersion;
+use foxtailhold::ids::InstanceId;
+use foxtailhold::slots::{HeldSlot, SlotDecision, SlotOutcome, SlotRequest, Urgency};
 use foxtailhold::time::MonoMs;
 use test_case::test_case;
 
-const ONLINE: Urgency = Urgency::Online { priority: 0 };
-const OBJECTIVE_MS: u64 = 300;
-
-fn pool() -> TargetName {
-    TargetName::try_from("writers").unwrap()
-}
-
-fn zone(name: &str) -> AvailabilityZone {
-    AvailabilityZone::try_from(name).unwrap()
-}
-
-fn backend(name: &str) -> BackendId {
-    BackendId::try_from(name).unwrap()
-}
-
-fn instance(name: &str) -> InstanceId {
-    InstanceId::try_from(name).unwrap()
-}
-
-/// Engines with the given numbers of slots, in the zones `a`, `b` and `c` in turn.
-fn allocator(slots: &[u32]) -> Allocator {
-    let mut allocator = Allocator::default();
-    allocator.set_backends(&pool(), &backend_slots(slots));
-    allocator
-}
-
-fn backend_slots(slots: &[u32]) -> Vec<BackendSlots> {
-    let zones = ["a", "b", "c"];
-    let engines = slots.iter().enumerate().map(|(index, slots)| BackendSlots {
-        backend: backend(&format!("engine-{index}")),
-        zone: zone(zones[index % zones.len()]),
-        slots: *slots,
-        version: version("v1"),
-    });
-    engines.collect()
-}
-
-fn version(text: &str) -> SoftwareVersion {
-    SoftwareVersion::try_from(text).unwrap()
-}
-
-fn request_from(instance_name: &str, number: u64, urgency: Urgency, slack_ms: u64) -> SlotRequest {
-    SlotRequest {
-        id: SlotRequestId {
-            instance: instance(instance_name),
-            number,
-        },
-        pool: pool(),
-        urgency,
-        slack_ms,
-        late_ms: 0,
-        avoid: Vec::new(),
-        zone: zone("a"),
-        version: None,
-    }
-}
-
-fn request(number: u64, urgency: Urgency) -> SlotRequest {
-    request_from("entry-1", number, urgency, OBJECTIVE_MS)
-}
-
-fn submit(
-    allocator: &mut Allocator,
-    at_ms: u64,
-    slot_request: SlotRequest,
-) -> (SlotDecision, Vec<SlotNotice>) {
-    let mut decisions = Vec::new();
-    let decision = allocator.request_slot(MonoMs(at_ms), slot_request, &mut decisions);
-    (decision, decisions)
-}
-
-fn granted(allocator: &mut Allocator, at_ms: u64, slot_request: SlotRequest) -> BackendId {
-    match submit(allocator, at_ms, slot_request).0 {
-        SlotDecision::Granted(backend) => backend,
-        other => panic!("not granted: {other:?}"),
-    }
-}
-
-fn release(
-    allocator: &mut Allocator,
-    at_ms: u64,
-    number: u64,
-    outcome: SlotOutcome,
-) -> Vec<SlotNotice> {
-    let mut decisions = Vec::new();
-    let id = request(number, ONLINE).id;
-    allocator.release(MonoMs(at_ms), &pool(), &id, outcome, &mut decisions);
-    decisions
-}
-
-const DONE: SlotOutcome = SlotOutcome::Done { held_ms: 800 };
-
 #[test]
 fn requests_spread_evenly_with_one_more_in_the_own_zone() {
     let mut allocator = allocator(&[8, 8, 8]);
@@ -282,12 +192,12 @@
     granted(
         &mut allocator,
         0,
-        request_from("entry-2", 1, ONLINE, OBJECTIVE_MS),
+        request_from("entry-2", 1, ONLINE, PATIENCE_MS),
     );
     granted(
         &mut allocator,
         0,
-        request_from("entry-2", 2, ONLINE, OBJECTIVE_MS),
+        request_from("entry-2", 2, ONLINE, PATIENCE_MS),
     );
     submit(
         &mut allocator,
@@ -325,7 +235,7 @@
     granted(
         &mut allocator,
         0,
-        request_from("entry-2", 1, ONLINE, OBJECTIVE_MS),
+        request_from("entry-2", 1, ONLINE, PATIENCE_MS),
     );
     allocator.report(MonoMs(250), &instance("entry-2"), &[]);
     assert_eq!(
