relay: lines that tell which event or row is out of place

Cause: a stream that began with a later event, or passed on one without an identifier, left no line; the line at the next event named no backend server. No row of a result named the text it is a part of. Change: one line for each event out of place, with its backend server and the event that was due; each row of a result has the hash of its text (rows of the last build have none, and it skips the field), and a read that joins rows of several texts logs an error. No decision is changed.

--- a/crates/foxtailhold-relay/src/connections.rs
+++ b/crates/foxtailhold-relay/src/connections.rs
@@ -185,6 +185,11 @@
         checked
     }
 
+    /// Backend server at the other end.
+    pub fn backend(&self) -> &BackendId {
+        &self.backend
+    }
+
     /// Records a response that does not state the identity of its request. The connection is kept for
     /// requests that may run more than once.
     pub(crate) fn record_unidentified(&mut self) {
--- a/crates/foxtailhold-relay/src/events.rs
+++ b/crates/foxtailhold-relay/src/events.rs
@@ -126,14 +126,18 @@
     }
 
     fn check_order(&mut self, event: RawEvent) -> StreamRead {
-        let Some(id) = event_id(&event) else {
+        let due = self.last_id.map_or(1, |last| last + 1);
+        let id = event_id(&event);
+        if id != Some(due) && !is_comment(&event) {
+            log::warn!(
+                backend = self.connection.backend().as_str(), due = due, event = id;
+                "event out of place in a response"
+            );
+        }
+        let Some(id) = id else {
             return StreamRead::Event(event);
         };
         if self.last_id.is_some_and(|last| id != last + 1) {
-            log::warn!(
-                "event {id} out of order in a stream, last event was {:?}",
-                self.last_id
-            );
             return StreamRead::Broken;
         }
         self.last_id = Some(id);
--- a/crates/foxtailhold-relay/src/jobs/result_rows.rs
+++ b/crates/foxtailhold-relay/src/jobs/result_rows.rs
@@ -4,6 +4,7 @@
 use foxtailhold::ids::JobId;
 use foxtailhold_platform::{RowKey, VersionedRow};
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::jobs::row_encoding::encode_row;
 use crate::jobs::split::{ResultForm, split_text};
@@ -19,6 +20,9 @@
     state: ItemState,
     text: String,
     is_last: bool,
+    /// Hash of the whole text; `None` in rows of builds that did not record it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    text_hash: Option<u64>,
 }
 
 /// Keys are in the order of positions and parts.
@@ -45,12 +49,14 @@
 ) -> Result<Vec<(RowKey, Bytes)>> {
     let texts = split_text(&result.text, form.max_text_bytes());
     let last = texts.len() - 1;
+    let text_hash = xxh3_64(result.text.as_bytes());
     let rows = texts.into_iter().enumerate().map(|(number, text)| {
         let part = ResultPart {
             item: result.item.clone(),
             state: result.state,
             text: text.to_owned(),
             is_last: number == last,
+            text_hash: Some(text_hash),
         };
         let key = result_key(id, position, number);
         Ok((RowKey::new(RESULTS_TABLE, &key), encode_row(id, &part)?))
@@ -80,6 +86,12 @@
             continue;
         }
         complete_position = position;
+        if part
+            .text_hash
+            .is_some_and(|hash| hash != xxh3_64(text.as_bytes()))
+        {
+            log::error!(job = id.as_str(), item = part.item.as_str(); "rows of a result are of several texts");
+        }
         results.push(ListedResult {
             item: part.item,
             state: part.state,
