relay: an event without a place ends its run

Cause: the position of a stream was the identifier of its last event, if it had one. Callers were told that a stream is whole though its first event was missing (any first event was taken), or got an event twice: one without a readable identifier was passed on and not counted, so the next one looked like a gap, and the next run was asked to go on before it. Items had rules of their own, and counted such an event where their run began from nothing. Change: one type for the place of an event, for streams and items. A position places only the event that is due and states one number; anything else ends the run as broken, before it is passed on. It works as no other code can make an event that goes on. Comments are no events: they are passed on from the only open attempt, do not let one attempt replace another, and reset no time limit (before, a comment from a second attempt ended the first one).

--- a/crates/foxtailhold-engine/src/sse.rs
+++ b/crates/foxtailhold-engine/src/sse.rs
@@ -18,17 +18,17 @@
     /// Returns the value of the first line with the field name `field`, without the leading space,
     /// or `None` if there is no such line.
     pub fn field(&self, field: &str) -> Option<&[u8]> {
-        for line in self.raw.split(|byte| *byte == b'\n') {
-            let Some(rest) = line.strip_prefix(field.as_bytes()) else {
-                continue;
-            };
-            let Some(value) = rest.strip_prefix(b":") else {
-                continue;
-            };
+        self.fields(field).next()
+    }
+
+    /// Returns the values of all lines with the field name `field`, without their leading space.
+    pub fn fields(&self, field: &str) -> impl Iterator<Item = &[u8]> {
+        let lines = self.raw.split(|byte| *byte == b'\n');
+        lines.filter_map(move |line| {
+            let value = line.strip_prefix(field.as_bytes())?.strip_prefix(b":")?;
             let value = value.strip_suffix(b"\r").unwrap_or(value);
-            return Some(value.strip_prefix(b" ").unwrap_or(value));
-        }
-        None
+            Some(value.strip_prefix(b" ").unwrap_or(value))
+        })
     }
 }
 
--- a/crates/foxtailhold-relay/src/events.rs
+++ b/crates/foxtailhold-relay/src/events.rs
@@ -10,18 +10,21 @@
 use foxtailhold_http::response_end::EndProof;
 
 use crate::connections::BusyConnection;
+use crate::event_place::{OutOfPlace, OutputPosition, PlacedEvent};
 use crate::upstream::ResponseEnd;
 
 /// Result of reading from a stream.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum StreamRead {
-    /// A complete event.
-    Event(RawEvent),
+    /// The next event.
+    Event(PlacedEvent),
+    /// Lines without an event, which keep the connection open.
+    Comment(RawEvent),
     /// The stream is complete.
     End,
     /// The connection ended in the middle of the stream.
     Closed,
-    /// An event is missing, repeated or too large.
+    /// An event is missing, repeated, without a number or too large.
     Broken,
     /// Nothing was received before the time limit.
     Silent,
@@ -36,7 +39,7 @@
     proof: EndProof,
     connection: BusyConnection,
     splitter: EventSplitter,
-    last_id: Option<u64>,
+    position: OutputPosition,
 }
 
 impl EventReader {
@@ -54,7 +57,7 @@
             proof: EndProof::None,
             connection,
             splitter: EventSplitter::default(),
-            last_id: after,
+            position: OutputPosition::after(after),
         }
     }
 
@@ -68,9 +71,9 @@
         self.end == ResponseEnd::Stated || self.proof == EndProof::LivedOn
     }
 
-    /// Identifier of the last event; `None` if there is none.
-    pub fn last_id(&self) -> Option<u64> {
-        self.last_id
+    /// Number of the last event; `None` if there is none.
+    pub fn last_event(&self) -> Option<u64> {
+        self.position.last()
     }
 
     /// Reads the next event that is no comment, for at most `timeout_ms` and not beyond `deadline`.
@@ -79,15 +82,14 @@
         let until = deadline.min(Instant::now() + Duration::from_millis(timeout_ms));
         loop {
             match self.read_until(until).await {
-                StreamRead::Event(event) if !is_comment(&event) => return StreamRead::Event(event),
-                StreamRead::Event(_) if Instant::now() < until => continue,
-                StreamRead::Event(_) => return StreamRead::Silent,
+                StreamRead::Comment(_) if Instant::now() < until => continue,
+                StreamRead::Comment(_) => return StreamRead::Silent,
                 read => return read,
             }
         }
     }
 
-    /// Reads the next event until `until`.
+    /// Reads the next event or comment until `until`.
     pub async fn read_until(&mut self, until: Instant) -> StreamRead {
         loop {
             if let Some(event) = self.splitter.next_event() {
@@ -126,22 +128,19 @@
     }
 
     fn check_order(&mut self, event: RawEvent) -> StreamRead {
-        let due = self.last_id.map_or(1, |last| last + 1);
-        let id = event_id(&event);
-        if id != Some(due) && !is_comment(&event) {
-            log::warn!(
-                backend = self.connection.backend().as_str(), due = due, event = id;
-                "event out of place in a response"
-            );
+        if is_comment(&event) {
+            return StreamRead::Comment(event);
         }
-        let Some(id) = id else {
-            return StreamRead::Event(event);
-        };
-        if self.last_id.is_some_and(|last| id != last + 1) {
-            return StreamRead::Broken;
+        match self.position.place(event) {
+            Ok(event) => StreamRead::Event(event),
+            Err(OutOfPlace { due, found }) => {
+                log::warn!(
+                    backend = self.connection.backend().as_str(), due = due, event = found;
+                    "event out of place in a response"
+                );
+                StreamRead::Broken
+            }
         }
-        self.last_id = Some(id);
-        StreamRead::Event(event)
     }
 
     /// Returns the connection for reuse after the end of the stream.
@@ -154,24 +153,12 @@
     event.field("id").is_none() && event.field("data").is_none()
 }
 
-/// Numeric identifier of an event; `None` if it has none.
-pub fn event_id(event: &RawEvent) -> Option<u64> {
-    let text = std::str::from_utf8(event.field("id")?).ok()?;
-    text.trim().parse().ok()
-}
-
 /// Appends the data lines of an event to `text`, separated by line feeds.
 pub fn push_data(text: &mut Vec<u8>, event: &RawEvent, is_first: bool) {
-    let mut is_first = is_first;
-    for line in event.raw.split(|byte| *byte == b'\n') {
-        let line = line.strip_suffix(b"\r").unwrap_or(line);
-        let Some(value) = line.strip_prefix(b"data:") else {
-            continue;
-        };
-        if !is_first {
+    for (index, value) in event.fields("data").enumerate() {
+        if index > 0 || !is_first {
             text.push(b'\n');
         }
-        is_first = false;
-        text.extend_from_slice(value.strip_prefix(b" ").unwrap_or(value));
+        text.extend_from_slice(value);
     }
 }
--- a/crates/foxtailhold-relay/src/jobs/item/attempt.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/attempt.rs
@@ -5,7 +5,6 @@
 use foxtailhold::act_lease::ActLease;
 use foxtailhold::routes::Route;
 use foxtailhold::slots::SlotOutcome;
-use foxtailhold_engine::sse::RawEvent;
 use foxtailhold_platform::{ObjectStore, RowStore};
 use http::uri::PathAndQuery;
 use http::{HeaderMap, Method, StatusCode};
@@ -16,7 +15,8 @@
 use super::version::{Precedence, VersionWait};
 use super::{GrantedSlot, ItemRunner, RETRY_DELAY_MS, WRITE_LIMIT_MS};
 use crate::dialect::Dialect;
-use crate::events::{EventReader, StreamRead, event_id, push_data};
+use crate::event_place::PlacedEvent;
+use crate::events::{EventReader, StreamRead, push_data};
 use crate::fleet::BackendServer;
 use crate::item_waits::WaitCause;
 use crate::jobs::freshness::StartLeave;
@@ -411,29 +411,26 @@
                 }
                 StreamRead::Closed => return AttemptEnd::Interrupted(AttemptFailure::Closed),
                 StreamRead::Broken => return AttemptEnd::Interrupted(AttemptFailure::Broken),
-                StreamRead::Silent => return AttemptEnd::Interrupted(AttemptFailure::Silent),
+                StreamRead::Silent | StreamRead::Comment(_) => {
+                    return AttemptEnd::Interrupted(AttemptFailure::Silent);
+                }
             }
         }
     }
 
     /// Appends an event to the output. Returns `false` if it does not follow or the output has become
     /// too large.
-    fn append_event(&self, event: &RawEvent, writer: &Writer) -> bool {
+    fn append_event(&self, event: &PlacedEvent, writer: &Writer) -> bool {
         let outputs = &self.partial_outputs;
         let (is_appended, bytes) = outputs.update(&self.item.id, |output| {
-            let id = match event_id(event) {
-                Some(id) => id,
-                // Without identifiers, a response from the start looks like a resumed one.
-                None if writer.resumed.is_none() => output.last() + 1,
-                None => return (false, output.text().len()),
-            };
-            let push = |text: &mut Vec<u8>, is_first| push_data(text, event, is_first);
-            (output.append(writer, id, push), output.text().len())
+            let push = |text: &mut Vec<u8>, is_first| push_data(text, event.event(), is_first);
+            let is_appended = output.append(writer, event.number(), push);
+            (is_appended, output.text().len())
         });
         if !is_appended {
             log::warn!(
                 job = self.id.as_str(), item = self.item.id.as_str(),
-                run = writer.run.to_string(), after = self.events(), event = event_id(event);
+                run = writer.run.to_string(), after = self.events(), event = event.number();
                 "event of an item does not follow its output, ending the run"
             );
             return false;
--- a/crates/foxtailhold-relay/src/lib.rs
+++ b/crates/foxtailhold-relay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod dispatch;
 pub mod ended_jobs;
 mod engine;
+pub mod event_place;
 pub mod events;
 mod feeds;
 pub mod fleet;
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use foxtailhold::ids::{BackendId, TargetName};
 use foxtailhold::routes::Route;
 use foxtailhold::slots::Urgency;
@@ -17,6 +18,7 @@
 
 use crate::attempts::AttemptBudget;
 use crate::dialect::Dialect;
+use crate::event_place::PlacedEvent;
 use crate::events::StreamRead;
 use crate::fleet::BackendServer;
 use crate::metrics::{AttemptOutcome, CutReason};
@@ -67,7 +69,9 @@
     /// When the stream is cut if no attempt is open by then.
     give_up_at: Instant,
     /// Last event that was forwarded.
-    last_id: Option<u64>,
+    last_event: Option<u64>,
+    /// Whether an event was forwarded.
+    has_begun: bool,
     last_failure: Option<AttemptFailure>,
     /// Whether another attempt may run, given the evidence that the request crashes backend servers.
     admission: Admission,
@@ -103,15 +107,11 @@
         mut attempts: AttemptBudget,
     ) {
         attempts.record_running();
-        if matches!(first, StreamRead::Event(_)) {
-            self.relay
-                .stream_began(&self.route, self.attempt, &attempt.backend)
-                .await;
-        }
         let mut state = StreamState {
             give_up_at: attempts.deadline,
             attempts,
-            last_id: None,
+            last_event: None,
+            has_begun: false,
             open: vec![attempt],
             slot_request: None,
             seek_at: None,
@@ -122,6 +122,14 @@
         let mut step = Step::Read(0, AttemptRead::Stream(first));
         loop {
             let progress = match step {
+                Step::Read(_, AttemptRead::Stream(StreamRead::Comment(comment))) => {
+                    match self.forward_comment(&sender, &state, comment).await {
+                        // A comment resets no time limit.
+                        Progress::Running => self
+                            .handle_timer(&mut state, |avoid| Box::pin(self.request_slot(avoid))),
+                        ended => ended,
+                    }
+                }
                 Step::Read(index, read) => self.handle_read(&sender, &mut state, index, read).await,
                 Step::Granted(granted) => self.handle_slot(&mut state, granted),
                 Step::Timer => {
@@ -204,7 +212,7 @@
                 attempt.complete(&self.relay.metrics);
                 return Progress::Complete;
             }
-            AttemptRead::Stream(StreamRead::Silent) => {
+            AttemptRead::Stream(StreamRead::Silent | StreamRead::Comment(_)) => {
                 return Progress::Cut(CutReason::DeadlinePassed);
             }
             AttemptRead::Stream(StreamRead::Closed) => AttemptFailure::Closed,
@@ -221,21 +229,35 @@
         sender: &AnswerSender,
         state: &mut StreamState<F>,
         index: usize,
-        event: RawEvent,
+        event: PlacedEvent,
     ) -> Progress {
         let mut attempt = self.keep_only(state, index);
+        if !std::mem::replace(&mut state.has_begun, true) {
+            self.relay
+                .stream_began(&self.route, self.attempt, &attempt.backend)
+                .await;
+        }
         attempt.record_event(&self.route);
         state.attempts.record_running();
-        state.last_id = attempt.last_id();
+        state.last_event = attempt.last_event();
         state.seek_at = None;
         state.retry_delay_ms = SLOT_RETRY_DELAY_MS.0;
-        let deadline = state.attempts.deadline;
-        let sent = tokio::time::timeout_at(deadline, sender.send(event.raw)).await;
         state.open.push(attempt);
-        match sent {
-            Ok(true) => Progress::Running,
-            Ok(false) => Progress::CallerGone,
-            Err(_) => Progress::Cut(CutReason::DeadlinePassed),
+        send_until(state.attempts.deadline, sender, event.into_raw()).await
+    }
+
+    /// Forwards a comment of the only open attempt. One of several does not go on by a comment.
+    async fn forward_comment<F>(
+        &self,
+        sender: &AnswerSender,
+        state: &StreamState<F>,
+        comment: RawEvent,
+    ) -> Progress {
+        let deadline = state.attempts.deadline;
+        match state.open.len() {
+            _ if Instant::now() >= deadline => Progress::Cut(CutReason::DeadlinePassed),
+            1 => send_until(deadline, sender, comment.raw).await,
+            _ => Progress::Running,
         }
     }
 
@@ -373,7 +395,7 @@
         }
         log::info!(
             request = self.request.id.as_str(),
-            after = state.last_id,
+            after = state.last_event,
             attempts = state.attempts.maybe_executed,
             open = state.open.len(),
             lost = state.attempts.failed_backends.last().map(BackendId::as_str),
@@ -387,7 +409,7 @@
             &self.request,
             &self.keys,
             (slot, backend),
-            state.last_id,
+            state.last_event,
             state.attempts.deadline,
         );
         state.open.push(attempt);
@@ -417,6 +439,15 @@
     }
 }
 
+/// Sends bytes to the caller, who may take them until `deadline`.
+async fn send_until(deadline: Instant, sender: &AnswerSender, bytes: Bytes) -> Progress {
+    match tokio::time::timeout_at(deadline, sender.send(bytes)).await {
+        Ok(true) => Progress::Running,
+        Ok(false) => Progress::CallerGone,
+        Err(_) => Progress::Cut(CutReason::DeadlinePassed),
+    }
+}
+
 /// Waits until one of the open attempts has something to read.
 async fn read_any(open: &mut [StreamAttempt], deadline: Instant) -> (usize, AttemptRead) {
     let mut reads: Vec<_> = open
--- a/crates/foxtailhold-relay/src/stream_attempt.rs
+++ b/crates/foxtailhold-relay/src/stream_attempt.rs
@@ -172,10 +172,10 @@
         }
     }
 
-    /// Identifier of the last event; `None` if there is none.
-    pub(crate) fn last_id(&self) -> Option<u64> {
+    /// Number of the last event; `None` if there is none.
+    pub(crate) fn last_event(&self) -> Option<u64> {
         match &self.source {
-            Source::Open(reader) => reader.last_id(),
+            Source::Open(reader) => reader.last_event(),
             Source::Opening(_) => None,
         }
     }
