jobs: rows of a long result belong to one attempt to list it

Cause: the rows of a result that exceeds a transaction are written ahead, on condition of the version of the job alone. A call that the store does late shared that version with the next attempt at the same position, for another result or in smaller rows: a reader would get a text of both, with events twice or of another item (ORDER, MIXED). Change: each attempt writes the row of the job first, so that it has a version of its own, on which all its rows depend. One write more for a long result; rows and messages are as they were.

--- a/crates/foxtailhold-relay/src/jobs/mod.rs
+++ b/crates/foxtailhold-relay/src/jobs/mod.rs
@@ -40,6 +40,7 @@
 pub use owner::{own_jobs, wait_handed_over};
 pub use progress::JobProgress;
 pub use read::{ListedResult, ResultPage};
+pub use split::ResultForm;
 pub use store::{JobStore, QuotaRow};
 pub use succession::{LostOwner, Succession};
 pub use sweep::sweep_jobs;
--- a/crates/foxtailhold-relay/src/jobs/store.rs
+++ b/crates/foxtailhold-relay/src/jobs/store.rs
@@ -293,7 +293,8 @@
     }
 
     /// Lists a result at `position`, with the row of a job at `version`. Its rows are written ahead in
-    /// transactions of their own: nobody reads a position that is not listed.
+    /// transactions of their own: nobody reads a position that is not listed. The row of the job has a
+    /// new version first, so that no write of an earlier attempt takes effect later.
     pub async fn list_ahead(
         &self,
         id: &JobId,
@@ -302,6 +303,10 @@
         (position, form): (usize, ResultForm),
         result: &ListedResult,
     ) -> Result<Committed> {
+        let version = match self.begin_listing(id, job, version, position).await? {
+            Committed::At(version) => version,
+            other => return Ok(other),
+        };
         let conditions = || Changes {
             expected: vec![(job_key(id), version)],
             ..Changes::default()
@@ -323,6 +328,26 @@
         Ok(self.platform.commit(&changes).await?)
     }
 
+    /// Writes the row of a job as it is before the result at `position` is listed.
+    async fn begin_listing(
+        &self,
+        id: &JobId,
+        listed: &Job,
+        version: u64,
+        position: usize,
+    ) -> Result<Committed> {
+        let mut job = listed.clone();
+        job.listed.truncate(position);
+        job.long_results
+            .retain(|long| usize::from(*long) != position);
+        let changes = Changes {
+            expected: vec![(job_key(id), version)],
+            puts: vec![(job_key(id), encode_job(id, &job)?)],
+            ..Changes::default()
+        };
+        Ok(self.platform.commit(&changes).await?)
+    }
+
     /// Groups checkpoints into ones that fit into one transaction each.
     pub fn pack_checkpoints(
         &self,
