jobs: an event without data has a line in the text of its item

Cause: the events of a long checkpoint are told apart by its lines, and it is split where both counts are equal. An event without data had no line and one with two lines had two, so that a split between them was one event off: after the loss of its owner an item would have gone on at the wrong event. Evidence: each_event_has_a_line_in_the_text, two of three cases red before. Change: the data of an event is separated from that before also if it is empty, as the contract says for all events. Lines equal events only if each has one line.

--- a/crates/foxtailhold-relay/src/events.rs
+++ b/crates/foxtailhold-relay/src/events.rs
@@ -153,10 +153,14 @@
     event.field("id").is_none() && event.field("data").is_none()
 }
 
-/// Appends the data lines of an event to `text`, separated by line feeds.
+/// Appends the data of an event to `text`, separated by a line feed. An event without data adds an
+/// empty line, so that a text has at least as many lines as events.
 pub fn push_data(text: &mut Vec<u8>, event: &RawEvent, is_first: bool) {
+    if !is_first {
+        text.push(b'\n');
+    }
     for (index, value) in event.fields("data").enumerate() {
-        if index > 0 || !is_first {
+        if index > 0 {
             text.push(b'\n');
         }
         text.extend_from_slice(value);
--- a/crates/foxtailhold-relay/tests/checkpoints.rs
+++ b/crates/foxtailhold-relay/tests/checkpoints.rs
@@ -4,7 +4,9 @@
 use foxtailhold::attempt_counts::AttemptCounts;
 use foxtailhold::ids::JobId;
 use foxtailhold::stream_origins::StreamOrigin;
+use foxtailhold_engine::sse::RawEvent;
 use foxtailhold_platform::{RowKey, VersionedRow};
+use foxtailhold_relay::events::push_data;
 use foxtailhold_relay::jobs::{
     CHECKPOINTS_TABLE, Checkpoint, PartialOutput, PartialOutputs, RunEvent, RunId, Writer,
 };
@@ -188,3 +190,24 @@
         version: 1,
     }
 }
+
+/// Guards against a checkpoint that is split at the wrong event: an event without data and one with
+/// two lines of it are two lines of text, as two events with one line each.
+#[test_case(&["id: 1\ndata: a\n\n", "id: 2\n\n", "id: 3\ndata: b\ndata: c\n\n"], "a\n\nb\nc" ; "in between")]
+#[test_case(&["id: 1\n\n", "id: 2\ndata: a\ndata: b\n\n"], "\na\nb" ; "first")]
+#[test_case(&["id: 1\ndata: a\n\n", "id: 2\ndata\n\n"], "a\n" ; "last")]
+fn each_event_has_a_line_in_the_text(events: &[&'static str], text: &str) {
+    let mut output = PartialOutput::default();
+    for (raw, number) in events.iter().zip(1..) {
+        let event = RawEvent { raw: (*raw).into() };
+        let push = |text: &mut Vec<u8>, is_first| push_data(text, &event, is_first);
+        assert!(output.append(&writer(1, None), number, push));
+    }
+    assert_eq!(output.text(), text.as_bytes());
+    let [checkpoint] = &output.unsaved_checkpoints(1)[..] else {
+        panic!("one range");
+    };
+    assert_eq!(checkpoint.text, text);
+    let lines = checkpoint.text.split('\n').count();
+    assert!(lines >= events.len(), "{lines} lines of {}", events.len());
+}
