relay: a stream that ends before its first event is not whole

Cause: a 200 without any event was passed on as a whole stream, and listed as the whole text of an item; a request begins to run with its first event, so nothing of it had arrived (ORDER, MIXED).

--- a/crates/foxtailhold-relay/src/events.rs
+++ b/crates/foxtailhold-relay/src/events.rs
@@ -24,7 +24,7 @@
     End,
     /// The connection ended in the middle of the stream.
     Closed,
-    /// An event is missing, repeated, without a number or too large.
+    /// An event is missing, repeated, without a number or too large, or there is none at all.
     Broken,
     /// Nothing was received before the time limit.
     Silent,
@@ -115,6 +115,10 @@
     }
 
     async fn check_end(&mut self) -> StreamRead {
+        if self.position.last().is_none() {
+            log::warn!(backend = self.connection.backend().as_str(); "response without an event");
+            return StreamRead::Broken;
+        }
         if self.end == ResponseEnd::Stated {
             return StreamRead::End;
         }
