relay: an event has a number and data, a comment has neither

Cause: a number without data took the place of its event, so a caller got a stream, or the reader of a job a text, without that event's data as whole; lines with unknown field names counted as a comment and reached the caller. Change: an event without data has no place; a comment has only lines that begin with a colon, and the fields of SSE that make no event by themselves. Anything else ends the run.

--- a/crates/foxtailhold-relay/src/event_place.rs
+++ b/crates/foxtailhold-relay/src/event_place.rs
@@ -1,5 +1,6 @@
-//! Places of events in an output. Each event states its number, and the events of an output are
-//! consecutive from 1. An event that states none, or another one than is due, belongs nowhere.
+//! Places of events in an output. Each event states its number and has data, and the events of an
+//! output are consecutive from 1. An event that states no number, or another one than is due, belongs
+//! nowhere.
 
 use bytes::Bytes;
 use foxtailhold_engine::sse::RawEvent;
@@ -14,7 +15,7 @@
 pub struct OutOfPlace {
     /// Number of the event that is due.
     pub due: u64,
-    /// Number of the event that came; `None` if it states none.
+    /// Number of the event that came; `None` if it states none or has no data.
     pub found: Option<u64>,
 }
 
@@ -74,9 +75,10 @@
     }
 }
 
-/// Number that an event states; `None` if it states none or, where two events have run together,
-/// several.
+/// Number that an event states; `None` if it has no data or states no number or, where two events have
+/// run together, several.
 fn stated_number(event: &RawEvent) -> Option<u64> {
+    event.field("data")?;
     let mut stated = event.fields("id");
     let text = std::str::from_utf8(stated.next()?).ok()?.trim();
     let is_number = stated.next().is_none() && text.bytes().all(|byte| byte.is_ascii_digit());
--- a/crates/foxtailhold-relay/src/events.rs
+++ b/crates/foxtailhold-relay/src/events.rs
@@ -80,9 +80,17 @@
     /// A backend server that only sends comments is silent.
     pub async fn read_event(&mut self, timeout_ms: u64, deadline: Instant) -> StreamRead {
         let until = deadline.min(Instant::now() + Duration::from_millis(timeout_ms));
+        self.read_event_until(until).await
+    }
+
+    /// Reads the next event that is no comment, until `until`.
+    pub async fn read_event_until(&mut self, until: Instant) -> StreamRead {
         loop {
             match self.read_until(until).await {
-                StreamRead::Comment(_) if Instant::now() < until => continue,
+                StreamRead::Comment(_) if Instant::now() < until => {
+                    // Comments that come without a pause never let the task wait.
+                    tokio::task::consume_budget().await;
+                }
                 StreamRead::Comment(_) => return StreamRead::Silent,
                 read => return read,
             }
@@ -153,8 +161,14 @@
     }
 }
 
+/// Whether there is nothing but comments and fields that make no event without data.
 fn is_comment(event: &RawEvent) -> bool {
-    event.field("id").is_none() && event.field("data").is_none()
+    let mut lines = event.raw.split(|byte| *byte == b'\n');
+    lines.all(|line| {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        let is_ignored = |name: &&[u8]| line.starts_with(name);
+        line.is_empty() || [&b":"[..], b"event:", b"retry:"].iter().any(is_ignored)
+    })
 }
 
 /// Appends the data of an event to `text`, separated by a line feed. An event without data adds an
