relay: comments decide nothing about a stream

A comment before the first event closed the other attempt. Comments without a pause kept the other attempts and the granted slot from being read, so the stream ended at its deadline. Change: a stream has its caller's position from the start; the first event, not a comment, opens a response; the caller and a granted slot are looked at before the open attempts, and those in turn after a comment.

--- a/crates/foxtailhold-relay/src/engine.rs
+++ b/crates/foxtailhold-relay/src/engine.rs
@@ -455,7 +455,8 @@
     let (head, body) = response.into_parts();
     let end = ResponseEnd::from(&head.headers);
     let mut reader = EventReader::new(body, end, connection, after);
-    match reader.read_until(deadline).await {
+    // A comment does not decide which of several attempts goes on.
+    match reader.read_event_until(deadline).await {
         StreamRead::Silent => Err(AttemptFailure::TimeOver),
         StreamRead::Closed => Err(AttemptFailure::Closed),
         StreamRead::Broken => Err(AttemptFailure::Broken),
--- a/crates/foxtailhold-relay/src/stream.rs
+++ b/crates/foxtailhold-relay/src/stream.rs
@@ -72,6 +72,8 @@
     last_event: Option<u64>,
     /// Whether an event was forwarded.
     has_begun: bool,
+    /// Index of the open attempt that is read first, so that comments of one hold up no other.
+    read_first: usize,
     last_failure: Option<AttemptFailure>,
     /// Whether another attempt may run, given the evidence that the request crashes backend servers.
     admission: Admission,
@@ -110,8 +112,9 @@
         let mut state = StreamState {
             give_up_at: attempts.deadline,
             attempts,
-            last_event: None,
+            last_event: attempt.last_event(),
             has_begun: false,
+            read_first: 0,
             open: vec![attempt],
             slot_request: None,
             seek_at: None,
@@ -122,7 +125,8 @@
         let mut step = Step::Read(0, AttemptRead::Stream(first));
         loop {
             let progress = match step {
-                Step::Read(_, AttemptRead::Stream(StreamRead::Comment(comment))) => {
+                Step::Read(index, AttemptRead::Stream(StreamRead::Comment(comment))) => {
+                    state.read_first = index + 1;
                     match self.forward_comment(&sender, &state, comment).await {
                         // A comment resets no time limit.
                         Progress::Running => self
@@ -188,9 +192,11 @@
         }
         tokio::select! {
             biased;
-            (index, read) = read_any(&mut state.open, deadline), if is_open => Step::Read(index, read),
-            granted = poll_slot(&mut state.slot_request), if is_seeking => Step::Granted(granted),
             () = sender.gone() => Step::CallerGone,
+            granted = poll_slot(&mut state.slot_request), if is_seeking => Step::Granted(granted),
+            (index, read) = read_any(&mut state.open, state.read_first, deadline), if is_open => {
+                Step::Read(index, read)
+            }
             () = tokio::time::sleep_until(timer.unwrap_or(deadline)), if timer.is_some() => Step::Timer,
             () = tokio::time::sleep_until(give_up_at), if !is_open => Step::GiveUp,
         }
@@ -448,15 +454,20 @@
     }
 }
 
-/// Waits until one of the open attempts has something to read.
-async fn read_any(open: &mut [StreamAttempt], deadline: Instant) -> (usize, AttemptRead) {
+/// Waits until one of the open attempts has something to read, beginning with the one at `first`.
+async fn read_any(
+    open: &mut [StreamAttempt],
+    first: usize,
+    deadline: Instant,
+) -> (usize, AttemptRead) {
     let mut reads: Vec<_> = open
         .iter_mut()
         .map(|attempt| Box::pin(attempt.read(deadline)))
         .collect();
     std::future::poll_fn(|context| {
-        for (index, read) in reads.iter_mut().enumerate() {
-            if let std::task::Poll::Ready(read) = read.as_mut().poll(context) {
+        for offset in 0..reads.len() {
+            let index = (first + offset) % reads.len();
+            if let std::task::Poll::Ready(read) = reads[index].as_mut().poll(context) {
                 return std::task::Poll::Ready((index, read));
             }
         }
