jobs: rows of several texts are not read as one result

Cause: a reader joined the rows at a position whatever texts they are of, and got a text of both as done. The line added in named it, and the read went on. Found by the review. Change: all rows of a result state the same item and hash, and the hash is that of their text; otherwise the read is refused with 503, as for a result that the store lacks. Rows of the last build state no hash, and are read as before.

--- a/crates/foxtailhold-relay/src/jobs/result_rows.rs
+++ b/crates/foxtailhold-relay/src/jobs/result_rows.rs
@@ -64,11 +64,12 @@
     rows.collect()
 }
 
-/// Decodes the results whose rows are complete.
+/// Decodes the results whose rows are complete, up to one whose rows are of several texts.
 pub(super) fn decode_results(id: &JobId, rows: &[VersionedRow]) -> Result<Vec<ListedResult>> {
     let mut results = Vec::new();
     let mut text = String::new();
     let mut complete_position = None;
+    let mut first_part: Option<(String, Option<u64>)> = None;
     for row in rows {
         // Rows of an earlier owner may be left behind the last one of the listed result.
         let position = position_in_key(&row.key.key);
@@ -81,6 +82,11 @@
                 job: id.clone(),
                 detail: error.to_string(),
             })?;
+        let of_text = (part.item.clone(), part.text_hash);
+        if *first_part.get_or_insert_with(|| of_text.clone()) != of_text {
+            log_mixed(id, &part.item);
+            break;
+        }
         text.push_str(&part.text);
         if !part.is_last {
             continue;
@@ -90,8 +96,10 @@
             .text_hash
             .is_some_and(|hash| hash != xxh3_64(text.as_bytes()))
         {
-            log::error!(job = id.as_str(), item = part.item.as_str(); "rows of a result are of several texts");
+            log_mixed(id, &part.item);
+            break;
         }
+        first_part = None;
         results.push(ListedResult {
             item: part.item,
             state: part.state,
@@ -100,3 +108,7 @@
     }
     Ok(results)
 }
+
+fn log_mixed(id: &JobId, item: &str) {
+    log::error!(job = id.as_str(), item = item; "rows of a result are of several texts");
+}
