engine: a run that begins anew is not joined

Cause: a check of a resumed stream skipped every event before the one that was due as a duplicate. An engine that ignored the continuation and began the answer anew had its first events skipped and its later ones joined to the text of the run that was cut. Callers got streams and items of two texts that were told to be whole; nothing was logged.

Change: an event before the first of the stream is an error of its own, NotResumed; a duplicate of the run's own events is still skipped. An item whose engine did not go on starts again from nothing, as after a refused continuation. The expected identifier is a boxed str so that the types around the stream keep their size.

The stand-in engine can begin anew with another text (begins_anew) and spoil one event of each stream (spoilt_event).

--- a/crates/foxtailhold-engine/src/check.rs
+++ b/crates/foxtailhold-engine/src/check.rs
@@ -43,7 +43,8 @@
 #[derive(Debug)]
 pub struct StreamCheck {
     splitter: EventSplitter,
-    expected_id: String,
+    expected_id: Box<str>,
+    first_ordinal: u64,
     next_ordinal: u64,
     out_of_order: BTreeMap<u64, TokenEvent>,
     finished: bool,
@@ -58,11 +59,13 @@
 impl StreamCheck {
     /// Creates a check for a stream whose events must carry `expected_id`, see
     /// [`completion_id`](crate::client::completion_id). `next_ordinal` is the ordinal of the first
-    /// event: 1, or one more than the last event received before the stream was resumed.
+    /// event: 1, or one more than the last event received before the stream was resumed. An event
+    /// before it is an error, as it shows that the engine did not resume.
     pub fn new(expected_id: String, next_ordinal: u64) -> Self {
         StreamCheck {
             splitter: EventSplitter::default(),
-            expected_id,
+            expected_id: expected_id.into_boxed_str(),
+            first_ordinal: next_ordinal,
             next_ordinal,
             out_of_order: BTreeMap::new(),
             finished: false,
@@ -126,10 +129,16 @@
             return Err(EngineError::InStream { detail });
         }
         let id = chunk.id.as_deref().unwrap_or_default();
-        if id != self.expected_id {
+        if id != &*self.expected_id {
             return Err(EngineError::Foreign { found: id.into() });
         }
         let ordinal = ordinal(&event)?;
+        if ordinal < self.first_ordinal {
+            return Err(EngineError::NotResumed {
+                first: self.first_ordinal,
+                found: ordinal,
+            });
+        }
         if ordinal < self.next_ordinal {
             return Ok(None);
         }
--- a/crates/foxtailhold-engine/src/error.rs
+++ b/crates/foxtailhold-engine/src/error.rs
@@ -48,6 +48,15 @@
         /// Ordinal of the event that arrived instead.
         found: u64,
     },
+    /// A stream holds an event before the one with which it was to begin: the engine ignored the
+    /// continuation and began the answer anew, so that its text belongs to another run.
+    #[error("event {found} came in a stream that was to begin with {first}")]
+    NotResumed {
+        /// Ordinal with which the stream was to begin.
+        first: u64,
+        /// Ordinal of the event that arrived.
+        found: u64,
+    },
     /// The answer ended normally but without a `finish_reason`.
     #[error("the engine ended the answer before it was finished")]
     Unfinished,
--- a/crates/foxtailhold-engine/tests/event_order.rs
+++ b/crates/foxtailhold-engine/tests/event_order.rs
@@ -26,7 +26,12 @@
 /// Feeds the bytes to a check, `piece_bytes` at a time. Returns the text received, and whether the
 /// stream has ended or its error.
 fn read(bytes: &str, piece_bytes: usize) -> (String, Result<bool, EngineError>) {
-    let mut check = StreamCheck::new(ID.to_owned(), 1);
+    read_from(1, bytes, piece_bytes)
+}
+
+/// Like [`read`], for a stream whose first event is `first`.
+fn read_from(first: u64, bytes: &str, piece_bytes: usize) -> (String, Result<bool, EngineError>) {
+    let mut check = StreamCheck::new(ID.to_owned(), first);
     let mut text = String::new();
     for piece_bytes in bytes.as_bytes().chunks(piece_bytes) {
         check.push(piece_bytes).unwrap();
@@ -72,6 +77,53 @@
     assert_eq!(read(&bytes, 5), ("t1 ".to_owned(), Err(gap)));
 }
 
+#[test_case(&[1, 2, 3, 4, 5], 1, "" ; "begun anew")]
+#[test_case(&[2, 1, 3, 4, 5], 2, "" ; "begun anew and swapped")]
+#[test_case(&[3, 4, 5], 3, "" ; "one event too early")]
+#[test_case(&[4, 3, 5], 3, "t4 " ; "earlier event late")]
+#[test_case(&[0, 4, 5], 0, "" ; "event zero")]
+fn event_before_the_first_of_a_resumed_stream_is_an_error(order: &[u64], found: u64, text: &str) {
+    let mut bytes = String::new();
+    for ordinal in order {
+        bytes.push_str(&event_of(ID, *ordinal, *ordinal == 5));
+    }
+    bytes.push_str(DONE);
+    let not_resumed = EngineError::NotResumed { first: 4, found };
+    for piece_bytes in [1, 7, bytes.len()] {
+        assert_eq!(
+            read_from(4, &bytes, piece_bytes),
+            (text.to_owned(), Err(not_resumed.clone()))
+        );
+    }
+}
+
+#[test_case(&[4, 5, 6] ; "in order")]
+#[test_case(&[4, 4, 5, 4, 6] ; "duplicated")]
+#[test_case(&[6, 5, 4] ; "backwards")]
+fn resumed_stream_holds_its_own_events_once(order: &[u64]) {
+    let mut bytes = String::new();
+    for ordinal in order {
+        bytes.push_str(&event_of(ID, *ordinal, *ordinal == 6));
+    }
+    bytes.push_str(DONE);
+    for piece_bytes in [1, 7, bytes.len()] {
+        assert_eq!(
+            read_from(4, &bytes, piece_bytes),
+            ("t4 t5 t6 ".to_owned(), Ok(true))
+        );
+    }
+}
+
+#[test]
+fn stream_without_its_first_event_is_an_error() {
+    let bytes = event(2) + &last(3) + DONE;
+    let gap = EngineError::Gap {
+        expected: 1,
+        found: 2,
+    };
+    assert_eq!(read(&bytes, 5), (String::new(), Err(gap)));
+}
+
 #[test]
 fn wait_for_a_missing_event_is_bounded() {
     let mut bytes = event(1);
--- a/crates/foxtailhold-entry/src/jobs/streamed_item.rs
+++ b/crates/foxtailhold-entry/src/jobs/streamed_item.rs
@@ -443,6 +443,9 @@
         if is_not_sent || matches!(error, EngineError::Full | EngineError::Leaving) {
             return None;
         }
+        if matches!(error, EngineError::NotResumed { .. }) {
+            self.drop_output("an engine did not go on with it");
+        }
         self.count_attempt(&error.to_string(), tokens_before)
     }
 
--- a/crates/foxtailhold-standin/src/engine/faults.rs
+++ b/crates/foxtailhold-standin/src/engine/faults.rs
@@ -2,6 +2,31 @@
 
 use serde::{Deserialize, Serialize};
 
+/// How an event of a stream is spoilt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum SpoiltKind {
+    /// It is left out.
+    Missing,
+    /// It is sent twice.
+    Twice,
+    /// It has no identifier.
+    WithoutId,
+    /// Its identifier is no number.
+    IdNoNumber,
+    /// The connection is broken in the middle of it.
+    Broken,
+}
+
+/// An event that each stream of the engine spoils.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SpoiltEvent {
+    /// Ordinal of the event.
+    pub ordinal: u64,
+    /// How it is spoilt.
+    pub kind: SpoiltKind,
+}
+
 /// The faults that are switched on. `POST /standin/faults` sets all of them at once.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
@@ -26,6 +51,10 @@
     pub no_done: bool,
     /// Each event is sent a second time, after the event that follows it.
     pub late_events: bool,
+    /// One event of each stream is spoilt.
+    pub spoilt_event: Option<SpoiltEvent>,
+    /// Continuations are ignored: the answer begins anew with event 1, and its text is another one.
+    pub begins_anew: bool,
     /// Unstreamed answers carry the identifier of another request.
     pub foreign_answers: bool,
     /// The connection is broken in the middle of an unstreamed answer.
--- a/crates/foxtailhold-standin/src/engine/handler.rs
+++ b/crates/foxtailhold-standin/src/engine/handler.rs
@@ -18,7 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::answer::{self, Answer};
-use crate::engine::faults::{EngineFaults, Ran};
+use crate::engine::faults::{EngineFaults, Ran, SpoiltKind};
 use crate::engine::orders::EngineOrders;
 use crate::engine::scheduler::{EngineShape, GenerationRequest, Scheduler};
 use crate::engine::text;
@@ -75,6 +75,8 @@
     chat: bool,
     model: String,
     prompt: String,
+    /// What the text is made of: the prompt, unless the answer began anew.
+    text_prompt: String,
     tokens: u64,
     resumed_at: u64,
 }
@@ -162,8 +164,14 @@
         let tokens = completion.max_completion_tokens.or(completion.max_tokens);
         let tokens = tokens.unwrap_or(DEFAULT_TOKENS);
         let prompt = prompt_text(&completion.messages, &completion.prompt);
-        let resumed_at = completion.continuation.as_ref().map_or(0, |c| c.tokens);
-        if let Some(prefix) = &completion.continuation
+        let begins_anew = self.scheduler.lock().faults.begins_anew;
+        let continuation = completion.continuation.as_ref().filter(|_| !begins_anew);
+        let resumed_at = continuation.map_or(0, |c| c.tokens);
+        let text_prompt = match begins_anew && completion.continuation.is_some() {
+            true => format!("anew {prompt}"),
+            false => prompt.clone(),
+        };
+        if let Some(prefix) = continuation
             && prefix.text != text::answer(&prompt, prefix.tokens)
         {
             let message = "the continuation is not what this model generates";
@@ -174,6 +182,7 @@
             chat,
             model: completion.model,
             prompt,
+            text_prompt,
             tokens,
             resumed_at,
         };
@@ -261,7 +270,7 @@
     }
 
     fn unstreamed_body(&self, id: &str) -> Value {
-        let text = text::answer(&self.prompt, self.tokens);
+        let text = text::answer(&self.text_prompt, self.tokens);
         let (object, choice) = if self.chat {
             let message = json!({ "role": "assistant", "content": text });
             let choice = json!({ "index": 0, "message": message, "finish_reason": "stop" });
@@ -281,7 +290,7 @@
     }
 
     fn event(&self, ordinal: u64, id: &str) -> String {
-        let prompt = if id == self.id { &self.prompt } else { id };
+        let prompt = if id == self.id { &self.text_prompt } else { id };
         let text = text::token(prompt, ordinal);
         let finish = (ordinal == self.tokens).then_some("stop");
         let (object, choice) = if self.chat {
@@ -319,6 +328,19 @@
     Response::new(stream)
 }
 
+/// Spoils the bytes of an event. Returns whether the connection is to be broken after them.
+fn spoil(event: &mut String, ordinal: u64, kind: SpoiltKind) -> bool {
+    let id = format!("id: {ordinal}\n");
+    match kind {
+        SpoiltKind::Missing => event.clear(),
+        SpoiltKind::Twice => *event = event.repeat(2),
+        SpoiltKind::WithoutId => *event = event.replace(&id, ""),
+        SpoiltKind::IdNoNumber => *event = event.replace(&id, "id: x\n"),
+        SpoiltKind::Broken => event.truncate(event.len() / 2),
+    }
+    kind == SpoiltKind::Broken
+}
+
 /// Returns the last event of the stream if a fault replaces the event at `ordinal`.
 fn replacement_event(faults: &EngineFaults, ordinal: u64) -> Option<&'static str> {
     let is_past = |after: Option<u64>| after.is_some_and(|tokens| ordinal > tokens);
@@ -366,6 +388,14 @@
             .is_some_and(|tokens| ordinal > tokens);
         let id = if foreign { "another" } else { &generation.id };
         let mut event = generation.event(ordinal, id);
+        if let Some(spoilt) = faults.spoilt_event
+            && spoilt.ordinal == ordinal
+            && spoil(&mut event, ordinal, spoilt.kind)
+        {
+            sender.send(event.into()).await;
+            sender.cut();
+            return;
+        }
         if faults.duplicate_events {
             event = event.repeat(2);
         }
