http: a companion that ends first shows the end of its process

Callers got a stream without a length that was told to be whole though its engine had ended in the middle of it and listened again at the same address. Two causes in the companion of the connection:

- The end of a process closes its connections one after the other.
Where the companion was closed first and the stream was looked at in between, the companion was taken for one that a living server had closed, and was dropped; nothing proved or refuted the end any more.
- A companion younger than 50 ms was disregarded, also where it had been open while the stream was and ended with it.

Now a closed companion is dropped only if the stream is still open 50 ms later, and one that was open while the stream was, and is closed 50 ms after its end, refutes that end at any age. Only one of 50 ms proves it, as before. A server that closes a companion less than 50 ms before it ends a whole stream has that stream taken as cut.

Not mended: a stream whose engine ends before the companion is open and seen.

--- a/crates/foxtailhold-http/src/response_end.rs
+++ b/crates/foxtailhold-http/src/response_end.rs
@@ -110,7 +110,11 @@
     opened_at: Instant,
     /// Whether it leads to the process that sends the response.
     is_anchored: bool,
-    /// Whether it replaces one that did, and the process has not shown itself since.
+    /// Whether it was open while the response had not ended. A young one may lead to another process.
+    is_seen: bool,
+    /// When it was found closed though the response had not ended.
+    closed_at: Option<Instant>,
+    /// Whether it replaces an anchored one, and the process has not shown itself since.
     is_replacement: bool,
 }
 
@@ -143,6 +147,8 @@
             socket,
             opened_at: Instant::now(),
             is_anchored: false,
+            is_seen: false,
+            closed_at: None,
             is_replacement,
         });
         Ok(())
@@ -166,15 +172,19 @@
     pub async fn check(&self) -> Result<EndProof> {
         self.check_connection().await?;
         match &*self.companion.lock() {
-            Some(companion) if companion.is_anchored => {}
+            Some(companion) if companion.is_seen => {}
             Some(companion) if companion.is_replacement => return Err(UnprovedEnd::ServerEnded),
             _ => return Ok(EndProof::None),
         }
         tokio::time::sleep(Duration::from_millis(COMPANION_WAIT_MS)).await;
-        let lives_on = |companion: &Companion| companion.is_anchored && companion.is_open();
-        match self.companion.lock().as_ref().is_some_and(lives_on) {
-            true => Ok(EndProof::LivedOn),
-            false => Err(UnprovedEnd::ServerEnded),
+        match &*self.companion.lock() {
+            Some(companion) if companion.is_seen && companion.is_open() => {
+                Ok(match companion.is_anchored {
+                    true => EndProof::LivedOn,
+                    false => EndProof::None,
+                })
+            }
+            _ => Err(UnprovedEnd::ServerEnded),
         }
     }
 
@@ -205,8 +215,9 @@
     }
 
     /// Looks at the companion while the connection is open and has nothing to be read, so that the
-    /// process that sends the response is there. A companion that is open leads to that process; one
-    /// that is closed was closed by it, which says nothing about its end.
+    /// process that sends the response is there. A companion that is open leads to that process. The
+    /// end of a process closes its connections one after the other, so one that is closed was closed by
+    /// a process that lives on only if the response has not ended [`COMPANION_WAIT_MS`] later.
     fn anchor(&self, stream: &PacedStream) {
         let mut slot = self.companion.lock();
         let Some(companion) = slot.as_mut() else {
@@ -218,10 +229,14 @@
             return;
         }
         if !companion.is_open() {
-            *slot = None;
+            let closed_at = *companion.closed_at.get_or_insert_with(Instant::now);
+            if closed_at.elapsed() >= Duration::from_millis(COMPANION_WAIT_MS) {
+                *slot = None;
+            }
             return;
         }
         companion.is_replacement = false;
+        companion.is_seen = true;
         companion.is_anchored |= companion.is_kept();
     }
 
