relay: an unproved end of events is checked behind a forwarder

A forwarder accepts connections for an engine that has ended. Where no crash was known yet, a stream or item whose end nothing had proved was believed once its port accepted a connection. Plain answers are checked as before.

--- a/crates/foxtailhold-relay/src/attempt_evidence.rs
+++ b/crates/foxtailhold-relay/src/attempt_evidence.rs
@@ -98,10 +98,13 @@
         );
     }
 
-    /// Whether the backend server still listens after it has ended its response with the connection.
-    /// If it does not, the response may have been cut off by its crash.
+    /// Whether the backend server still keeps connections after it has ended its stream with one. If it
+    /// does not, the stream may have been cut off by its crash.
     pub async fn has_lived_on(&self) -> bool {
-        has_lived_on(&self.peers, &self.connections, &self.attempt.backend).await
+        let backend = &self.attempt.backend;
+        self.connections
+            .keeps_connections(&backend.id, backend.address)
+            .await
     }
 
     /// Records a response which says nothing about whether the request runs.
--- a/crates/foxtailhold-relay/src/engine.rs
+++ b/crates/foxtailhold-relay/src/engine.rs
@@ -440,7 +440,8 @@
         }
         let opened = first_event(response, connection, request.after_event, deadline).await?;
         if let OpenedResponse::Stream(_, reader, StreamRead::End) = &opened {
-            self.check_end(&backend, reader.is_end_proved()).await?;
+            self.check_end_of_events(&backend, reader.is_end_proved())
+                .await?;
         }
         Ok(opened)
     }
--- a/crates/foxtailhold-relay/src/jobs/item/attempt.rs
+++ b/crates/foxtailhold-relay/src/jobs/item/attempt.rs
@@ -402,7 +402,9 @@
                 StreamRead::End => {
                     let end = reader.end();
                     let relay = &self.jobs.relay;
-                    if let Err(failure) = relay.check_end(run.backend, reader.is_end_proved()).await
+                    if let Err(failure) = relay
+                        .check_end_of_events(run.backend, reader.is_end_proved())
+                        .await
                     {
                         return AttemptEnd::Interrupted(failure);
                     }
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -154,6 +154,20 @@
         }
     }
 
+    /// Like [`Relay::check_end`], of events: a forwarder may accept connections for a process that has
+    /// ended, and it takes a moment to see that.
+    pub(crate) async fn check_end_of_events(
+        &self,
+        backend: &BackendServer,
+        is_proved: bool,
+    ) -> Result<(), AttemptFailure> {
+        let (id, address) = (&backend.id, backend.address);
+        match is_proved || self.connections.keeps_connections(id, address).await {
+            true => Ok(()),
+            false => Err(AttemptFailure::Closed),
+        }
+    }
+
     /// Whether a request that has to be answered by `deadline` may begin to run, or would run into the
     /// end of a planned stop.
     pub(crate) fn admits_before_end(
