--- a/crates/foxtailhold/tests/slot_waits.rs
+++ b/crates/foxtailhold/tests/slot_waits.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use common::slots::{
-    DONE, ONLINE, PATIENCE_MS, allocator, granted, release, request, request_from, submit,
+    DONE, ONLINE, PATIENCE_MS, allocator, backend_slots, granted, pool, release, request,
+    request_from, submit,
 };
 use foxtailhold::slots::{Allocator, SlotDecision, SlotOutcome, Urgency};
 use foxtailhold::time::MonoMs;
@@ -165,6 +166,31 @@
     assert_eq!(pauses, [200; 5], "{told:?}");
 }
 
+/// Guards against callers who are told by the few slots there were when others were refused before them.
+#[test]
+fn callers_are_told_by_the_slots_there_are_once_engines_are_back() {
+    let mut allocator = allocator_with_service_time(&[1]);
+    granted(&mut allocator, 0, request(1, ONLINE));
+    for number in 2..12 {
+        let decision = submit(&mut allocator, 0, request(number, ONLINE)).0;
+        assert!(
+            matches!(decision, SlotDecision::Refused { .. }),
+            "{decision:?}"
+        );
+    }
+    allocator.set_backends(&pool(), &backend_slots(&[1, 40]));
+    for number in 20..60 {
+        granted(&mut allocator, 100, request(number, ONLINE));
+    }
+    let SlotDecision::Refused { retry_after_ms } =
+        submit(&mut allocator, 110, request(60, ONLINE)).0
+    else {
+        panic!("not refused");
+    };
+    // The first slot is free after 690 ms, and then one every 20 ms.
+    assert!((390..=1_000).contains(&retry_after_ms), "{retry_after_ms}");
+}
+
 /// Guards against a headroom that looks at the arrivals only: what counts is how many callers come while
 /// one preemption takes.
 #[test_case(20, 1 ; "short preemptions")]
