connections: the end of a process resets connections that it has not accepted

Cause: an end that nothing has proved is checked with one more connection, and only a refused one showed the end of the process. The system closes the sockets of a killed process one after the other, the listener not before its connections, so the check may still be queued there and is reset. If the reset came before the check had seen its connection open, it counted as any other failure, that is, as life.

Change: after a reset the port is asked once more, and a refusal shows the end. The check judges its own connections, not the shared table of refusals, which a connection opened before may clear.

--- a/crates/foxtailhold-relay/src/connections.rs
+++ b/crates/foxtailhold-relay/src/connections.rs
@@ -5,6 +5,7 @@
 //! connection.
 
 use std::collections::{HashMap, VecDeque};
+use std::io::{self, ErrorKind};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -249,7 +250,10 @@
     /// Whether a process may listen at the port of a backend server, which has just ended a
     /// connection: the port does not refuse another one.
     pub async fn is_listening(&self, backend: &BackendId, address: SocketAddr) -> bool {
-        self.open(backend, address).await.is_ok() || !self.has_refused(backend)
+        match self.open(backend, address).await {
+            Ok(_) => true,
+            Err(error) => !self.shows_end(backend, address, &error).await,
+        }
     }
 
     /// Like [`Connections::is_listening`], also where a forwarder accepts connections for a process
@@ -257,37 +261,53 @@
     pub async fn keeps_connections(&self, backend: &BackendId, address: SocketAddr) -> bool {
         let mut stream = match self.open(backend, address).await {
             Ok(stream) => stream,
-            Err(_) => return !self.has_refused(backend),
+            Err(error) => return !self.shows_end(backend, address, &error).await,
         };
         let kept = Duration::from_millis(KEPT_CONNECTION_MS);
         let closed = tokio::time::timeout(kept, stream.read_u8()).await;
         closed.is_err()
     }
 
+    /// Whether the failure of a connection shows that its process has ended. The end of a process
+    /// resets connections that it has not accepted, and its port refuses the next one. A process that
+    /// has no room for more connections resets them, too, but does not refuse any.
+    async fn shows_end(&self, backend: &BackendId, address: SocketAddr, error: &io::Error) -> bool {
+        match error.kind() {
+            ErrorKind::ConnectionRefused => true,
+            ErrorKind::ConnectionReset => {
+                let next = self.open(backend, address).await;
+                next.is_err_and(|error| error.kind() == ErrorKind::ConnectionRefused)
+            }
+            _ => false,
+        }
+    }
+
     async fn connect(&self, backend: &BackendId, address: SocketAddr) -> Result<Connected> {
-        let stream = self.open(backend, address).await?;
+        let opened = self.open(backend, address).await;
+        let stream = opened.map_err(|error| SendFailure::NotSent {
+            address,
+            detail: error.to_string(),
+        })?;
         handshake(stream, address).await
     }
 
-    async fn open(&self, backend: &BackendId, address: SocketAddr) -> Result<TcpStream> {
-        let not_sent = |detail: String| SendFailure::NotSent { address, detail };
+    async fn open(&self, backend: &BackendId, address: SocketAddr) -> io::Result<TcpStream> {
         let wait = Duration::from_millis(CONNECT_TIMEOUT_MS);
-        let stream = match tokio::time::timeout(wait, open_socket(address)).await {
-            Err(_) => {
-                return Err(not_sent(format!(
-                    "no connection within {CONNECT_TIMEOUT_MS} ms"
-                )));
-            }
-            Ok(Err(error)) => {
-                if error.kind() == std::io::ErrorKind::ConnectionRefused {
-                    self.refused.lock().insert(backend.clone(), Instant::now());
-                }
-                return Err(not_sent(error.to_string()));
-            }
-            Ok(Ok(stream)) => stream,
+        let opened = match tokio::time::timeout(wait, open_socket(address)).await {
+            Ok(opened) => opened,
+            Err(_) => Err(io::Error::new(
+                ErrorKind::TimedOut,
+                format!("no connection within {CONNECT_TIMEOUT_MS} ms"),
+            )),
         };
-        self.refused.lock().remove(backend);
-        Ok(stream)
+        match &opened {
+            Ok(_) => drop(self.refused.lock().remove(backend)),
+            Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+                self.refused.lock().insert(backend.clone(), Instant::now());
+            }
+            Err(_) => {}
+        }
+        opened
     }
 
     /// Closes the idle connections to a backend server, after one carried no response in time: the
@@ -361,7 +381,7 @@
     }
 }
 
-async fn open_socket(address: SocketAddr) -> std::io::Result<TcpStream> {
+async fn open_socket(address: SocketAddr) -> io::Result<TcpStream> {
     let socket = match address {
         SocketAddr::V4(_) => TcpSocket::new_v4()?,
         SocketAddr::V6(_) => TcpSocket::new_v6()?,
