http: a companion that is reset says nothing about the end of a response

Callers got a whole stream without a length as cut when its replica had no room for further connections.

Cause: since a companion that was seen open and is closed at the end of the response shows the end of the process. A replica at its limit resets further connections (`MaxConns`), and one that is reset a moment after it was opened has been seen open. The end of a process closes the connections that it has accepted in order, without a reset.

Change: a companion that was reset leaves the end unproved, so that the address is asked.

--- a/crates/foxtailhold-http/src/response_end.rs
+++ b/crates/foxtailhold-http/src/response_end.rs
@@ -114,13 +114,18 @@
     is_seen: bool,
     /// When it was found closed though the response had not ended.
     closed_at: Option<Instant>,
+    /// Whether the server has reset it, as it does for lack of room. The end of a process closes the
+    /// connections that it has accepted in order.
+    is_reset: bool,
     /// Whether it replaces an anchored one, and the process has not shown itself since.
     is_replacement: bool,
 }
 
 impl Companion {
-    fn is_open(&self) -> bool {
-        is_quiet(&self.socket)
+    fn is_open(&mut self) -> bool {
+        let peeked = peek(&self.socket);
+        self.is_reset |= peeked == Peeked::Reset;
+        peeked == Peeked::Quiet
     }
 
     fn is_kept(&self) -> bool {
@@ -141,14 +146,17 @@
     pub fn accompany(&self, socket: tokio::net::TcpStream) -> io::Result<()> {
         let socket = socket.into_std()?;
         let mut companion = self.companion.lock();
-        let had_anchor = |earlier: &Companion| earlier.is_anchored || earlier.is_replacement;
-        let is_replacement = companion.as_ref().is_some_and(had_anchor);
+        let had_anchor = |earlier: &mut Companion| {
+            !earlier.is_reset && (earlier.is_anchored || earlier.is_replacement)
+        };
+        let is_replacement = companion.as_mut().is_some_and(had_anchor);
         *companion = Some(Companion {
             socket,
             opened_at: Instant::now(),
             is_anchored: false,
             is_seen: false,
             closed_at: None,
+            is_reset: false,
             is_replacement,
         });
         Ok(())
@@ -158,7 +166,7 @@
     pub fn is_accompanied(&self) -> bool {
         self.companion
             .lock()
-            .as_ref()
+            .as_mut()
             .is_some_and(Companion::is_open)
     }
 
@@ -177,13 +185,17 @@
             _ => return Ok(EndProof::None),
         }
         tokio::time::sleep(Duration::from_millis(COMPANION_WAIT_MS)).await;
-        match &*self.companion.lock() {
-            Some(companion) if companion.is_seen && companion.is_open() => {
-                Ok(match companion.is_anchored {
-                    true => EndProof::LivedOn,
-                    false => EndProof::None,
-                })
-            }
+        let mut slot = self.companion.lock();
+        let Some(companion) = slot.as_mut() else {
+            return Err(UnprovedEnd::ServerEnded);
+        };
+        let is_open = companion.is_open();
+        match companion {
+            Companion { is_reset: true, .. } => Ok(EndProof::None),
+            Companion { is_seen: true, .. } if is_open => Ok(match companion.is_anchored {
+                true => EndProof::LivedOn,
+                false => EndProof::None,
+            }),
             _ => Err(UnprovedEnd::ServerEnded),
         }
     }
@@ -225,7 +237,8 @@
         };
         // The runtime may not have looked at the socket for a while.
         let socket = stream.tcp().as_fd().try_clone_to_owned();
-        if !socket.is_ok_and(|socket| is_quiet(&TcpStream::from(socket))) {
+        let peeked = socket.map(|socket| peek(&TcpStream::from(socket)));
+        if !matches!(peeked, Ok(Peeked::Quiet)) {
             return;
         }
         if !companion.is_open() {
@@ -245,10 +258,23 @@
     }
 }
 
-/// Whether a socket that does not block is open and has nothing to be read.
-fn is_quiet(socket: &TcpStream) -> bool {
-    let peeked = socket.peek(&mut [0]);
-    peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+/// What a socket that does not block has to be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Peeked {
+    /// Nothing, and it is open.
+    Quiet,
+    /// Its reset, which is told only once.
+    Reset,
+    /// Data or its end.
+    Other,
+}
+
+fn peek(socket: &TcpStream) -> Peeked {
+    match socket.peek(&mut [0]) {
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => Peeked::Quiet,
+        Err(error) if error.kind() == io::ErrorKind::ConnectionReset => Peeked::Reset,
+        _ => Peeked::Other,
+    }
 }
 
 fn has_failed(error: io::Result<Option<io::Error>>) -> bool {
