connections: a replica that resets a connection for lack of room has not ended

Any end of that connection counted as the end of the process, also the reset by which a replica refuses connections beyond its limit. In case 1 the replica counted the stream as open for a moment after its end, so that it failed now and then.

Change: a reset alone shows nothing; the end of a process shows in the refusal of the next connection. A forwarder for a process that has ended closes the connection without a reset, as before.

--- a/crates/foxtailhold-relay/src/connections.rs
+++ b/crates/foxtailhold-relay/src/connections.rs
@@ -264,8 +264,13 @@
             Err(error) => return !self.shows_end(backend, address, &error).await,
         };
         let kept = Duration::from_millis(KEPT_CONNECTION_MS);
-        let closed = tokio::time::timeout(kept, stream.read_u8()).await;
-        closed.is_err()
+        match tokio::time::timeout(kept, stream.read_u8()).await {
+            Err(_) => true,
+            Ok(Err(error)) if error.kind() == ErrorKind::ConnectionReset => {
+                !self.shows_end(backend, address, &error).await
+            }
+            Ok(_) => false,
+        }
     }
 
     /// Whether the failure of a connection shows that its process has ended. The end of a process
