http: a reset of a connection is seen also where its companion is looked at first

Callers could be told that a stream or item without a length is whole though its connection had been reset.

Cause: while a connection has nothing to be read, its socket is peeked at to know that the companion leads to a process that is there. A reset that the runtime has not seen yet is told to that peek, and only once: the next read then saw an orderly end.

Whether a run of callers met it is not known.

Change: a reset that the peek meets is recorded as the end of the connection.

--- a/crates/foxtailhold-http/src/response_end.rs
+++ b/crates/foxtailhold-http/src/response_end.rs
@@ -237,9 +237,10 @@
         };
         // The runtime may not have looked at the socket for a while.
         let socket = stream.tcp().as_fd().try_clone_to_owned();
-        let peeked = socket.map(|socket| peek(&TcpStream::from(socket)));
-        if !matches!(peeked, Ok(Peeked::Quiet)) {
-            return;
+        match socket.map(|socket| peek(&TcpStream::from(socket))) {
+            Ok(Peeked::Quiet) => {}
+            Ok(Peeked::Reset) => return self.set(ObservedEnd::Reset),
+            _ => return,
         }
         if !companion.is_open() {
             let closed_at = *companion.closed_at.get_or_insert_with(Instant::now);
