relay: a newer start at its address ends a start whose response is not proved whole

Cause: an end that nothing proves was believed if the address kept one more connection, though a newer start may have answered there. In the soak's log the node had listed that start 19 ms before it believed the end of the former one, and had recorded the crash.

Change: after the check of the address, the end is believed only if no start that began later is listed under the same identity or at the same address. Streams, items and plain answers share this. The line that an end is believed comes after it.

A start that answers before it is listed is still taken for the former one.

--- a/crates/foxtailhold-relay/src/attempt_evidence.rs
+++ b/crates/foxtailhold-relay/src/attempt_evidence.rs
@@ -1,11 +1,14 @@
 //! What one attempt shows about its request: whether it runs, or crashes backend servers.
 
+use std::sync::Arc;
+
+use arc_swap::ArcSwap;
 use foxtailhold::crashes::MAX_CRASHES;
 use foxtailhold::time::{MonoMs, WallMs};
 use foxtailhold_http::clock::Clock;
 
 use crate::connections::Connections;
-use crate::fleet::BackendServer;
+use crate::fleet::{BackendServer, Backends};
 use crate::peers::Peers;
 use crate::pending_attempts::{EndWithoutResult, PendingAttempts, TrackedAttempt};
 use crate::upstream::{AttemptFailure, ResponseEnd};
@@ -20,6 +23,7 @@
     peers: Peers,
     pending: PendingAttempts,
     connections: Connections,
+    backends: Arc<ArcSwap<Backends>>,
     clock: Clock,
     attempt: TrackedAttempt,
     begun: MonoMs,
@@ -34,6 +38,7 @@
         peers: &Peers,
         pending: &PendingAttempts,
         connections: &Connections,
+        backends: &Arc<ArcSwap<Backends>>,
         clock: Clock,
         attempt: TrackedAttempt,
     ) -> Self {
@@ -45,6 +50,7 @@
             peers: peers.clone(),
             pending: pending.clone(),
             connections: connections.clone(),
+            backends: Arc::clone(backends),
             clock,
             attempt,
         }
@@ -98,13 +104,10 @@
         );
     }
 
-    /// Whether the backend server still keeps connections after it has ended its stream with one. If it
-    /// does not, the stream may have been cut off by its crash.
+    /// Whether the backend server is known to be there after it has ended its stream with the connection.
+    /// If it is not, the stream may have been cut off by its crash.
     pub async fn has_lived_on(&self) -> bool {
-        let backend = &self.attempt.backend;
-        self.connections
-            .keeps_connections(&backend.id, backend.address)
-            .await
+        has_lived_on_after_events(&self.connections, &self.backends, &self.attempt.backend).await
     }
 
     /// Records a response which says nothing about whether the request runs.
@@ -177,11 +180,30 @@
 pub(crate) async fn has_lived_on(
     peers: &Peers,
     connections: &Connections,
+    backends: &ArcSwap<Backends>,
     backend: &BackendServer,
 ) -> bool {
     let (id, address) = (&backend.id, backend.address);
-    match peers.crashes().is_empty() {
+    let is_there = match peers.crashes().is_empty() {
         true => connections.is_listening(id, address).await,
         false => connections.keeps_connections(id, address).await,
+    };
+    is_there && !backends.load().has_newer_start(backend)
+}
+
+/// Like [`has_lived_on`], of events: a forwarder may accept connections for a process that has ended,
+/// and it takes a moment to see that. Meanwhile the next start may be listed.
+pub(crate) async fn has_lived_on_after_events(
+    connections: &Connections,
+    backends: &ArcSwap<Backends>,
+    backend: &BackendServer,
+) -> bool {
+    let is_there = connections
+        .keeps_connections(&backend.id, backend.address)
+        .await;
+    if !is_there || backends.load().has_newer_start(backend) {
+        return false;
     }
+    log::info!(backend = backend.id.as_str(); "unproved end of a response is believed");
+    true
 }
--- a/crates/foxtailhold-relay/src/connections.rs
+++ b/crates/foxtailhold-relay/src/connections.rs
@@ -259,14 +259,6 @@
     /// Like [`Connections::is_listening`], also where a forwarder accepts connections for a process
     /// that has ended: it closes them at once.
     pub async fn keeps_connections(&self, backend: &BackendId, address: SocketAddr) -> bool {
-        let keeps = self.keeps_next(backend, address).await;
-        if keeps {
-            log::info!(backend = backend.as_str(); "unproved end of a response is believed");
-        }
-        keeps
-    }
-
-    async fn keeps_next(&self, backend: &BackendId, address: SocketAddr) -> bool {
         let mut stream = match self.open(backend, address).await {
             Ok(stream) => stream,
             Err(error) => return !self.shows_end(backend, address, &error).await,
--- a/crates/foxtailhold-relay/src/fleet.rs
+++ b/crates/foxtailhold-relay/src/fleet.rs
@@ -127,6 +127,17 @@
         all.any(|backend| backend.id == *id)
     }
 
+    /// Whether a newer start accepts new work under the identity or at the address of a backend server.
+    /// Its own process has ended then.
+    pub fn has_newer_start(&self, backend: &BackendServer) -> bool {
+        let mut all = self.services.values().flatten();
+        all.any(|other| {
+            let is_successor =
+                other.identity == backend.identity || other.address == backend.address;
+            is_successor && other.started_unix_ms > backend.started_unix_ms
+        })
+    }
+
     /// Backend servers of a service that accept new work and run another version than `version`.
     pub fn of_other_versions<'a>(
         &'a self,
--- a/crates/foxtailhold-relay/src/relay.rs
+++ b/crates/foxtailhold-relay/src/relay.rs
@@ -18,7 +18,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::absences::ServiceAbsences;
-use crate::attempt_evidence::{AttemptEvidence, has_lived_on};
+use crate::attempt_evidence::{AttemptEvidence, has_lived_on, has_lived_on_after_events};
 use crate::attempts::AttemptBudget;
 use crate::caller_time::{FirstEventTimes, MIN_PATIENCE_MS, stream_patience_ms};
 use crate::connections::{BusyConnection, Connections};
@@ -148,21 +148,21 @@
         backend: &BackendServer,
         is_proved: bool,
     ) -> Result<(), AttemptFailure> {
-        match is_proved || has_lived_on(&self.peers, &self.connections, backend).await {
+        let has_lived_on = || has_lived_on(&self.peers, &self.connections, &self.backends, backend);
+        match is_proved || has_lived_on().await {
             true => Ok(()),
             false => Err(AttemptFailure::Closed),
         }
     }
 
-    /// Like [`Relay::check_end`], of events: a forwarder may accept connections for a process that has
-    /// ended, and it takes a moment to see that.
+    /// Like [`Relay::check_end`], of a response of events.
     pub(crate) async fn check_end_of_events(
         &self,
         backend: &BackendServer,
         is_proved: bool,
     ) -> Result<(), AttemptFailure> {
-        let (id, address) = (&backend.id, backend.address);
-        match is_proved || self.connections.keeps_connections(id, address).await {
+        let has_lived_on = || has_lived_on_after_events(&self.connections, &self.backends, backend);
+        match is_proved || has_lived_on().await {
             true => Ok(()),
             false => Err(AttemptFailure::Closed),
         }
@@ -239,6 +239,7 @@
             &self.peers,
             &self.pending_attempts,
             &self.connections,
+            &self.backends,
             self.clock,
             attempt,
         )
--- a/crates/foxtailhold-relay/tests/fleet.rs
+++ b/crates/foxtailhold-relay/tests/fleet.rs
@@ -214,3 +214,20 @@
     table.put(MonoMs(200), backend("a"));
     assert_eq!(used_identities(&table), ["a", "b"]);
 }
+
+/// Guards against the answer of the next start that is taken for one of the start before.
+#[test_case("a", 2, "10.0.0.9:80", true; "the same identity")]
+#[test_case("c", 2, "10.0.0.1:80", true; "the same address")]
+#[test_case("c", 2, "10.0.0.9:80", false; "another backend server")]
+#[test_case("c", 1, "10.0.0.1:80", false; "no newer one")]
+fn a_newer_start_shows(name: &str, started_unix_ms: u64, address: &str, is_newer: bool) {
+    let mut table = FleetTable::default();
+    table.store_answered(MonoMs(0));
+    let listed = BackendServer {
+        address: address.parse().unwrap(),
+        ..server_started_at(name, started_unix_ms)
+    };
+    table.replace(MonoMs(0), vec![listed]);
+    let snapshot = table.snapshot();
+    assert_eq!(snapshot.has_newer_start(&backend("a")), is_newer);
+}
