--- a/crates/foxtailhold-http/src/response_end.rs
+++ b/crates/foxtailhold-http/src/response_end.rs
@@ -8,7 +8,7 @@
 //! address under the same name. So a second connection is opened while the response is read, the
 //! companion. If the first one is still open once the companion is, both lead to the same process; if the
 //! companion is open after the end of the first one, that process lived on and has ended its response
-//! itself.
+//! itself. A companion that was reset says nothing, as a server that has no room for it does that, too.
 
 use std::io;
 use std::net::TcpStream;
--- a/crates/foxtailhold-relay/src/attempt_evidence.rs
+++ b/crates/foxtailhold-relay/src/attempt_evidence.rs
@@ -175,8 +175,9 @@
     }
 }
 
-/// Whether a backend server still listens after it has ended its response with the connection. This
-/// takes a moment longer where backend servers have crashed lately.
+/// Whether a backend server still listens after it has ended its response with the connection, and no
+/// newer start is listed in its place. This takes a moment longer where backend servers have crashed
+/// lately.
 pub(crate) async fn has_lived_on(
     peers: &Peers,
     connections: &Connections,
